--- a/src/balance.rs
+++ b/src/balance.rs
@@ -6,7 +6,7 @@
 
 use crate::stats::{Draws, Fading, LATENCY_FIRST, Latency, UNHURRIED_FIRST};
 use crate::types::*;
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::time::Duration;
 
 /// Endpoints sampled for a call: the paper's d; two gives most of the gain.
@@ -128,6 +128,10 @@
 
 struct Endpoint {
     info: EndpointInfo,
+    /// Taken out of use by hand.
+    banned: bool,
+    /// When it was given back: it may have been restarted while out, whatever the list says yet.
+    back: Option<Duration>,
     in_flight: u32,
     /// Recent failures as calls in flight.
     heat: Fading,
@@ -167,6 +171,8 @@
     draws: Draws,
     endpoints: Vec<Endpoint>,
     index: HashMap<EndpointId, usize>,
+    /// Taken out of use by hand, listed or not.
+    banned: HashSet<EndpointId>,
     /// Ready endpoints: of the own zone, of others, each first those of this balancer's part, then all.
     pools: [Vec<usize>; 4],
     requests: HashMap<RequestId, Pending>,
@@ -227,6 +233,7 @@
             draws: Draws::new(seed),
             endpoints: Vec::new(),
             index: HashMap::new(),
+            banned: HashSet::new(),
             pools: Default::default(),
             requests: HashMap::new(),
             held: Vec::new(),
@@ -274,6 +281,7 @@
                 }
                 None => {}
             },
+            Event::Ban { endpoint, on } => self.on_ban(now, endpoint, on, out),
             Event::ProbeEnded { .. } | Event::PeerMessage { .. } => {}
         }
     }
@@ -336,8 +344,11 @@
                 None => {
                     self.index.insert(info.id, self.endpoints.len());
                     let (cold_tokens, opening) = (self.draws.uniform(), info.started.is_none());
+                    let banned = self.banned.contains(&info.id);
                     self.endpoints.push(Endpoint {
                         info,
+                        banned,
+                        back: None,
                         in_flight: 0,
                         heat: Fading::default(),
                         drag: Fading::default(),
@@ -357,6 +368,34 @@
         self.choose_part(now);
     }
 
+    /// Takes an endpoint out of use until it is given back, or gives it back: cold, and with a clean record.
+    fn on_ban(&mut self, now: Duration, id: EndpointId, on: bool, out: &mut Vec<Action>) {
+        let changed = if on { self.banned.insert(id) } else { self.banned.remove(&id) };
+        if let Some(&i) = self.index.get(&id).filter(|_| changed) {
+            let endpoint = &mut self.endpoints[i];
+            endpoint.banned = on;
+            if !on {
+                (endpoint.back, endpoint.limit) = (Some(now), LIMIT_START);
+                (endpoint.drag.value, endpoint.heat.value) = (0.0, 0.0);
+                // One call at once: it shows that the endpoint serves again.
+                (endpoint.cold_tokens, endpoint.cold_at) = (1.0, now);
+            }
+            self.choose_part(now);
+            self.release_held(now, out);
+        }
+    }
+
+    /// How many listed endpoints it avoids now: out of use by hand, leaving, or barred by failures alone.
+    pub fn avoided(&self, now: Duration) -> usize {
+        let avoided = |i: usize| {
+            let endpoint = &self.endpoints[i];
+            let heat = (endpoint.heat(now) - self.common_heat).max(0.0);
+            !endpoint.is_ready() || heat + 1.0 > self.room(now, i)
+        };
+        let listed = |i: &usize| self.endpoints[*i].info.state != EndpointState::Gone;
+        (0..self.endpoints.len()).filter(listed).filter(|&i| avoided(i)).count()
+    }
+
     /// All balancers see the endpoints of a zone on the same ring; each begins at a place of its own, by the
     /// golden ratio: so parts cover it evenly, also for those of one zone, however they are numbered.
     fn choose_part(&mut self, now: Duration) {
@@ -857,9 +896,8 @@
     /// Hard limits: the list, the cold budget, and rule 2 for a keyed request that may have run.
     fn allowed(&self, now: Duration, i: usize, pending: &Pending) -> bool {
         let endpoint = &self.endpoints[i];
-        let room = (endpoint.limit * self.warmth(now, i)).max(1.0);
         let overspent = self.warmth(now, i) < 1.0 && self.cold_tokens(now, i) < 1.0;
-        if !endpoint.is_ready() || self.load(now, i) + 1.0 > room || overspent {
+        if !endpoint.is_ready() || self.load(now, i) + 1.0 > self.room(now, i) || overspent {
             return false;
         }
         let Semantics::Keyed { group, .. } = self.settings.classes[pending.class].semantics else {
@@ -872,10 +910,16 @@
         })
     }
 
+    /// Own calls that an endpoint may hold now.
+    fn room(&self, now: Duration, i: usize) -> f64 {
+        (self.endpoints[i].limit * self.warmth(now, i)).max(1.0)
+    }
+
     /// The part of its capacity that an endpoint surely has: it rises evenly from the cold share.
     fn warmth(&self, now: Duration, i: usize) -> f64 {
         let rules = &self.settings.rules;
-        let Some(started) = self.endpoints[i].info.started else { return 1.0 };
+        let endpoint = &self.endpoints[i];
+        let Some(started) = endpoint.info.started.max(endpoint.back) else { return 1.0 };
         let age = now.saturating_sub(started).as_secs_f64() / rules.warm_within.as_secs_f64().max(1e-3);
         (rules.cold_share + (1.0 - rules.cold_share) * age).clamp(0.01, 1.0)
     }
@@ -916,7 +960,7 @@
 
 impl Endpoint {
     fn is_ready(&self) -> bool {
-        self.info.state == EndpointState::Ready
+        self.info.state == EndpointState::Ready && !self.banned
     }
 
     fn add_heat(&mut self, now: Duration) {
--- a/src/net/budget.rs
+++ b/src/net/budget.rs
@@ -5,10 +5,13 @@
 use std::rc::Rc;
 use tokio::sync::Notify;
 
-/// Descriptors kept free for the listener, the runtime, standard streams, discovery and shed clients.
+/// Descriptors kept free for the listener, the runtime, standard streams, discovery, operators and
+/// shed clients.
 const RESERVE: usize = 48;
 /// Clients over the cap that may still be told so, out of the reserve.
 const SHED_MOST: usize = 24;
+/// Operators who may call at once, out of the reserve.
+const OPERATORS_MOST: usize = 8;
 /// Fewer descriptors than this leave nothing to serve with.
 pub const LEAST_SOCKETS: usize = RESERVE + 16;
 /// The most memory that a client's request may take with its buffers, bodies and attempt, in KiB.
@@ -23,6 +26,8 @@
     Shed,
     /// A connection to an endpoint.
     Endpoint,
+    /// An operator.
+    Operator,
 }
 
 /// Counts of the sockets in use, and how many may be.
@@ -32,6 +37,7 @@
     clients: Cell<usize>,
     shed: Cell<usize>,
     endpoints: Cell<usize>,
+    operators: Cell<usize>,
     freed: Notify,
 }
 
@@ -48,8 +54,8 @@
         // An attempt needs a socket too: clients must not take what their own requests go out on.
         let by_memory = memory_mb.saturating_mul(1024) / 2 / CLIENT_KIB;
         let clients_most = (total * 5 / 8).min(by_memory).max(1);
-        let (clients, shed, endpoints) = Default::default();
-        Rc::new(Budget { total, clients_most, clients, shed, endpoints, freed: Notify::new() })
+        let (clients, shed, endpoints, operators) = Default::default();
+        Rc::new(Budget { total, clients_most, clients, shed, endpoints, operators, freed: Notify::new() })
     }
 
     /// A permit, if there is room for one.
@@ -58,6 +64,7 @@
             Holder::Client => self.clients.get() < self.clients_most && self.in_use() < self.total,
             Holder::Shed => self.shed.get() < SHED_MOST,
             Holder::Endpoint => self.in_use() < self.total,
+            Holder::Operator => self.operators.get() < OPERATORS_MOST,
         };
         room.then(|| {
             let count = self.count(holder);
@@ -95,6 +102,7 @@
             Holder::Client => &self.clients,
             Holder::Shed => &self.shed,
             Holder::Endpoint => &self.endpoints,
+            Holder::Operator => &self.operators,
         }
     }
 }
@@ -103,7 +111,7 @@
     fn drop(&mut self) {
         let count = self.budget.count(self.holder);
         count.set(count.get() - 1);
-        if self.holder != Holder::Endpoint {
+        if matches!(self.holder, Holder::Client | Holder::Shed) {
             self.budget.freed.notify_one();
         }
     }
--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -28,6 +28,8 @@
     pub listen: SocketAddr,
     /// Where discovery listens.
     pub discovery: SocketAddr,
+    /// Where operators call, if anywhere.
+    pub operator: Option<SocketAddr>,
     /// For random numbers; new with each start.
     pub seed: u64,
     /// Descriptors it may hold.
@@ -73,6 +75,7 @@
     name: String,
     listen: Option<String>,
     discovery: Option<String>,
+    operator: Option<String>,
     seed: String,
     limits: Limits,
     #[serde(default)]
@@ -92,7 +95,7 @@
         let var = |name: &str| std::env::var(name).ok();
         let path = var("ROUTER_CONFIG").ok_or_else(|| error("ROUTER_CONFIG", "not set"))?;
         let text = std::fs::read_to_string(&path).map_err(|e| error("ROUTER_CONFIG", e))?;
-        Config::parse(&text, var("ROUTER_NAME"), var("ROUTER_LISTEN"), var("ROUTER_DISCOVERY"))
+        Config::parse(&text, var)
     }
 
     /// Reads the file again: discovery's address, if the file has come to name another one, and the
@@ -105,17 +108,13 @@
         let moved = new["discovery"].as_str().filter(|_| changed(&"discovery"));
         let moved = moved.map(|text| address("discovery", Some(text.to_owned()))).transpose()?;
         // The seed is new with each start and the known list as old as the file: both are for a start.
-        let restart = ["name", "listen", "limits", "settings"].into_iter().filter(changed).collect();
+        let restart =
+            ["name", "listen", "operator", "limits", "settings"].into_iter().filter(changed).collect();
         *file = new;
         Ok((moved, restart))
     }
 
-    fn parse(
-        text: &str,
-        name: Option<String>,
-        listen: Option<String>,
-        discovery: Option<String>,
-    ) -> Result<Self, ConfigError> {
+    fn parse(text: &str, var: impl Fn(&str) -> Option<String>) -> Result<Self, ConfigError> {
         let raw: Value = serde_json::from_str(text).map_err(|e| error("ROUTER_CONFIG", e))?;
         let file: File =
             serde_path_to_error::deserialize(&raw).map_err(|e| error(&e.path().to_string(), e.inner()))?;
@@ -128,9 +127,13 @@
             return Err(error("limits.sockets", problem));
         }
         Ok(Config {
-            name: name.unwrap_or(file.name),
-            listen: address("listen", listen.or(file.listen))?,
-            discovery: address("discovery", discovery.or(file.discovery))?,
+            name: var("ROUTER_NAME").unwrap_or(file.name),
+            listen: address("listen", var("ROUTER_LISTEN").or(file.listen))?,
+            discovery: address("discovery", var("ROUTER_DISCOVERY").or(file.discovery))?,
+            operator: match var("ROUTER_OPERATOR").or(file.operator) {
+                None => None,
+                at => Some(address("operator", at)?),
+            },
             seed: u64::from_str_radix(&file.seed, 16)
                 .map_err(|_| error("seed", format!("`{}` is not hex", file.seed)))?,
             sockets: file.limits.sockets,
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -140,6 +140,16 @@
         news
     }
 
+    /// The id of an endpoint of this uid, listed or not.
+    pub fn id(&self, uid: &str) -> EndpointId {
+        self.ids.borrow_mut().id(uid)
+    }
+
+    /// The id of the endpoint of this uid, if it is known.
+    pub fn find(&self, uid: &str) -> Option<EndpointId> {
+        self.ids.borrow().find(uid)
+    }
+
     /// The uid of an endpoint.
     pub fn uid(&self, id: EndpointId) -> String {
         self.ids.borrow().name(id).to_owned()
--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -2,13 +2,15 @@
 //! actions. It decides nothing, but keeps what must hold whatever is decided: one final answer a
 //! request, no attempt beyond the limit or the deadline, nothing sent for what is finished.
 
+use super::bans::Bans;
 use super::discovery::{Call, Discovery, News};
+use super::figures::Hosts;
 use super::outbound::{Ended, Outbound, Progress};
 use hyper::body::Bytes;
 use hyper::header::{self, HeaderName, HeaderValue};
 use hyper::{HeaderMap, Method, Request, Uri};
 use std::cmp::Reverse;
-use std::collections::{BinaryHeap, HashMap, VecDeque};
+use std::collections::{BinaryHeap, HashMap, HashSet, VecDeque};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
@@ -43,6 +45,24 @@
     GiveUp,
 }
 
+/// Where operators' calls go.
+pub type Commands = UnboundedSender<Command>;
+
+/// What operators ask of the driver.
+pub enum Command {
+    /// How many endpoints are listed, and how many of them avoided.
+    Hosts(oneshot::Sender<Hosts>),
+    /// Take the endpoint of this uid out of use, or give it back.
+    Ban {
+        /// The uid.
+        uid: String,
+        /// Out of use, rather than back.
+        on: bool,
+        /// Told once that holds and is on disk, or why it isn't so.
+        told: oneshot::Sender<Result<(), &'static str>>,
+    },
+}
+
 /// A request as it came in.
 pub struct Arrival {
     /// For the module; its time left is set here.
@@ -114,6 +134,16 @@
     }
 }
 
+/// The parts that the driver works with.
+pub struct Parts {
+    /// Connections to endpoints.
+    pub outbound: Rc<Outbound>,
+    /// The list.
+    pub discovery: Rc<Discovery>,
+    /// What operators have taken out of use.
+    pub bans: Rc<Bans>,
+}
+
 /// Owns the module, its timers, and the requests and attempts in flight.
 pub struct Driver {
     balancer: Balancer,
@@ -128,6 +158,9 @@
     summary_at: Instant,
     outbound: Rc<Outbound>,
     discovery: Rc<Discovery>,
+    bans: Rc<Bans>,
+    /// Their ids.
+    banned: HashSet<EndpointId>,
     calls: UnboundedSender<Call>,
     inbox: Inbox,
 }
@@ -138,11 +171,11 @@
         balancer: Balancer,
         clock: Clock,
         max_attempts: u32,
-        outbound: Rc<Outbound>,
-        discovery: Rc<Discovery>,
+        parts: Parts,
         calls: UnboundedSender<Call>,
         inbox: Inbox,
     ) -> Self {
+        let Parts { outbound, discovery, bans } = parts;
         Driver {
             balancer,
             clock,
@@ -155,17 +188,28 @@
             summary_at: Instant::now() + SUMMARY,
             outbound,
             discovery,
+            bans,
+            banned: HashSet::new(),
             calls,
             inbox,
         }
     }
 
     /// Runs until nothing can report any more.
-    pub async fn run(mut self, mut inputs: UnboundedReceiver<Input>) {
+    pub async fn run(
+        mut self,
+        mut inputs: UnboundedReceiver<Input>,
+        mut commands: UnboundedReceiver<Command>,
+    ) {
+        for uid in self.bans.all() {
+            self.hold_back(&uid, true);
+        }
         loop {
             let next = self.timers.peek().map_or(self.summary_at, |Reverse((at, _))| *at);
             tokio::select! {
                 biased;
+                // Operators wait for a second at most, whatever else does.
+                Some(command) = commands.recv() => self.obey(command),
                 input = inputs.recv() => match input {
                     Some(input) => self.take(input),
                     None => return,
@@ -223,6 +267,45 @@
         }
     }
 
+    fn obey(&mut self, command: Command) {
+        // An answer that nobody waits for any more is nobody's loss.
+        match command {
+            Command::Hosts(told) => {
+                let down = self.balancer.avoided(self.clock.now());
+                let _ = told.send(Hosts { listed: self.addresses.len(), down });
+            }
+            Command::Ban { uid, on, told } => drop(told.send(self.ban(&uid, on))),
+        }
+    }
+
+    fn ban(&mut self, uid: &str, on: bool) -> Result<(), &'static str> {
+        if !self.bans.contains(uid)
+            && !self.discovery.find(uid).is_some_and(|id| self.addresses.contains_key(&id))
+        {
+            return Err("no such endpoint");
+        }
+        self.bans.set(uid, on).map_err(|e| {
+            eprintln!("bans: {e}");
+            "it can't be kept on disk"
+        })?;
+        eprintln!("bans: {uid} is {}", if on { "out of use" } else { "back" });
+        self.hold_back(uid, on);
+        Ok(())
+    }
+
+    /// Lets a ban or its end hold from now on.
+    fn hold_back(&mut self, uid: &str, on: bool) {
+        let id = self.discovery.id(uid);
+        if on {
+            self.banned.insert(id);
+            self.outbound.close_idle(id);
+        } else {
+            self.banned.remove(&id);
+        }
+        self.outbound.bar(id, on);
+        self.handle(Event::Ban { endpoint: id, on });
+    }
+
     fn arrived(&mut self, arrival: Arrival) {
         let Arrival { mut request, deadline, forward, answer } = arrival;
         request.time_left = deadline.saturating_duration_since(Instant::now());
@@ -301,7 +384,7 @@
                 listed
             });
         }
-        self.discovery.keep(|id| self.addresses.contains_key(&id));
+        self.discovery.keep(|id| self.addresses.contains_key(&id) || self.banned.contains(&id));
         self.handle(Event::Membership(news.membership));
     }
 
@@ -361,7 +444,7 @@
     fn send(&mut self, id: RequestId, endpoint: EndpointId, timeout: Duration) {
         let Some(open) = self.requests.get_mut(&id) else { return };
         let (now, attempt) = (Instant::now(), AttemptNo(open.tries.len() as u32));
-        let address = self.addresses.get(&endpoint).copied();
+        let address = self.addresses.get(&endpoint).copied().filter(|_| !self.banned.contains(&endpoint));
         let until = open.deadline.min(now + timeout);
         let moot = open.answer.is_none() || open.tries.len() >= self.max_attempts || until <= now;
         let Some(address) = address.filter(|_| !moot) else {
@@ -383,7 +466,7 @@
         let request = open.forward.request(address, until - now);
         let (outbound, inbox) = (self.outbound.clone(), self.inbox.clone());
         spawn_local(async move {
-            let progress = Progress::default();
+            let progress = Progress::new(true);
             let exchange = timeout_at(until, outbound.attempt(endpoint, address, request, &progress));
             let ended = tokio::select! {
                 biased;
@@ -395,7 +478,8 @@
     }
 
     fn probe(&mut self, endpoint: EndpointId) {
-        let Some(&address) = self.addresses.get(&endpoint) else {
+        let address = self.addresses.get(&endpoint).filter(|_| !self.banned.contains(&endpoint));
+        let Some(&address) = address else {
             let (outcome, elapsed, report) = (Outcome::ConnectFailed, Duration::ZERO, None);
             return self.due.push_back(Event::ProbeEnded { endpoint, outcome, elapsed, report });
         };
--- /dev/null
+++ b/src/net/figures.rs
@@ -0,0 +1,183 @@
+//! The one owner of the counts that operators read. Each is raised where the thing that it counts
+//! ends, once; reading them works nothing out again.
+//!
+//! A request is `taken` once its last byte has come, and in flight until its answer has been handed
+//! over to its client's connection. It ends in exactly one count: `success` where an endpoint's answer
+//! was passed on to its end, `busy` where it was refused, `failure` for everything else: failed,
+//! malformed, cut off, or left by its client before its answer. A request whose class can't be told
+//! stands under the class `unknown`.
+
+use std::cell::Cell;
+use std::fmt::Write;
+use std::rc::Rc;
+
+/// All figures' names begin with this.
+const PREFIX: &str = "router";
+/// Stands for the class of a request that names none.
+const UNKNOWN: &str = "unknown";
+
+/// How a request ended.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Verdict {
+    /// Served.
+    Success,
+    /// Refused.
+    Busy,
+    /// Anything else.
+    Failure,
+}
+
+struct Class {
+    name: String,
+    success: Cell<u64>,
+    busy: Cell<u64>,
+    failure: Cell<u64>,
+}
+
+/// The endpoints as the driver and the module see them now.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Hosts {
+    /// In the list.
+    pub listed: usize,
+    /// Of these, avoided: taken out by hand, leaving, or failing.
+    pub down: usize,
+}
+
+/// The counts since the start of the process.
+pub struct Figures {
+    /// The settings' classes, and behind them the unknown.
+    classes: Vec<Class>,
+    backend_calls: Cell<u64>,
+    in_flight: Cell<u64>,
+    reconfig_ok: Cell<u64>,
+    reconfig_failed: Cell<u64>,
+}
+
+/// A request until it ends; counts it when dropped.
+pub struct Counted {
+    figures: Rc<Figures>,
+    class: usize,
+    taken: bool,
+    verdict: Verdict,
+}
+
+fn raise(count: &Cell<u64>) {
+    count.set(count.get() + 1);
+}
+
+impl Figures {
+    /// Nothing counted yet, for these classes.
+    pub fn new(classes: impl Iterator<Item = String>) -> Rc<Self> {
+        let class = |name| {
+            let (success, busy, failure) = Default::default();
+            Class { name, success, busy, failure }
+        };
+        let classes = classes.chain([UNKNOWN.to_owned()]).map(class).collect();
+        let (backend_calls, in_flight, reconfig_ok, reconfig_failed) = Default::default();
+        Rc::new(Figures { classes, backend_calls, in_flight, reconfig_ok, reconfig_failed })
+    }
+
+    /// A request has begun to come: of this class, if it names a known one. It ends as a failure unless
+    /// something else is said.
+    pub fn begin(self: &Rc<Self>, class: Option<usize>) -> Counted {
+        let unknown = self.classes.len() - 1;
+        let class = class.unwrap_or(unknown).min(unknown);
+        Counted { figures: self.clone(), class, taken: false, verdict: Verdict::Failure }
+    }
+
+    /// An attempt was written whole to an endpoint.
+    pub fn written(&self) {
+        raise(&self.backend_calls);
+    }
+
+    /// A new configuration was taken over, or could not be.
+    pub fn reconfigured(&self, ok: bool) {
+        raise(if ok { &self.reconfig_ok } else { &self.reconfig_failed });
+    }
+
+    /// All figures, one a line.
+    pub fn report(&self, hosts: Hosts) -> String {
+        let mut text = String::new();
+        let mut line = |name: &str, class: &str, value: u64, kind: &str| {
+            let dot = if class.is_empty() { "" } else { "." };
+            let _ = writeln!(text, "{PREFIX}.{name}{dot}{class}:{value}|{kind}"); // to a String: never fails
+        };
+        for class in &self.classes {
+            line("success", &class.name, class.success.get(), "c");
+            line("busy", &class.name, class.busy.get(), "c");
+            line("failure", &class.name, class.failure.get(), "c");
+        }
+        line("backend_calls", "", self.backend_calls.get(), "c");
+        line("reconfig_ok", "", self.reconfig_ok.get(), "c");
+        line("reconfig_failed", "", self.reconfig_failed.get(), "c");
+        line("inflight", "", self.in_flight.get(), "g");
+        line("hosts_listed", "", hosts.listed as u64, "g");
+        line("hosts_down", "", hosts.down as u64, "g");
+        text
+    }
+}
+
+impl Counted {
+    /// Its last byte has come.
+    pub fn taken(&mut self) {
+        if !std::mem::replace(&mut self.taken, true) {
+            raise(&self.figures.in_flight);
+        }
+    }
+
+    /// How it will have ended.
+    pub fn ends(&mut self, verdict: Verdict) {
+        self.verdict = verdict;
+    }
+}
+
+impl Drop for Counted {
+    fn drop(&mut self) {
+        let class = &self.figures.classes[self.class];
+        raise(match self.verdict {
+            Verdict::Success => &class.success,
+            Verdict::Busy => &class.busy,
+            Verdict::Failure => &class.failure,
+        });
+        if self.taken {
+            self.figures.in_flight.set(self.figures.in_flight.get() - 1);
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn every_request_ends_in_exactly_one_count() {
+        let figures = Figures::new(["a", "b"].map(str::to_owned).into_iter());
+        let ends = [
+            (Some(0), Some(Verdict::Success)),
+            (Some(0), Some(Verdict::Busy)),
+            (Some(1), Some(Verdict::Failure)),
+            (Some(1), None), // its client left: nothing more was said
+            (None, Some(Verdict::Failure)),
+            (Some(9), Some(Verdict::Failure)),
+        ];
+        let mut open = Vec::new();
+        for (class, verdict) in ends {
+            let mut counted = figures.begin(class);
+            counted.taken();
+            counted.taken();
+            verdict.into_iter().for_each(|verdict| counted.ends(verdict));
+            open.push(counted);
+        }
+        let hosts = Hosts { listed: 3, down: 1 };
+        assert!(figures.report(hosts).contains("router.inflight:6|g\n"));
+        drop(open);
+        figures.written();
+        figures.reconfigured(true);
+        let want = "router.success.a:1|c\nrouter.busy.a:1|c\nrouter.failure.a:0|c\n\
+                    router.success.b:0|c\nrouter.busy.b:0|c\nrouter.failure.b:2|c\n\
+                    router.success.unknown:0|c\nrouter.busy.unknown:0|c\nrouter.failure.unknown:2|c\n\
+                    router.backend_calls:1|c\nrouter.reconfig_ok:1|c\nrouter.reconfig_failed:0|c\n\
+                    router.inflight:0|g\nrouter.hosts_listed:3|g\nrouter.hosts_down:1|g\n";
+        assert_eq!(figures.report(hosts), want);
+    }
+}
--- a/src/net/inbound.rs
+++ b/src/net/inbound.rs
@@ -3,10 +3,12 @@
 use super::budget::{Budget, Holder, Permit};
 use super::config::Names;
 use super::driver::{Answer, Arrival, Forward, Inbox, Input};
+use super::figures::{Counted, Figures, Verdict};
+use super::lifecycle::{Lifecycle, State};
 use super::outbound::{BODY_MOST, BUFFER_MOST, Outbound};
 use super::socket::{Heard, Socket};
-use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
-use hyper::body::{Body, Bytes, Incoming};
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use hyper::body::{Body, Bytes, Frame, Incoming, SizeHint};
 use hyper::header::{self, HeaderMap, HeaderName, HeaderValue};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -16,12 +18,11 @@
 use std::collections::{BTreeMap, HashSet};
 use std::convert::Infallible;
 use std::future::{Future, poll_fn};
-use std::pin::pin;
+use std::pin::{Pin, pin};
 use std::rc::Rc;
-use std::task::Poll;
+use std::task::{Context, Poll};
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::signal::unix::Signal;
 use tokio::sync::{Notify, oneshot};
 use tokio::task::spawn_local;
 use tokio::time::{Instant, sleep, sleep_until, timeout, timeout_at};
@@ -52,6 +53,11 @@
 const ROOM_RECHECK: Duration = Duration::from_millis(10);
 /// While draining, a connection on which nothing has come yet is closed after this.
 const FRESH_WAIT: Duration = Duration::from_millis(200);
+/// Told by an operator to drain, idle connections are closed from this long after the call on: none may
+/// be idle 4 s after it, nor have brought a request in the 2 s before that. New ones come for 0.3 s.
+const DRAIN_IDLE: Duration = Duration::from_millis(1500);
+/// How often idle connections are looked for then.
+const DRAIN_CHECK: Duration = Duration::from_millis(100);
 /// SIGKILL comes no sooner than the longest deadline, but at most `DEADLINE_MOST`, and 0.7 s more:
 /// what is open this long after it is failed, which leaves the answers time to go out.
 const DRAIN_SLACK: Duration = Duration::from_millis(450);
@@ -68,7 +74,8 @@
     outbound: Rc<Outbound>,
     inbox: Inbox,
     next: Cell<u64>,
-    draining: Cell<bool>,
+    lifecycle: Rc<Lifecycle>,
+    figures: Rc<Figures>,
     /// Accepting fails; said once in the log until it works again.
     failing: Cell<bool>,
     /// The connections in the order of their coming.
@@ -153,7 +160,33 @@
     }
 }
 
-type Reply = Response<Full<Bytes>>;
+/// An answer's body, and the request's count: that ends with the answer.
+struct Outgoing {
+    whole: Option<Bytes>,
+    _counted: Option<Counted>,
+}
+
+impl Body for Outgoing {
+    type Data = Bytes;
+    type Error = Infallible;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        _: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Infallible>>> {
+        Poll::Ready(self.whole.take().map(|bytes| Ok(Frame::data(bytes))))
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.whole.is_none()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        SizeHint::with_exact(self.whole.as_ref().map_or(0, |bytes| bytes.len() as u64))
+    }
+}
+
+type Reply = Response<Bytes>;
 
 /// What is wrong with a request.
 type Bad = (StatusCode, &'static str);
@@ -165,6 +198,8 @@
         names: &Names,
         budget: Rc<Budget>,
         outbound: Rc<Outbound>,
+        lifecycle: Rc<Lifecycle>,
+        figures: Rc<Figures>,
         inbox: Inbox,
     ) -> Rc<Self> {
         let list = |names: &[super::config::Named]| names.iter().map(|n| n.name.clone()).collect();
@@ -176,7 +211,8 @@
             outbound,
             inbox,
             next: Cell::new(0),
-            draining: Cell::new(false),
+            lifecycle,
+            figures,
             failing: Cell::new(false),
             connections: RefCell::default(),
             open: RefCell::default(),
@@ -184,16 +220,16 @@
     }
 
     /// Serves until told to end, then drains: all that the kernel has accepted is answered.
-    pub async fn serve(self: Rc<Self>, listener: TcpListener, mut term: Signal) {
+    pub async fn serve(self: Rc<Self>, listener: TcpListener) {
+        spawn_local(self.clone().part_from_idle());
         loop {
             tokio::select! {
-                _ = term.recv() => break,
+                () = self.lifecycle.reaches(|state| state == State::Terminating) => break,
                 () = self.accept(&listener) => {}
             }
         }
         let asked = Instant::now();
         eprintln!("draining: {} clients connected", self.budget.clients());
-        self.draining.set(true);
         while timeout_at(asked + DRAIN_ACCEPT, self.accept(&listener)).await.is_ok() {}
         let longest = self.settings.classes.iter().map(|c| c.deadline).max().unwrap_or_default();
         let until = asked + longest.min(DEADLINE_MOST) + DRAIN_SLACK;
@@ -208,6 +244,24 @@
         eprintln!("drained in {} ms", asked.elapsed().as_millis());
     }
 
+    /// While an operator has the sidecar drained, closes connections between requests.
+    async fn part_from_idle(self: Rc<Self>) {
+        loop {
+            self.lifecycle.reaches(|state| state == State::Draining).await;
+            if self.lifecycle.draining_since().is_some_and(|at| at.elapsed() >= DRAIN_IDLE) {
+                for turn in self.connections.borrow().values() {
+                    let fresh = turn.answered.get().is_none() && turn.silent().is_some();
+                    let between = turn.idle().is_some() || (fresh && turn.heard.began().is_none());
+                    // What the kernel already holds of a request is answered first.
+                    if between && !turn.heard.pending() {
+                        turn.close.notify_one();
+                    }
+                }
+            }
+            sleep(DRAIN_CHECK).await;
+        }
+    }
+
     async fn all_gone(&self) {
         while self.budget.clients() > 0 {
             self.budget.freed().await;
@@ -310,14 +364,20 @@
                 fresh_until.into_iter().chain(turn.until()).fold(Instant::now() + TICK, Instant::min);
             tokio::select! {
                 biased;
-                _ = connection.as_mut() => return, // an error here is the client's leaving
+                ended = connection.as_mut() => {
+                    // Any other error is the client's leaving.
+                    if ended.is_err_and(|e| e.is_parse()) {
+                        drop(self.figures.begin(None));
+                    }
+                    return;
+                }
                 () = turn.close.notified() => {
                     if turn.busy.get() {
                         turn.last.set(true);
-                    } else if self.draining.get() && turn.answered.get().is_none() {
+                    } else if self.lifecycle.draining_since().is_some() && turn.answered.get().is_none() {
                         // The first request is as good as taken: to close now would lose what the
                         // client is just writing.
-                        fresh_until = Some(Instant::now() + FRESH_WAIT);
+                        fresh_until.get_or_insert_with(|| Instant::now() + FRESH_WAIT);
                     } else if turn.silent().is_some() {
                         return;
                     } else {
@@ -343,22 +403,25 @@
         request: Request<Incoming>,
         shed: bool,
         turn: &Turn,
-    ) -> Result<Reply, Infallible> {
+    ) -> Result<Response<Outgoing>, Infallible> {
         turn.busy.set(true);
+        let mut counted = None;
         // Who keeps a connection after the answer keeps it for 2 s at least: where those fill up, new
         // clients would find no room, while hardly anybody is being answered.
-        let mut last = self.draining.get() || shed || self.budget.clients_crowd();
+        let mut last = shed || self.budget.clients_crowd();
         let mut reply = if request.uri().path() == "/-/ready" && request.body().is_end_stream() {
             // Who only asks this is no client yet: hundreds that then stayed would take the clients' room.
             last = true;
-            let status = if self.draining.get() { StatusCode::SERVICE_UNAVAILABLE } else { StatusCode::OK };
-            plain(status, "")
+            let ready = self.lifecycle.is_ready();
+            plain(if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE }, "")
         } else if shed {
+            counted = Some(self.figures.begin(self.class(request.uri())));
             let mut reply = plain(StatusCode::SERVICE_UNAVAILABLE, "too many connections");
             reply.headers_mut().insert(header::RETRY_AFTER, HeaderValue::from_static(SHED_RETRY));
             reply
         } else {
-            match self.serve_request(request, turn).await {
+            let counted = counted.insert(self.figures.begin(self.class(request.uri())));
+            match self.serve_request(request, turn, counted).await {
                 Ok(reply) => reply,
                 Err((status, problem)) => {
                     // Whatever else such a client has sent is not to be read.
@@ -370,10 +433,26 @@
         turn.busy.set(false);
         turn.answered.set(Some(Instant::now()));
         turn.heard.forget();
-        if last || turn.last.get() {
+        if last || turn.last.get() || self.lifecycle.draining_since().is_some() {
             reply.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
         }
-        Ok(reply)
+        if let Some(counted) = &mut counted {
+            counted.ends(match reply.status() {
+                StatusCode::OK => Verdict::Success,
+                StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE => Verdict::Busy,
+                _ => Verdict::Failure,
+            });
+        }
+        Ok(reply.map(|bytes| Outgoing {
+            whole: Some(bytes).filter(|bytes| !bytes.is_empty()),
+            _counted: counted,
+        }))
+    }
+
+    /// The class that a request names, if it is known.
+    fn class(&self, uri: &hyper::Uri) -> Option<usize> {
+        let name = uri.path().split('/').nth(1).unwrap_or_default();
+        self.classes.iter().position(|class| class == name)
     }
 
     /// Waits for something that comes to the client's connection, or is refused because the client
@@ -389,7 +468,12 @@
         .await
     }
 
-    async fn serve_request(&self, request: Request<Incoming>, turn: &Turn) -> Result<Reply, Bad> {
+    async fn serve_request(
+        &self,
+        request: Request<Incoming>,
+        turn: &Turn,
+        counted: &mut Counted,
+    ) -> Result<Reply, Bad> {
         let (mut head, body) = request.into_parts();
         // Clients state a body's length. hyper would let chunks win over a length beside them, and take
         // what was hidden in that body for the next request.
@@ -419,6 +503,7 @@
         Self::undisturbed(turn, std::future::ready(())).await?;
         // The client counts from its last byte.
         let came = Instant::now();
+        counted.taken();
         let id = RequestId(self.next.get());
         self.next.set(id.0 + 1);
         request.id = id;
@@ -433,7 +518,7 @@
         let answer = Self::undisturbed(turn, timeout_at(came + time, answered)).await?;
         waiting.answered = answer.is_ok();
         Ok(match answer {
-            Ok(Ok(Answer::Served(body))) => Response::new(Full::new(body)),
+            Ok(Ok(Answer::Served(body))) => Response::new(body),
             Ok(Ok(Answer::Refused(retry_after))) => {
                 let mut reply = plain(StatusCode::SERVICE_UNAVAILABLE, "refused");
                 if let Some(wait) = retry_after
@@ -469,9 +554,7 @@
                 (Some(_), Some(_)) => Err(bad("a header comes twice")),
             }
         };
-        let name = uri.path().split('/').nth(1).unwrap_or_default();
-        let class = self.classes.iter().position(|class| class == name);
-        let class = class.ok_or((StatusCode::NOT_FOUND, "unknown class"))?;
+        let class = self.class(uri).ok_or((StatusCode::NOT_FOUND, "unknown class"))?;
         if text("x-request-id")?.is_none_or(|id| id.is_empty() || !id.bytes().all(|b| b.is_ascii_graphic()))
         {
             return Err(bad("X-Request-ID is missing or bad"));
@@ -523,7 +606,7 @@
 }
 
 fn plain(status: StatusCode, text: &'static str) -> Reply {
-    let mut reply = Response::new(Full::new(Bytes::from_static(text.as_bytes())));
+    let mut reply = Response::new(Bytes::from_static(text.as_bytes()));
     *reply.status_mut() = status;
     reply
 }
--- a/src/net/outbound.rs
+++ b/src/net/outbound.rs
@@ -2,6 +2,7 @@
 
 use super::budget::{Budget, Holder, Permit};
 use super::discovery::Guard;
+use super::figures::Figures;
 use super::socket::{Heard, Socket};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::{Body, Bytes, Frame, Incoming, SizeHint};
@@ -9,7 +10,7 @@
 use hyper::{HeaderMap, Request, Response, StatusCode, header};
 use hyper_util::rt::TokioIo;
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::pin::Pin;
@@ -77,13 +78,21 @@
 }
 
 /// How far an attempt has come: what is stopped before its last byte was handed over never ran.
-#[derive(Default)]
-pub struct Progress(Rc<Cell<bool>>);
+pub struct Progress {
+    whole: Rc<Cell<bool>>,
+    /// It is a request's attempt and no probe.
+    counts: bool,
+}
 
 impl Progress {
+    /// An attempt of a request, or a probe, of which nothing has been written.
+    pub fn new(counts: bool) -> Self {
+        Progress { whole: Rc::default(), counts }
+    }
+
     /// The outcome of no longer waiting: a request not written whole proves that it never ran.
     pub fn given_up(&self) -> Outcome {
-        if self.0.get() { Outcome::TimedOut } else { Outcome::ConnectFailed }
+        if self.whole.get() { Outcome::TimedOut } else { Outcome::ConnectFailed }
     }
 }
 
@@ -93,6 +102,9 @@
     wait: Option<Pin<Box<Sleep>>>,
     /// Set as the last byte goes.
     whole: Rc<Cell<bool>>,
+    /// Counts the attempt then.
+    heard: Rc<Heard>,
+    figures: Option<Rc<Figures>>,
 }
 
 impl Body for HeldBack {
@@ -110,6 +122,9 @@
         }
         ready!(wait.as_mut().poll(cx));
         self.whole.set(true);
+        if let Some(figures) = self.figures.take() {
+            self.heard.count_written(figures);
+        }
         let last = std::mem::take(&mut self.rest);
         Poll::Ready((!last.is_empty()).then_some(Ok(Frame::data(last))))
     }
@@ -136,6 +151,9 @@
 /// The connections to all endpoints.
 pub struct Outbound {
     budget: Rc<Budget>,
+    figures: Rc<Figures>,
+    /// Nothing new is written to these.
+    barred: RefCell<HashSet<EndpointId>>,
     /// Idle ones, the most recently used last.
     idle: RefCell<HashMap<EndpointId, Vec<Link>>>,
     connect_timeout: Duration,
@@ -148,11 +166,13 @@
 
 impl Outbound {
     /// No connections yet.
-    pub fn new(settings: &Settings, budget: Rc<Budget>) -> Rc<Self> {
+    pub fn new(settings: &Settings, budget: Rc<Budget>, figures: Rc<Figures>) -> Rc<Self> {
         let (connect, idle) = (settings.limits.connect_timeout, settings.limits.idle_close);
         let or = |time: Duration, unstated| if time.is_zero() { unstated } else { time };
         Rc::new(Outbound {
             budget,
+            figures,
+            barred: RefCell::default(),
             idle: RefCell::default(),
             aged_resets: Cell::default(),
             aged_until: Cell::default(),
@@ -190,10 +210,20 @@
                 }
                 continue;
             }
+            // It may have been taken out of use while the connection came up.
+            if self.barred.borrow().contains(&endpoint) {
+                return Ended::bare(Outcome::ConnectFailed);
+            }
             // What has no body is whole with its head, and goes at once.
-            let (rest, whole) = (request.body().clone(), progress.0.clone());
+            let (rest, whole) = (request.body().clone(), progress.whole.clone());
             whole.set(rest.is_empty());
-            let request = request.clone().map(|_| HeldBack { rest, wait: None, whole });
+            let (heard, mut figures) = (link.heard.clone(), progress.counts.then(|| self.figures.clone()));
+            if rest.is_empty()
+                && let Some(figures) = figures.take()
+            {
+                heard.count_written(figures);
+            }
+            let request = request.clone().map(|_| HeldBack { rest, wait: None, whole, heard, figures });
             let idle = link.idle_since.elapsed();
             link.heard.forget();
             let exchange = async {
@@ -201,7 +231,7 @@
                     Ok(response) => self.read(response).await,
                     Err(error) => {
                         if error.message().is_some() {
-                            progress.0.set(false); // handed back unsent
+                            progress.whole.set(false); // handed back unsent
                         }
                         Ended::bare(Outcome::Reset)
                     }
@@ -216,13 +246,13 @@
                 self.learn_aged(ended.outcome == Outcome::Reset && link.heard.began().is_none());
             }
             if ended.outcome != Outcome::Reset {
-                if progress.0.get() && !link.sender.is_closed() {
+                if progress.whole.get() && !link.sender.is_closed() {
                     link.idle_since = Instant::now();
                     self.idle.borrow_mut().entry(endpoint).or_default().push(link);
                 }
                 return ended;
             }
-            match (progress.0.get(), fresh) {
+            match (progress.whole.get(), fresh) {
                 (true, _) => return ended,
                 (false, true) => return Ended::bare(Outcome::ConnectFailed),
                 (false, false) => {} // a kept connection says nothing of its endpoint: another one
@@ -254,7 +284,7 @@
     pub async fn probe(&self, endpoint: EndpointId, address: SocketAddr) -> Ended {
         let request = Request::get("/-/load").header(header::HOST, address.to_string());
         let Ok(request) = request.body(Bytes::new()) else { return Ended::bare(Outcome::Error) };
-        let progress = Progress::default();
+        let progress = Progress::new(false);
         match timeout(PROBE, self.attempt(endpoint, address, request, &progress)).await {
             Ok(mut ended) => {
                 let body = std::mem::take(&mut ended.body);
@@ -271,6 +301,16 @@
         self.idle.borrow().values().map(Vec::len).sum()
     }
 
+    /// Lets nothing new be written to an endpoint, or lets it again.
+    pub fn bar(&self, endpoint: EndpointId, on: bool) {
+        let mut barred = self.barred.borrow_mut();
+        if on {
+            barred.insert(endpoint)
+        } else {
+            barred.remove(&endpoint)
+        };
+    }
+
     /// Closes idle connections to an endpoint.
     pub fn close_idle(&self, endpoint: EndpointId) {
         self.idle.borrow_mut().remove(&endpoint);
--- a/src/net/socket.rs
+++ b/src/net/socket.rs
@@ -1,7 +1,8 @@
 //! A TCP connection that notes what comes in, under hyper, which keeps that to itself.
 
+use super::figures::Figures;
 use socket2::SockRef;
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::io;
 use std::mem::MaybeUninit;
 use std::pin::Pin;
@@ -18,6 +19,8 @@
     more: Cell<bool>,
     /// When the first byte came since `forget`.
     began: Cell<Option<Instant>>,
+    /// Raised once more has been written.
+    awaiting: RefCell<Option<Rc<Figures>>>,
 }
 
 /// The connection itself, for hyper.
@@ -26,7 +29,12 @@
 impl Socket {
     /// This connection, and what it notes.
     pub fn new(stream: TcpStream) -> (Self, Rc<Heard>) {
-        let heard = Rc::new(Heard { stream, more: Cell::new(false), began: Cell::new(None) });
+        let heard = Rc::new(Heard {
+            stream,
+            more: Cell::new(false),
+            began: Cell::new(None),
+            awaiting: RefCell::default(),
+        });
         (Socket(heard.clone()), heard)
     }
 }
@@ -48,6 +56,11 @@
         self.began.set(None);
     }
 
+    /// An attempt's last piece is on its way: counts the attempt once something has been written.
+    pub fn count_written(&self, figures: Rc<Figures>) {
+        self.awaiting.replace(Some(figures));
+    }
+
     /// Whether the kernel holds anything unread, or the end. Asked of it directly: the runtime only
     /// knows what its last look at all sockets has shown.
     pub fn pending(&self) -> bool {
@@ -99,7 +112,14 @@
             ready!(self.0.stream.poll_write_ready(cx))?;
             match self.0.stream.try_write_vectored(parts) {
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
-                written => return Poll::Ready(written),
+                written => {
+                    if written.as_ref().is_ok_and(|count| *count > 0)
+                        && let Some(figures) = self.0.awaiting.take()
+                    {
+                        figures.written();
+                    }
+                    return Poll::Ready(written);
+                }
             }
         }
     }
--- a/src/types.rs
+++ b/src/types.rs
@@ -382,6 +382,13 @@
         /// The values of [`LoadReports::fields`], if any came.
         report: Option<Vec<f64>>,
     },
+    /// An operator takes an endpoint out of use, or gives it back; it need not be in the list.
+    Ban {
+        /// The endpoint.
+        endpoint: EndpointId,
+        /// Out of use, rather than back.
+        on: bool,
+    },
     /// A message from another balancer of this tier.
     PeerMessage {
         /// The sender's number.
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -105,6 +105,11 @@
         id
     }
 
+    /// The id of a name that was seen.
+    pub fn find(&self, name: &str) -> Option<EndpointId> {
+        self.names.iter().find(|(_, known)| *known == name).map(|(&id, _)| id)
+    }
+
     /// Keeps only the names of these: endpoints come under new names for ever.
     pub fn retain(&mut self, keep: impl Fn(EndpointId) -> bool) {
         self.names.retain(|&id, _| keep(id));
--- /dev/null
+++ b/tests/node_operator.rs
@@ -0,0 +1,234 @@
+//! The built sidecar and those who operate it: calls, figures, drains and bans.
+
+#[path = "support/node.rs"]
+mod support;
+
+use serde_json::json;
+use std::io::Write;
+use std::net::TcpStream;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::thread;
+use std::time::{Duration, Instant};
+use support::*;
+
+#[test]
+fn calls_are_answered_and_what_is_no_call_gets_a_no() {
+    let peer = Peer::serving("ok");
+    let sidecar = Sidecar::start(&operated(&[&peer]));
+    assert_eq!(sidecar.call("PING"), "YES\n");
+    assert_eq!(sidecar.call("PING\r"), "YES\n");
+    let long = format!("DETACH {}", "x".repeat(100_000));
+    for bad in
+        ["", "ping", "PING now", "DETACH", "DETACH nobody", "ATTACH nobody", "DETACH s-0 s-0", "\0\u{fffd}"]
+    {
+        assert!(sidecar.call(bad).starts_with("NO"), "{bad:?}");
+    }
+    // Half a line may be half an id.
+    assert!(sidecar.call_raw("DETACH s-0").starts_with("NO"));
+    assert!(sidecar.call("INFO").ends_with("END\n"));
+    let mut endless = TcpStream::connect(sidecar.operator.unwrap()).unwrap();
+    let _ = endless.write_all(long.as_bytes()); // may be closed under us
+    assert_eq!(sidecar.call("PING"), "YES\n");
+    assert_eq!(sidecar.figure("hosts_down"), 0);
+    assert_eq!(sidecar.ask("quote", "r1").status(), 200);
+}
+
+#[test]
+fn callers_who_say_nothing_keep_nobody_waiting_and_use_up_nothing() {
+    let peer = Peer::serving("ok");
+    let sidecar = Sidecar::start(&operated(&[&peer]));
+    let before = sidecar.descriptors();
+    let silent: Vec<_> = (0..200)
+        .map(|n| {
+            let mut stream = TcpStream::connect(sidecar.operator.unwrap()).unwrap();
+            if n % 2 == 0 {
+                let _ = stream.write_all(b"DETA"); // one who was sent away before is no fault
+            }
+            stream
+        })
+        .collect();
+    assert_eq!(sidecar.call("PING"), "YES\n");
+    assert!(sidecar.descriptors() < before + 16, "{before}, then {}", sidecar.descriptors());
+    drop(silent);
+    assert_eq!(sidecar.call("PING"), "YES\n");
+}
+
+#[test]
+fn each_request_stands_under_one_count() {
+    let peer = Peer::new(|m| match m.target() {
+        t if t.starts_with("/quote") => Do::Serve("ok"),
+        t if t.starts_with("/pay") => Do::Silence,
+        _ => Do::Write(answer("500 No", "", "")),
+    });
+    let sidecar = Sidecar::start(&operated(&[&peer]));
+    for n in 0..5 {
+        assert_eq!(sidecar.ask("quote", &format!("q{n}")).status(), 200);
+    }
+    // It may have run and may not be repeated: failed.
+    assert!(sidecar.ask("book", "b1").status() >= 500);
+    // Malformed, with a class and without one that is known.
+    assert_eq!(sidecar.ask("nothing", "n1").status(), 404);
+    let mut client = sidecar.client();
+    client.send(&request("quote", "q9", "soon"));
+    assert_eq!(client.receive().unwrap().status(), 400);
+    let mut client = sidecar.client();
+    client.send("no request at all\r\n\r\n");
+    assert_eq!(client.receive().unwrap().status(), 400);
+    // Readiness is no request.
+    assert_eq!(sidecar.ready(), Some(200));
+    let mut gone = sidecar.client();
+    gone.send(&request("pay", "p1", "10000m"));
+    wait_for("it to be in flight", || sidecar.figure("inflight") == 1);
+    drop(gone);
+    wait_for("it to be over", || sidecar.figure("inflight") == 0);
+    let figures =
+        |class: &str| ["success", "busy", "failure"].map(|name| sidecar.figure(&format!("{name}.{class}")));
+    wait_for("all counts", || figures("unknown") == [0, 0, 2]);
+    assert_eq!(figures("quote"), [5, 0, 1]);
+    assert_eq!(figures("book"), [0, 0, 1]);
+    assert_eq!(figures("pay"), [0, 0, 1]);
+    assert_eq!(sidecar.figure("backend_calls"), peer.count() as u64);
+    assert_eq!((sidecar.figure("hosts_listed"), sidecar.figure("reconfig_ok")), (1, 0));
+}
+
+#[test]
+fn refusals_are_counted_too_those_at_the_door_among_them() {
+    let peer = Peer::new(|_| Do::Silence);
+    let mut config = operated(&[&peer]);
+    config["limits"]["sockets"] = json!(96);
+    let sidecar = Sidecar::start(&config);
+    let mut clients: Vec<Client> = (0..80).map(|_| sidecar.client()).collect();
+    for (n, client) in clients.iter_mut().enumerate() {
+        client.send(&request("quote", &format!("r{n}"), "1000m"));
+    }
+    let statuses: Vec<u16> = clients.iter_mut().filter_map(|c| c.receive()).map(|m| m.status()).collect();
+    assert_eq!(statuses.len(), 80);
+    let busy = statuses.iter().filter(|status| **status == 503).count() as u64;
+    assert!(busy > 0);
+    wait_for("the counts", || sidecar.figure("busy.quote") + sidecar.figure("failure.quote") == 80);
+    assert_eq!(sidecar.figure("busy.quote"), busy);
+}
+
+/// Clients that ask one after another, each on a connection that it keeps while it may.
+struct Load {
+    stop: Arc<AtomicBool>,
+    threads: Vec<thread::JoinHandle<usize>>,
+}
+
+impl Load {
+    fn start(sidecar: &Sidecar, clients: usize) -> Load {
+        let stop = Arc::new(AtomicBool::new(false));
+        let client = |c: usize| {
+            let (stop, address) = (stop.clone(), sidecar.address);
+            thread::spawn(move || {
+                let mut client = Client::connect(address).expect("it accepts");
+                let mut served = 0;
+                while !stop.load(Ordering::SeqCst) {
+                    let answer = client.ask("quote", &format!("l{c}-{served}"));
+                    assert_eq!(answer.status(), 200);
+                    served += 1;
+                    if answer.header("connection") == "close" {
+                        client = Client::connect(address).expect("it goes on accepting");
+                    }
+                }
+                served
+            })
+        };
+        Load { threads: (0..clients).map(client).collect(), stop }
+    }
+
+    fn end(self) -> usize {
+        self.stop.store(true, Ordering::SeqCst);
+        self.threads.into_iter().map(|t| t.join().expect("every request is served")).sum()
+    }
+}
+
+#[test]
+fn a_drain_under_load_loses_nothing_closes_what_is_idle_and_can_be_undone() {
+    let peer = Peer::serving("ok");
+    let sidecar = Sidecar::start(&operated(&[&peer]));
+    let load = Load::start(&sidecar, 4);
+    let mut idle = sidecar.client();
+    assert_eq!(idle.ask("quote", "i1").status(), 200);
+    assert_eq!(sidecar.call("LAMEDUCK"), "YES\n");
+    assert_eq!(sidecar.call("LAMEDUCK"), "YES\n");
+    assert_eq!(sidecar.ready(), Some(503));
+    assert!(sidecar.call("PING").starts_with("NO"));
+    let answer = sidecar.ask("quote", "late");
+    assert_eq!((answer.status(), answer.header("connection")), (200, "close"));
+    assert!(idle.receive().is_none(), "closed while it was idle");
+    assert_eq!(sidecar.call("REJOIN"), "YES\n");
+    assert_eq!(sidecar.call("REJOIN"), "YES\n");
+    assert_eq!(sidecar.ready(), Some(200));
+    let mut kept = sidecar.client();
+    assert_eq!(kept.ask("quote", "k1").header("connection"), "");
+    assert_eq!(kept.ask("quote", "k2").status(), 200, "on the same connection");
+    assert!(load.end() > 0);
+}
+
+#[test]
+fn a_drain_goes_over_into_the_end() {
+    let peer = Peer::serving("ok");
+    let mut sidecar = Sidecar::start(&operated(&[&peer]));
+    sidecar.call("LAMEDUCK");
+    let mut client = sidecar.client();
+    client.send("GET /quo");
+    sidecar.signal("-TERM");
+    wait_for("the end to be known", || sidecar.log().contains("Terminating"));
+    assert!(sidecar.call("REJOIN").starts_with("NO"));
+    assert!(sidecar.ended().success());
+}
+
+#[test]
+fn a_ban_holds_at_once_and_whatever_the_list_says() {
+    let [first, second] = [Peer::serving("ok"), Peer::serving("ok")];
+    let mut config = operated(&[&first, &second]);
+    let entry = |n: usize, peer: &Peer, state| target(&format!("s-{n}"), peer.address, state);
+    let discovery = Discovery::new(list(8, true, &[entry(0, &first, "up"), entry(1, &second, "up")]));
+    config["discovery"] = json!(discovery.address.to_string());
+    let sidecar = Sidecar::start(&config);
+    let load = |tag: &str| {
+        (0..20).for_each(|n| assert_eq!(sidecar.ask("quote", &format!("{tag}{n}")).status(), 200))
+    };
+    assert_eq!(sidecar.call("DETACH s-0"), "YES\n");
+    assert_eq!(sidecar.call("DETACH s-0"), "YES\n", "twice");
+    let before = first.count();
+    load("a");
+    assert_eq!((sidecar.figure("hosts_listed"), sidecar.figure("hosts_down")), (2, 1));
+    // It leaves the list, and comes back restarted.
+    for (rev, all, entries) in [
+        (9, true, vec![entry(1, &second, "up")]),
+        (10, false, vec![entry(0, &first, "draining")]),
+        (11, false, vec![entry(0, &first, "removed")]),
+        (12, true, vec![entry(0, &first, "up"), entry(1, &second, "up")]),
+    ] {
+        discovery.say(&list(rev, all, &entries).to_string());
+        wait_for("the list", || sidecar.log().contains(&format!("rev {rev},")));
+        load(&format!("b{rev}-"));
+    }
+    assert_eq!(first.count(), before, "nothing went there");
+    assert_eq!(sidecar.call("ATTACH s-0"), "YES\n", "once undoes both");
+    assert_eq!(sidecar.figure("hosts_down"), 0);
+    let start = Instant::now();
+    wait_for("its use", || {
+        load("c");
+        first.count() > before
+    });
+    assert!(start.elapsed() < Duration::from_secs(5));
+}
+
+#[test]
+fn a_ban_of_what_has_left_the_list_can_be_undone() {
+    let [first, second] = [Peer::serving("ok"), Peer::serving("ok")];
+    let mut config = operated(&[&first, &second]);
+    let entries = [target("s-0", first.address, "up"), target("s-1", second.address, "up")];
+    let discovery = Discovery::new(list(8, true, &entries));
+    config["discovery"] = json!(discovery.address.to_string());
+    let sidecar = Sidecar::start(&config);
+    assert_eq!(sidecar.call("DETACH s-0"), "YES\n");
+    discovery.say(&list(9, true, &entries[1..]).to_string());
+    wait_for("the list", || sidecar.figure("hosts_listed") == 1);
+    assert_eq!(sidecar.call("ATTACH s-0"), "YES\n");
+    assert!(sidecar.call("ATTACH s-0").starts_with("NO"), "nobody knows it any more");
+}
