Hand the clients' socket to a successor, and keep bans in both processes

Design: a Unix socket beside the bans' file passes the listening socket itself (SCM_RIGHTS, rustix), so both processes accept from one queue and neither end of it resets what waits there. The connection stays open: bans go both ways before their caller hears yes, and the first process says how many descriptors are left. The successor begins with a quarter of them, is ready once discovery has answered, and the first keeps idle connections until their next answer can say close.

Not taken: SO_REUSEPORT alone, where closing the first listener resets its own queue; it stays as the way in where the process before does not answer. Bans through the file alone would need polling.

The tests' addresses are now on loopback addresses of their own: a count of malformed requests was off because another test's sidecar took the port for its discovery.

--- a/src/main.rs
+++ b/src/main.rs
@@ -9,6 +9,7 @@
     pub mod discovery;
     pub mod driver;
     pub mod figures;
+    pub mod handover;
     pub mod inbound;
     pub mod lifecycle;
     pub mod operator;
@@ -22,18 +23,30 @@
 use net::discovery::{Call, Discovery};
 use net::driver::{Clock, Driver, Input, Parts};
 use net::figures::Figures;
+use net::handover::{self, Handover, Taken};
 use net::inbound::Inbound;
 use net::lifecycle::Lifecycle;
 use net::operator::Operator;
 use net::outbound::Outbound;
 use std::pin::pin;
 use std::process::ExitCode;
+use std::rc::Rc;
+use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
-use tokio::sync::mpsc;
+use tokio::sync::mpsc::{self, UnboundedSender};
 use tokio::task::{LocalSet, spawn_local};
+use tokio::time::{Instant, sleep};
 use weirwharf::Balancer;
 
+/// A successor whose discovery does not answer serves after this long with the list as last held: its
+/// yes is due within 6 s, and the process before it goes on in the meantime.
+const FRESH_MOST: Duration = Duration::from_secs(5);
+/// How often it asks for the list until then.
+const FRESH_ASK: Duration = Duration::from_millis(500);
+/// How often it looks whether the list has come.
+const FRESH_CHECK: Duration = Duration::from_millis(10);
+
 fn main() -> ExitCode {
     let config = match Config::from_env() {
         Ok(config) => config,
@@ -76,13 +89,24 @@
     let figures = Figures::new(names.classes.iter().map(|class| class.name.clone()));
     let lifecycle = Lifecycle::new();
     let (commands, commanded) = mpsc::unbounded_channel();
+    let folder = std::env::temp_dir();
+    let handover = Handover::new(&folder, listen, sockets, budget.clone(), commands.clone());
     if let Some(at) = operator {
         // Before all else: whoever asks is owed an answer from the start on.
         let listener = TcpListener::bind(at).await.map_err(|e| format!("operator: {at}: {e}"))?;
-        let operator = Operator::new(lifecycle.clone(), figures.clone(), commands, budget.clone());
+        let operator =
+            Operator::new(lifecycle.clone(), figures.clone(), commands, handover.clone(), budget.clone());
         spawn_local(operator.serve(listener));
     }
-    let bans = Bans::load(&std::env::temp_dir(), listen);
+    let bans = Bans::load(&folder, listen);
+    let (listener, before) = match handover.take().await {
+        Some(Taken { listener, bans: held, talk }) => {
+            bans.replace(held);
+            (listener, Some(talk))
+        }
+        None => (handover::bind(listen).map_err(|e| format!("listen: {listen}: {e}"))?, None),
+    };
+    handover.keep(&listener).map_err(|e| format!("listen: {listen}: {e}"))?;
     let (inbox, inputs) = mpsc::unbounded_channel();
     let (calls, asked) = mpsc::unbounded_channel();
     let outbound = Outbound::new(&settings, budget.clone(), figures.clone());
@@ -99,18 +123,29 @@
     // The list as last held is there before the first client.
     let _ = inbox.send(Input::List(discovery.cached(known)));
     let attempts = settings.limits.max_attempts;
-    let parts = Parts { outbound: outbound.clone(), discovery: discovery.clone(), bans };
+    let parts = Parts { outbound: outbound.clone(), discovery: discovery.clone(), bans: bans.clone() };
     let driver = Driver::new(balancer, clock, attempts, parts, calls.clone(), inbox);
     let mut driver = spawn_local(driver.run(inputs, commanded));
-    spawn_local(discovery.run(asked));
-    spawn_local(outbound.sweep());
-    let listener = TcpListener::bind(listen).await.map_err(|e| format!("listen: {listen}: {e}"))?;
+    spawn_local(discovery.clone().run(asked));
+    spawn_local(outbound.clone().sweep());
     eprintln!("{name}: serving on {listen}");
-    lifecycle.complete();
-    let mut serving = pin!(inbound.serve(listener));
+    let succeeds = before.is_some();
+    if let Some(talk) = before {
+        handover.follow(talk);
+    }
+    let mut serving = pin!(inbound.serve(listener, handover.clone()));
+    let mut offered = pin!(async {
+        if succeeds {
+            fresh_list(&discovery, &calls).await;
+        }
+        lifecycle.complete();
+        handover.clone().offer(bans, lifecycle.clone(), outbound.clone()).await;
+        std::future::pending::<()>().await;
+    });
     loop {
         tokio::select! {
             () = &mut serving => return Ok(()),
+            () = &mut offered => {}
             ended = &mut driver => return Err(format!("the driver ended: {ended:?}")),
             _ = term.recv() => lifecycle.terminate(),
             _ = hup.recv() => match Config::reload(&mut file) {
@@ -132,3 +167,16 @@
         }
     }
 }
+
+/// Waits for the list as discovery has it now: the known one may be as old as the process before.
+async fn fresh_list(discovery: &Rc<Discovery>, calls: &UnboundedSender<Call>) {
+    let start = Instant::now();
+    let mut asked = None;
+    while !discovery.is_fresh() && start.elapsed() < FRESH_MOST {
+        if asked.is_none_or(|at: Instant| at.elapsed() >= FRESH_ASK) {
+            asked = Some(Instant::now());
+            let _ = calls.send(Call::Fetch); // fails only while the process ends
+        }
+        sleep(FRESH_CHECK).await;
+    }
+}
--- a/src/net/bans.rs
+++ b/src/net/bans.rs
@@ -67,6 +67,15 @@
         Ok(())
     }
 
+    /// These and no others are out of use: what the process before says counts for more than the file.
+    pub fn replace(&self, uids: Vec<String>) {
+        let new: BTreeSet<String> = uids.into_iter().collect();
+        if let Err(e) = self.write(&new) {
+            eprintln!("bans: {}: {e}", self.path.display()); // they hold all the same, in both processes
+        }
+        self.out.replace(new);
+    }
+
     /// Writes beside the file and renames, so that nobody ever reads half of it.
     fn write(&self, detached: &BTreeSet<String>) -> io::Result<()> {
         let text = serde_json::to_vec(&File { version: VERSION, detached: detached.clone() })?;
--- a/src/net/budget.rs
+++ b/src/net/budget.rs
@@ -32,8 +32,11 @@
 
 /// Counts of the sockets in use, and how many may be.
 pub struct Budget {
-    total: usize,
-    clients_most: usize,
+    /// As configured.
+    memory_mb: usize,
+    /// What clients and endpoints may hold together.
+    total: Cell<usize>,
+    clients_most: Cell<usize>,
     clients: Cell<usize>,
     shed: Cell<usize>,
     endpoints: Cell<usize>,
@@ -50,20 +53,47 @@
 impl Budget {
     /// A budget within so many descriptors and MiB of memory.
     pub fn new(sockets: usize, memory_mb: usize) -> Rc<Self> {
-        let total = sockets.saturating_sub(RESERVE);
+        let (total, clients_most, clients, shed, endpoints, operators) = Default::default();
+        let freed = Notify::new();
+        let budget =
+            Rc::new(Budget { memory_mb, total, clients_most, clients, shed, endpoints, operators, freed });
+        budget.share(sockets, false);
+        budget
+    }
+
+    /// So many descriptors are this process's from now on, and half of the memory where another process
+    /// has the other half. What is held beyond that is not taken back.
+    pub fn share(&self, sockets: usize, halved: bool) {
+        self.total.set(sockets.saturating_sub(RESERVE));
         // An attempt needs a socket too: clients must not take what their own requests go out on.
-        let by_memory = memory_mb.saturating_mul(1024) / 2 / CLIENT_KIB;
-        let clients_most = (total * 5 / 8).min(by_memory).max(1);
-        let (clients, shed, endpoints, operators) = Default::default();
-        Rc::new(Budget { total, clients_most, clients, shed, endpoints, operators, freed: Notify::new() })
+        let memory_kib = self.memory_mb.saturating_mul(1024) / if halved { 2 } else { 1 };
+        let by_memory = memory_kib / 2 / CLIENT_KIB;
+        self.clients_most.set((self.total.get() * 5 / 8).min(by_memory).max(1));
+    }
+
+    /// No more than are held now, and so many more, are this process's from now on.
+    pub fn hold(&self, more: usize) {
+        self.total.set(self.total.get().min(self.in_use() + more));
+    }
+
+    /// The descriptors that are this process's.
+    pub fn sockets(&self) -> usize {
+        self.total.get() + RESERVE
+    }
+
+    /// Whether more are held than may be.
+    pub fn over(&self) -> bool {
+        self.in_use() > self.total.get()
     }
 
     /// A permit, if there is room for one.
     pub fn take(self: &Rc<Self>, holder: Holder) -> Option<Permit> {
         let room = match holder {
-            Holder::Client => self.clients.get() < self.clients_most && self.in_use() < self.total,
+            Holder::Client => {
+                self.clients.get() < self.clients_most.get() && self.in_use() < self.total.get()
+            }
             Holder::Shed => self.shed.get() < SHED_MOST,
-            Holder::Endpoint => self.in_use() < self.total,
+            Holder::Endpoint => self.in_use() < self.total.get(),
             Holder::Operator => self.operators.get() < OPERATORS_MOST,
         };
         room.then(|| {
@@ -75,12 +105,12 @@
 
     /// Whether only the connections to endpoints stand in the way of one more client.
     pub fn endpoints_crowd(&self) -> bool {
-        self.clients.get() < self.clients_most && self.in_use() >= self.total
+        self.clients.get() < self.clients_most.get() && self.in_use() >= self.total.get()
     }
 
     /// Whether clients hold three quarters of what they may.
     pub fn clients_crowd(&self) -> bool {
-        self.clients.get() * 4 > self.clients_most * 3
+        self.clients.get() * 4 > self.clients_most.get() * 3
     }
 
     /// Connected clients.
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -101,6 +101,8 @@
     /// The server is new: its versions don't compare with those of the list held, so that a whole list
     /// must come first, whatever its number.
     moved: Cell<bool>,
+    /// It has told us of the list since the start of the process.
+    heard: Cell<bool>,
     draws: RefCell<Pcg32>,
     inbox: Inbox,
 }
@@ -125,9 +127,14 @@
     /// Discovery at this address.
     pub fn new(address: SocketAddr, mode: Mode, names: Names, seed: u64, inbox: Inbox) -> Rc<Self> {
         let draws = RefCell::new(Pcg32::seed_from_u64(seed));
-        let (ids, rev, moved) = Default::default();
+        let (ids, rev, moved, heard) = Default::default();
         let address = Cell::new(address);
-        Rc::new(Discovery { address, mode, names, ids, rev, moved, draws, inbox })
+        Rc::new(Discovery { address, mode, names, ids, rev, moved, heard, draws, inbox })
+    }
+
+    /// Whether the list is as discovery has it, and not only as it was last held before the start.
+    pub fn is_fresh(&self) -> bool {
+        self.heard.get()
     }
 
     /// The list as last held, to start from.
@@ -217,7 +224,10 @@
     async fn fetch_once(self: Rc<Self>) {
         match self.fetch().await {
             // It may be older than what the watch has brought since.
-            Ok(list) if list.rev < self.rev.get() && !self.moved.get() => self.tell(unchanged()),
+            Ok(list) if list.rev < self.rev.get() && !self.moved.get() => {
+                self.heard.set(true);
+                self.tell(unchanged());
+            }
             Ok(list) => self.take(list),
             Err(reason) => self.failed(&reason),
         }
@@ -263,6 +273,8 @@
             while let Some(end) = text.iter().position(|&b| b == b'\n') {
                 let line: Vec<u8> = text.drain(..=end).collect();
                 let line = line.trim_ascii();
+                // An empty one says that nothing has changed.
+                self.heard.set(true);
                 if line.is_empty() {
                     continue;
                 }
@@ -306,6 +318,7 @@
 
     fn take(&self, list: List) {
         self.rev.set(list.rev);
+        self.heard.set(true);
         if list.all {
             self.moved.set(false);
         }
--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -58,6 +58,8 @@
         uid: String,
         /// Out of use, rather than back.
         on: bool,
+        /// The process beside this one knows it, though this one may not yet.
+        known: bool,
         /// Told once that holds and is on disk, or why it isn't so.
         told: oneshot::Sender<Result<(), &'static str>>,
     },
@@ -274,12 +276,13 @@
                 let down = self.balancer.avoided(self.clock.now());
                 let _ = told.send(Hosts { listed: self.addresses.len(), down });
             }
-            Command::Ban { uid, on, told } => drop(told.send(self.ban(&uid, on))),
+            Command::Ban { uid, on, known, told } => drop(told.send(self.ban(&uid, on, known))),
         }
     }
 
-    fn ban(&mut self, uid: &str, on: bool) -> Result<(), &'static str> {
-        if !self.bans.contains(uid)
+    fn ban(&mut self, uid: &str, on: bool, known: bool) -> Result<(), &'static str> {
+        if !known
+            && !self.bans.contains(uid)
             && !self.discovery.find(uid).is_some_and(|id| self.addresses.contains_key(&id))
         {
             return Err("no such endpoint");
--- /dev/null
+++ b/src/net/handover.rs
@@ -0,0 +1,438 @@
+//! Replacing the process: a second one started beside the first takes over its listening socket.
+//!
+//! The first listens on a Unix socket in the state folder. The second connects there and is handed the
+//! clients' listening socket itself, so that both accept from one queue and closing either end loses
+//! nothing that waits in it. The connection then stays open for as long as both live: bans told to one
+//! are told to the other before their caller hears yes, and the first says how many descriptors are
+//! left to the second. Its end tells either one that the other has gone.
+//!
+//! After the socket, both sides write lines: `DETACH ID`, `ATTACH ID`, `DONE` for each of those that
+//! holds and is kept, and from the first `SPARE N` (descriptors). The first one's bans come as `DETACH`
+//! lines before its first `SPARE`.
+
+use super::bans::Bans;
+use super::budget::Budget;
+use super::driver::{Command, Commands};
+use super::lifecycle::{Lifecycle, State};
+use super::outbound::Outbound;
+use rustix::net::{
+    RecvAncillaryBuffer, RecvAncillaryMessage, RecvFlags, SendAncillaryBuffer, SendAncillaryMessage,
+    SendFlags, recvmsg, sendmsg,
+};
+use std::cell::{Cell, RefCell};
+use std::collections::VecDeque;
+use std::io::{self, IoSlice, IoSliceMut};
+use std::mem::MaybeUninit;
+use std::net::SocketAddr;
+use std::os::fd::{AsFd, OwnedFd};
+use std::path::{Path, PathBuf};
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::io::{AsyncBufReadExt, AsyncWriteExt, BufReader, Interest, Lines};
+use tokio::net::unix::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::net::{TcpListener, TcpSocket, UnixListener, UnixStream};
+use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
+use tokio::sync::{Notify, oneshot};
+use tokio::task::spawn_local;
+use tokio::time::{interval, sleep, timeout};
+
+/// A predecessor that has not handed everything over by then is taken for hung. The successor's yes is
+/// due within 6 s, with a fresh list still to come.
+const TAKE_TIME: Duration = Duration::from_secs(1);
+/// The other process keeps a ban within this: the caller waits for 1 s.
+const SHARE_TIME: Duration = Duration::from_millis(400);
+/// How often the first process looks at what it holds, once it has a successor.
+const SPARE_CHECK: Duration = Duration::from_millis(100);
+/// Descriptors that an ending process may hold beyond those it has: its open requests still need
+/// connections to endpoints.
+const ENDING_MORE: usize = 4;
+/// Connections that the kernel holds until they are accepted.
+const BACKLOG: u32 = 1024;
+/// Goes with the socket: a message can't be empty.
+const MARK: &[u8; 1] = b"L";
+
+/// What passes between two processes.
+#[derive(Debug, PartialEq)]
+enum Word {
+    Ban { uid: String, on: bool },
+    Done,
+    Spare(usize),
+}
+
+/// The other process, as long as it lives.
+struct Link {
+    out: UnboundedSender<Word>,
+    /// Who waits for the other's `DONE`, in the order of asking.
+    waiting: RefCell<VecDeque<oneshot::Sender<()>>>,
+}
+
+/// This process's dealings with the one before it and the one after it.
+pub struct Handover {
+    folder: PathBuf,
+    listen: SocketAddr,
+    sockets: usize,
+    budget: Rc<Budget>,
+    commands: Commands,
+    /// The clients' listening socket, for a successor.
+    clients: RefCell<Option<OwnedFd>>,
+    links: RefCell<Vec<Rc<Link>>>,
+    has_successor: Cell<bool>,
+    has_predecessor: Cell<bool>,
+    changed: Notify,
+}
+
+/// What a predecessor has handed over.
+pub struct Taken {
+    /// The clients' listening socket.
+    pub listener: TcpListener,
+    /// Endpoints out of use.
+    pub bans: Vec<String>,
+    /// What goes on between the two, for `follow`.
+    pub talk: Talk,
+}
+
+/// The two directions of the connection between two processes.
+pub struct Talk {
+    lines: Lines<BufReader<OwnedReadHalf>>,
+    writer: OwnedWriteHalf,
+}
+
+impl Handover {
+    /// For the sidecar that listens there, with its state in this folder and so many descriptors.
+    pub fn new(
+        folder: &Path,
+        listen: SocketAddr,
+        sockets: usize,
+        budget: Rc<Budget>,
+        commands: Commands,
+    ) -> Rc<Self> {
+        let (clients, links, has_successor, has_predecessor, changed) = Default::default();
+        let folder = folder.to_owned();
+        Rc::new(Handover {
+            folder,
+            listen,
+            sockets,
+            budget,
+            commands,
+            clients,
+            links,
+            has_successor,
+            has_predecessor,
+            changed,
+        })
+    }
+
+    /// Whether another process accepts clients in this one's stead.
+    pub fn has_successor(&self) -> bool {
+        self.has_successor.get()
+    }
+
+    /// The socket that a successor is to be given.
+    pub fn keep(&self, listener: &TcpListener) -> io::Result<()> {
+        self.clients.replace(Some(listener.as_fd().try_clone_to_owned()?));
+        Ok(())
+    }
+
+    /// Lets go of the socket: whoever still held it would keep the kernel accepting for nobody.
+    pub fn withdraw(&self) {
+        self.clients.replace(None);
+    }
+
+    /// Waits until no process before this one lives.
+    pub async fn alone(&self) {
+        while self.has_predecessor.get() {
+            self.changed.notified().await;
+        }
+    }
+
+    /// Takes over from a process that serves there, if there is one. Nobody listens any more behind the
+    /// socket file that a killed one has left.
+    pub async fn take(&self) -> Option<Taken> {
+        match timeout(TAKE_TIME, self.take_from(&self.path())).await {
+            Ok(Ok(taken)) => Some(taken),
+            Ok(Err(e))
+                if matches!(e.kind(), io::ErrorKind::NotFound | io::ErrorKind::ConnectionRefused) =>
+            {
+                None
+            }
+            Ok(Err(e)) => {
+                eprintln!("handover: {e}; starting without");
+                None
+            }
+            Err(_) => {
+                eprintln!("handover: the process before does not answer; starting without");
+                None
+            }
+        }
+    }
+
+    async fn take_from(&self, path: &Path) -> io::Result<Taken> {
+        let stream = UnixStream::connect(path).await?;
+        let listener = receive(&stream).await?;
+        let (reader, writer) = stream.into_split();
+        let mut lines = BufReader::new(reader).lines();
+        let mut bans = Vec::new();
+        loop {
+            match lines.next_line().await?.as_deref().and_then(Word::read) {
+                Some(Word::Ban { uid, on: true }) => bans.push(uid),
+                Some(Word::Spare(sockets)) => {
+                    self.budget.share(sockets, true);
+                    return Ok(Taken { listener, bans, talk: Talk { lines, writer } });
+                }
+                _ => return Err(io::Error::other("what the process before says is not understood")),
+            }
+        }
+    }
+
+    /// Goes on with the predecessor for as long as it lives.
+    pub fn follow(self: &Rc<Self>, talk: Talk) {
+        self.has_predecessor.set(true);
+        let this = self.clone();
+        spawn_local(async move {
+            let (link, words) = Link::new();
+            this.converse(talk, link, words).await;
+            eprintln!("handover: the process before has gone");
+            this.budget.share(this.sockets, false);
+            this.has_predecessor.set(false);
+            this.changed.notify_waiters();
+        });
+    }
+
+    /// Hands over to whoever comes, until the process ends.
+    pub async fn offer(self: Rc<Self>, bans: Rc<Bans>, lifecycle: Rc<Lifecycle>, outbound: Rc<Outbound>) {
+        let listener = match self.bind() {
+            Ok(listener) => listener,
+            Err(e) => {
+                return eprintln!(
+                    "handover: {}: {e}; a successor has to share the port",
+                    self.path().display()
+                );
+            }
+        };
+        loop {
+            let stream = match listener.accept().await {
+                Ok((stream, _)) => stream,
+                Err(e) => {
+                    eprintln!("handover: accept: {e}");
+                    sleep(SPARE_CHECK).await;
+                    continue;
+                }
+            };
+            let Some(clients) = self.clients.borrow().as_ref().map(|clients| clients.try_clone()) else {
+                continue; // this process accepts no more
+            };
+            let sent = match clients {
+                Ok(clients) => send(&stream, &clients).await,
+                Err(e) => Err(e),
+            };
+            if let Err(e) = sent {
+                eprintln!("handover: {e}");
+                continue;
+            }
+            eprintln!("handover: a successor has come");
+            let (link, words) = Link::new();
+            for uid in bans.all() {
+                link.say(Word::Ban { uid, on: true });
+            }
+            // Little: until it is ready it only asks discovery.
+            let spare = self.sockets / 4;
+            link.say(Word::Spare(spare));
+            self.budget.share(self.sockets - spare, true);
+            let (reader, writer) = stream.into_split();
+            let talk = Talk { lines: BufReader::new(reader).lines(), writer };
+            self.has_successor.set(true);
+            tokio::select! {
+                () = self.converse(talk, link.clone(), words) => {}
+                () = self.give_way(&link, &lifecycle, &outbound) => {}
+            }
+            eprintln!("handover: the successor has gone");
+            self.has_successor.set(false);
+            self.budget.share(self.sockets, false);
+        }
+    }
+
+    /// Lets the successor have what this process no longer holds.
+    async fn give_way(&self, link: &Link, lifecycle: &Lifecycle, outbound: &Outbound) {
+        let mut told = 0;
+        let mut check = interval(SPARE_CHECK);
+        loop {
+            check.tick().await;
+            if lifecycle.state() == State::Terminating {
+                self.budget.hold(ENDING_MORE);
+                let spare = self.sockets.saturating_sub(self.budget.sockets());
+                if spare != told {
+                    told = spare;
+                    link.say(Word::Spare(spare));
+                }
+            }
+            while self.budget.over() && outbound.close_oldest_idle() {}
+        }
+    }
+
+    /// Talks with the other process until it has gone.
+    async fn converse(&self, talk: Talk, link: Rc<Link>, mut words: UnboundedReceiver<Word>) {
+        let Talk { mut lines, mut writer } = talk;
+        self.links.borrow_mut().push(link.clone());
+        let say = async {
+            while let Some(word) = words.recv().await {
+                if writer.write_all(word.write().as_bytes()).await.is_err() {
+                    return;
+                }
+            }
+        };
+        let hear = async {
+            while let Ok(Some(line)) = lines.next_line().await {
+                match Word::read(&line) {
+                    Some(Word::Ban { uid, on }) => {
+                        let (told, done) = oneshot::channel();
+                        let _ = self.commands.send(Command::Ban { uid, on, known: true, told });
+                        // Not answered where it is not kept: the caller is then owed a no.
+                        if matches!(done.await, Ok(Ok(()))) {
+                            link.say(Word::Done);
+                        }
+                    }
+                    Some(Word::Done) => {
+                        if let Some(waiting) = link.waiting.borrow_mut().pop_front() {
+                            let _ = waiting.send(()); // who asked may have given up
+                        }
+                    }
+                    Some(Word::Spare(sockets)) => self.budget.share(sockets, true),
+                    None => eprintln!("handover: `{line}` is not understood"),
+                }
+            }
+        };
+        tokio::select! {
+            () = say => {}
+            () = hear => {}
+        }
+        self.links.borrow_mut().retain(|other| !Rc::ptr_eq(other, &link));
+    }
+
+    /// Tells the other process, if there is one, of a ban or its end; whether that holds there too. One
+    /// that has gone needs none.
+    pub async fn share(&self, uid: &str, on: bool) -> bool {
+        let links = self.links.borrow().clone();
+        for link in links {
+            let (told, done) = oneshot::channel();
+            link.waiting.borrow_mut().push_back(told);
+            link.say(Word::Ban { uid: uid.to_owned(), on });
+            let kept = timeout(SHARE_TIME, done).await;
+            let lives = self.links.borrow().iter().any(|other| Rc::ptr_eq(other, &link));
+            if lives && !matches!(kept, Ok(Ok(()))) {
+                return false;
+            }
+        }
+        true
+    }
+
+    fn path(&self) -> PathBuf {
+        let name = format!("curlewhub-handover-{}-{}.sock", self.listen.ip(), self.listen.port());
+        self.folder.join(name)
+    }
+
+    /// Listens beside the path and renames: so the file of a process before, dead or alive, is replaced
+    /// in one step.
+    fn bind(&self) -> io::Result<UnixListener> {
+        let beside = self.path().with_extension(format!("{}", std::process::id()));
+        let _ = std::fs::remove_file(&beside); // there if an earlier process had this number
+        let listener = UnixListener::bind(&beside)?;
+        std::fs::rename(&beside, self.path())?;
+        Ok(listener)
+    }
+}
+
+impl Link {
+    fn new() -> (Rc<Self>, UnboundedReceiver<Word>) {
+        let (out, words) = unbounded_channel();
+        (Rc::new(Link { out, waiting: RefCell::default() }), words)
+    }
+
+    fn say(&self, word: Word) {
+        let _ = self.out.send(word); // fails only once the other has gone
+    }
+}
+
+impl Word {
+    fn read(line: &str) -> Option<Word> {
+        let (word, rest) = line.split_once(' ').unwrap_or((line, ""));
+        match word {
+            "DETACH" | "ATTACH" if !rest.is_empty() => {
+                Some(Word::Ban { uid: rest.to_owned(), on: word == "DETACH" })
+            }
+            "DONE" if rest.is_empty() => Some(Word::Done),
+            "SPARE" => rest.parse().ok().map(Word::Spare),
+            _ => None,
+        }
+    }
+
+    fn write(&self) -> String {
+        match self {
+            Word::Ban { uid, on: true } => format!("DETACH {uid}\n"),
+            Word::Ban { uid, on: false } => format!("ATTACH {uid}\n"),
+            Word::Done => "DONE\n".to_owned(),
+            Word::Spare(sockets) => format!("SPARE {sockets}\n"),
+        }
+    }
+}
+
+/// A listening socket for clients where no process serves yet. A successor that finds no way to be
+/// handed it may still share the port.
+pub fn bind(listen: SocketAddr) -> io::Result<TcpListener> {
+    let socket = if listen.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
+    socket.set_reuseaddr(true)?;
+    socket.set_reuseport(true)?;
+    socket.bind(listen)?;
+    socket.listen(BACKLOG)
+}
+
+/// Sends the listening socket.
+async fn send(stream: &UnixStream, clients: &OwnedFd) -> io::Result<()> {
+    stream
+        .async_io(Interest::WRITABLE, || {
+            let mut space = [MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(1))];
+            let mut message = SendAncillaryBuffer::new(&mut space);
+            let sockets = [clients.as_fd()];
+            if !message.push(SendAncillaryMessage::ScmRights(&sockets)) {
+                return Err(io::Error::other("no space for the socket"));
+            }
+            sendmsg(stream, &[IoSlice::new(MARK)], &mut message, SendFlags::empty())?;
+            Ok(())
+        })
+        .await
+}
+
+/// Receives it.
+async fn receive(stream: &UnixStream) -> io::Result<TcpListener> {
+    let socket = stream
+        .async_io(Interest::READABLE, || {
+            let mut space = [MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(1))];
+            let mut message = RecvAncillaryBuffer::new(&mut space);
+            let mut mark = [0; MARK.len()];
+            recvmsg(stream, &mut [IoSliceMut::new(&mut mark)], &mut message, RecvFlags::CMSG_CLOEXEC)?;
+            let sockets = message.drain().find_map(|part| match part {
+                RecvAncillaryMessage::ScmRights(mut sockets) => sockets.next(),
+                _ => None,
+            });
+            sockets.ok_or_else(|| io::Error::other("the process before sent no socket"))
+        })
+        .await?;
+    let listener = std::net::TcpListener::from(socket);
+    listener.set_nonblocking(true)?;
+    TcpListener::from_std(listener)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn words_read_as_they_are_written() {
+        let ban = |on| Word::Ban { uid: "s-1".to_owned(), on };
+        for word in [ban(true), ban(false), Word::Done, Word::Spare(96)] {
+            assert_eq!(Word::read(word.write().trim_end()), Some(word));
+        }
+        for bad in ["", "DETACH", "SPARE", "SPARE -1", "DONE x", "HELLO"] {
+            assert_eq!(Word::read(bad), None, "{bad}");
+        }
+    }
+}
--- a/src/net/inbound.rs
+++ b/src/net/inbound.rs
@@ -4,6 +4,7 @@
 use super::config::Names;
 use super::driver::{Answer, Arrival, Forward, Inbox, Input};
 use super::figures::{Counted, Figures, Verdict};
+use super::handover::Handover;
 use super::lifecycle::{Lifecycle, State};
 use super::outbound::{BODY_MOST, BUFFER_MOST, Outbound};
 use super::socket::{Heard, Socket};
@@ -56,6 +57,10 @@
 /// Told by an operator to drain, idle connections are closed from this long after the call on: none may
 /// be idle 4 s after it, nor have brought a request in the 2 s before that. New ones come for 0.3 s.
 const DRAIN_IDLE: Duration = Duration::from_millis(1500);
+/// Told to end while a successor accepts in its stead, a process keeps idle connections for so long: the
+/// next answer on each is its last, which loses no request, while closing may cross one. SIGKILL comes no
+/// sooner than 3.7 s after SIGTERM.
+const HANDED_OVER_IDLE: Duration = Duration::from_millis(2500);
 /// How often idle connections are looked for then.
 const DRAIN_CHECK: Duration = Duration::from_millis(100);
 /// SIGKILL comes no sooner than the longest deadline, but at most `DEADLINE_MOST`, and 0.7 s more:
@@ -220,8 +225,13 @@
     }
 
     /// Serves until told to end, then drains: all that the kernel has accepted is answered.
-    pub async fn serve(self: Rc<Self>, listener: TcpListener) {
+    pub async fn serve(self: Rc<Self>, listener: TcpListener, handover: Rc<Handover>) {
         spawn_local(self.clone().part_from_idle());
+        tokio::select! {
+            // Until then the process before accepts, as long as it lives.
+            () = self.lifecycle.reaches(|state| state != State::Starting) => {}
+            () = handover.alone() => {}
+        }
         loop {
             tokio::select! {
                 () = self.lifecycle.reaches(|state| state == State::Terminating) => break,
@@ -230,12 +240,21 @@
         }
         let asked = Instant::now();
         eprintln!("draining: {} clients connected", self.budget.clients());
-        while timeout_at(asked + DRAIN_ACCEPT, self.accept(&listener)).await.is_ok() {}
+        let handed_over = handover.has_successor();
+        while !handed_over && timeout_at(asked + DRAIN_ACCEPT, self.accept(&listener)).await.is_ok() {}
         let longest = self.settings.classes.iter().map(|c| c.deadline).max().unwrap_or_default();
         let until = asked + longest.min(DEADLINE_MOST) + DRAIN_SLACK;
-        // What still waits in the backlog counts as taken: closing the listener would reset it.
-        while Instant::now() < until && timeout(BACKLOG_EMPTY, self.accept(&listener)).await.is_ok() {}
+        // What still waits in the backlog counts as taken: closing the listener would reset it. A successor
+        // accepts from the same backlog.
+        while !handed_over
+            && Instant::now() < until
+            && timeout(BACKLOG_EMPTY, self.accept(&listener)).await.is_ok()
+        {}
         drop(listener);
+        handover.withdraw();
+        if handed_over {
+            let _ = timeout_at(asked + HANDED_OVER_IDLE, self.all_gone()).await;
+        }
         self.connections.borrow().values().for_each(|turn| turn.close.notify_one());
         if timeout_at(until, self.all_gone()).await.is_err() {
             let _ = self.inbox.send(Input::GiveUp);
--- a/src/net/operator.rs
+++ b/src/net/operator.rs
@@ -3,6 +3,7 @@
 use super::budget::{Budget, Holder, Permit};
 use super::driver::{Command, Commands};
 use super::figures::Figures;
+use super::handover::Handover;
 use super::lifecycle::Lifecycle;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
@@ -21,7 +22,7 @@
 /// The answer must have been taken within this: a caller waits for 1 s.
 const ANSWER_TIME: Duration = Duration::from_secs(2);
 /// What the driver has to say comes within this; else the call is owed a no while its caller waits.
-const DRIVER_TIME: Duration = Duration::from_millis(900);
+const DRIVER_TIME: Duration = Duration::from_millis(500);
 /// Wait after a failed accept: out of descriptors it would fail again at once, and spin.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
 
@@ -41,6 +42,7 @@
     lifecycle: Rc<Lifecycle>,
     figures: Rc<Figures>,
     commands: Commands,
+    handover: Rc<Handover>,
     budget: Rc<Budget>,
     next: Cell<u64>,
     /// Callers whose call has not come yet, in the order of their coming.
@@ -53,10 +55,11 @@
         lifecycle: Rc<Lifecycle>,
         figures: Rc<Figures>,
         commands: Commands,
+        handover: Rc<Handover>,
         budget: Rc<Budget>,
     ) -> Rc<Self> {
         let (next, silent) = Default::default();
-        Rc::new(Operator { lifecycle, figures, commands, budget, next, silent })
+        Rc::new(Operator { lifecycle, figures, commands, handover, budget, next, silent })
     }
 
     /// Serves until the process ends.
@@ -134,9 +137,10 @@
     }
 
     async fn ban(&self, uid: &str, on: bool) -> String {
-        let done = self.ask(|told| Command::Ban { uid: uid.to_owned(), on, told }).await;
-        match done.unwrap_or(Err("it did not come about in time")) {
-            Ok(()) => "YES\n".to_owned(),
+        let command = |told| Command::Ban { uid: uid.to_owned(), on, known: false, told };
+        match self.ask(command).await.unwrap_or(Err("it did not come about in time")) {
+            Ok(()) if self.handover.share(uid, on).await => "YES\n".to_owned(),
+            Ok(()) => "NO it holds here, but not yet in the process beside this one\n".to_owned(),
             Err(why) => format!("NO {why}\n"),
         }
     }
--- /dev/null
+++ b/tests/node_handover.rs
@@ -0,0 +1,137 @@
+//! The built sidecar and a second one that is started beside it to replace it.
+
+#[path = "support/node.rs"]
+mod support;
+
+use serde_json::{Value, json};
+use std::os::unix::net::UnixListener;
+use support::*;
+
+/// A configuration for these endpoints whose discovery answers.
+fn with_discovery(peers: &[&Peer]) -> (Value, Discovery) {
+    let mut config = operated(peers);
+    let entry = |(n, peer): (usize, &&Peer)| target(&format!("s-{n}"), peer.address, "up");
+    let entries: Vec<Value> = peers.iter().enumerate().map(entry).collect();
+    let discovery = Discovery::new(list(8, true, &entries));
+    config["discovery"] = json!(discovery.address.to_string());
+    (config, discovery)
+}
+
+#[test]
+fn an_upgrade_under_load_refuses_no_connection_and_loses_no_request() {
+    let peer = Peer::serving("ok");
+    let (config, _discovery) = with_discovery(&[&peer]);
+    let mut old = Sidecar::start(&config);
+    let load = Load::start(&old, 6);
+    for _ in 0..3 {
+        let next = old.successor(&config);
+        wait_for("the successor's yes", || next.call("PING") == "YES\n");
+        old.signal("-TERM");
+        assert!(old.ended().success());
+        old = next;
+        wait_for("its use", || old.figure("success.quote") > 0);
+        assert_eq!(old.figure("failure.quote"), 0);
+    }
+    assert!(load.end() > 0);
+}
+
+#[test]
+fn bans_hold_over_an_upgrade_those_made_during_it_too() {
+    let peers = [Peer::serving("ok"), Peer::serving("ok"), Peer::serving("ok"), Peer::serving("ok")];
+    let (config, _discovery) = with_discovery(&peers.each_ref());
+    let mut old = Sidecar::start(&config);
+    assert_eq!(old.call("DETACH s-0"), "YES\n");
+    let next = old.successor(&config);
+    wait_for("the successor's yes", || next.call("PING") == "YES\n");
+    assert_eq!(old.call("DETACH s-1"), "YES\n", "told to the old one");
+    assert_eq!(next.call("DETACH s-2"), "YES\n", "told to the new one");
+    for sidecar in [&old, &next] {
+        assert_eq!(sidecar.figure("hosts_down"), 3);
+    }
+    old.signal("-TERM");
+    assert!(old.ended().success());
+    let load =
+        |tag: &str| (0..20).for_each(|n| assert_eq!(next.ask("quote", &format!("{tag}{n}")).status(), 200));
+    load("a");
+    assert_eq!(peers.each_ref().map(Peer::count)[..3], [0, 0, 0]);
+    assert_eq!(next.call("ATTACH s-1"), "YES\n");
+    wait_for("its use", || {
+        load("b");
+        peers[1].count() > 0
+    });
+    assert_eq!((peers[0].count(), peers[2].count()), (0, 0));
+    // And over the next one, with a call back during the overlap.
+    let last = next.successor(&config);
+    wait_for("the successor's yes", || last.call("PING") == "YES\n");
+    assert_eq!(last.figure("hosts_down"), 2);
+    assert_eq!(next.call("ATTACH s-0"), "YES\n");
+    assert_eq!(last.figure("hosts_down"), 1);
+}
+
+#[test]
+fn what_a_killed_process_has_left_does_not_stop_a_start_and_its_bans_hold() {
+    let peers = [Peer::serving("ok"), Peer::serving("ok")];
+    let (config, _discovery) = with_discovery(&peers.each_ref());
+    let mut old = Sidecar::start(&config);
+    assert_eq!(old.call("DETACH s-0"), "YES\n");
+    old.signal("-KILL");
+    old.ended();
+    let mut next = old.successor(&config);
+    wait_for("its yes", || next.call("PING") == "YES\n");
+    assert_eq!(next.ask("quote", "r1").status(), 200);
+    assert_eq!(next.figure("hosts_down"), 1);
+    next.signal("-KILL");
+    next.ended();
+    // Spoilt: it starts all the same.
+    for file in std::fs::read_dir(old.folder()).unwrap() {
+        std::fs::write(file.unwrap().path(), "{").ok();
+    }
+    let next = old.successor(&config);
+    wait_for("its yes", || next.call("PING") == "YES\n");
+    assert_eq!(next.figure("hosts_down"), 0);
+}
+
+#[test]
+fn a_process_that_is_hung_is_started_beside_over_the_shared_port() {
+    let peer = Peer::serving("ok");
+    let (config, _discovery) = with_discovery(&[&peer]);
+    let old = Sidecar::start(&config);
+    // Somebody who never answers holds the handover's place.
+    let mut files = std::fs::read_dir(old.folder()).unwrap().map(|file| file.unwrap().path());
+    let path = files.find(|path| path.extension().is_some_and(|e| e == "sock")).unwrap();
+    std::fs::remove_file(&path).unwrap();
+    let _hung = UnixListener::bind(&path).unwrap();
+    let next = old.successor(&config);
+    wait_for("its yes", || next.call("PING") == "YES\n");
+}
+
+#[test]
+fn a_successor_that_dies_leaves_the_first_one_serving() {
+    let peer = Peer::serving("ok");
+    let (config, _discovery) = with_discovery(&[&peer]);
+    let old = Sidecar::start(&config);
+    let next = old.successor(&config);
+    wait_for("its yes", || next.call("PING") == "YES\n");
+    drop(next);
+    wait_for("that to be known", || old.log().contains("successor has gone"));
+    for n in 0..20 {
+        assert_eq!(old.ask("quote", &format!("r{n}")).status(), 200);
+    }
+    let next = old.successor(&config);
+    wait_for("another one's yes", || next.call("PING") == "YES\n");
+}
+
+#[test]
+fn a_successor_is_not_ready_before_its_list_is_fresh() {
+    let peer = Peer::serving("ok");
+    let mut config = operated(&[&peer]);
+    let at = nowhere();
+    config["discovery"] = json!(at.to_string());
+    let old = Sidecar::start(&config);
+    let next = old.successor(&config);
+    assert!(next.call("PING").starts_with("NO"), "discovery is not there yet");
+    let entries = [target("s-0", peer.address, "up"), target("s-1", nowhere(), "up")];
+    let _discovery = Discovery::at(at, list(8, true, &entries));
+    wait_for("its yes", || next.call("PING") == "YES\n");
+    assert_eq!(next.figure("hosts_listed"), 2);
+}
--- a/tests/node_operator.rs
+++ b/tests/node_operator.rs
@@ -6,9 +6,6 @@
 use serde_json::json;
 use std::io::Write;
 use std::net::TcpStream;
-use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
-use std::thread;
 use std::time::{Duration, Instant};
 use support::*;
 
@@ -110,40 +107,6 @@
     assert_eq!(sidecar.figure("busy.quote"), busy);
 }
 
-/// Clients that ask one after another, each on a connection that it keeps while it may.
-struct Load {
-    stop: Arc<AtomicBool>,
-    threads: Vec<thread::JoinHandle<usize>>,
-}
-
-impl Load {
-    fn start(sidecar: &Sidecar, clients: usize) -> Load {
-        let stop = Arc::new(AtomicBool::new(false));
-        let client = |c: usize| {
-            let (stop, address) = (stop.clone(), sidecar.address);
-            thread::spawn(move || {
-                let mut client = Client::connect(address).expect("it accepts");
-                let mut served = 0;
-                while !stop.load(Ordering::SeqCst) {
-                    let answer = client.ask("quote", &format!("l{c}-{served}"));
-                    assert_eq!(answer.status(), 200);
-                    served += 1;
-                    if answer.header("connection") == "close" {
-                        client = Client::connect(address).expect("it goes on accepting");
-                    }
-                }
-                served
-            })
-        };
-        Load { threads: (0..clients).map(client).collect(), stop }
-    }
-
-    fn end(self) -> usize {
-        self.stop.store(true, Ordering::SeqCst);
-        self.threads.into_iter().map(|t| t.join().expect("every request is served")).sum()
-    }
-}
-
 #[test]
 fn a_drain_under_load_loses_nothing_closes_what_is_idle_and_can_be_undone() {
     let peer = Peer::serving("ok");
--- a/tests/support/node.rs
+++ b/tests/support/node.rs
@@ -6,7 +6,7 @@
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::process::{Child, Command, ExitStatus};
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -277,9 +277,14 @@
     json!({"rev": rev, "all": all, "targets": targets})
 }
 
-/// An address where nothing listens.
+/// An address where nothing listens, nor will: each is on a loopback address of its own, so that no other
+/// test's sidecar, and no client's port, ever comes to be there.
 pub fn nowhere() -> SocketAddr {
-    TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
+    static GIVEN: AtomicUsize = AtomicUsize::new(0);
+    let (process, number) = (std::process::id() as usize, GIVEN.fetch_add(1, Ordering::SeqCst));
+    let part = |number: usize| 1 + (number % 250) as u8;
+    let ip = [127, part(process / 250), part(process), part(number)];
+    TcpListener::bind((std::net::IpAddr::from(ip), 0)).unwrap().local_addr().unwrap()
 }
 
 /// A configuration for these endpoints, with discovery out of reach.
@@ -329,6 +334,8 @@
     /// The second address, if it has one.
     pub operator: Option<SocketAddr>,
     file: std::path::PathBuf,
+    /// Where it keeps its state; a successor shares it.
+    folder: std::path::PathBuf,
 }
 
 static STARTED: AtomicUsize = AtomicUsize::new(0);
@@ -370,11 +377,26 @@
         let child = command.stderr(log).spawn().unwrap();
         let address = config["listen"].as_str().unwrap().parse().unwrap();
         let operator = config["operator"].as_str().map(|at| at.parse().unwrap());
-        let sidecar = Sidecar { child, address, operator, file };
+        let folder = file.with_extension("tmp");
+        let sidecar = Sidecar { child, address, operator, file, folder };
         wait_for("readiness", || sidecar.ready() == Some(200));
         sidecar
     }
 
+    /// Starts a second process beside this one: another second address, and all else the same. It need
+    /// not be ready yet.
+    pub fn successor(&self, config: &Value) -> Sidecar {
+        let mut config = config.clone();
+        config["operator"] = json!(nowhere().to_string());
+        let (mut command, file) = command(&config.to_string(), "");
+        let log = std::fs::File::create(file.with_extension("log")).unwrap();
+        let child = command.env("TMPDIR", &self.folder).stderr(log).spawn().unwrap();
+        let operator = config["operator"].as_str().map(|at| at.parse().unwrap());
+        let next = Sidecar { child, address: self.address, operator, file, folder: self.folder.clone() };
+        wait_for("the second address", || TcpStream::connect(operator.unwrap()).is_ok());
+        next
+    }
+
     /// What `/-/ready` answers.
     pub fn ready(&self) -> Option<u16> {
         let mut client = Client::connect(self.address)?;
@@ -417,7 +439,7 @@
 
     /// The folder that it keeps its state in.
     pub fn folder(&self) -> std::path::PathBuf {
-        self.file.with_extension("tmp")
+        self.folder.clone()
     }
 
     /// What it has logged.
@@ -464,12 +486,46 @@
     fn drop(&mut self) {
         let _ = self.child.kill();
         let _ = self.child.wait();
-        let _ = std::fs::remove_dir_all(self.folder());
+        let _ = std::fs::remove_dir_all(self.file.with_extension("tmp"));
         let _ = std::fs::remove_file(self.file.with_extension("log"));
         let _ = std::fs::remove_file(&self.file);
     }
 }
 
+/// Clients that ask one after another, each on a connection that it keeps while it may.
+pub struct Load {
+    stop: Arc<AtomicBool>,
+    threads: Vec<thread::JoinHandle<usize>>,
+}
+
+impl Load {
+    pub fn start(sidecar: &Sidecar, clients: usize) -> Load {
+        let stop = Arc::new(AtomicBool::new(false));
+        let client = |c: usize| {
+            let (stop, address) = (stop.clone(), sidecar.address);
+            thread::spawn(move || {
+                let mut client = Client::connect(address).expect("it accepts");
+                let mut served = 0;
+                while !stop.load(Ordering::SeqCst) {
+                    let answer = client.ask("quote", &format!("l{c}-{served}"));
+                    assert_eq!(answer.status(), 200);
+                    served += 1;
+                    if answer.header("connection") == "close" {
+                        client = Client::connect(address).expect("it goes on accepting");
+                    }
+                }
+                served
+            })
+        };
+        Load { threads: (0..clients).map(client).collect(), stop }
+    }
+
+    pub fn end(self) -> usize {
+        self.stop.store(true, Ordering::SeqCst);
+        self.threads.into_iter().map(|t| t.join().expect("every request is served")).sum()
+    }
+}
+
 /// A client's connection.
 pub struct Client {
     reader: BufReader<TcpStream>,
