--- a/src/balance.rs
+++ b/src/balance.rs
@@ -124,6 +124,10 @@
     attempts: Vec<Attempt>,
     finished: bool,
     streaming: bool,
+    /// Its body still comes.
+    coming: bool,
+    /// Part of its body is gone: it can't be sent again.
+    once: bool,
 }
 
 struct Endpoint {
@@ -268,6 +272,12 @@
                     pending.streaming = true;
                 }
             }
+            Event::BodyFlows(id) => {
+                if let Some(pending) = self.requests.get_mut(&id) {
+                    pending.once = true;
+                }
+            }
+            Event::BodyWhole { request, time_left } => self.on_body_whole(now, request, time_left, out),
             Event::AttemptEnded(ended) => self.on_attempt_ended(now, ended, out),
             Event::RequestGone(id) => self.finish(id, out),
             Event::Timer(token) => match self.timers.remove(&token.0) {
@@ -443,13 +453,42 @@
             part *= self.settings.classes[class].late_value.max(REPEAT_LEAST);
         }
         let (arrived, deadline, attempts) = (now, now + request.time_left, Vec::new());
-        let pending =
-            Pending { class, arrived, deadline, part, attempts, finished: false, streaming: false };
+        let coming = request.body_coming;
+        let pending = Pending {
+            class,
+            arrived,
+            deadline,
+            part,
+            attempts,
+            finished: false,
+            streaming: false,
+            coming,
+            once: false,
+        };
         self.requests.insert(id, pending);
         self.set_timer(request.time_left, Timer::Deadline(id), out);
         self.advance(now, id, out);
     }
 
+    /// A long body's last byte has come: endpoints begin only now, and so does all that is timed.
+    fn on_body_whole(&mut self, now: Duration, id: RequestId, left: Duration, out: &mut Vec<Action>) {
+        let Some(pending) = self.requests.get_mut(&id).filter(|p| p.coming && !p.settled()) else { return };
+        (pending.coming, pending.arrived, pending.deadline) = (false, now, now + left);
+        let mut outs = Vec::new();
+        for (n, attempt) in pending.attempts.iter_mut().enumerate().filter(|(_, a)| a.fate == Fate::Out) {
+            attempt.sent = now;
+            outs.push((AttemptNo(n as u32), attempt.endpoint));
+        }
+        self.set_timer(left, Timer::Deadline(id), out);
+        for (number, endpoint) in outs {
+            if let Some(&i) = self.index.get(&endpoint) {
+                let side = self.side(i);
+                self.windows[side].out += 1;
+            }
+            self.set_overdue(now, id, number, out);
+        }
+    }
+
     /// Sends a request that has no attempt out, or holds it, or gives it up.
     fn advance(&mut self, now: Duration, id: RequestId, out: &mut Vec<Action>) {
         let Some(pending) = self.requests.get(&id) else { return };
@@ -492,7 +531,8 @@
             idle = Duration::ZERO;
         }
         endpoint.in_flight += 1;
-        self.windows[side].out += 1;
+        // A body that still comes keeps no server busy: it is in flight there, but fills no window.
+        self.windows[side].out += u32::from(!pending.coming);
         (endpoint.cold_tokens, endpoint.cold_at) = (cold_tokens - 1.0, now);
         pending.attempts.push(Attempt {
             endpoint: endpoint.info.id,
@@ -504,7 +544,15 @@
         });
         let timeout = pending.deadline.saturating_sub(now);
         out.push(Action::Send { request: id, endpoint: endpoint.info.id, timeout });
-        let (number, class) = (AttemptNo(pending.attempts.len() as u32 - 1), pending.class);
+        let number = AttemptNo(pending.attempts.len() as u32 - 1);
+        self.set_overdue(now, id, number, out);
+    }
+
+    /// Has an attempt looked at again once it is out for longer than answers take.
+    fn set_overdue(&mut self, now: Duration, id: RequestId, number: AttemptNo, out: &mut Vec<Action>) {
+        let silent = self.silent(now);
+        let Some(pending) = self.requests.get(&id).filter(|p| !p.coming) else { return };
+        let (class, timeout) = (pending.class, pending.deadline.saturating_sub(now));
         let overdue = self.latency[class].overdue(if silent { OVERDUE_SPREADS } else { SILENT_SPREADS });
         if self.latency[class].seen >= LATENCY_FIRST && overdue < timeout {
             self.set_timer(overdue, Timer::Overdue(id, number), out);
@@ -572,7 +620,7 @@
         }
         let idle = attempt.idle;
         attempt.fate = if ended.outcome.never_ran() { Fate::NeverRan } else { Fate::MayHaveRun };
-        let class = pending.class;
+        let (class, coming) = (pending.class, pending.coming);
         let endpoint = attempt.endpoint;
         if ended.outcome == Outcome::Ok && idle >= self.reaped_after {
             self.stale -= STALE_REFUTED;
@@ -588,7 +636,7 @@
         {
             self.note_silence(now, silent);
         }
-        self.learn(now, endpoint, class, &ended);
+        self.learn(now, endpoint, class, coming, &ended);
         if ended.finished {
             self.finish(id, out);
         }
@@ -606,7 +654,7 @@
     }
 
     /// Lets an outcome speak for or against its endpoint.
-    fn learn(&mut self, now: Duration, id: EndpointId, class: usize, ended: &AttemptEnded) {
+    fn learn(&mut self, now: Duration, id: EndpointId, class: usize, coming: bool, ended: &AttemptEnded) {
         let Some(&i) = self.index.get(&id) else { return };
         let warm = self.warmth(now, i) >= 1.0;
         let (elapsed, silent) = (ended.elapsed.as_secs_f64(), self.silent(now));
@@ -630,7 +678,7 @@
         } else if ended.outcome == Outcome::Ok && f64::from(window.out) * 2.0 > window.size {
             window.size += if window.opening { part.min(1.0) } else { WINDOW_GAIN * part / window.size };
         }
-        window.out = window.out.saturating_sub(1);
+        window.out = window.out.saturating_sub(u32::from(!coming));
         let usual = Duration::from_secs_f64(self.latency[class].mean);
         let endpoint = &mut self.endpoints[i];
         endpoint.opening &= !late && endpoint.limit < LIMIT_OPEN;
@@ -676,6 +724,9 @@
     /// Rule 2: whether a further attempt is allowed at all.
     fn may_repeat(&self, now: Duration, id: RequestId) -> bool {
         let Some(pending) = self.requests.get(&id) else { return false };
+        if pending.once && !pending.attempts.is_empty() {
+            return false;
+        }
         let ran = pending.may_have_run().next();
         match (self.settings.classes[pending.class].semantics, ran) {
             (_, None) | (Semantics::Safe, _) => true,
--- a/src/main.rs
+++ b/src/main.rs
@@ -15,6 +15,7 @@
     pub mod operator;
     pub mod outbound;
     pub mod socket;
+    pub mod streaming;
 }
 
 use net::bans::Bans;
--- a/src/net/budget.rs
+++ b/src/net/budget.rs
@@ -17,6 +17,12 @@
 /// The most memory that a client's request may take with its buffers, bodies and attempt, in KiB.
 const CLIENT_KIB: usize = 160;
 
+/// Of all memory, so much is for bodies that are kept or flow through; the rest is the clients' and the
+/// program's own.
+const BODIES_PART: usize = 4;
+/// Of that, so many quarters at the most for bytes that are kept: what flows is never starved by them.
+const KEPT_QUARTERS: usize = 3;
+
 /// Who holds a socket.
 #[derive(Clone, Copy, PartialEq)]
 pub enum Holder {
@@ -42,6 +48,16 @@
     endpoints: Cell<usize>,
     operators: Cell<usize>,
     freed: Notify,
+    /// Memory for bodies, in KiB: how much there is, and how much of it is taken.
+    bodies_most: Cell<usize>,
+    bodies: Cell<usize>,
+    bodies_freed: Notify,
+}
+
+/// Memory in use for a body; gives it back when dropped.
+pub struct Memory {
+    budget: Rc<Budget>,
+    kib: usize,
 }
 
 /// One socket in use; gives it back when dropped.
@@ -54,9 +70,20 @@
     /// A budget within so many descriptors and MiB of memory.
     pub fn new(sockets: usize, memory_mb: usize) -> Rc<Self> {
         let (total, clients_most, clients, shed, endpoints, operators) = Default::default();
-        let freed = Notify::new();
-        let budget =
-            Rc::new(Budget { memory_mb, total, clients_most, clients, shed, endpoints, operators, freed });
+        let (freed, bodies_most, bodies, bodies_freed) = Default::default();
+        let budget = Rc::new(Budget {
+            memory_mb,
+            total,
+            clients_most,
+            clients,
+            shed,
+            endpoints,
+            operators,
+            freed,
+            bodies_most,
+            bodies,
+            bodies_freed,
+        });
         budget.share(sockets, false);
         budget
     }
@@ -67,6 +94,8 @@
         self.total.set(sockets.saturating_sub(RESERVE));
         // An attempt needs a socket too: clients must not take what their own requests go out on.
         let memory_kib = self.memory_mb.saturating_mul(1024) / if halved { 2 } else { 1 };
+        self.bodies_most.set(memory_kib / BODIES_PART);
+        self.bodies_freed.notify_waiters();
         let by_memory = memory_kib / 2 / CLIENT_KIB;
         self.clients_most.set((self.total.get() * 5 / 8).min(by_memory).max(1));
     }
@@ -103,6 +132,32 @@
         })
     }
 
+    /// Memory for bytes of a body that are kept for a while, if there is some.
+    pub fn take_kept(self: &Rc<Self>, kib: usize) -> Option<Memory> {
+        self.take_memory(kib, self.bodies_most.get() * KEPT_QUARTERS / 4)
+    }
+
+    /// Memory for a body that flows, once there is some.
+    pub async fn wait_memory(self: &Rc<Self>, kib: usize) -> Memory {
+        loop {
+            // Registered before the look, so that what comes free between the two is not missed.
+            let mut freed = std::pin::pin!(self.bodies_freed.notified());
+            freed.as_mut().enable();
+            if let Some(memory) = self.take_memory(kib, self.bodies_most.get()) {
+                return memory;
+            }
+            freed.await;
+        }
+    }
+
+    fn take_memory(self: &Rc<Self>, kib: usize, most: usize) -> Option<Memory> {
+        let taken = self.bodies.get() + kib;
+        (taken <= most).then(|| {
+            self.bodies.set(taken);
+            Memory { budget: self.clone(), kib }
+        })
+    }
+
     /// Whether only the connections to endpoints stand in the way of one more client.
     pub fn endpoints_crowd(&self) -> bool {
         self.clients.get() < self.clients_most.get() && self.in_use() >= self.total.get()
@@ -137,6 +192,13 @@
     }
 }
 
+impl Drop for Memory {
+    fn drop(&mut self) {
+        self.budget.bodies.set(self.budget.bodies.get() - self.kib);
+        self.budget.bodies_freed.notify_waiters();
+    }
+}
+
 impl Drop for Permit {
     fn drop(&mut self) {
         let count = self.budget.count(self.holder);
--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -6,7 +6,7 @@
 use super::discovery::{Call, Discovery, News};
 use super::figures::Hosts;
 use super::outbound::{Ended, Outbound, Progress};
-use hyper::body::Bytes;
+use super::streaming::{AnswerBody, Payload};
 use hyper::header::{self, HeaderName, HeaderValue};
 use hyper::{HeaderMap, Method, Request, Uri};
 use std::cmp::Reverse;
@@ -15,9 +15,9 @@
 use std::rc::Rc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender};
-use tokio::sync::oneshot;
+use tokio::sync::{oneshot, watch};
 use tokio::task::spawn_local;
-use tokio::time::{Instant, sleep_until, timeout_at};
+use tokio::time::{Instant, sleep_until};
 use weirwharf::{
     Action, AttemptEnded, AttemptNo, Balancer, EndpointId, EndpointState, Event, Membership, Outcome,
     RequestId, TimerToken,
@@ -33,6 +33,10 @@
 pub enum Input {
     /// A request has come whole.
     Arrived(Box<Arrival>),
+    /// More of a long body has gone to an endpoint than is kept.
+    BodyFlows(RequestId),
+    /// A long body has come whole: the answer must be on its way by then.
+    BodyWhole(RequestId, Instant),
     /// Its client has gone.
     ClientGone(RequestId),
     /// An attempt ended.
@@ -69,8 +73,10 @@
 pub struct Arrival {
     /// For the module; its time left is set here.
     pub request: weirwharf::Request,
-    /// When the answer must be on its way.
+    /// When the answer must be on its way; the longest that its body may take, where that still comes.
     pub deadline: Instant,
+    /// The time that its client waits from its last byte on.
+    pub time: Duration,
     /// What goes on to an endpoint.
     pub forward: Forward,
     /// Where the final answer goes.
@@ -86,13 +92,13 @@
     /// End-to-end headers.
     pub headers: HeaderMap,
     /// Its body.
-    pub body: Bytes,
+    pub body: Payload,
 }
 
 /// A final answer.
 pub enum Answer {
     /// Served, with the body of an endpoint's answer.
-    Served(Bytes),
+    Served(AnswerBody),
     /// Refused: trying again is harmless, after this long if it is stated.
     Refused(Option<Duration>),
     /// Failed.
@@ -109,7 +115,10 @@
 /// A request until it has its final answer and all its attempts have ended.
 struct Open {
     forward: Forward,
-    deadline: Instant,
+    /// Moves where a body still comes.
+    deadline: watch::Sender<Instant>,
+    /// How long its client waits, while its body still comes.
+    coming: Option<Duration>,
     /// Gone once the request is finished: so there is never a second final answer.
     answer: Option<oneshot::Sender<Answer>>,
     tries: Vec<Try>,
@@ -250,6 +259,8 @@
     fn take(&mut self, input: Input) {
         match input {
             Input::Arrived(arrival) => self.arrived(*arrival),
+            Input::BodyFlows(id) => self.handle(Event::BodyFlows(id)),
+            Input::BodyWhole(id, deadline) => self.body_whole(id, deadline),
             Input::ClientGone(id) => self.gone(id),
             Input::AttemptEnded(id, attempt, ended) => self.attempt_ended(id, attempt, ended),
             Input::ProbeEnded(endpoint, Ended { outcome, report, .. }, elapsed) => {
@@ -310,13 +321,26 @@
     }
 
     fn arrived(&mut self, arrival: Arrival) {
-        let Arrival { mut request, deadline, forward, answer } = arrival;
+        let Arrival { mut request, deadline, time, forward, answer } = arrival;
         request.time_left = deadline.saturating_duration_since(Instant::now());
-        let open = Open { forward, deadline, answer: Some(answer), tries: Vec::new(), out: 0 };
+        let coming = request.body_coming.then_some(time);
+        let deadline = watch::Sender::new(deadline);
+        let open = Open { forward, deadline, coming, answer: Some(answer), tries: Vec::new(), out: 0 };
         self.requests.insert(request.id, open);
         self.handle(Event::Request(request));
     }
 
+    /// From now on its time runs, and that of the attempts that are out.
+    fn body_whole(&mut self, id: RequestId, deadline: Instant) {
+        let Some(open) = self.requests.get_mut(&id) else { return };
+        let now = Instant::now();
+        open.coming = None;
+        open.deadline.send_replace(deadline);
+        open.tries.iter_mut().filter(|tried| tried.cancel.is_some()).for_each(|tried| tried.sent = now);
+        let time_left = deadline.saturating_duration_since(now);
+        self.handle(Event::BodyWhole { request: id, time_left });
+    }
+
     fn gone(&mut self, id: RequestId) {
         let Some(open) = self.requests.get_mut(&id) else { return };
         if open.answer.take().is_some() {
@@ -448,7 +472,7 @@
         let Some(open) = self.requests.get_mut(&id) else { return };
         let (now, attempt) = (Instant::now(), AttemptNo(open.tries.len() as u32));
         let address = self.addresses.get(&endpoint).copied().filter(|_| !self.banned.contains(&endpoint));
-        let until = open.deadline.min(now + timeout);
+        let until = (*open.deadline.borrow()).min(now + timeout);
         let moot = open.answer.is_none() || open.tries.len() >= self.max_attempts || until <= now;
         let Some(address) = address.filter(|_| !moot) else {
             open.tries.push(Try { endpoint, sent: now, cancel: None });
@@ -466,15 +490,16 @@
         let (cancel, mut cancelled) = oneshot::channel();
         open.tries.push(Try { endpoint, sent: now, cancel: Some(cancel) });
         open.out += 1;
-        let request = open.forward.request(address, until - now);
+        let request = open.forward.request(address, open.coming.unwrap_or(until - now));
+        let mut deadline = open.deadline.subscribe();
         let (outbound, inbox) = (self.outbound.clone(), self.inbox.clone());
         spawn_local(async move {
             let progress = Progress::new(true);
-            let exchange = timeout_at(until, outbound.attempt(endpoint, address, request, &progress));
             let ended = tokio::select! {
                 biased;
                 _ = &mut cancelled => Ended::bare(Outcome::Cancelled),
-                ended = exchange => ended.unwrap_or_else(|_| Ended::bare(progress.given_up())),
+                ended = outbound.attempt(endpoint, address, request, &progress) => ended,
+                () = passed(&mut deadline, until) => Ended::bare(progress.given_up()),
             };
             let _ = inbox.send(Input::AttemptEnded(id, attempt, ended));
         });
@@ -518,7 +543,7 @@
 }
 
 impl Forward {
-    fn request(&self, address: SocketAddr, left: Duration) -> Request<Bytes> {
+    fn request(&self, address: SocketAddr, left: Duration) -> Request<Payload> {
         let mut request = Request::new(self.body.clone());
         *request.method_mut() = self.method.clone();
         *request.uri_mut() = self.uri.clone();
@@ -532,6 +557,17 @@
     }
 }
 
+/// Ends at this time, or at the deadline where that has moved to before it.
+async fn passed(deadline: &mut watch::Receiver<Instant>, until: Instant) {
+    loop {
+        let at = (*deadline.borrow_and_update()).min(until);
+        tokio::select! {
+            () = sleep_until(at) => return,
+            Ok(()) = deadline.changed() => {}
+        }
+    }
+}
+
 fn outcome_name(outcome: Outcome) -> &'static str {
     match outcome {
         Outcome::Ok => "ok",
--- a/src/net/inbound.rs
+++ b/src/net/inbound.rs
@@ -6,9 +6,9 @@
 use super::figures::{Counted, Figures, Verdict};
 use super::handover::Handover;
 use super::lifecycle::{Lifecycle, State};
-use super::outbound::{BODY_MOST, BUFFER_MOST, Outbound};
+use super::outbound::{BUFFER_MOST, Outbound};
 use super::socket::{Heard, Socket};
-use http_body_util::{BodyExt, LengthLimitError, Limited};
+use super::streaming::{AnswerBody, BODY_MOST, Came, Payload, Spoilt, Upload, take_in};
 use hyper::body::{Body, Bytes, Frame, Incoming, SizeHint};
 use hyper::header::{self, HeaderMap, HeaderName, HeaderValue};
 use hyper::server::conn::http1;
@@ -19,9 +19,10 @@
 use std::collections::{BTreeMap, HashSet};
 use std::convert::Infallible;
 use std::future::{Future, poll_fn};
+use std::io;
 use std::pin::{Pin, pin};
 use std::rc::Rc;
-use std::task::{Context, Poll};
+use std::task::{Context, Poll, ready};
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Notify, oneshot};
@@ -31,9 +32,13 @@
 
 /// Kept back from a client's time, for the answer to reach it.
 const ANSWER_MARGIN: Duration = Duration::from_millis(10);
-/// A request must have come whole within this, counted from the connection's start or, later, from its
-/// first byte: bad clients are owed an error or a close within 3 s.
-const REQUEST_TIME: Duration = Duration::from_secs(2);
+/// A request's head must have come whole within this, counted from the connection's start or, later, from
+/// its first byte: a good client may take 2 s for it, and bad ones are owed an error or a close within 3 s.
+const HEAD_TIME: Duration = Duration::from_millis(2500);
+/// A long body may take so long altogether: 32 MB at 64 kB a second take 500 s.
+const UPLOAD_MOST: Duration = Duration::from_secs(600);
+/// A client that reads nothing of its answer for so long is given up: good ones take seconds.
+const UNREAD_MOST: Duration = Duration::from_secs(20);
 /// A connection is closed once it has been between requests for this long.
 const IDLE_MOST: Duration = Duration::from_secs(20);
 /// When a client that found no room is to come back, in seconds.
@@ -122,6 +127,8 @@
     accepted: Instant,
     /// A request is being read or answered.
     busy: Cell<bool>,
+    /// An answer is on its way to the client.
+    writing: Cell<bool>,
     /// When the last answer was given; none on a new connection.
     answered: Cell<Option<Instant>>,
     /// The next answer is the connection's last, and says so.
@@ -147,11 +154,11 @@
         since.filter(|_| !self.busy.get()).map(|at| at.elapsed())
     }
 
-    /// When a request that has begun to come, or the first one, must have come whole.
-    fn request_until(&self) -> Instant {
+    /// When a request that has begun to come, or the first one, began.
+    fn request_start(&self) -> Instant {
         match (self.answered.get(), self.heard.began()) {
-            (None, _) | (_, None) => self.accepted + REQUEST_TIME,
-            (Some(_), Some(began)) => began + REQUEST_TIME,
+            (None, _) | (_, None) => self.accepted,
+            (Some(_), Some(began)) => began,
         }
     }
 
@@ -160,38 +167,66 @@
         match self.answered.get() {
             _ if self.busy.get() => None,
             Some(at) if self.heard.began().is_none() => Some(at + IDLE_MOST),
-            _ => Some(self.request_until()),
+            _ => Some(self.request_start() + HEAD_TIME),
         }
     }
 }
 
-/// An answer's body, and the request's count: that ends with the answer.
+/// An answer's body, the request's count, and its connection: that all end together.
 struct Outgoing {
-    whole: Option<Bytes>,
-    _counted: Option<Counted>,
+    body: AnswerBody,
+    counted: Option<Counted>,
+    turn: Rc<Turn>,
 }
 
 impl Body for Outgoing {
     type Data = Bytes;
-    type Error = Infallible;
+    type Error = io::Error;
 
     fn poll_frame(
         mut self: Pin<&mut Self>,
-        _: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, Infallible>>> {
-        Poll::Ready(self.whole.take().map(|bytes| Ok(Frame::data(bytes))))
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, io::Error>>> {
+        let this = &mut *self;
+        match &mut this.body {
+            AnswerBody::Whole(bytes) if bytes.is_empty() => Poll::Ready(None),
+            AnswerBody::Whole(bytes) => Poll::Ready(Some(Ok(Frame::data(std::mem::take(bytes))))),
+            AnswerBody::Flow(flow) => {
+                let piece = ready!(flow.poll(cx));
+                if flow.is_over()
+                    && let Some(counted) = &mut this.counted
+                {
+                    counted.ends(Verdict::Success);
+                }
+                Poll::Ready(piece.map(|piece| piece.map(Frame::data)))
+            }
+        }
     }
 
     fn is_end_stream(&self) -> bool {
-        self.whole.is_none()
+        match &self.body {
+            AnswerBody::Whole(bytes) => bytes.is_empty(),
+            AnswerBody::Flow(flow) => flow.is_over(),
+        }
     }
 
     fn size_hint(&self) -> SizeHint {
-        SizeHint::with_exact(self.whole.as_ref().map_or(0, |bytes| bytes.len() as u64))
+        match &self.body {
+            AnswerBody::Whole(bytes) => SizeHint::with_exact(bytes.len() as u64),
+            AnswerBody::Flow(flow) => flow.size_hint(),
+        }
+    }
+}
+
+impl Drop for Outgoing {
+    fn drop(&mut self) {
+        self.turn.busy.set(false);
+        self.turn.answered.set(Some(Instant::now()));
+        self.turn.heard.forget();
     }
 }
 
-type Reply = Response<Bytes>;
+type Reply = Response<AnswerBody>;
 
 /// What is wrong with a request.
 type Bad = (StatusCode, &'static str);
@@ -360,8 +395,9 @@
     async fn connection(self: Rc<Self>, stream: TcpStream, shed: bool, _permit: Option<Permit>) {
         let _ = stream.set_nodelay(true);
         let (socket, heard) = Socket::new(stream);
-        let (busy, answered, last, closing, close) = Default::default();
-        let turn = Rc::new(Turn { heard, accepted: Instant::now(), busy, answered, last, closing, close });
+        let (busy, writing, answered, last, closing, close) = Default::default();
+        let accepted = Instant::now();
+        let turn = Rc::new(Turn { heard, accepted, busy, writing, answered, last, closing, close });
         let number = self.next.get();
         self.next.set(number + 1);
         self.connections.borrow_mut().insert(number, turn.clone());
@@ -370,7 +406,7 @@
     }
 
     /// Serves a connection until its end.
-    async fn follow(&self, socket: Socket, shed: bool, turn: &Turn) {
+    async fn follow(&self, socket: Socket, shed: bool, turn: &Rc<Turn>) {
         let service = service_fn(|request| self.answer(request, shed, turn));
         let connection = http1::Builder::new()
             .keep_alive(!shed)
@@ -405,6 +441,9 @@
                 }
                 () = sleep_until(until) => {
                     let now = Instant::now();
+                    if turn.writing.get() && turn.busy.get() && turn.heard.unwritten() >= UNREAD_MOST {
+                        return;
+                    }
                     let unused = fresh_until.take_if(|at| *at <= now).is_some() && turn.heard.began().is_none();
                     if turn.until().is_some_and(|at| at <= now || unused) {
                         match turn.silent() {
@@ -421,9 +460,10 @@
         &self,
         request: Request<Incoming>,
         shed: bool,
-        turn: &Turn,
+        turn: &Rc<Turn>,
     ) -> Result<Response<Outgoing>, Infallible> {
         turn.busy.set(true);
+        turn.writing.set(false);
         let mut counted = None;
         // Who keeps a connection after the answer keeps it for 2 s at least: where those fill up, new
         // clients would find no room, while hardly anybody is being answered.
@@ -445,27 +485,29 @@
                 Err((status, problem)) => {
                     // Whatever else such a client has sent is not to be read.
                     last = true;
-                    plain(status, problem)
+                    let mut reply = plain(status, problem);
+                    if status == StatusCode::SERVICE_UNAVAILABLE {
+                        reply
+                            .headers_mut()
+                            .insert(header::RETRY_AFTER, HeaderValue::from_static(SHED_RETRY));
+                    }
+                    reply
                 }
             }
         };
-        turn.busy.set(false);
-        turn.answered.set(Some(Instant::now()));
-        turn.heard.forget();
+        turn.writing.set(true);
         if last || turn.last.get() || self.lifecycle.draining_since().is_some() {
             reply.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
         }
         if let Some(counted) = &mut counted {
             counted.ends(match reply.status() {
-                StatusCode::OK => Verdict::Success,
+                // What flows has succeeded once it has come to its end.
+                StatusCode::OK if matches!(reply.body(), AnswerBody::Whole(_)) => Verdict::Success,
                 StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE => Verdict::Busy,
                 _ => Verdict::Failure,
             });
         }
-        Ok(reply.map(|bytes| Outgoing {
-            whole: Some(bytes).filter(|bytes| !bytes.is_empty()),
-            _counted: counted,
-        }))
+        Ok(reply.map(|body| Outgoing { body, counted, turn: turn.clone() }))
     }
 
     /// The class that a request names, if it is known.
@@ -494,13 +536,18 @@
         counted: &mut Counted,
     ) -> Result<Reply, Bad> {
         let (mut head, body) = request.into_parts();
-        // Clients state a body's length. hyper would let chunks win over a length beside them, and take
-        // what was hidden in that body for the next request.
-        if head.headers.contains_key(header::TRANSFER_ENCODING) {
-            return Err((StatusCode::LENGTH_REQUIRED, "no Transfer-Encoding"));
+        // hyper lets chunks win over a length beside them, and would take what was hidden in that body for
+        // the next request.
+        if turn.heard.framed_twice() {
+            return Err(bad("both Content-Length and Transfer-Encoding"));
+        }
+        // Of codings there is only this one.
+        let mut codings = head.headers.get_all(header::TRANSFER_ENCODING).iter();
+        if codings.any(|coding| !coding.as_bytes().eq_ignore_ascii_case(b"chunked")) {
+            return Err((StatusCode::LENGTH_REQUIRED, "unknown Transfer-Encoding"));
         }
         let (mut request, time) = self.read(&head.method, &head.uri, &head.headers)?;
-        if body.size_hint().lower() > BODY_MOST as u64 {
+        if body.size_hint().lower() > BODY_MOST {
             return Err((StatusCode::PAYLOAD_TOO_LARGE, "body too long"));
         }
         if head.method == Method::GET && !body.is_end_stream() {
@@ -511,30 +558,55 @@
             return Err((StatusCode::CONFLICT, "a request of that id is open"));
         }
         let _open = OpenId { open: &self.open, id };
-        let body = match timeout_at(turn.request_until(), Limited::new(body, BODY_MOST).collect()).await {
-            Ok(Ok(body)) => body.to_bytes(),
-            Ok(Err(e)) if e.is::<LengthLimitError>() => {
-                return Err((StatusCode::PAYLOAD_TOO_LARGE, "body too long"));
-            }
-            Ok(Err(_)) => return Err(bad("body broken")),
-            Err(_) => return Err((StatusCode::REQUEST_TIMEOUT, "body never came")),
+        let came = take_in(body, turn.request_start(), &self.budget).await.map_err(spoilt)?;
+        let (body, upload) = match came {
+            Came::Whole(kept) => (Payload::Whole(kept), None),
+            Came::Long(upload) => (Payload::Long(upload.clone()), Some(upload)),
         };
-        Self::undisturbed(turn, std::future::ready(())).await?;
+        if upload.is_none() {
+            Self::undisturbed(turn, std::future::ready(())).await?;
+            counted.taken();
+        }
         // The client counts from its last byte.
         let came = Instant::now();
-        counted.taken();
         let id = RequestId(self.next.get());
         self.next.set(id.0 + 1);
         request.id = id;
+        request.body_coming = upload.is_some();
         drop_hop_headers(&mut head.headers);
         let (answer, answered) = oneshot::channel();
-        let forward = Forward { method: head.method, uri: head.uri, headers: head.headers, body };
-        let deadline = came + time - ANSWER_MARGIN.min(time / 10);
-        let arrival = Arrival { request, deadline, forward, answer };
+        // The client may have written the whole URI; endpoints know the path alone.
+        let target = head.uri.path_and_query().and_then(|target| target.as_str().parse().ok());
+        let uri = target.unwrap_or(head.uri);
+        let forward = Forward { method: head.method, uri, headers: head.headers, body };
+        let within = time - ANSWER_MARGIN.min(time / 10);
+        let deadline = came + if upload.is_some() { UPLOAD_MOST } else { within };
+        let arrival = Arrival { request, deadline, time: within, forward, answer };
         let mut waiting = Waiting { inbox: &self.inbox, id, answered: false };
         let _ = self.inbox.send(Input::Arrived(Box::new(arrival)));
-        // Where the module were to forget a request, its client would still be told in time.
-        let answer = Self::undisturbed(turn, timeout_at(came + time, answered)).await?;
+        let answer = match upload {
+            // Where the module were to forget a request, its client would still be told in time.
+            None => Self::undisturbed(turn, timeout_at(came + time, answered)).await?,
+            Some(upload) => {
+                let mut answered = pin!(answered);
+                tokio::select! {
+                    biased;
+                    answer = answered.as_mut() => {
+                        // Ahead of the request's end: its client comes to read it once it has written all.
+                        turn.last.set(true);
+                        spawn_local(async move { upload.discard().await });
+                        Ok(answer)
+                    }
+                    came = self.passed_on(&upload, id) => {
+                        came.map_err(spoilt)?;
+                        counted.taken();
+                        let came = Instant::now();
+                        let _ = self.inbox.send(Input::BodyWhole(id, came + within));
+                        Self::undisturbed(turn, timeout_at(came + time, answered)).await?
+                    }
+                }
+            }
+        };
         waiting.answered = answer.is_ok();
         Ok(match answer {
             Ok(Ok(Answer::Served(body))) => Response::new(body),
@@ -552,6 +624,13 @@
         })
     }
 
+    /// Follows a long body to its end, on its way to whichever endpoint takes it.
+    async fn passed_on(&self, upload: &Upload, id: RequestId) -> Result<(), Spoilt> {
+        upload.flowing().await;
+        let _ = self.inbox.send(Input::BodyFlows(id));
+        upload.end().await
+    }
+
     /// What the module is to know of a request, and the client's time.
     fn read(
         &self,
@@ -613,6 +692,7 @@
             work_hint,
             key,
             client_retry: text("x-retried")? == Some("1"),
+            body_coming: false,
             write: text("x-attrs")?
                 .is_some_and(|attrs| attrs.split(',').any(|attr| attr.trim() == "write=1")),
         };
@@ -624,8 +704,18 @@
     (StatusCode::BAD_REQUEST, problem)
 }
 
+/// What a client is told whose body did not come whole.
+fn spoilt(spoilt: Spoilt) -> Bad {
+    match spoilt {
+        Spoilt::Broken => bad("body broken"),
+        Spoilt::TooLong => (StatusCode::PAYLOAD_TOO_LARGE, "body too long"),
+        Spoilt::TooSlow => (StatusCode::REQUEST_TIMEOUT, "body never came"),
+        Spoilt::NoRoom => (StatusCode::SERVICE_UNAVAILABLE, "no memory for a long body"),
+    }
+}
+
 fn plain(status: StatusCode, text: &'static str) -> Reply {
-    let mut reply = Response::new(Bytes::from_static(text.as_bytes()));
+    let mut reply = Response::new(AnswerBody::Whole(Bytes::from_static(text.as_bytes())));
     *reply.status_mut() = status;
     reply
 }
--- a/src/net/outbound.rs
+++ b/src/net/outbound.rs
@@ -4,28 +4,25 @@
 use super::discovery::Guard;
 use super::figures::Figures;
 use super::socket::{Heard, Socket};
-use http_body_util::{BodyExt, Limited};
-use hyper::body::{Body, Bytes, Frame, Incoming, SizeHint};
+use super::streaming::{AnswerBody, BODY_MOST, FLOW_KIB, Flow, Payload, Sending, WHOLE_MOST};
+use http_body_util::BodyExt;
+use hyper::body::{Body, Bytes, Incoming};
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::{HeaderMap, Request, Response, StatusCode, header};
 use hyper_util::rt::TokioIo;
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, HashSet};
-use std::convert::Infallible;
 use std::net::SocketAddr;
-use std::pin::Pin;
+use std::pin::pin;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::task::{Context, Poll, ready};
 use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::task::spawn_local;
-use tokio::time::{Instant, Sleep, sleep, sleep_until, timeout};
+use tokio::time::{Instant, sleep, sleep_until, timeout};
 use weirwharf::{EndpointId, LoadField, Outcome, Settings};
 
-/// No body on the wire is longer.
-pub const BODY_MOST: usize = 64 * 1024;
 /// Buffer of a connection, either way; also bounds a message's head.
 pub const BUFFER_MOST: usize = 64 * 1024;
 /// Part of the endpoints' idle time after which we close a connection ourselves: what is written to
@@ -35,17 +32,16 @@
 const IDLE_UNSTATED: Duration = Duration::from_secs(5);
 /// How often idle connections are looked over.
 const SWEEP: Duration = Duration::from_millis(500);
-/// A body's last byte waits for this long behind the rest. A connection that was dropped, or is about to
-/// be, answers the first bytes with a reset; an endpoint begins with the last byte, so that what is reset
-/// before it never ran and may go again, also where nothing may be repeated. It covers all who close under a
-/// request: endpoints, proxies, restarts. It costs each call with a body this long; farther away than this
-/// a reset comes too late to help.
-const LAST_BYTE: Duration = Duration::from_millis(1);
 /// A probe that takes longer has failed.
 const PROBE: Duration = Duration::from_secs(1);
-/// An answer that has begun must be whole within this: with a length that doesn't fit, or a head without
-/// end, it never would be, and cost a request all its time that could be sent again.
-const ANSWER_TIME: Duration = Duration::from_millis(500);
+/// An answer that has begun must not pause for longer until it is whole or flows on: with a length that
+/// doesn't fit it would never end, and cost a request all its time that could be sent again.
+const ANSWER_PAUSE: Duration = Duration::from_millis(700);
+/// Its head must be whole within this, however steadily it comes.
+const HEAD_TIME: Duration = Duration::from_secs(2);
+/// An answer of which the length says that it is long flows on after this at the latest; until then it may
+/// still prove spoilt, and be had again.
+const LONG_HOLD: Duration = Duration::from_millis(200);
 /// A connection rests for this long after an answer: what comes behind one, a second copy or noise,
 /// would otherwise answer the next request, and nothing could tell it from that one's answer.
 const REST: Duration = Duration::from_millis(5);
@@ -65,7 +61,7 @@
     /// The outcome.
     pub outcome: Outcome,
     /// The body of a 200.
-    pub body: Bytes,
+    pub body: AnswerBody,
     /// The load report, if one came.
     pub report: Option<Vec<f64>>,
 }
@@ -73,7 +69,7 @@
 impl Ended {
     /// An end that brought nothing but itself.
     pub fn bare(outcome: Outcome) -> Self {
-        Ended { outcome, body: Bytes::new(), report: None }
+        Ended { outcome, body: AnswerBody::Whole(Bytes::new()), report: None }
     }
 }
 
@@ -96,56 +92,39 @@
     }
 }
 
-/// A request's body, its last byte held back for a while.
-struct HeldBack {
-    rest: Bytes,
-    wait: Option<Pin<Box<Sleep>>>,
-    /// Set as the last byte goes.
-    whole: Rc<Cell<bool>>,
-    /// Counts the attempt then.
+struct Link {
+    sender: SendRequest<Sending>,
     heard: Rc<Heard>,
-    figures: Option<Rc<Figures>>,
+    address: SocketAddr,
+    idle_since: Instant,
+    /// Dropping a link closes its connection, also with an answer still to come.
+    _connection: Guard,
+    _permit: Permit,
 }
 
-impl Body for HeldBack {
-    type Data = Bytes;
-    type Error = Infallible;
+/// A connection that a long answer still comes on.
+pub struct Parking {
+    outbound: Rc<Outbound>,
+    endpoint: EndpointId,
+    link: Link,
+    /// The request was written whole: else the connection is of no further use.
+    whole: bool,
+}
 
-    fn poll_frame(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, Infallible>>> {
-        let (first, most) = (self.wait.is_none(), self.rest.len().saturating_sub(1));
-        let wait = self.wait.get_or_insert_with(|| Box::pin(sleep(LAST_BYTE)));
-        if first && most > 0 {
-            return Poll::Ready(Some(Ok(Frame::data(self.rest.split_to(most)))));
-        }
-        ready!(wait.as_mut().poll(cx));
-        self.whole.set(true);
-        if let Some(figures) = self.figures.take() {
-            self.heard.count_written(figures);
+impl Parking {
+    /// The answer has ended: others may use the connection.
+    pub fn park(self) {
+        if self.whole && !self.link.sender.is_closed() {
+            self.outbound.park(self.endpoint, self.link);
         }
-        let last = std::mem::take(&mut self.rest);
-        Poll::Ready((!last.is_empty()).then_some(Ok(Frame::data(last))))
-    }
-
-    fn is_end_stream(&self) -> bool {
-        self.rest.is_empty()
-    }
-
-    fn size_hint(&self) -> SizeHint {
-        SizeHint::with_exact(self.rest.len() as u64)
     }
 }
 
-struct Link {
-    sender: SendRequest<HeldBack>,
-    heard: Rc<Heard>,
-    address: SocketAddr,
-    idle_since: Instant,
-    /// Dropping a link closes its connection, also with an answer still to come.
-    _connection: Guard,
-    _permit: Permit,
+/// What an answer has come to.
+enum Read {
+    Whole(Outcome, Bytes),
+    /// A long one has begun.
+    Long(Vec<Bytes>, Incoming),
 }
 
 /// The connections to all endpoints.
@@ -185,10 +164,10 @@
     /// Sends one attempt and waits for its end. It is written at most once: only what provably was
     /// never written goes to another connection.
     pub async fn attempt(
-        &self,
+        self: &Rc<Self>,
         endpoint: EndpointId,
         address: SocketAddr,
-        mut request: Request<Bytes>,
+        mut request: Request<Payload>,
         progress: &Progress,
     ) -> Ended {
         // What comes ahead of an answer says nothing of when that will come.
@@ -214,81 +193,112 @@
             if self.barred.borrow().contains(&endpoint) {
                 return Ended::bare(Outcome::ConnectFailed);
             }
-            // What has no body is whole with its head, and goes at once.
-            let (rest, whole) = (request.body().clone(), progress.whole.clone());
-            whole.set(rest.is_empty());
-            let (heard, mut figures) = (link.heard.clone(), progress.counts.then(|| self.figures.clone()));
-            if rest.is_empty()
-                && let Some(figures) = figures.take()
-            {
-                heard.count_written(figures);
+            if request.body().is_spent() {
+                return Ended::bare(Outcome::ConnectFailed); // the rest alone is of no use
             }
-            let request = request.clone().map(|_| HeldBack { rest, wait: None, whole, heard, figures });
+            let (heard, whole) = (link.heard.clone(), progress.whole.clone());
+            whole.set(false);
+            let figures = progress.counts.then(|| self.figures.clone());
+            let request = request.clone().map(|payload| Sending::new(&payload, whole, heard, figures));
             let idle = link.idle_since.elapsed();
             link.heard.forget();
+            let headed = Cell::new(false);
             let exchange = async {
                 match link.sender.try_send_request(request).await {
-                    Ok(response) => self.read(response).await,
+                    Ok(response) => {
+                        headed.set(true);
+                        let report = self.inline_report(response.headers());
+                        (self.read(response).await, report)
+                    }
                     Err(error) => {
                         if error.message().is_some() {
                             progress.whole.set(false); // handed back unsent
                         }
-                        Ended::bare(Outcome::Reset)
+                        (None, None)
                     }
                 }
             };
-            let ended = tokio::select! {
+            let (read, report) = tokio::select! {
                 biased;
-                ended = exchange => ended,
-                () = stalled(&link.heard, &ahead) => Ended::bare(Outcome::Reset),
+                read = exchange => read,
+                () = stalled(&link.heard, &ahead, &headed) => (None, None),
             };
             if !fresh && idle >= AGED {
-                self.learn_aged(ended.outcome == Outcome::Reset && link.heard.began().is_none());
+                self.learn_aged(read.is_none() && link.heard.began().is_none());
             }
-            if ended.outcome != Outcome::Reset {
-                if progress.whole.get() && !link.sender.is_closed() {
-                    link.idle_since = Instant::now();
-                    self.idle.borrow_mut().entry(endpoint).or_default().push(link);
+            match (read, progress.whole.get(), fresh) {
+                (Some(Read::Whole(outcome, body)), whole, _) => {
+                    if whole && !link.sender.is_closed() {
+                        self.park(endpoint, link);
+                    }
+                    return Ended { outcome, body: AnswerBody::Whole(body), report };
                 }
-                return ended;
-            }
-            match (progress.whole.get(), fresh) {
-                (true, _) => return ended,
-                (false, true) => return Ended::bare(Outcome::ConnectFailed),
-                (false, false) => {} // a kept connection says nothing of its endpoint: another one
+                (Some(Read::Long(first, rest)), whole, _) => {
+                    let memory = self.budget.wait_memory(FLOW_KIB).await;
+                    let parking = Parking { outbound: self.clone(), endpoint, link, whole };
+                    let body = AnswerBody::Flow(Box::new(Flow::new(first, rest, parking, memory)));
+                    return Ended { outcome: Outcome::Ok, body, report };
+                }
+                (None, true, _) => return Ended::bare(Outcome::Reset),
+                (None, false, true) => return Ended::bare(Outcome::ConnectFailed),
+                (None, false, false) => {} // a kept connection says nothing of its endpoint: another one
             }
         }
     }
 
-    /// The outcome that an answer stands for. It is read whole first: a break half-way is an outcome and
-    /// never a torn answer, and one that is spoilt proves nothing, not even that it never ran.
-    async fn read(&self, response: Response<Incoming>) -> Ended {
-        let (head, body) = response.into_parts();
+    /// What an answer comes to; none where it is spoilt. It is kept until it is whole, so that a break is an
+    /// outcome and never a torn answer, and one that is spoilt proves nothing, not even that it never ran.
+    /// Only one that is served and long flows on.
+    async fn read(&self, response: Response<Incoming>) -> Option<Read> {
+        let (head, mut body) = response.into_parts();
         let never_ran = head.headers.get("x-not-processed").is_some_and(|v| v.as_bytes() == b"1");
         let outcome = match head.status {
             StatusCode::OK => Outcome::Ok,
             StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT if never_ran => Outcome::Full,
             _ => Outcome::Error,
         };
-        let report = self.inline_report(&head.headers);
-        if body.size_hint().lower() > BODY_MOST as u64 {
-            return Ended::bare(Outcome::Reset);
+        let least = body.size_hint().lower();
+        if least > BODY_MOST {
+            return None;
         }
-        match Limited::new(body, BODY_MOST).collect().await {
-            Ok(body) => Ended { outcome, body: body.to_bytes(), report },
-            Err(_) => Ended::bare(Outcome::Reset),
+        let long = least > WHOLE_MOST as u64;
+        let mut kept = Vec::new();
+        let mut hold = pin!(sleep(LONG_HOLD));
+        loop {
+            let frame = tokio::select! {
+                biased;
+                frame = body.frame() => frame,
+                () = hold.as_mut(), if long && outcome == Outcome::Ok && !kept.is_empty() => {
+                    return Some(Read::Long(vec![Bytes::from(kept)], body));
+                }
+            };
+            match frame {
+                None => return Some(Read::Whole(outcome, Bytes::from(kept))),
+                Some(Err(_)) => return None,
+                // Trailers go no further.
+                Some(Ok(frame)) => kept.extend_from_slice(frame.data_ref().map_or(&[][..], |data| data)),
+            }
+            if kept.len() > WHOLE_MOST {
+                return (outcome == Outcome::Ok).then(|| Read::Long(vec![Bytes::from(kept)], body));
+            }
         }
     }
 
+    /// Keeps a connection for who comes next.
+    fn park(&self, endpoint: EndpointId, mut link: Link) {
+        link.idle_since = Instant::now();
+        self.idle.borrow_mut().entry(endpoint).or_default().push(link);
+    }
+
     /// Asks an endpoint for its load.
-    pub async fn probe(&self, endpoint: EndpointId, address: SocketAddr) -> Ended {
+    pub async fn probe(self: &Rc<Self>, endpoint: EndpointId, address: SocketAddr) -> Ended {
         let request = Request::get("/-/load").header(header::HOST, address.to_string());
-        let Ok(request) = request.body(Bytes::new()) else { return Ended::bare(Outcome::Error) };
+        let Ok(request) = request.body(Payload::none()) else { return Ended::bare(Outcome::Error) };
         let progress = Progress::new(false);
         match timeout(PROBE, self.attempt(endpoint, address, request, &progress)).await {
             Ok(mut ended) => {
-                let body = std::mem::take(&mut ended.body);
-                let in_body = std::str::from_utf8(&body).ok().and_then(|text| self.report(text));
+                let AnswerBody::Whole(body) = &ended.body else { return Ended::bare(Outcome::Error) };
+                let in_body = std::str::from_utf8(body).ok().and_then(|text| self.report(text));
                 ended.report = in_body.or(ended.report);
                 ended
             }
@@ -429,15 +439,18 @@
     }
 }
 
-/// Ends once an answer has begun and has not become whole in its time.
-async fn stalled(heard: &Heard, ahead: &AtomicBool) {
+/// Ends once an answer has begun and pauses for too long, or its head takes too long. What comes ahead of
+/// an answer says nothing of when that will come.
+async fn stalled(heard: &Heard, ahead: &AtomicBool, headed: &Cell<bool>) {
     loop {
-        let at = match heard.began() {
-            Some(at) if at.elapsed() >= ANSWER_TIME && !ahead.load(Ordering::Relaxed) => return,
-            Some(at) if !ahead.load(Ordering::Relaxed) => at + ANSWER_TIME,
-            _ => Instant::now() + ANSWER_TIME / 4,
-        };
-        sleep_until(at).await;
+        let began = heard.began().filter(|_| headed.get() || !ahead.load(Ordering::Relaxed));
+        if let Some(began) = began {
+            let slow = !headed.get() && began.elapsed() >= HEAD_TIME;
+            if slow || heard.silence() >= ANSWER_PAUSE {
+                return;
+            }
+        }
+        sleep(ANSWER_PAUSE / 8).await;
     }
 }
 
--- a/src/net/socket.rs
+++ b/src/net/socket.rs
@@ -8,6 +8,7 @@
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll, ready};
+use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::time::Instant;
@@ -19,10 +20,52 @@
     more: Cell<bool>,
     /// When the first byte came since `forget`.
     began: Cell<Option<Instant>>,
+    /// When the last bytes came, and when some were last written.
+    last: Cell<Instant>,
+    wrote: Cell<Instant>,
+    /// Looks at the framing of the requests that come in.
+    framing: RefCell<Framing>,
     /// Raised once more has been written.
     awaiting: RefCell<Option<Rc<Figures>>>,
 }
 
+/// Which framings a message's head names, as its bytes pass by.
+#[derive(Default)]
+struct Framing {
+    /// The beginning of the line that is coming, in lower case.
+    line: Vec<u8>,
+    /// A line that is not empty has come.
+    begun: bool,
+    /// The head is over.
+    over: bool,
+    length: bool,
+    chunks: bool,
+}
+
+impl Framing {
+    /// The longest name looked for, with its colon.
+    const NAME_MOST: usize = b"transfer-encoding:".len();
+
+    fn see(&mut self, bytes: &[u8]) {
+        for byte in bytes {
+            match byte {
+                _ if self.over => return,
+                b'\n' => {
+                    self.length |= self.line.starts_with(b"content-length:");
+                    self.chunks |= self.line.starts_with(b"transfer-encoding:");
+                    // Empty lines may come ahead of a request; after one of its lines they end its head.
+                    self.over = self.begun && self.line.is_empty();
+                    self.begun |= !self.line.is_empty();
+                    self.line.clear();
+                }
+                b'\r' => {}
+                _ if self.line.len() < Self::NAME_MOST => self.line.push(byte.to_ascii_lowercase()),
+                _ => {}
+            }
+        }
+    }
+}
+
 /// The connection itself, for hyper.
 pub struct Socket(Rc<Heard>);
 
@@ -33,6 +76,9 @@
             stream,
             more: Cell::new(false),
             began: Cell::new(None),
+            last: Cell::new(Instant::now()),
+            wrote: Cell::new(Instant::now()),
+            framing: RefCell::default(),
             awaiting: RefCell::default(),
         });
         (Socket(heard.clone()), heard)
@@ -51,9 +97,27 @@
         self.began.get()
     }
 
+    /// For how long nothing has come, though it could have been read.
+    pub fn silence(&self) -> Duration {
+        if self.pending() { Duration::ZERO } else { self.last.get().elapsed() }
+    }
+
+    /// For how long nothing could be written.
+    pub fn unwritten(&self) -> Duration {
+        self.wrote.get().elapsed()
+    }
+
+    /// Whether the head that came states a length beside chunks: hyper then takes the chunks and hides the
+    /// length, but whoever sent both may mean either.
+    pub fn framed_twice(&self) -> bool {
+        let framing = self.framing.borrow();
+        framing.length && framing.chunks
+    }
+
     /// Begins anew.
     pub fn forget(&self) {
         self.began.set(None);
+        self.framing.take();
     }
 
     /// An attempt's last piece is on its way: counts the attempt once something has been written.
@@ -84,6 +148,8 @@
             ready?;
             match heard.stream.try_read(buf.initialize_unfilled()) {
                 Ok(count) => {
+                    heard.framing.borrow_mut().see(&buf.initialize_unfilled()[..count]);
+                    heard.last.set(Instant::now());
                     buf.advance(count);
                     heard.more.set(count > 0);
                     if count > 0 && heard.began.get().is_none() {
@@ -113,6 +179,7 @@
             match self.0.stream.try_write_vectored(parts) {
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
                 written => {
+                    self.0.wrote.set(Instant::now());
                     if written.as_ref().is_ok_and(|count| *count > 0)
                         && let Some(figures) = self.0.awaiting.take()
                     {
--- a/src/types.rs
+++ b/src/types.rs
@@ -358,6 +358,15 @@
     Membership(Membership),
     /// A request arrived and is owed one final answer.
     Request(Request),
+    /// More of a coming body has gone to an endpoint than is kept: no further attempt can be made.
+    BodyFlows(RequestId),
+    /// A coming body has come whole; the request's time begins to run.
+    BodyWhole {
+        /// The request.
+        request: RequestId,
+        /// Time until the client gives this try up.
+        time_left: Duration,
+    },
     /// A streamed answer has begun; the client owns the attempt now.
     StreamStarted {
         /// The request.
@@ -415,6 +424,8 @@
     pub key: Option<u64>,
     /// The client says this is a repeat.
     pub client_retry: bool,
+    /// Its body is long and still comes: its time begins to run with [`Event::BodyWhole`].
+    pub body_coming: bool,
     /// It writes.
     pub write: bool,
 }
@@ -548,6 +559,7 @@
             work_hint: None,
             key: None,
             client_retry: false,
+            body_coming: false,
             write: false,
         })
     }
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -331,6 +331,7 @@
                 work_hint: work_hint.filter(|_| attrs & 1 != 0),
                 key,
                 client_retry: attrs & 2 != 0,
+                body_coming: false,
                 write: attrs & 4 != 0,
             });
             (Some(name), event)
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -55,7 +55,7 @@
 #[test]
 fn an_unsafe_request_that_may_have_run_is_never_sent_again() {
     let torn = "HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\nhalf".to_owned();
-    let long = format!("HTTP/1.1 200 OK\r\nContent-Length: 70000\r\n\r\n{}", "x".repeat(70000));
+    let long = format!("HTTP/1.1 200 OK\r\nContent-Length: 40000000\r\n\r\n{}", "x".repeat(70000));
     for act in [
         Do::WriteAndClose(String::new()),
         Do::WriteAndClose(torn),
@@ -205,8 +205,7 @@
     let sidecar = Sidecar::start(&config(&[&peer]));
     let good = request("quote", "r1", "5000m");
     let post = request("book", "r1", "5000m");
-    let long = format!("{}{}", post.replace("Length: 4", "Length: 70000"), "x".repeat(69996));
-    let chunk = format!("{:x}\r\n{}\r\n", 70000, "x".repeat(70000));
+    let long = format!("{}{}", post.replace("Length: 4", "Length: 40000000"), "x".repeat(69996));
     let chunked =
         post.replace("Content-Length: 4", "Transfer-Encoding: chunked").replace("\r\n\r\nbody", "\r\n\r\n");
     for bad in [
@@ -236,7 +235,9 @@
         request("pay", "r1", "5000m").replace("Idempotency-Key: k1\r\n", ""),
         post.replace("X-Timeout", "Idempotency-Key: k1\r\nX-Timeout"),
         long,
-        format!("{chunked}{chunk}0\r\n\r\n"),
+        format!("{chunked}4\r\nbodyX\r\n0\r\n\r\n"),
+        format!("{chunked}-4\r\nbody\r\n0\r\n\r\n"),
+        format!("{}0\r\n\r\n", chunked.replace("chunked", "gzip, chunked")),
         "nonsense\r\n\r\n".to_owned(),
         format!("GET /quote HTTP/1.1\r\nX-Long: {}\r\n\r\n", "x".repeat(100_000)),
     ] {
--- a/tests/node_spoilt.rs
+++ b/tests/node_spoilt.rs
@@ -26,7 +26,6 @@
         write("HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\nConnection: upgrade\r\n\r\n"),
         flood("HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\n", "x"),
         flood("HTTP/1.1 200 OK\r\n", "X-Pad: pppppppp\r\n"),
-        flood("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "4\r\nxxxx\r\n"),
     ];
     for act in spoilt {
         let what = format!("{act:?}").chars().take(100).collect::<String>();
--- a/tests/shape.rs
+++ b/tests/shape.rs
@@ -5,8 +5,9 @@
 #[test]
 fn module_stays_within_its_lines() {
     let lines = MODULE.lines().filter(|line| !line.trim().is_empty()).count();
-    // Bans by hand are decisions too: they took 41 lines beyond the 871 that there were.
-    assert!(lines <= 915, "{lines} lines that are not blank");
+    // Bans by hand are decisions too, and so is when the time of a long body begins: they took 85 lines
+    // beyond the 871 that there were.
+    assert!(lines <= 965, "{lines} lines that are not blank");
 }
 
 #[test]
