--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -273,9 +273,8 @@
             while let Some(end) = text.iter().position(|&b| b == b'\n') {
                 let line: Vec<u8> = text.drain(..=end).collect();
                 let line = line.trim_ascii();
-                // An empty one says that nothing has changed.
-                self.heard.set(true);
                 if line.is_empty() {
+                    self.heard.set(true); // nothing has changed
                     continue;
                 }
                 // To skip a change would leave the list wrong for good: the watch begins again instead.
--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -215,6 +215,10 @@
         for uid in self.bans.all() {
             self.hold_back(&uid, true);
         }
+        // Whoever calls first is to find the known list.
+        while let Ok(input) = inputs.try_recv() {
+            self.take(input);
+        }
         loop {
             let next = self.timers.peek().map_or(self.summary_at, |Reverse((at, _))| *at);
             tokio::select! {
@@ -357,7 +361,9 @@
             return; // its outcome has been told
         }
         open.out -= 1;
-        let (endpoint, sent, elapsed) = (tried.endpoint, tried.sent, tried.sent.elapsed());
+        let (endpoint, sent) = (tried.endpoint, tried.sent);
+        // Until a body has come whole, no endpoint takes any time over it.
+        let elapsed = if open.coming.is_some() { Duration::ZERO } else { sent.elapsed() };
         let Ended { outcome, body, report } = ended;
         if outcome == Outcome::TimedOut {
             self.outbound.close_unheard(endpoint, sent);
--- a/tests/node_list.rs
+++ b/tests/node_list.rs
@@ -4,6 +4,8 @@
 mod support;
 
 use serde_json::json;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::thread;
 use support::*;
 
@@ -137,3 +139,40 @@
     assert_eq!(sidecar.ask("book", "r2").status(), 200);
     assert_eq!(peer.connections.load(std::sync::atomic::Ordering::SeqCst), 2);
 }
+
+#[test]
+fn a_list_that_is_cut_short_is_no_list() {
+    let [first, second] = [Peer::serving("ok"), Peer::serving("ok")];
+    let entry = |n: usize, peer: &Peer| target(&format!("s-{n}"), peer.address, "up");
+    let short = list(9, true, &[entry(0, &first)]).to_string();
+    let half = &short[..short.len() - 2];
+    let chunk = |text: &str| format!("{:x}\r\n{text}\r\n", text.len());
+    let chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    let cuts = [
+        format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{half}", short.len()),
+        format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{half}", half.len()),
+        format!("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n{half}"),
+        format!("{chunked}{}", chunk(half)),
+        format!("{chunked}{}0\r\n\r\n", chunk(half)),
+        format!("{chunked}{}", chunk(&format!("{half}\n"))),
+        format!("{chunked}ffff\r\n{short}"),
+    ];
+    let asked = Arc::new(AtomicUsize::new(0));
+    let discovery = {
+        let (asked, cuts) = (asked.clone(), cuts.clone());
+        // Closes behind each cut.
+        Peer::new(move |_| {
+            let n = asked.fetch_add(1, Ordering::SeqCst);
+            Do::WriteAndClose(cuts[n % cuts.len()].clone())
+        })
+    };
+    // The module asks for a watch; a server that has moved is first asked for its whole list.
+    let mut config = operated(&[&first, &second]);
+    let sidecar = Sidecar::start(&config);
+    assert_eq!(sidecar.figure("hosts_listed"), 2);
+    config["discovery"] = json!(discovery.address.to_string());
+    sidecar.reload(&config.to_string());
+    wait_for("every cut", || asked.load(Ordering::SeqCst) >= cuts.len());
+    assert_eq!(sidecar.figure("hosts_listed"), 2, "the list as it was goes on");
+    assert_eq!(sidecar.ask("book", "r1").status(), 200);
+}
