--- a/src/wire.rs
+++ b/crates/adapter/src/lib.rs
@@ -1,9 +1,9 @@
 //! The simulator's wire, parsed and printed. Nothing here decides anything.
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
 
-use crate::types::*;
-use serde::Deserialize;
-use serde::de::IgnoredAny;
-use std::collections::HashMap;
+use curlewhub_balance::*;
+use curlewhub_config::settings::{MAX_MS, duration, parse_settings};
 use std::str::{FromStr, Split};
 use std::time::Duration;
 use thiserror::Error;
@@ -80,62 +80,8 @@
     Failed,
 }
 
-/// Names of endpoints and their ids. An id is a hash of the name, so that it is the same at all balancers.
-#[derive(Debug, Default)]
-pub struct Names {
-    names: HashMap<EndpointId, String>,
-}
-
-impl Names {
-    /// The id of a name, new if it was never seen.
-    pub fn id(&mut self, name: &str) -> EndpointId {
-        // FNV-1a: short, and the same on every machine and in every release.
-        let mut hash: u64 = 0xcbf2_9ce4_8422_2325;
-        for byte in name.bytes() {
-            hash = (hash ^ u64::from(byte)).wrapping_mul(0x0000_0100_0000_01b3);
-        }
-        let mut id = EndpointId(hash);
-        while let Some(known) = self.names.get(&id) {
-            if known == name {
-                return id;
-            }
-            id = EndpointId(id.0.wrapping_add(1)); // another name has this hash
-        }
-        self.names.insert(id, name.to_owned());
-        id
-    }
-
-    /// The id of a name that was seen.
-    pub fn find(&self, name: &str) -> Option<EndpointId> {
-        self.names.iter().find(|(_, known)| *known == name).map(|(&id, _)| id)
-    }
-
-    /// Keeps only the names of these: endpoints come under new names for ever.
-    pub fn retain(&mut self, keep: impl Fn(EndpointId) -> bool) {
-        self.names.retain(|&id, _| keep(id));
-    }
-
-    /// How many names are kept.
-    pub fn len(&self) -> usize {
-        self.names.len()
-    }
-
-    /// Whether none is kept.
-    pub fn is_empty(&self) -> bool {
-        self.names.is_empty()
-    }
-
-    /// The name of an id given out before.
-    pub fn name(&self, id: EndpointId) -> &str {
-        self.names.get(&id).map_or("-", String::as_str)
-    }
-}
-
 /// Stands in an event until the host puts the request's own id there.
 const UNSET: RequestId = RequestId(u64::MAX);
-/// No time on the wire lies beyond this many milliseconds (over thirty years).
-const MAX_MS: f64 = 1e12;
-
 struct Fields<'a> {
     line: u64,
     rest: Split<'a, char>,
@@ -240,7 +186,7 @@
 }
 
 /// Reads line number `line`; `names` turns endpoint names into ids.
-pub fn parse(line: u64, text: &str, names: &mut Names) -> Result<Line, WireError> {
+pub fn parse(line: u64, text: &str, names: &mut EndpointNames) -> Result<Line, WireError> {
     let mut f = Fields { line, rest: text.split(' ') };
     let word = f.text("message")?;
     let parsed = match word {
@@ -308,7 +254,11 @@
     if bank > 15 { Err(f.error("bank", format!("{bank} is over 15"))) } else { Ok(bank) }
 }
 
-fn event(word: &str, f: &mut Fields, names: &mut Names) -> Result<(Option<String>, Event), WireError> {
+fn event(
+    word: &str,
+    f: &mut Fields,
+    names: &mut EndpointNames,
+) -> Result<(Option<String>, Event), WireError> {
     Ok(match word {
         "order" => {
             let name = f.text("job")?.to_owned();
@@ -373,7 +323,7 @@
 }
 
 /// Prints one action of `instance`; `request` is the wire's name of the request it is about.
-pub fn print(instance: u32, action: &Action, request: &str, names: &Names) -> String {
+pub fn print(instance: u32, action: &Action, request: &str, names: &EndpointNames) -> String {
     match action {
         Action::Send { endpoint, timeout, .. } => {
             // Zero would mean "no time-out of its own", so the least that can be said is a microsecond.
@@ -404,373 +354,11 @@
     text.replace(['\n', '\r'], " ")
 }
 
-fn duration(ms: f64) -> Duration {
-    Duration::from_micros((ms * 1000.0).round() as u64)
-}
-
 fn millis(time: Duration) -> f64 {
     time.as_micros() as f64 / 1000.0
 }
 
-// ---- settings ----
-
-// Names of classes, tenants, zones and kinds, and the family, tell a decision nothing and are left out on
-// purpose, as are the prices of what a balancer cannot do here: fleet, moves, origin, peer.
-#[derive(Deserialize)]
-#[serde(rename_all = "camelCase")]
-struct Conf {
-    #[serde(default)]
-    areas: Vec<IgnoredAny>,
-    #[serde(default)]
-    tiers: Vec<IgnoredAny>,
-    #[serde(default)]
-    blend: ConfBlend,
-    #[serde(default)]
-    counted_by: ConfCounted,
-    #[serde(default)]
-    clients: ConfClients,
-    balancers: u32,
-    #[serde(default)]
-    me: u32,
-    my_zone: u32,
-    #[serde(default)]
-    stage: u32,
-    classes: Vec<ConfClass>,
-    #[serde(default)]
-    tenants: Vec<ConfTenant>,
-    #[serde(default = "one")]
-    over_share_worth: f64,
-    discovery: ConfDiscovery,
-    limits: ConfLimits,
-    rules: ConfRules,
-    #[serde(default)]
-    costs: ConfCosts,
-    #[serde(default)]
-    telemetry: ConfTelemetry,
-    #[serde(default)]
-    weight_kind: ConfWeights,
-    #[serde(default)]
-    resolution_ms: f64,
-    #[serde(default)]
-    family_info: ConfFamily,
-}
-
-#[derive(Deserialize)]
-#[serde(rename_all = "camelCase", default)]
-struct ConfBlend {
-    whole: f64,
-    worst_window: f64,
-    worst_class: f64,
-    worst_tenant: f64,
-    nines_part: f64,
-    nines_wanted: f64,
-}
-
-impl Default for ConfBlend {
-    fn default() -> Self {
-        let (whole, nines_wanted) = (1.0, 3.0);
-        let (worst_window, worst_class, worst_tenant, nines_part) = Default::default();
-        ConfBlend { whole, worst_window, worst_class, worst_tenant, nines_part, nines_wanted }
-    }
-}
-
-#[derive(Default, Deserialize)]
-#[serde(rename_all = "lowercase")]
-enum ConfCounted {
-    #[default]
-    Request,
-    Work,
-}
-
-#[derive(Default, Deserialize)]
-#[serde(rename_all = "camelCase", default)]
-struct ConfClients {
-    marks_retry: bool,
-}
-
-#[derive(Deserialize)]
-#[serde(rename_all = "camelCase")]
-struct ConfClass {
-    #[serde(default)]
-    aim_stretch: f64,
-    objective_ms: f64,
-    deadline_ms: f64,
-    semantics: ConfSemantics,
-    #[serde(default)]
-    group: ConfGroup,
-    #[serde(default)]
-    repeat_window_ms: f64,
-    #[serde(default)]
-    late_value: f64,
-    #[serde(default)]
-    streamed: bool,
-    #[serde(default = "one")]
-    worth: f64,
-}
-
-#[derive(Deserialize)]
-#[serde(rename_all = "camelCase")]
-struct ConfTenant {
-    #[serde(default)]
-    allowance_per_s: f64,
-    #[serde(default)]
-    portion: f64,
-}
-
-#[derive(Deserialize)]
-#[serde(rename_all = "camelCase")]
-struct ConfLimits {
-    #[serde(default)]
-    cancelling: bool,
-    #[serde(default)]
-    probes: bool,
-    #[serde(default)]
-    peers: bool,
-    #[serde(default)]
-    retry_after: bool,
-    #[serde(default)]
-    max_retry_after_ms: f64,
-    #[serde(default)]
-    second_copies: bool,
-    max_attempts: u32,
-    #[serde(default)]
-    connect_timeout_ms: f64,
-    #[serde(default)]
-    streams_per_conn: u32,
-    #[serde(default)]
-    idle_close_ms: f64,
-    #[serde(default)]
-    open_cap: u32,
-    #[serde(default)]
-    cpu_us_per_s: f64,
-    #[serde(default)]
-    cpu_us_per_request: f64,
-}
-
-#[derive(Deserialize)]
-#[serde(rename_all = "camelCase")]
-struct ConfRules {
-    #[serde(default)]
-    ask_within_ms: f64,
-    cold_share: f64,
-    warm_within_ms: f64,
-    drain_grace_ms: f64,
-    fall_multiple: f64,
-    fall_ms: f64,
-    grace_to_answer_ms: f64,
-}
-
-#[derive(Default, Deserialize)]
-#[serde(rename_all = "camelCase", default)]
-struct ConfCosts {
-    connection: f64,
-    discovery: f64,
-    cross_zone: f64,
-    waste: f64,
-    handshake: f64,
-    probe: f64,
-    late_fail: f64,
-}
-
-#[derive(Default, Deserialize)]
-#[serde(rename_all = "camelCase", default)]
-struct ConfTelemetry {
-    via: ConfVia,
-    fields: Vec<String>,
-}
-
-#[derive(Deserialize)]
-#[serde(rename_all = "camelCase", default)]
-struct ConfFamily {
-    passes_deadline: bool,
-    warm_keys: bool,
-}
-
-impl Default for ConfFamily {
-    fn default() -> Self {
-        ConfFamily { passes_deadline: true, warm_keys: false }
-    }
-}
-
-#[derive(Deserialize)]
-#[serde(rename_all = "lowercase")]
-enum ConfSemantics {
-    Safe,
-    Keyed,
-    Unsafe,
-}
-
-#[derive(Default, Deserialize)]
-#[serde(rename_all = "lowercase")]
-enum ConfGroup {
-    #[default]
-    All,
-    Zone,
-    Cell,
-}
-
-#[derive(Deserialize)]
-#[serde(rename_all = "lowercase")]
-enum ConfDiscovery {
-    Automatic,
-    Subscribe,
-}
-
-#[derive(Default, Deserialize)]
-#[serde(rename_all = "snake_case")]
-enum ConfVia {
-    #[default]
-    Off,
-    Inline,
-    OnProbe,
-}
-
-#[derive(Default, Deserialize)]
-#[serde(rename_all = "lowercase")]
-enum ConfWeights {
-    #[default]
-    Off,
-    Nominal,
-    Rough,
-    Live,
-}
-
-fn one() -> f64 {
-    1.0
-}
-
-/// Reads the settings object of line number `line`; the sidecar's configuration carries the same one.
-pub fn settings(line: u64, text: &str) -> Result<Settings, WireError> {
-    let error = |field: String, problem: String| WireError { line, field, problem };
-    let mut json = serde_json::Deserializer::from_str(text);
-    let conf: Conf = serde_path_to_error::deserialize(&mut json).map_err(|e| {
-        let path = e.path().to_string();
-        let field = if path == "." { "conf".to_owned() } else { format!("conf.{path}") };
-        error(field, e.inner().to_string())
-    })?;
-    json.end().map_err(|e| error("conf".to_owned(), e.to_string()))?;
-    let time = |field: &str, ms: f64| {
-        if (0.0..=MAX_MS).contains(&ms) {
-            Ok(duration(ms))
-        } else {
-            Err(error(format!("conf.{field}"), format!("{ms} is out of range")))
-        }
-    };
-    let mut classes = Vec::new();
-    for class in &conf.classes {
-        classes.push(Class {
-            objective: time("classes.objectiveMs", class.objective_ms)?,
-            deadline: time("classes.deadlineMs", class.deadline_ms)?,
-            semantics: match class.semantics {
-                ConfSemantics::Safe => Semantics::Safe,
-                ConfSemantics::Unsafe => Semantics::Unsafe,
-                ConfSemantics::Keyed => Semantics::Keyed {
-                    group: match class.group {
-                        ConfGroup::All => Group::All,
-                        ConfGroup::Zone => Group::Zone,
-                        ConfGroup::Cell => Group::Cell,
-                    },
-                    window: time("classes.repeatWindowMs", class.repeat_window_ms)?,
-                },
-            },
-            late_value: class.late_value,
-            streamed: class.streamed,
-            worth: class.worth,
-            aim_stretch: class.aim_stretch,
-        });
-    }
-    let settings = Settings {
-        balancers: conf.balancers,
-        me: conf.me,
-        zone: ZoneId(conf.my_zone),
-        zones: conf.areas.len().max(1) as u32,
-        tier: conf.stage,
-        tiers: conf.tiers.len().max(1) as u32,
-        classes,
-        tenants: (conf.tenants.iter())
-            .map(|t| Tenant { allowance_per_s: t.allowance_per_s, portion: t.portion })
-            .collect(),
-        over_share_worth: conf.over_share_worth,
-        discovery: match conf.discovery {
-            ConfDiscovery::Automatic => Discovery::Push,
-            ConfDiscovery::Subscribe => Discovery::Ask,
-        },
-        limits: Limits {
-            cancelling: conf.limits.cancelling,
-            probes: conf.limits.probes,
-            peers: conf.limits.peers,
-            retry_after: conf.limits.retry_after,
-            max_retry_after: time("limits.maxRetryAfterMs", conf.limits.max_retry_after_ms)?,
-            second_copies: conf.limits.second_copies,
-            max_attempts: conf.limits.max_attempts,
-            connect_timeout: time("limits.connectTimeoutMs", conf.limits.connect_timeout_ms)?,
-            streams_per_connection: conf.limits.streams_per_conn,
-            idle_close: time("limits.idleCloseMs", conf.limits.idle_close_ms)?,
-            open_cap: conf.limits.open_cap,
-            cpu_per_s: time("limits.cpuUsPerS", conf.limits.cpu_us_per_s / 1000.0)?,
-            cpu_per_request: time("limits.cpuUsPerRequest", conf.limits.cpu_us_per_request / 1000.0)?,
-        },
-        rules: Rules {
-            ask_within: time("rules.askWithinMs", conf.rules.ask_within_ms)?,
-            cold_share: conf.rules.cold_share,
-            warm_within: time("rules.warmWithinMs", conf.rules.warm_within_ms)?,
-            drain_grace: time("rules.drainGraceMs", conf.rules.drain_grace_ms)?,
-            fall_multiple: conf.rules.fall_multiple,
-            fall_after: time("rules.fallMs", conf.rules.fall_ms)?,
-            answer_grace: time("rules.graceToAnswerMs", conf.rules.grace_to_answer_ms)?,
-        },
-        goal: Goal {
-            whole: conf.blend.whole,
-            worst_window: conf.blend.worst_window,
-            worst_class: conf.blend.worst_class,
-            worst_tenant: conf.blend.worst_tenant,
-            nines: conf.blend.nines_part,
-            nines_wanted: conf.blend.nines_wanted,
-            counted_by: match conf.counted_by {
-                ConfCounted::Request => CountedBy::Request,
-                ConfCounted::Work => CountedBy::Work,
-            },
-        },
-        costs: Costs {
-            connection: conf.costs.connection,
-            discovery: conf.costs.discovery,
-            cross_zone: conf.costs.cross_zone,
-            waste: conf.costs.waste,
-            handshake: conf.costs.handshake,
-            probe: conf.costs.probe,
-            late_fail: conf.costs.late_fail,
-        },
-        load_reports: LoadReports {
-            via: match conf.telemetry.via {
-                ConfVia::Off => ReportVia::Off,
-                ConfVia::Inline => ReportVia::Inline,
-                ConfVia::OnProbe => ReportVia::Probe,
-            },
-            fields: conf.telemetry.fields.iter().map(|field| load_field(field)).collect(),
-        },
-        weights: match conf.weight_kind {
-            ConfWeights::Off => WeightKind::Off,
-            ConfWeights::Nominal => WeightKind::Nominal,
-            ConfWeights::Rough => WeightKind::Rough,
-            ConfWeights::Live => WeightKind::Live,
-        },
-        tick: time("resolutionMs", conf.resolution_ms)?,
-        passes_deadline: conf.family_info.passes_deadline,
-        warm_keys: conf.family_info.warm_keys,
-        clients_mark_retries: conf.clients.marks_retry,
-    };
-    settings.validate().map_err(|e| error("conf".to_owned(), e.to_string()))?;
-    Ok(settings)
-}
-
-fn load_field(name: &str) -> LoadField {
-    match name {
-        "outstanding" => LoadField::Outstanding,
-        "backlog" => LoadField::Backlog,
-        "utilization" => LoadField::Utilization,
-        "recent_ms" => LoadField::RecentMs,
-        "throughput" => LoadField::Throughput,
-        "errors_per_s" => LoadField::ErrorsPerS,
-        _ => LoadField::Other,
-    }
+/// The settings object that a line carries: the sidecar's configuration holds the same one.
+fn settings(line: u64, text: &str) -> Result<Settings, WireError> {
+    parse_settings(text).map_err(|e| WireError { line, field: e.field, problem: e.problem })
 }
--- a/src/bin/weirwharf-benchlink.rs
+++ b/crates/adapter/src/main.rs
@@ -1,13 +1,13 @@
 //! Hosts balancer instances for the simulator: batches on standard input, replies on standard output.
 #![forbid(unsafe_code)]
 
+use curlewhub_adapter::{self as wire, Line, ListMode, WireError};
+use curlewhub_balance::{Action, Balancer, EndpointInfo, EndpointNames, Event, Membership, RequestId};
 use std::collections::HashMap;
 use std::io::{self, BufRead, BufWriter, Write};
 use std::panic::{AssertUnwindSafe, catch_unwind};
 use std::process::ExitCode;
 use std::time::Duration;
-use weirwharf::wire::{self, Line, ListMode, Names, WireError};
-use weirwharf::{Action, Balancer, EndpointInfo, Event, Membership, RequestId};
 
 fn main() -> ExitCode {
     // A panic of the module is reported on the wire; the default hook's trace would only add noise.
@@ -15,7 +15,7 @@
     match serve(io::stdin().lock(), io::stdout().lock()) {
         Ok(()) => ExitCode::SUCCESS,
         Err(problem) => {
-            eprintln!("weirwharf-benchlink: {problem}");
+            eprintln!("curlewhub-adapter: {problem}");
             ExitCode::FAILURE
         }
     }
@@ -39,7 +39,7 @@
 
 #[derive(Default)]
 struct Host {
-    names: Names,
+    names: EndpointNames,
     instances: HashMap<u32, Instance>,
     tables: HashMap<u8, Vec<EndpointInfo>>,
     /// The table being read and the entries still missing from it.
--- a/tests/wire.rs
+++ b/crates/adapter/tests/wire.rs
@@ -1,15 +1,15 @@
 //! The wire: what is parsed, what is printed, and what malformed lines get.
 
+use curlewhub_adapter::{Line, ListMode, parse, print};
+use curlewhub_balance::*;
 use std::io::Write;
 use std::process::{Command, Output, Stdio};
 use std::time::Duration;
-use weirwharf::wire::{Line, ListMode, Names, parse, print};
-use weirwharf::*;
 
 const CONF: &str = r#"{"balancers":2,"classes":[{"deadlineMs":1000.0,"lateValue":0.5,"name":"a","objectiveMs":300.0,"semantics":"safe","worth":3.0},{"deadlineMs":900,"group":"cell","objectiveMs":300,"repeatWindowMs":400,"semantics":"keyed"}],"discovery":"subscribe","limits":{"cancelling":true,"maxAttempts":6,"openCap":20000},"me":1,"myZone":1,"rules":{"askWithinMs":10000,"coldShare":0.4,"drainGraceMs":250,"fallMs":1000,"fallMultiple":2.5,"graceToAnswerMs":16,"warmWithinMs":8200},"stage":0,"telemetry":{"fields":["outstanding","novel"],"via":"on_probe"},"weightKind":"live","brandNew":[1,2]}"#;
 
-fn read(text: &str) -> Result<Line, wire::WireError> {
-    parse(7, text, &mut Names::default())
+fn read(text: &str) -> Result<Line, curlewhub_adapter::WireError> {
+    parse(7, text, &mut EndpointNames::default())
 }
 
 fn event(text: &str) -> Event {
@@ -21,7 +21,7 @@
 
 /// Runs the adapter on an input and gives what it printed.
 fn host(input: &str) -> Output {
-    let mut child = Command::new(env!("CARGO_BIN_EXE_weirwharf-benchlink"))
+    let mut child = Command::new(env!("CARGO_BIN_EXE_curlewhub-adapter"))
         .stdin(Stdio::piped())
         .stdout(Stdio::piped())
         .stderr(Stdio::piped())
@@ -177,7 +177,7 @@
 
 #[test]
 fn actions_are_printed_in_the_order_of_the_page() {
-    let mut names = Names::default();
+    let mut names = EndpointNames::default();
     let endpoint = names.id("10.0.0.1:80");
     let request = RequestId(1);
     let print = |action| print(3, &action, "t/x", &names);
@@ -257,7 +257,7 @@
 
 #[test]
 fn an_endpoint_has_the_same_id_at_every_host() {
-    let (mut one, mut two) = (Names::default(), Names::default());
+    let (mut one, mut two) = (EndpointNames::default(), EndpointNames::default());
     let (a, b) = (one.id("10.18.74.7:11203"), one.id("10.18.74.7:11204"));
     two.id("10.144.17.242:11244");
     assert_eq!((two.id("10.18.74.7:11204"), two.id("10.18.74.7:11203")), (b, a));
--- a/src/lib.rs
+++ b/crates/balance/src/lib.rs
@@ -4,7 +4,7 @@
 //! own clock and carry out the [`Action`]s it appends:
 //!
 //! ```
-//! use weirwharf::{Action, Balancer, EndpointInfo, Event, Membership, RequestId, Settings};
+//! use curlewhub_balance::{Action, Balancer, EndpointInfo, Event, Membership, RequestId, Settings};
 //! use std::time::Duration;
 //!
 //! let mut balancer = Balancer::new(Settings::default(), 7, Duration::ZERO)?;
@@ -15,19 +15,14 @@
 //! let left = Duration::from_millis(800);
 //! balancer.handle(Duration::from_millis(5), Event::request(RequestId(42), left), &mut actions);
 //! assert!(actions.iter().any(|a| matches!(a, Action::Send { request: RequestId(42), .. })));
-//! # Ok::<(), weirwharf::SettingsError>(())
+//! # Ok::<(), curlewhub_balance::SettingsError>(())
 //! ```
-#![forbid(unsafe_code)]
-#![warn(missing_docs)]
-
-#[cfg(doctest)]
-#[doc = include_str!("../README.md")]
-struct Readme;
 
 mod balance;
+mod names;
 mod stats;
 mod types;
-pub mod wire;
 
 pub use balance::Balancer;
+pub use names::EndpointNames;
 pub use types::*;
--- a/tests/bans.rs
+++ b/crates/balance/tests/bans.rs
@@ -1,8 +1,8 @@
 //! Endpoints taken out of use by hand, driving the module alone.
 
 mod support;
+use curlewhub_balance::*;
 use support::*;
-use weirwharf::*;
 
 const OUT: EndpointId = EndpointId(1);
 
--- a/tests/bodies.rs
+++ b/crates/balance/tests/bodies.rs
@@ -1,8 +1,8 @@
 //! Requests whose long body still comes, driving the module alone.
 
 mod support;
+use curlewhub_balance::*;
 use support::*;
-use weirwharf::*;
 
 /// A request whose body comes, sent to an endpoint.
 fn coming(d: &mut Driver, id: u64) -> RequestId {
--- a/tests/choice.rs
+++ b/crates/balance/tests/choice.rs
@@ -1,9 +1,9 @@
 //! The choice itself: unbiased samples, the lower own count wins, ties spread evenly.
 
 mod support;
+use curlewhub_balance::*;
 use std::collections::HashMap;
 use support::*;
-use weirwharf::*;
 
 /// Where `count` requests go when each ends well before the next begins.
 fn spread(d: &mut Driver, count: usize) -> HashMap<EndpointId, usize> {
--- a/tests/contract.rs
+++ b/crates/balance/tests/contract.rs
@@ -1,9 +1,9 @@
 //! What an embedder may rely on when its events are odd: each case has a stated behaviour.
 
 mod support;
+use curlewhub_balance::*;
 use std::time::Duration;
 use support::*;
-use weirwharf::*;
 
 #[test]
 fn a_clock_that_goes_backwards_is_taken_as_standing_still() {
--- a/tests/failures.rs
+++ b/crates/balance/tests/failures.rs
@@ -1,9 +1,9 @@
 //! One small test for each failure found; `docs/incidents/` and the commits tell their stories.
 
 mod support;
+use curlewhub_balance::*;
 use std::collections::HashMap;
 use support::*;
-use weirwharf::*;
 
 /// An outcome and its time for endpoints of which `bad` is true; the others answer in 20 ms.
 fn where_bad(
@@ -226,7 +226,7 @@
 #[test]
 fn one_zone_lost_sends_its_traffic_elsewhere() {
     let mut d = Driver::new(Settings::default(), three_zones());
-    let home = |to: EndpointId| to.0 % 3 == 0;
+    let home = |to: EndpointId| to.0.is_multiple_of(3);
     let counts = rounds(&mut d, 300, where_bad(home, Outcome::ConnectFailed, 1));
     let away = sent_to(&counts, |to| !home(to));
     assert!(away > 250, "{away} of 300 were served elsewhere: {counts:?}");
@@ -461,7 +461,7 @@
 
 /// The zone of an endpoint of `three_zones` is the balancer's own.
 fn at_home(to: EndpointId) -> bool {
-    to.0 % 3 == 0
+    to.0.is_multiple_of(3)
 }
 
 #[test]
--- a/tests/properties.rs
+++ b/crates/balance/tests/properties.rs
@@ -1,10 +1,10 @@
 //! Random legal event sequences; the checker of `support` asserts the four rules throughout.
 
 mod support;
+use curlewhub_balance::*;
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
 use support::*;
-use weirwharf::*;
 
 #[derive(Clone, Debug)]
 enum Step {
--- a/tests/rules.rs
+++ b/crates/balance/tests/rules.rs
@@ -1,9 +1,9 @@
 //! The four rules, each by itself, driving the module alone.
 
 mod support;
+use curlewhub_balance::*;
 use std::time::Duration;
 use support::*;
-use weirwharf::*;
 
 const KEYED_CELL: Semantics = Semantics::Keyed { group: Group::Cell, window: Duration::from_millis(400) };
 
--- a/tests/shape.rs
+++ b/crates/balance/tests/shape.rs
@@ -19,5 +19,5 @@
 
 #[test]
 fn module_does_not_know_the_wire() {
-    assert!(!MODULE.contains("wire::"));
+    assert!(!MODULE.contains("curlewhub_adapter"));
 }
--- a/tests/support/mod.rs
+++ b/crates/balance/tests/support/mod.rs
@@ -1,9 +1,9 @@
 //! A small driver for the module, and a rule checker that knows nothing of how the module decides.
 #![allow(dead_code)]
 
+use curlewhub_balance::*;
 use std::collections::HashMap;
 use std::time::Duration;
-use weirwharf::*;
 
 pub fn ms(n: u64) -> Duration {
     Duration::from_millis(n)
--- a/src/net/config.rs
+++ b/crates/config/src/platform.rs
@@ -1,12 +1,13 @@
 //! What a sidecar is told at its start: `ROUTER_*` and the JSON file that `ROUTER_CONFIG` names.
 
+use crate::LEAST_SOCKETS;
+use crate::list::List;
+use crate::settings::parse_settings;
+use curlewhub_balance::Settings;
 use serde::Deserialize;
 use serde_json::Value;
 use std::net::SocketAddr;
 use thiserror::Error;
-use weirwharf::{Settings, wire};
-
-use super::discovery::List;
 
 /// What is wrong with the configuration: the field and the problem, on one line.
 #[derive(Debug, Error)]
@@ -118,12 +119,12 @@
         let raw: Value = serde_json::from_str(text).map_err(|e| error("ROUTER_CONFIG", e))?;
         let file: File =
             serde_path_to_error::deserialize(&raw).map_err(|e| error(&e.path().to_string(), e.inner()))?;
-        let settings = wire::settings(1, &file.settings.to_string())
+        let settings = parse_settings(&file.settings.to_string())
             .map_err(|e| error(&e.field.replacen("conf", "settings", 1), e.problem))?;
         let names: Names = serde_path_to_error::deserialize(&file.settings)
             .map_err(|e| error(&format!("settings.{}", e.path()), e.inner()))?;
-        if file.limits.sockets < super::budget::LEAST_SOCKETS {
-            let problem = format!("at least {} are needed", super::budget::LEAST_SOCKETS);
+        if file.limits.sockets < LEAST_SOCKETS {
+            let problem = format!("at least {} are needed", LEAST_SOCKETS);
             return Err(error("limits.sockets", problem));
         }
         Ok(Config {
--- a/src/main.rs
+++ b/crates/curlewhub/src/serve.rs
@@ -1,44 +1,28 @@
-//! `runtrack`: the sidecar. Start-up, signals and exit codes; the rest is in `net/` and, for all
-//! decisions, in the library.
-#![forbid(unsafe_code)]
+//! Starts the sidecar's parts, wires them together, and hands them the signals.
 
-mod net {
-    pub mod bans;
-    pub mod budget;
-    pub mod config;
-    pub mod discovery;
-    pub mod driver;
-    pub mod figures;
-    pub mod handover;
-    pub mod inbound;
-    pub mod lifecycle;
-    pub mod operator;
-    pub mod outbound;
-    pub mod socket;
-    pub mod streaming;
-}
-
-use net::bans::Bans;
-use net::budget::Budget;
-use net::config::Config;
-use net::discovery::{Call, Discovery};
-use net::driver::{Clock, Driver, Input, Parts};
-use net::figures::Figures;
-use net::handover::{self, Handover, Taken};
-use net::inbound::Inbound;
-use net::lifecycle::Lifecycle;
-use net::operator::Operator;
-use net::outbound::Outbound;
+use curlewhub_balance::Balancer;
+use curlewhub_config::Config;
+use curlewhub_runtime::bans::Bans;
+use curlewhub_runtime::budget::Budget;
+use curlewhub_runtime::clock::Clock;
+use curlewhub_runtime::discovery::Discovery;
+use curlewhub_runtime::driver::{Driver, Parts};
+use curlewhub_runtime::events::{Call, Input};
+use curlewhub_runtime::figures::Figures;
+use curlewhub_runtime::handover::{self, Handover, Taken};
+use curlewhub_runtime::inbound::Inbound;
+use curlewhub_runtime::lifecycle::Lifecycle;
+use curlewhub_runtime::listing::Listing;
+use curlewhub_runtime::operator::Operator;
+use curlewhub_runtime::outbound::Outbound;
 use std::pin::pin;
-use std::process::ExitCode;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::mpsc::{self, UnboundedSender};
-use tokio::task::{LocalSet, spawn_local};
+use tokio::task::spawn_local;
 use tokio::time::{Instant, sleep};
-use weirwharf::Balancer;
 
 /// A successor whose discovery does not answer serves after this long with the list as last held: its
 /// yes is due within 6 s, and the process before it goes on in the meantime.
@@ -48,25 +32,11 @@
 /// How often it looks whether the list has come.
 const FRESH_CHECK: Duration = Duration::from_millis(10);
 
-fn main() -> ExitCode {
-    let config = match Config::from_env() {
-        Ok(config) => config,
-        Err(problem) => {
-            eprintln!("runtrack: {problem}");
-            return ExitCode::FAILURE;
-        }
-    };
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
-    match runtime.map_err(|e| e.to_string()).and_then(|rt| LocalSet::new().block_on(&rt, run(config))) {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(problem) => {
-            eprintln!("runtrack: {problem}");
-            ExitCode::FAILURE
-        }
-    }
-}
-
-async fn run(config: Config) -> Result<(), String> {
+/// Serves until told to end.
+///
+/// # Errors
+/// What keeps the sidecar from starting, by field, or what ended it.
+pub async fn run(config: Config) -> Result<(), String> {
     let Config {
         name,
         listen,
@@ -120,11 +90,12 @@
         figures.clone(),
         inbox.clone(),
     );
-    let discovery = Discovery::new(discovery, settings.discovery, names, seed, inbox.clone());
+    let listing = Listing::new(names);
+    let discovery = Discovery::new(discovery, settings.discovery, listing.clone(), seed, inbox.clone());
     // The list as last held is there before the first client.
     let _ = inbox.send(Input::List(discovery.cached(known)));
     let attempts = settings.limits.max_attempts;
-    let parts = Parts { outbound: outbound.clone(), discovery: discovery.clone(), bans: bans.clone() };
+    let parts = Parts { outbound: outbound.clone(), listing, bans: bans.clone() };
     let driver = Driver::new(balancer, clock, attempts, parts, calls.clone(), inbox);
     let mut driver = spawn_local(driver.run(inputs, commanded));
     spawn_local(discovery.clone().run(asked));
--- a/tests/node.rs
+++ b/crates/curlewhub/tests/basics.rs
@@ -1,6 +1,6 @@
 //! The built sidecar against scripted peers: what is served, how attempts end, bad input.
 
-#[path = "support/node.rs"]
+#[path = "support/mod.rs"]
 mod support;
 
 use serde_json::json;
--- a/tests/node_handover.rs
+++ b/crates/curlewhub/tests/handover.rs
@@ -1,6 +1,6 @@
 //! The built sidecar and a second one that is started beside it to replace it.
 
-#[path = "support/node.rs"]
+#[path = "support/mod.rs"]
 mod support;
 
 use serde_json::{Value, json};
--- a/tests/node_limits.rs
+++ b/crates/curlewhub/tests/limits.rs
@@ -1,6 +1,6 @@
 //! The built sidecar at its limits and at its end: descriptors, SIGTERM, the backlog.
 
-#[path = "support/node.rs"]
+#[path = "support/mod.rs"]
 mod support;
 
 use serde_json::json;
--- a/tests/node_list.rs
+++ b/crates/curlewhub/tests/list.rs
@@ -1,6 +1,6 @@
 //! The built sidecar and its list of endpoints: known at start, watched, drained.
 
-#[path = "support/node.rs"]
+#[path = "support/mod.rs"]
 mod support;
 
 use serde_json::json;
--- a/tests/node_operator.rs
+++ b/crates/curlewhub/tests/operator.rs
@@ -1,6 +1,6 @@
 //! The built sidecar and those who operate it: calls, figures, drains and bans.
 
-#[path = "support/node.rs"]
+#[path = "support/mod.rs"]
 mod support;
 
 use serde_json::json;
--- a/tests/node_reload.rs
+++ b/crates/curlewhub/tests/reload.rs
@@ -1,6 +1,6 @@
 //! The built sidecar and SIGHUP: a new discovery, bad files, drains.
 
-#[path = "support/node.rs"]
+#[path = "support/mod.rs"]
 mod support;
 
 use serde_json::{Value, json};
--- a/tests/node_reset.rs
+++ b/crates/curlewhub/tests/reset.rs
@@ -1,6 +1,6 @@
 //! The built sidecar where connections are closed under a request.
 
-#[path = "support/node.rs"]
+#[path = "support/mod.rs"]
 mod support;
 
 use std::collections::HashMap;
--- a/tests/node_rude.rs
+++ b/crates/curlewhub/tests/rude.rs
@@ -1,6 +1,6 @@
 //! The built sidecar and clients that keep to no rules.
 
-#[path = "support/node.rs"]
+#[path = "support/mod.rs"]
 mod support;
 
 use serde_json::json;
--- a/tests/node_spoilt.rs
+++ b/crates/curlewhub/tests/spoilt.rs
@@ -1,6 +1,6 @@
 //! The built sidecar and endpoints that answer what can't be used.
 
-#[path = "support/node.rs"]
+#[path = "support/mod.rs"]
 mod support;
 
 use std::sync::atomic::{AtomicUsize, Ordering};
--- a/tests/node_streaming.rs
+++ b/crates/curlewhub/tests/streaming.rs
@@ -1,6 +1,6 @@
 //! The built sidecar and bodies that are longer than it may keep.
 
-#[path = "support/node.rs"]
+#[path = "support/mod.rs"]
 mod support;
 
 use serde_json::json;
--- a/tests/support/node.rs
+++ b/crates/curlewhub/tests/support/mod.rs
@@ -343,10 +343,10 @@
 /// The built program with this configuration, to be run through `prefix` in a shell.
 fn command(config: &str, prefix: &str) -> (Command, std::path::PathBuf) {
     let number = STARTED.fetch_add(1, Ordering::SeqCst);
-    let file = std::env::temp_dir().join(format!("runtrack-test-{}-{number}.json", std::process::id()));
+    let file = std::env::temp_dir().join(format!("curlewhub-test-{}-{number}.json", std::process::id()));
     std::fs::write(&file, config).unwrap();
     let mut command = Command::new("/bin/sh");
-    command.arg("-c").arg(format!("{prefix} exec {}", env!("CARGO_BIN_EXE_runtrack")));
+    command.arg("-c").arg(format!("{prefix} exec {}", env!("CARGO_BIN_EXE_curlewhub")));
     for name in ["ROUTER_NAME", "ROUTER_LISTEN", "ROUTER_DISCOVERY", "ROUTER_OPERATOR"] {
         command.env_remove(name);
     }
--- a/tests/node_surge.rs
+++ b/crates/curlewhub/tests/surge.rs
@@ -1,6 +1,6 @@
 //! The built sidecar when more comes at once than it has measured its endpoints for.
 
-#[path = "support/node.rs"]
+#[path = "support/mod.rs"]
 mod support;
 
 use serde_json::json;
--- a/tests/node_swallowed.rs
+++ b/crates/curlewhub/tests/swallowed.rs
@@ -1,6 +1,6 @@
 //! The built sidecar where single answers never come.
 
-#[path = "support/node.rs"]
+#[path = "support/mod.rs"]
 mod support;
 
 use std::collections::HashSet;
--- a/src/net/budget.rs
+++ b/crates/runtime/src/budget.rs
@@ -1,6 +1,7 @@
 //! The budget of sockets: every client and endpoint connection holds a permit, so that the limits
 //! on descriptors and memory are kept by count.
 
+use curlewhub_config::LEAST_SOCKETS;
 use std::cell::Cell;
 use std::rc::Rc;
 use tokio::sync::Notify;
@@ -8,12 +9,12 @@
 /// Descriptors kept free for the listener, the runtime, standard streams, discovery, operators and
 /// shed clients.
 const RESERVE: usize = 48;
+/// The configuration sees to it that some are left to serve with.
+const _: () = assert!(LEAST_SOCKETS >= RESERVE + 16);
 /// Clients over the cap that may still be told so, out of the reserve.
 const SHED_MOST: usize = 24;
 /// Operators who may call at once, out of the reserve.
 const OPERATORS_MOST: usize = 8;
-/// Fewer descriptors than this leave nothing to serve with.
-pub const LEAST_SOCKETS: usize = RESERVE + 16;
 /// The most memory that a client's request may take with its buffers, bodies and attempt, in KiB.
 const CLIENT_KIB: usize = 160;
 
--- a/src/net/discovery.rs
+++ b/crates/runtime/src/discovery.rs
@@ -1,26 +1,24 @@
 //! The endpoint list: asks discovery for it, and follows its changes.
 
-use super::config::Names;
-use super::driver::{Inbox, Input};
+use super::events::{Call, Inbox, Input, News};
+use super::guard::Guard;
+use super::listing::Listing;
+use curlewhub_balance::{Discovery as Mode, Membership};
+use curlewhub_config::list::List;
 use http_body_util::{BodyExt, Empty, Limited};
 use hyper::body::{Bytes, Incoming};
 use hyper::{Request, Response, StatusCode, header};
 use hyper_util::rt::TokioIo;
 use rand_core::{RngCore, SeedableRng};
 use rand_pcg::Pcg32;
-use serde::Deserialize;
 use std::cell::{Cell, RefCell};
-use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::sync::mpsc::UnboundedReceiver;
-use tokio::task::{AbortHandle, JoinSet, spawn_local};
+use tokio::task::{JoinSet, spawn_local};
 use tokio::time::timeout;
-use weirwharf::{
-    CellId, Discovery as Mode, EndpointId, EndpointInfo, EndpointState, KindId, Membership, ZoneId, wire,
-};
 
 /// A connection to discovery that is not up after this long has failed.
 const CONNECT: Duration = Duration::from_secs(1);
@@ -36,67 +34,11 @@
 /// Doublings of that wait.
 const BACKOFF_DOUBLES: u32 = 4;
 
-/// A list as discovery words it.
-#[derive(Debug, Default, Deserialize)]
-pub struct List {
-    rev: u64,
-    all: bool,
-    targets: Vec<Target>,
-}
-
-#[derive(Debug, Deserialize)]
-struct Target {
-    uid: String,
-    endpoint: SocketAddr,
-    #[serde(default)]
-    az: String,
-    #[serde(default)]
-    model: String,
-    #[serde(default)]
-    pod_group: u64,
-    state: State,
-    #[serde(default = "one")]
-    capacity_hint: f64,
-    #[serde(default)]
-    boot_ms: f64,
-}
-
-fn one() -> f64 {
-    1.0
-}
-
-#[derive(Clone, Copy, Debug, Deserialize)]
-#[serde(rename_all = "lowercase")]
-enum State {
-    Up,
-    Draining,
-    Removed,
-}
-
-/// News of the list in the module's terms, and where the endpoints are.
-pub struct News {
-    /// For the module.
-    pub membership: Membership,
-    /// Addresses of those named.
-    pub addresses: Vec<(EndpointId, SocketAddr)>,
-}
-
-/// What the driver may ask of discovery.
-pub enum Call {
-    /// Follow changes, or stop.
-    Watch(bool),
-    /// Ask for the whole list once.
-    Fetch,
-    /// Discovery is at another address from now on.
-    Move(SocketAddr),
-}
-
 /// What the node knows of discovery.
 pub struct Discovery {
     address: Cell<SocketAddr>,
     mode: Mode,
-    names: Names,
-    ids: RefCell<wire::Names>,
+    listing: Rc<Listing>,
     rev: Cell<u64>,
     /// The server is new: its versions don't compare with those of the list held, so that a whole list
     /// must come first, whatever its number.
@@ -107,29 +49,13 @@
     inbox: Inbox,
 }
 
-/// A task that ends with its holder.
-pub struct Guard(AbortHandle);
-
-impl Guard {
-    /// Ends this task when dropped.
-    pub fn new(task: AbortHandle) -> Self {
-        Guard(task)
-    }
-}
-
-impl Drop for Guard {
-    fn drop(&mut self) {
-        self.0.abort();
-    }
-}
-
 impl Discovery {
     /// Discovery at this address.
-    pub fn new(address: SocketAddr, mode: Mode, names: Names, seed: u64, inbox: Inbox) -> Rc<Self> {
+    pub fn new(address: SocketAddr, mode: Mode, listing: Rc<Listing>, seed: u64, inbox: Inbox) -> Rc<Self> {
         let draws = RefCell::new(Pcg32::seed_from_u64(seed));
-        let (ids, rev, moved, heard) = Default::default();
+        let (rev, moved, heard) = Default::default();
         let address = Cell::new(address);
-        Rc::new(Discovery { address, mode, names, ids, rev, moved, heard, draws, inbox })
+        Rc::new(Discovery { address, mode, listing, rev, moved, heard, draws, inbox })
     }
 
     /// Whether the list is as discovery has it, and not only as it was last held before the start.
@@ -140,38 +66,13 @@
     /// The list as last held, to start from.
     pub fn cached(&self, list: List) -> News {
         self.rev.set(list.rev);
-        let mut news = self.news(list);
+        let mut news = self.listing.news(list);
         if let Membership::Full(entries) | Membership::Delta(entries) = news.membership {
             news.membership = Membership::Cached(entries);
         }
         news
     }
 
-    /// The id of an endpoint of this uid, listed or not.
-    pub fn id(&self, uid: &str) -> EndpointId {
-        self.ids.borrow_mut().id(uid)
-    }
-
-    /// The id of the endpoint of this uid, if it is known.
-    pub fn find(&self, uid: &str) -> Option<EndpointId> {
-        self.ids.borrow().find(uid)
-    }
-
-    /// The uid of an endpoint.
-    pub fn uid(&self, id: EndpointId) -> String {
-        self.ids.borrow().name(id).to_owned()
-    }
-
-    /// Forgets the names of all endpoints but these.
-    pub fn keep(&self, listed: impl Fn(EndpointId) -> bool) {
-        self.ids.borrow_mut().retain(listed);
-    }
-
-    /// How many names are kept.
-    pub fn names(&self) -> usize {
-        self.ids.borrow().len()
-    }
-
     /// Carries out the driver's calls. Each is answered by exactly one event; a watch then goes on.
     pub async fn run(self: Rc<Self>, mut calls: UnboundedReceiver<Call>) {
         let mut watch = (self.mode == Mode::Push).then(|| self.watch());
@@ -218,7 +119,7 @@
                 }
             }
         });
-        Guard(task.abort_handle())
+        Guard::new(task.abort_handle())
     }
 
     async fn fetch_once(self: Rc<Self>) {
@@ -302,7 +203,7 @@
         let handshake = hyper::client::conn::http1::handshake(TokioIo::new(stream)).await;
         let (mut sender, connection) = handshake.map_err(|e| e.to_string())?;
         let task = spawn_local(connection);
-        let guard = Guard(task.abort_handle());
+        let guard = Guard::new(task.abort_handle());
         let request = Request::get(path)
             .header(header::HOST, self.address.get().to_string())
             .body(Empty::<Bytes>::new())
@@ -325,7 +226,7 @@
             let sort = if list.all { "whole list" } else { "changes" };
             eprintln!("list: {sort}, rev {}, {} entries", list.rev, list.targets.len());
         }
-        let news = self.news(list);
+        let news = self.listing.news(list);
         self.tell(news);
     }
 
@@ -337,39 +238,6 @@
     fn tell(&self, news: News) {
         let _ = self.inbox.send(Input::List(news)); // fails only while the process ends
     }
-
-    fn news(&self, list: List) -> News {
-        let mut ids = self.ids.borrow_mut();
-        let place = |names: &[String], name: &str| {
-            names.iter().position(|n| n == name).unwrap_or(names.len()) as u32
-        };
-        let (mut entries, mut addresses, mut seen) = (Vec::new(), Vec::new(), HashSet::new());
-        // Of an endpoint named twice the last word counts.
-        for target in list.targets.into_iter().rev() {
-            let id = ids.id(&target.uid);
-            if !seen.insert(id) {
-                continue;
-            }
-            addresses.push((id, target.endpoint));
-            entries.push(EndpointInfo {
-                id,
-                zone: ZoneId(place(&self.names.areas, &target.az)),
-                kind: KindId(place(&self.names.kinds, &target.model)),
-                cell: CellId(target.pod_group),
-                state: match target.state {
-                    State::Up => EndpointState::Ready,
-                    State::Draining => EndpointState::Draining,
-                    State::Removed => EndpointState::Gone,
-                },
-                weight: target.capacity_hint,
-                started: (target.boot_ms > 0.0)
-                    .then(|| Duration::from_micros((target.boot_ms * 1e3) as u64)),
-            });
-        }
-        entries.reverse();
-        let membership = if list.all { Membership::Full(entries) } else { Membership::Delta(entries) };
-        News { membership, addresses }
-    }
 }
 
 fn unchanged() -> News {
--- a/src/net/driver.rs
+++ b/crates/runtime/src/driver.rs
@@ -3,108 +3,28 @@
 //! request, no attempt beyond the limit or the deadline, nothing sent for what is finished.
 
 use super::bans::Bans;
-use super::discovery::{Call, Discovery, News};
+use super::clock::Clock;
+use super::events::{Answer, Arrival, Call, Command, Ended, Forward, Inbox, Input, News};
 use super::figures::Hosts;
-use super::outbound::{Ended, Outbound, Progress};
-use super::streaming::{AnswerBody, Payload};
-use hyper::header::{self, HeaderName, HeaderValue};
-use hyper::{HeaderMap, Method, Request, Uri};
+use super::listing::Listing;
+use super::outbound::{Outbound, Progress};
+use curlewhub_balance::{
+    Action, AttemptEnded, AttemptNo, Balancer, EndpointId, EndpointState, Event, Membership, Outcome,
+    RequestId, TimerToken,
+};
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, HashMap, HashSet, VecDeque};
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::Duration;
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender};
 use tokio::sync::{oneshot, watch};
 use tokio::task::spawn_local;
 use tokio::time::{Instant, sleep_until};
-use weirwharf::{
-    Action, AttemptEnded, AttemptNo, Balancer, EndpointId, EndpointState, Event, Membership, Outcome,
-    RequestId, TimerToken,
-};
 
 /// Unusual outcomes are summed up in the log this often.
 const SUMMARY: Duration = Duration::from_secs(10);
 
-/// Where the rest of the sidecar reports to the driver.
-pub type Inbox = UnboundedSender<Input>;
-
-/// Something that happened on a socket.
-pub enum Input {
-    /// A request has come whole.
-    Arrived(Box<Arrival>),
-    /// More of a long body has gone to an endpoint than is kept.
-    BodyFlows(RequestId),
-    /// A long body has come whole: the answer must be on its way by then.
-    BodyWhole(RequestId, Instant),
-    /// Its client has gone.
-    ClientGone(RequestId),
-    /// An attempt ended.
-    AttemptEnded(RequestId, AttemptNo, Ended),
-    /// A probe ended; it took so long.
-    ProbeEnded(EndpointId, Ended, Duration),
-    /// News from discovery.
-    List(News),
-    /// The process must end: fail what is still open.
-    GiveUp,
-}
-
-/// Where operators' calls go.
-pub type Commands = UnboundedSender<Command>;
-
-/// What operators ask of the driver.
-pub enum Command {
-    /// How many endpoints are listed, and how many of them avoided.
-    Hosts(oneshot::Sender<Hosts>),
-    /// Take the endpoint of this uid out of use, or give it back.
-    Ban {
-        /// The uid.
-        uid: String,
-        /// Out of use, rather than back.
-        on: bool,
-        /// The process beside this one knows it, though this one may not yet.
-        known: bool,
-        /// Told once that holds and is on disk, or why it isn't so.
-        told: oneshot::Sender<Result<(), &'static str>>,
-    },
-}
-
-/// A request as it came in.
-pub struct Arrival {
-    /// For the module; its time left is set here.
-    pub request: weirwharf::Request,
-    /// When the answer must be on its way; the longest that its body may take, where that still comes.
-    pub deadline: Instant,
-    /// The time that its client waits from its last byte on.
-    pub time: Duration,
-    /// What goes on to an endpoint.
-    pub forward: Forward,
-    /// Where the final answer goes.
-    pub answer: oneshot::Sender<Answer>,
-}
-
-/// A request as it goes on to an endpoint.
-pub struct Forward {
-    /// Its method.
-    pub method: Method,
-    /// Path and query.
-    pub uri: Uri,
-    /// End-to-end headers.
-    pub headers: HeaderMap,
-    /// Its body.
-    pub body: Payload,
-}
-
-/// A final answer.
-pub enum Answer {
-    /// Served, with the body of an endpoint's answer.
-    Served(AnswerBody),
-    /// Refused: trying again is harmless, after this long if it is stated.
-    Refused(Option<Duration>),
-    /// Failed.
-    Failed,
-}
-
 struct Try {
     endpoint: EndpointId,
     sent: Instant,
@@ -125,32 +45,12 @@
     out: usize,
 }
 
-/// One monotonic clock, anchored once to Unix time so that endpoints' start times compare with it.
-#[derive(Clone, Copy)]
-pub struct Clock {
-    start: Instant,
-    unix: Duration,
-}
-
-impl Clock {
-    /// A clock that starts now.
-    pub fn start() -> Self {
-        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        Clock { start: Instant::now(), unix }
-    }
-
-    /// The time now.
-    pub fn now(&self) -> Duration {
-        self.unix + self.start.elapsed()
-    }
-}
-
 /// The parts that the driver works with.
 pub struct Parts {
     /// Connections to endpoints.
     pub outbound: Rc<Outbound>,
     /// The list.
-    pub discovery: Rc<Discovery>,
+    pub listing: Rc<Listing>,
     /// What operators have taken out of use.
     pub bans: Rc<Bans>,
 }
@@ -168,7 +68,7 @@
     unusual: HashMap<&'static str, u64>,
     summary_at: Instant,
     outbound: Rc<Outbound>,
-    discovery: Rc<Discovery>,
+    listing: Rc<Listing>,
     bans: Rc<Bans>,
     /// Their ids.
     banned: HashSet<EndpointId>,
@@ -186,7 +86,7 @@
         calls: UnboundedSender<Call>,
         inbox: Inbox,
     ) -> Self {
-        let Parts { outbound, discovery, bans } = parts;
+        let Parts { outbound, listing, bans } = parts;
         Driver {
             balancer,
             clock,
@@ -198,7 +98,7 @@
             unusual: HashMap::new(),
             summary_at: Instant::now() + SUMMARY,
             outbound,
-            discovery,
+            listing,
             bans,
             banned: HashSet::new(),
             calls,
@@ -250,8 +150,7 @@
             // What is kept must stay in proportion to what is open and listed.
             let (open, timers, module) =
                 (self.requests.len(), self.timers.len(), self.balancer.remembered());
-            let (listed, names, links) =
-                (self.addresses.len(), self.discovery.names(), self.outbound.idle());
+            let (listed, names, links) = (self.addresses.len(), self.listing.names(), self.outbound.idle());
             eprintln!(
                 "outcomes in {} s: {counts:?}; open {open}, timers {timers}, module {module}, \
                  listed {listed}, names {names}, idle connections {links}",
@@ -298,7 +197,7 @@
     fn ban(&mut self, uid: &str, on: bool, known: bool) -> Result<(), &'static str> {
         if !known
             && !self.bans.contains(uid)
-            && !self.discovery.find(uid).is_some_and(|id| self.addresses.contains_key(&id))
+            && !self.listing.find(uid).is_some_and(|id| self.addresses.contains_key(&id))
         {
             return Err("no such endpoint");
         }
@@ -313,7 +212,7 @@
 
     /// Lets a ban or its end hold from now on.
     fn hold_back(&mut self, uid: &str, on: bool) {
-        let id = self.discovery.id(uid);
+        let id = self.listing.id(uid);
         if on {
             self.banned.insert(id);
             self.outbound.close_idle(id);
@@ -402,7 +301,7 @@
             // Nothing new goes there.
             self.outbound.close_idle(entry.id);
             let state = if entry.state == EndpointState::Gone { "gone" } else { "draining" };
-            eprintln!("list: {} is {state}", self.discovery.uid(entry.id));
+            eprintln!("list: {} is {state}", self.listing.uid(entry.id));
             if entry.state == EndpointState::Gone {
                 self.addresses.remove(&entry.id);
             }
@@ -417,7 +316,7 @@
                 listed
             });
         }
-        self.discovery.keep(|id| self.addresses.contains_key(&id) || self.banned.contains(&id));
+        self.listing.keep(|id| self.addresses.contains_key(&id) || self.banned.contains(&id));
         self.handle(Event::Membership(news.membership));
     }
 
@@ -548,21 +447,6 @@
     }
 }
 
-impl Forward {
-    fn request(&self, address: SocketAddr, left: Duration) -> Request<Payload> {
-        let mut request = Request::new(self.body.clone());
-        *request.method_mut() = self.method.clone();
-        *request.uri_mut() = self.uri.clone();
-        *request.headers_mut() = self.headers.clone();
-        let headers = request.headers_mut();
-        let text = |text: String| HeaderValue::from_str(&text).unwrap_or(HeaderValue::from_static(""));
-        headers.insert(header::HOST, text(address.to_string()));
-        let timeout = text(format!("{}u", left.as_micros()));
-        headers.insert(HeaderName::from_static("x-timeout"), timeout);
-        request
-    }
-}
-
 /// Ends at this time, or at the deadline where that has moved to before it.
 async fn passed(deadline: &mut watch::Receiver<Instant>, until: Instant) {
     loop {
--- /dev/null
+++ b/crates/runtime/src/events.rs
@@ -0,0 +1,144 @@
+//! What the parts of the sidecar tell each other: requests and their answers, what happened on sockets,
+//! news of the list, and operators' calls. Values alone: nothing here does anything.
+
+use crate::figures::Hosts;
+use crate::streaming::{AnswerBody, Payload};
+use curlewhub_balance::{AttemptNo, EndpointId, Membership, Outcome, RequestId};
+use hyper::body::Bytes;
+use hyper::header::{self, HeaderName, HeaderValue};
+use hyper::{HeaderMap, Method, Request, Uri};
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::sync::mpsc::UnboundedSender;
+use tokio::sync::oneshot;
+use tokio::time::Instant;
+
+/// Where the rest of the sidecar reports to the driver.
+pub type Inbox = UnboundedSender<Input>;
+
+/// Something that happened on a socket.
+pub enum Input {
+    /// A request has come whole.
+    Arrived(Box<Arrival>),
+    /// More of a long body has gone to an endpoint than is kept.
+    BodyFlows(RequestId),
+    /// A long body has come whole: the answer must be on its way by then.
+    BodyWhole(RequestId, Instant),
+    /// Its client has gone.
+    ClientGone(RequestId),
+    /// An attempt ended.
+    AttemptEnded(RequestId, AttemptNo, Ended),
+    /// A probe ended; it took so long.
+    ProbeEnded(EndpointId, Ended, Duration),
+    /// News from discovery.
+    List(News),
+    /// The process must end: fail what is still open.
+    GiveUp,
+}
+
+/// Where operators' calls go.
+pub type Commands = UnboundedSender<Command>;
+
+/// What operators ask of the driver.
+pub enum Command {
+    /// How many endpoints are listed, and how many of them avoided.
+    Hosts(oneshot::Sender<Hosts>),
+    /// Take the endpoint of this uid out of use, or give it back.
+    Ban {
+        /// The uid.
+        uid: String,
+        /// Out of use, rather than back.
+        on: bool,
+        /// The process beside this one knows it, though this one may not yet.
+        known: bool,
+        /// Told once that holds and is on disk, or why it isn't so.
+        told: oneshot::Sender<Result<(), &'static str>>,
+    },
+}
+
+/// A request as it came in.
+pub struct Arrival {
+    /// For the module; its time left is set here.
+    pub request: curlewhub_balance::Request,
+    /// When the answer must be on its way; the longest that its body may take, where that still comes.
+    pub deadline: Instant,
+    /// The time that its client waits from its last byte on.
+    pub time: Duration,
+    /// What goes on to an endpoint.
+    pub forward: Forward,
+    /// Where the final answer goes.
+    pub answer: oneshot::Sender<Answer>,
+}
+
+/// A request as it goes on to an endpoint.
+pub struct Forward {
+    /// Its method.
+    pub method: Method,
+    /// Path and query.
+    pub uri: Uri,
+    /// End-to-end headers.
+    pub headers: HeaderMap,
+    /// Its body.
+    pub body: Payload,
+}
+
+/// A final answer.
+pub enum Answer {
+    /// Served, with the body of an endpoint's answer.
+    Served(AnswerBody),
+    /// Refused: trying again is harmless, after this long if it is stated.
+    Refused(Option<Duration>),
+    /// Failed.
+    Failed,
+}
+
+/// How an attempt or a probe ended.
+pub struct Ended {
+    /// The outcome.
+    pub outcome: Outcome,
+    /// The body of a 200.
+    pub body: AnswerBody,
+    /// The load report, if one came.
+    pub report: Option<Vec<f64>>,
+}
+
+impl Ended {
+    /// An end that brought nothing but itself.
+    pub fn bare(outcome: Outcome) -> Self {
+        Ended { outcome, body: AnswerBody::Whole(Bytes::new()), report: None }
+    }
+}
+
+/// News of the list in the module's terms, and where the endpoints are.
+pub struct News {
+    /// For the module.
+    pub membership: Membership,
+    /// Addresses of those named.
+    pub addresses: Vec<(EndpointId, SocketAddr)>,
+}
+
+/// What the driver may ask of discovery.
+pub enum Call {
+    /// Follow changes, or stop.
+    Watch(bool),
+    /// Ask for the whole list once.
+    Fetch,
+    /// Discovery is at another address from now on.
+    Move(SocketAddr),
+}
+
+impl Forward {
+    /// As it goes to the endpoint at this address, which is to know that so much time is left.
+    pub fn request(&self, address: SocketAddr, left: Duration) -> Request<Payload> {
+        let mut request = Request::new(self.body.clone());
+        *request.method_mut() = self.method.clone();
+        *request.uri_mut() = self.uri.clone();
+        *request.headers_mut() = self.headers.clone();
+        let headers = request.headers_mut();
+        let text = |text: String| HeaderValue::from_str(&text).unwrap_or(HeaderValue::from_static(""));
+        headers.insert(header::HOST, text(address.to_string()));
+        let timeout = text(format!("{}u", left.as_micros()));
+        headers.insert(HeaderName::from_static("x-timeout"), timeout);
+        request
+    }
+}
--- a/src/net/handover.rs
+++ b/crates/runtime/src/handover.rs
@@ -12,7 +12,7 @@
 
 use super::bans::Bans;
 use super::budget::Budget;
-use super::driver::{Command, Commands};
+use super::events::{Command, Commands};
 use super::lifecycle::{Lifecycle, State};
 use super::outbound::Outbound;
 use rustix::net::{
--- /dev/null
+++ b/crates/runtime/src/inbound/mod.rs
@@ -0,0 +1,232 @@
+//! Clients' connections: accepts them within the budget, and drains at the end.
+
+mod connection;
+mod exchange;
+mod request;
+
+use crate::budget::{Budget, Holder, Permit};
+use crate::events::{Inbox, Input};
+use crate::figures::Figures;
+use crate::handover::Handover;
+use crate::lifecycle::{Lifecycle, State};
+use crate::outbound::Outbound;
+use connection::Turn;
+use curlewhub_balance::Settings;
+use curlewhub_config::Names;
+use hyper::header::HeaderValue;
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeMap, HashSet};
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::TcpListener;
+use tokio::task::spawn_local;
+use tokio::time::{Instant, sleep, timeout, timeout_at};
+
+/// Wait after a failed accept: out of descriptors it would fail again at once, and spin.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
+/// New connections come for up to 0.4 s after SIGTERM, so we accept for a little longer.
+const DRAIN_ACCEPT: Duration = Duration::from_millis(500);
+/// The backlog is empty once nothing has come out of it for this long.
+const BACKLOG_EMPTY: Duration = Duration::from_millis(30);
+/// Where room is wanted, connections are closed that have been between requests for this long ...
+const IDLE_LEAST: Duration = Duration::from_secs(2);
+/// ... or are this old and have brought no request: who has one sends it at once.
+const SILENT_LEAST: Duration = Duration::from_millis(50);
+/// Where nobody can be closed, that is looked at again after this.
+const ROOM_RECHECK: Duration = Duration::from_millis(10);
+/// Told by an operator to drain, idle connections are closed from this long after the call on: none may
+/// be idle 4 s after it, nor have brought a request in the 2 s before that. New ones come for 0.3 s.
+const DRAIN_IDLE: Duration = Duration::from_millis(1500);
+/// Told to end while a successor accepts in its stead, a process keeps idle connections for so long: the
+/// next answer on each is its last, which loses no request, while closing may cross one. SIGKILL comes no
+/// sooner than 3.7 s after SIGTERM.
+const HANDED_OVER_IDLE: Duration = Duration::from_millis(2500);
+/// How often idle connections are looked for then.
+const DRAIN_CHECK: Duration = Duration::from_millis(100);
+/// SIGKILL comes no sooner than the longest deadline, but at most `DEADLINE_MOST`, and 0.7 s more:
+/// what is open this long after it is failed, which leaves the answers time to go out.
+const DRAIN_SLACK: Duration = Duration::from_millis(450);
+const DEADLINE_MOST: Duration = Duration::from_secs(3);
+/// The last answers go out within this.
+const LAST_ANSWERS: Duration = Duration::from_millis(150);
+
+/// What all clients' connections share.
+pub struct Inbound {
+    settings: Settings,
+    classes: Vec<String>,
+    tenants: Vec<String>,
+    budget: Rc<Budget>,
+    outbound: Rc<Outbound>,
+    inbox: Inbox,
+    next: Cell<u64>,
+    lifecycle: Rc<Lifecycle>,
+    figures: Rc<Figures>,
+    /// Accepting fails; said once in the log until it works again.
+    failing: Cell<bool>,
+    /// The connections in the order of their coming.
+    connections: RefCell<BTreeMap<u64, Rc<Turn>>>,
+    /// The clients' own ids of the requests that are open.
+    open: RefCell<HashSet<HeaderValue>>,
+}
+
+impl Inbound {
+    /// No clients yet.
+    pub fn new(
+        settings: Settings,
+        names: &Names,
+        budget: Rc<Budget>,
+        outbound: Rc<Outbound>,
+        lifecycle: Rc<Lifecycle>,
+        figures: Rc<Figures>,
+        inbox: Inbox,
+    ) -> Rc<Self> {
+        let list = |names: &[curlewhub_config::Named]| names.iter().map(|n| n.name.clone()).collect();
+        Rc::new(Inbound {
+            classes: list(&names.classes),
+            tenants: list(&names.tenants),
+            settings,
+            budget,
+            outbound,
+            inbox,
+            next: Cell::new(0),
+            lifecycle,
+            figures,
+            failing: Cell::new(false),
+            connections: RefCell::default(),
+            open: RefCell::default(),
+        })
+    }
+
+    /// Serves until told to end, then drains: all that the kernel has accepted is answered.
+    pub async fn serve(self: Rc<Self>, listener: TcpListener, handover: Rc<Handover>) {
+        spawn_local(self.clone().part_from_idle());
+        tokio::select! {
+            // Until then the process before accepts, as long as it lives.
+            () = self.lifecycle.reaches(|state| state != State::Starting) => {}
+            () = handover.alone() => {}
+        }
+        loop {
+            tokio::select! {
+                () = self.lifecycle.reaches(|state| state == State::Terminating) => break,
+                () = self.accept(&listener) => {}
+            }
+        }
+        let asked = Instant::now();
+        eprintln!("draining: {} clients connected", self.budget.clients());
+        let handed_over = handover.has_successor();
+        while !handed_over && timeout_at(asked + DRAIN_ACCEPT, self.accept(&listener)).await.is_ok() {}
+        let longest = self.settings.classes.iter().map(|c| c.deadline).max().unwrap_or_default();
+        let until = asked + longest.min(DEADLINE_MOST) + DRAIN_SLACK;
+        // What still waits in the backlog counts as taken: closing the listener would reset it. A successor
+        // accepts from the same backlog.
+        while !handed_over
+            && Instant::now() < until
+            && timeout(BACKLOG_EMPTY, self.accept(&listener)).await.is_ok()
+        {}
+        drop(listener);
+        handover.withdraw();
+        if handed_over {
+            let _ = timeout_at(asked + HANDED_OVER_IDLE, self.all_gone()).await;
+        }
+        self.connections.borrow().values().for_each(|turn| turn.close.notify_one());
+        if timeout_at(until, self.all_gone()).await.is_err() {
+            let _ = self.inbox.send(Input::GiveUp);
+            let _ = timeout(LAST_ANSWERS, self.all_gone()).await;
+        }
+        eprintln!("drained in {} ms", asked.elapsed().as_millis());
+    }
+
+    /// While an operator has the sidecar drained, closes connections between requests.
+    async fn part_from_idle(self: Rc<Self>) {
+        loop {
+            self.lifecycle.reaches(|state| state == State::Draining).await;
+            if self.lifecycle.draining_since().is_some_and(|at| at.elapsed() >= DRAIN_IDLE) {
+                for turn in self.connections.borrow().values() {
+                    let fresh = turn.answered.get().is_none() && turn.silent().is_some();
+                    let between = turn.idle().is_some() || (fresh && turn.heard.began().is_none());
+                    // What the kernel already holds of a request is answered first.
+                    if between && !turn.heard.pending() {
+                        turn.close.notify_one();
+                    }
+                }
+            }
+            sleep(DRAIN_CHECK).await;
+        }
+    }
+
+    async fn all_gone(&self) {
+        while self.budget.clients() > 0 {
+            self.budget.freed().await;
+        }
+    }
+
+    /// Accepts one connection, once there is room for it.
+    async fn accept(self: &Rc<Self>, listener: &TcpListener) {
+        let permit = self.room().await;
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                self.failing.set(false);
+                let permit = permit.or_else(|| self.budget.take(Holder::Client));
+                let shed = permit.is_none();
+                let permit = permit.or_else(|| self.budget.take(Holder::Shed));
+                let this = self.clone();
+                spawn_local(async move { this.connection(stream, shed, permit).await });
+            }
+            Err(e) => {
+                if !self.failing.replace(true) {
+                    eprintln!("accept: {e}");
+                }
+                self.outbound.close_oldest_idle();
+                sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+
+    /// A permit for one more client; none where it can only be told that there is no room.
+    async fn room(&self) -> Option<Permit> {
+        loop {
+            while self.budget.endpoints_crowd() && self.outbound.close_oldest_idle() {}
+            if let Some(permit) = self.budget.take(Holder::Client) {
+                return Some(permit);
+            }
+            if !self.make_room()
+                && let Some(permit) = self.budget.take(Holder::Shed)
+            {
+                drop(permit);
+                return None;
+            }
+            let _ = timeout(ROOM_RECHECK, self.budget.freed()).await;
+        }
+    }
+
+    /// Closes the connection that is missed least: who has been silent longest, else who has been idle
+    /// longest. Where there is none, somebody's next answer will be the connection's last. Whether one
+    /// goes, or will as soon as its silence has lasted.
+    fn make_room(&self) -> bool {
+        let connections = self.connections.borrow();
+        let open = || connections.values().filter(|turn| !turn.closing.get());
+        let silent = open().find(|turn| turn.silent().is_some());
+        if silent.is_some_and(|turn| turn.silent().is_some_and(|time| time < SILENT_LEAST)) {
+            return true;
+        }
+        let idle = || {
+            let idle = open().filter_map(|turn| Some((turn.idle()?, turn)));
+            idle.filter(|(time, _)| *time >= IDLE_LEAST).max_by_key(|(time, _)| *time).map(|(_, turn)| turn)
+        };
+        match silent.or_else(idle) {
+            Some(turn) => {
+                turn.closing.set(true);
+                turn.close.notify_one();
+                true
+            }
+            None => {
+                // One just used is likely to be used again at once, and a request that crosses our
+                // closing is lost, or sent twice: the next answer says that it is the last.
+                if let Some(turn) = open().find(|turn| !turn.last.get()) {
+                    turn.last.set(true);
+                }
+                false
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/runtime/src/lib.rs
@@ -0,0 +1,23 @@
+//! The sidecar's parts with I/O. They decide nothing: the decision module does, and the driver carries
+//! out what it wants done.
+//!
+//! A request's way: `inbound` reads it, `driver` asks the module, `outbound` makes the attempts, and
+//! the answer goes back the same way. `events` holds the values that pass between them, so that none
+//! of them needs to know another's inside.
+
+pub mod bans;
+pub mod budget;
+pub mod clock;
+pub mod discovery;
+pub mod driver;
+pub mod events;
+pub mod figures;
+pub mod guard;
+pub mod handover;
+pub mod inbound;
+pub mod lifecycle;
+pub mod listing;
+pub mod operator;
+pub mod outbound;
+pub mod socket;
+pub mod streaming;
--- a/src/net/operator.rs
+++ b/crates/runtime/src/operator.rs
@@ -1,7 +1,7 @@
 //! The second address: operators' calls, one line a connection.
 
 use super::budget::{Budget, Holder, Permit};
-use super::driver::{Command, Commands};
+use super::events::{Command, Commands};
 use super::figures::Figures;
 use super::handover::Handover;
 use super::lifecycle::Lifecycle;
--- a/src/net/outbound.rs
+++ b/crates/runtime/src/outbound.rs
@@ -1,10 +1,12 @@
 //! Connections to endpoints: attempts and probes, and how they end.
 
 use super::budget::{Budget, Holder, Permit};
-use super::discovery::Guard;
+use super::events::Ended;
 use super::figures::Figures;
-use super::socket::{Heard, Socket};
+use super::guard::Guard;
+use super::socket::{BUFFER_MOST, Heard, Socket};
 use super::streaming::{AnswerBody, BODY_MOST, FLOW_KIB, Flow, Payload, Sending, WHOLE_MOST};
+use curlewhub_balance::{EndpointId, LoadField, Outcome, Settings};
 use http_body_util::BodyExt;
 use hyper::body::{Body, Bytes, Incoming};
 use hyper::client::conn::http1::{self, SendRequest};
@@ -21,10 +23,7 @@
 use tokio::net::TcpStream;
 use tokio::task::spawn_local;
 use tokio::time::{Instant, sleep, sleep_until, timeout};
-use weirwharf::{EndpointId, LoadField, Outcome, Settings};
 
-/// Buffer of a connection, either way; also bounds a message's head.
-pub const BUFFER_MOST: usize = 64 * 1024;
 /// Part of the endpoints' idle time after which we close a connection ourselves: what is written to
 /// one that the endpoint is just closing ends as a reset, and an unsafe request is then lost for good.
 const IDLE_PART: f64 = 0.7;
@@ -56,23 +55,6 @@
 /// Limit of an attempt's connection where the settings say nothing.
 const CONNECT_UNSTATED: Duration = Duration::from_millis(500);
 
-/// How an attempt or a probe ended.
-pub struct Ended {
-    /// The outcome.
-    pub outcome: Outcome,
-    /// The body of a 200.
-    pub body: AnswerBody,
-    /// The load report, if one came.
-    pub report: Option<Vec<f64>>,
-}
-
-impl Ended {
-    /// An end that brought nothing but itself.
-    pub fn bare(outcome: Outcome) -> Self {
-        Ended { outcome, body: AnswerBody::Whole(Bytes::new()), report: None }
-    }
-}
-
 /// How far an attempt has come: what is stopped before its last byte was handed over never ran.
 pub struct Progress {
     whole: Rc<Cell<bool>>,
@@ -102,24 +84,6 @@
     _permit: Permit,
 }
 
-/// A connection that a long answer still comes on.
-pub struct Parking {
-    outbound: Rc<Outbound>,
-    endpoint: EndpointId,
-    link: Link,
-    /// The request was written whole: else the connection is of no further use.
-    whole: bool,
-}
-
-impl Parking {
-    /// The answer has ended: others may use the connection.
-    pub fn park(self) {
-        if self.whole && !self.link.sender.is_closed() {
-            self.outbound.park(self.endpoint, self.link);
-        }
-    }
-}
-
 /// What an answer has come to.
 enum Read {
     Whole(Outcome, Bytes),
@@ -235,7 +199,13 @@
                 }
                 (Some(Read::Long(first, rest)), whole, _) => {
                     let memory = self.budget.wait_memory(FLOW_KIB).await;
-                    let parking = Parking { outbound: self.clone(), endpoint, link, whole };
+                    let this = self.clone();
+                    // Others may use the connection after the answer, unless its request was cut short.
+                    let parking = Box::new(move || {
+                        if whole && !link.sender.is_closed() {
+                            this.park(endpoint, link);
+                        }
+                    });
                     let body = AnswerBody::Flow(Box::new(Flow::new(first, rest, parking, memory)));
                     return Ended { outcome: Outcome::Ok, body, report };
                 }
--- a/src/net/socket.rs
+++ b/crates/runtime/src/socket.rs
@@ -13,6 +13,9 @@
 use tokio::net::TcpStream;
 use tokio::time::Instant;
 
+/// Buffer of a connection, either way; also bounds a message's head.
+pub const BUFFER_MOST: usize = 64 * 1024;
+
 /// What has come in, for who uses the connection.
 pub struct Heard {
     stream: TcpStream,
--- a/src/net/streaming.rs
+++ b/crates/runtime/src/streaming.rs
@@ -3,7 +3,6 @@
 
 use super::budget::{Budget, Memory};
 use super::figures::Figures;
-use super::outbound::Parking;
 use super::socket::Heard;
 use hyper::body::{Body, Bytes, Frame, Incoming, SizeHint};
 use std::cell::{Cell, RefCell};
@@ -410,14 +409,14 @@
     rest: Incoming,
     length: u64,
     pause: Option<Pin<Box<Sleep>>>,
-    /// Its connection, of further use once the answer has ended.
-    parking: Option<Parking>,
+    /// Called once the answer has ended: its connection is then of further use. Dropped uncalled, it closes.
+    parking: Option<Box<dyn FnOnce()>>,
     _memory: Memory,
 }
 
 impl Flow {
     /// It has begun with this; the rest is to come.
-    pub fn new(first: Vec<Bytes>, rest: Incoming, parking: Parking, memory: Memory) -> Self {
+    pub fn new(first: Vec<Bytes>, rest: Incoming, parking: Box<dyn FnOnce()>, memory: Memory) -> Self {
         let first = first.into();
         Flow { first, rest, length: 0, pause: None, parking: Some(parking), _memory: memory }
     }
@@ -468,7 +467,7 @@
 
     fn over(&mut self) {
         if let Some(parking) = self.parking.take() {
-            parking.park();
+            parking();
         }
     }
 }
