--- a/crates/balance/src/types.rs
+++ b/crates/balance/src/types.rs
@@ -35,7 +35,7 @@
 pub struct TimerToken(pub u64);
 
 /// Everything a balancer is told when it is made.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Settings {
     /// Balancers in this tier, this one included.
     pub balancers: u32,
@@ -80,7 +80,7 @@
 }
 
 /// A class of requests.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Class {
     /// Answers within this time earn the full worth.
     pub objective: Duration,
@@ -126,7 +126,7 @@
 }
 
 /// A tenant and what it may ask for.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Tenant {
     /// Requests a second within its share, over all balancers.
     pub allowance_per_s: f64,
@@ -144,7 +144,7 @@
 }
 
 /// What the deployment allows.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Limits {
     /// Attempts may be cancelled.
     pub cancelling: bool,
@@ -175,7 +175,7 @@
 }
 
 /// Figures of the four rules.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Rules {
     /// With [`Discovery::Ask`]: ask again within this.
     pub ask_within: Duration,
@@ -222,7 +222,7 @@
 }
 
 /// Prices, in points of the result.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct Costs {
     /// Mean open connections, over a hundred for each endpoint.
     pub connection: f64,
@@ -241,7 +241,7 @@
 }
 
 /// What load reports hold and how they come.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct LoadReports {
     /// How they come.
     pub via: ReportVia,
@@ -299,12 +299,16 @@
     #[error("classes: there must be at least one")]
     NoClasses,
     /// A value lies outside its range.
-    #[error("{field}: {value} is out of range")]
+    #[error("{field}: {value} is out of range, {low} to {high}")]
     OutOfRange {
-        /// The setting.
-        field: &'static str,
+        /// The setting, by its path.
+        field: String,
         /// Its value.
         value: f64,
+        /// The least that it may be.
+        low: f64,
+        /// The most.
+        high: f64,
     },
 }
 
@@ -657,44 +661,51 @@
 
 impl Settings {
     /// Checks that the settings make sense.
+    ///
+    /// # Errors
+    /// The first problem of [`Settings::problems`].
     pub fn validate(&self) -> Result<(), SettingsError> {
-        fn within(field: &'static str, value: f64, low: f64, high: f64) -> Result<(), SettingsError> {
-            if (low..=high).contains(&value) {
-                Ok(())
-            } else {
-                Err(SettingsError::OutOfRange { field, value })
-            }
-        }
+        self.problems().into_iter().next().map_or(Ok(()), Err)
+    }
+
+    /// All that makes no sense, field by field.
+    pub fn problems(&self) -> Vec<SettingsError> {
+        let mut problems = Vec::new();
         if self.classes.is_empty() {
-            return Err(SettingsError::NoClasses);
+            problems.push(SettingsError::NoClasses);
         }
-        within("balancers", f64::from(self.balancers), 1.0, 1e6)?;
-        within("limits.max_attempts", f64::from(self.limits.max_attempts), 1.0, 1e6)?;
-        within("rules.cold_share", self.rules.cold_share, 0.0, 1.0)?;
-        within("rules.fall_multiple", self.rules.fall_multiple, 0.0, 1e6)?;
-        within("over_share_worth", self.over_share_worth, 0.0, 1.0)?;
+        let mut within = |field: String, value: f64, low: f64, high: f64| {
+            if !(low..=high).contains(&value) {
+                problems.push(SettingsError::OutOfRange { field, value, low, high });
+            }
+        };
+        within("balancers".to_owned(), f64::from(self.balancers), 1.0, 1e6);
+        within("limits.max_attempts".to_owned(), f64::from(self.limits.max_attempts), 1.0, 1e6);
+        within("rules.cold_share".to_owned(), self.rules.cold_share, 0.0, 1.0);
+        within("rules.fall_multiple".to_owned(), self.rules.fall_multiple, 0.0, 1e6);
+        within("over_share_worth".to_owned(), self.over_share_worth, 0.0, 1.0);
         let goal = &self.goal;
         for (field, value) in [
-            ("goal.whole", goal.whole),
-            ("goal.worst_window", goal.worst_window),
-            ("goal.worst_class", goal.worst_class),
-            ("goal.worst_tenant", goal.worst_tenant),
-            ("goal.nines", goal.nines),
-            ("goal.nines_wanted", goal.nines_wanted),
+            ("whole", goal.whole),
+            ("worst_window", goal.worst_window),
+            ("worst_class", goal.worst_class),
+            ("worst_tenant", goal.worst_tenant),
+            ("nines", goal.nines),
+            ("nines_wanted", goal.nines_wanted),
         ] {
-            within(field, value, 0.0, 1e6)?;
+            within(format!("goal.{field}"), value, 0.0, 1e6);
         }
-        for class in &self.classes {
-            within("classes[].worth", class.worth, 0.0, 1e12)?;
-            within("classes[].late_value", class.late_value, 0.0, 1.0)?;
-            within("classes[].aim_stretch", class.aim_stretch, 0.0, 1e6)?;
-            within("classes[].objective", class.objective.as_secs_f64(), 1e-6, 1e6)?;
-            within("classes[].deadline", class.deadline.as_secs_f64(), 1e-6, 1e6)?;
+        for (n, class) in self.classes.iter().enumerate() {
+            within(format!("classes[{n}].worth"), class.worth, 0.0, 1e12);
+            within(format!("classes[{n}].late_value"), class.late_value, 0.0, 1.0);
+            within(format!("classes[{n}].aim_stretch"), class.aim_stretch, 0.0, 1e6);
+            within(format!("classes[{n}].objective"), class.objective.as_secs_f64(), 1e-6, 1e6);
+            within(format!("classes[{n}].deadline"), class.deadline.as_secs_f64(), 1e-6, 1e6);
         }
-        for tenant in &self.tenants {
-            within("tenants[].allowance_per_s", tenant.allowance_per_s, 0.0, 1e12)?;
-            within("tenants[].portion", tenant.portion, 0.0, 1.0)?;
+        for (n, tenant) in self.tenants.iter().enumerate() {
+            within(format!("tenants[{n}].allowance_per_s"), tenant.allowance_per_s, 0.0, 1e12);
+            within(format!("tenants[{n}].portion"), tenant.portion, 0.0, 1.0);
         }
-        Ok(())
+        problems
     }
 }
--- a/crates/balance/tests/contract.rs
+++ b/crates/balance/tests/contract.rs
@@ -112,9 +112,11 @@
     assert_eq!(new(Settings { classes: vec![], ..Settings::default() }), Some(SettingsError::NoClasses));
     let mut settings = Settings::default();
     settings.rules.cold_share = f64::NAN;
-    assert!(matches!(new(settings), Some(SettingsError::OutOfRange { field: "rules.cold_share", .. })));
+    assert!(
+        matches!(new(settings), Some(SettingsError::OutOfRange { field, .. }) if field == "rules.cold_share")
+    );
     let settings = Settings { balancers: 0, ..Settings::default() };
-    assert!(matches!(new(settings), Some(SettingsError::OutOfRange { field: "balancers", .. })));
+    assert!(matches!(new(settings), Some(SettingsError::OutOfRange { field, .. }) if field == "balancers"));
     let classes = vec![Class { worth: -1.0, ..Class::default() }];
     assert!(new(Settings { classes, ..Settings::default() }).is_some());
 }
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -1,11 +1,19 @@
 //! What a sidecar is told: one validated structure, whichever file it was read from.
+//!
+//! Operators write a TOML file ([`mod@file`]); the platform writes JSON ([`platform`]). Both become a
+//! [`Config`], and both are held to the module's own ranges (`Settings::problems`).
 
+mod config;
+pub mod file;
 pub mod list;
 pub mod platform;
+mod problem;
+mod reader;
 pub mod settings;
+mod source;
+pub mod units;
 
-pub use platform::{Config, ConfigError, Named, Names};
-
-/// Fewer descriptors than this leave nothing to serve with: 48 are kept for the listener, the runtime,
-/// discovery, operators and refused clients.
-pub const LEAST_SOCKETS: usize = 64;
+pub use config::{Config, LEAST_SOCKETS, Log, LogFormat, Named, Names};
+pub use problem::{Problem, Problems};
+pub use reader::{Effective, Override};
+pub use source::{Change, Loaded};
--- /dev/null
+++ b/crates/config/tests/file.rs
@@ -0,0 +1,214 @@
+//! The operators' file: what it is turned into, and what is said of a wrong one.
+
+use curlewhub_balance::{Discovery, Group, Semantics, ZoneId};
+use curlewhub_config::list::State;
+use curlewhub_config::{Config, Effective, Loaded, LogFormat, Override, Problems, file};
+use proptest::prelude::*;
+use std::time::Duration;
+
+/// The least that starts.
+const LEAST: &str = r#"
+listen = "127.0.0.1:7070"
+[[endpoints]]
+id = "a"
+address = "127.0.0.1:9001"
+[[classes]]
+name = "quote"
+"#;
+
+fn parse(text: &str) -> Result<(Config, Vec<Effective>), Problems> {
+    file::parse("shop.toml", text, &[])
+}
+
+fn problems(text: &str) -> Vec<String> {
+    match parse(text) {
+        Ok(_) => Vec::new(),
+        Err(problems) => problems.0.iter().map(ToString::to_string).collect(),
+    }
+}
+
+fn over(field: &str, text: &str, origin: &str) -> Override {
+    Override { field: field.to_owned(), text: text.to_owned(), origin: origin.to_owned() }
+}
+
+#[test]
+fn the_example_is_valid_and_says_the_defaults() {
+    let (config, effective) = parse(file::EXAMPLE).unwrap();
+    assert_eq!((config.name.as_str(), config.memory_mb, config.sockets), ("shop", 192, 1024));
+    assert_eq!((config.settings.zone, config.settings.zones), (ZoneId(0), 3));
+    let (group, window) = (Group::Zone, Duration::from_secs(6));
+    assert_eq!(config.settings.classes[1].semantics, Semantics::Keyed { group, window });
+    assert_eq!(config.settings.discovery, Discovery::Push);
+    // Each line that is commented out with a value states the default that holds without it.
+    let mut section = String::new();
+    let mut checked = 0;
+    for line in file::EXAMPLE.lines() {
+        let bare = line.strip_prefix("# ").unwrap_or(line);
+        if let Some(name) = bare.strip_prefix('[').and_then(|rest| rest.split(']').next()) {
+            section = if name.starts_with('[') { "-".to_owned() } else { format!("{name}.") };
+        }
+        let Some((name, rest)) = line.strip_prefix("# ").and_then(|line| line.split_once(" = ")) else {
+            continue;
+        };
+        let field = format!("{section}{name}");
+        let Some(found) = effective.iter().find(|e| e.field == field) else { continue };
+        if name == "state_dir" {
+            continue; // $TMPDIR
+        }
+        let stated = rest.split('#').next().unwrap().trim();
+        let (with, _) =
+            file::parse("x", file::EXAMPLE, &[over(&field, stated.trim_matches('"'), "x")]).unwrap();
+        let (without, _) = parse(file::EXAMPLE).unwrap();
+        assert_eq!(with.settings, without.settings, "{field}");
+        assert_eq!(found.origin, "default", "{field}");
+        checked += 1;
+    }
+    assert!(checked >= 20, "{checked}");
+}
+
+#[test]
+fn a_file_with_ten_errors_reports_ten() {
+    let text = r#"
+name = 7
+listen = "somewhere"
+colour = "blue"
+zones = ["a", "a2"]
+zone = "b"
+[limits]
+memory = "12"
+sockets = 3
+[log]
+level = "loud"
+[[endpoints]]
+id = "one"
+address = "127.0.0.1:9001"
+weight = -1.0
+[[classes]]
+name = "quote"
+deadline = "soon"
+[[classes]]
+name = "quote"
+repeat = "keyed"
+window = "6s"
+"#;
+    let found = problems(text);
+    let want = [
+        "shop.toml:2: name: ",
+        "shop.toml:3: listen: ",
+        "shop.toml:4: colour: there is no such field; allowed: ",
+        "shop.toml:6: zone: not among `zones`; allowed: a, a2",
+        "shop.toml:8: limits.memory: ",
+        "shop.toml:9: limits.sockets: 3 is out of range; allowed: 64 to 1000000 descriptors",
+        "shop.toml:11: log.level: `loud` is out of range; allowed: ",
+        "shop.toml:15: endpoints[0].weight: -1.0 is out of range; allowed: ",
+        "shop.toml:18: classes[0].deadline: ",
+        "shop.toml:20: classes[1].name: `quote` is there twice; allowed: ",
+    ];
+    assert_eq!(found.len(), 10, "{found:#?}");
+    for (found, want) in found.iter().zip(want) {
+        assert!(found.starts_with(want), "{found}\nis not\n{want}");
+    }
+}
+
+#[test]
+fn what_does_not_go_together_is_told() {
+    for (change, want) in [
+        (("listen = \"127.0.0.1:7070\"", ""), "listen: missing; allowed: an address and port"),
+        (("listen =", "operator = \"127.0.0.1:7070\"\nlisten ="), "the same address as `listen`"),
+        (("listen =", "number = 4\nlisten ="), "number: there are not so many balancers"),
+        (("listen =", "tier = 2\nlisten ="), "tier: there are not so many tiers"),
+        (("id = \"a\"", "id = \"a\"\nzone = \"x\""), "endpoints[0].zone: `x` is not among `zones`"),
+        (
+            ("name = \"quote\"", "name = \"quote\"\nrepeat = \"keyed\""),
+            "classes[0].window: a keyed class needs one",
+        ),
+        (("name = \"quote\"", "name = \"quote\"\nobjective = \"9s\""), "longer than the class's deadline"),
+        (("name = \"quote\"", "name = \"quote\"\nworth = -2.0"), "classes[0].worth: -2 is out of range"),
+        (("name = \"quote\"", "name = \"a/b\""), "classes[0].name: `a/b` is out of range"),
+        (("[[classes]]", "[classes]"), "classes: this is a table; allowed: a list of tables"),
+        (("id = \"a\"", "id = a"), "shop.toml:4: "),
+        (("[[endpoints]]\nid = \"a\"\naddress = \"127.0.0.1:9001\"", ""), "there is nowhere to send to"),
+    ] {
+        let text = LEAST.replacen(change.0, change.1, 1);
+        assert_ne!(text, LEAST, "{want}");
+        let found = problems(&text);
+        assert!(found.iter().any(|problem| problem.contains(want)), "{want}: {found:#?}");
+    }
+    assert_eq!(problems(LEAST), [""; 0]);
+}
+
+#[test]
+fn a_flag_wins_over_a_variable_and_that_over_the_file_and_each_says_so() {
+    let text = LEAST.replacen("listen", "name = \"file\"\nlisten", 1);
+    let env = over("name", "env", "$ROUTER_NAME");
+    let flag = over("name", "flag", "--name");
+    for (overrides, want, origin) in [
+        (vec![], "file", "shop.toml:2"),
+        (vec![env.clone()], "env", "$ROUTER_NAME"),
+        (vec![env, flag], "flag", "--name"),
+    ] {
+        let (config, effective) = file::parse("shop.toml", &text, &overrides).unwrap();
+        assert_eq!(config.name, want);
+        let found = effective.iter().find(|e| e.field == "name").unwrap();
+        assert_eq!((found.value.as_str(), found.origin.as_str()), (Some(want), origin));
+    }
+    let json = over("log.format", "json", "--log-format");
+    let sockets = over("limits.sockets", "512", "--set limits.sockets");
+    let (config, _) = file::parse("shop.toml", &text, &[json, sockets]).unwrap();
+    assert_eq!((config.log.format, config.sockets), (LogFormat::Json, 512));
+    for (bad, want) in [
+        (over("listen", "nowhere", "$ROUTER_LISTEN"), "$ROUTER_LISTEN: listen: "),
+        (
+            over("limits.sockets", "3", "--set limits.sockets"),
+            "--set limits.sockets: limits.sockets: `3` is",
+        ),
+        (
+            over("limits.colour", "3", "--set limits.colour"),
+            "--set limits.colour: limits.colour: there is no",
+        ),
+    ] {
+        let found = file::parse("shop.toml", &text, &[bad]).unwrap_err().to_string();
+        assert!(found.starts_with(want), "{found}");
+    }
+}
+
+#[test]
+fn a_reload_tells_what_lives_and_what_needs_a_restart_and_keeps_the_old_one_where_it_is_wrong() {
+    let path = std::env::temp_dir().join(format!("curlewhub-config-{}.toml", std::process::id()));
+    let write = |text: &str| std::fs::write(&path, text).unwrap();
+    write(LEAST);
+    let mut loaded = Loaded::file(&path, Vec::new()).unwrap();
+    assert_eq!(loaded.reload().unwrap(), Default::default(), "a new seed is no change");
+    write(&(LEAST.to_owned() + "[[endpoints]]\nid = \"b\"\naddress = \"127.0.0.1:9002\"\n"));
+    let change = loaded.reload().unwrap();
+    let uids: Vec<_> = change.endpoints.unwrap().iter().map(|t| (t.uid.clone(), t.state)).collect();
+    assert_eq!(uids, [("a".to_owned(), State::Up), ("b".to_owned(), State::Up)]);
+    assert_eq!((change.discovery, change.restart.len()), (None, 0));
+    write("listen = 7");
+    assert!(loaded.reload().is_err());
+    assert_eq!(loaded.config.known.targets.len(), 2, "the old one stays");
+    write(&LEAST.replacen("listen", "name = \"new\"\nlisten", 1).replacen("quote", "offer", 1));
+    let change = loaded.reload().unwrap();
+    assert_eq!(change.restart, ["classes[0].name", "name"]);
+    assert_eq!(change.endpoints.map(|list| list.len()), Some(1));
+    std::fs::remove_file(path).unwrap();
+}
+
+proptest! {
+    #[test]
+    fn no_text_makes_it_panic_and_every_problem_is_one_line(text in "[a-z\\[\\]=\".0-9 \n#{},-]{0,200}") {
+        for problem in problems(&text) {
+            prop_assert_eq!(problem.lines().count(), 1);
+        }
+    }
+
+    #[test]
+    fn the_example_cut_or_changed_anywhere_is_read_or_told(at in 0..file::EXAMPLE.len(), byte in 32..127u8) {
+        let mut changed = file::EXAMPLE.as_bytes().to_vec();
+        changed[at] = byte;
+        let changed = String::from_utf8_lossy(&changed).into_owned();
+        let _ = parse(&changed);
+        let cut = &file::EXAMPLE.as_bytes()[..at];
+        let _ = parse(&String::from_utf8_lossy(cut));
+    }
+}
--- /dev/null
+++ b/crates/curlewhub/src/cli.rs
@@ -0,0 +1,171 @@
+//! The command line.
+
+use clap::{Args, Parser, Subcommand};
+use curlewhub_config::{Loaded, Override, Problems};
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+
+/// How the program ends.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Exit {
+    /// Done.
+    Done,
+    /// It failed.
+    Failed,
+    /// The command line or the configuration is wrong.
+    Usage,
+}
+
+impl From<Exit> for ExitCode {
+    fn from(exit: Exit) -> ExitCode {
+        match exit {
+            Exit::Done => ExitCode::SUCCESS,
+            Exit::Failed => ExitCode::FAILURE,
+            Exit::Usage => ExitCode::from(2),
+        }
+    }
+}
+
+/// A sidecar load balancer for services that call services.
+///
+/// Without a subcommand and with ROUTER_CONFIG set it runs as the platform wants it.
+#[derive(Debug, Parser)]
+#[command(name = "curlewhub", version)]
+pub struct Cli {
+    #[command(subcommand)]
+    pub command: Option<Command>,
+}
+
+#[derive(Debug, Subcommand)]
+pub enum Command {
+    /// Serve, until told to end.
+    Run {
+        /// The configuration file (TOML).
+        #[arg(long, value_name = "FILE")]
+        config: Option<PathBuf>,
+        /// Take over from a curlewhub that serves at the same address with the same state folder.
+        #[arg(long)]
+        replace: bool,
+        #[command(flatten)]
+        settings: Settings,
+    },
+    /// Say all that is wrong with a configuration file.
+    Check {
+        /// The configuration file (TOML).
+        #[arg(long, value_name = "FILE")]
+        config: PathBuf,
+        /// Print each value in effect and where it came from.
+        #[arg(long)]
+        print: bool,
+        /// Print JSON.
+        #[arg(long)]
+        json: bool,
+        #[command(flatten)]
+        settings: Settings,
+    },
+    /// Help with configuration files.
+    #[command(subcommand)]
+    Config(ConfigCommand),
+    /// Call a running sidecar on its operators' address.
+    Ctl(Ctl),
+    /// Print completions for a shell.
+    Completions {
+        /// The shell.
+        shell: clap_complete::Shell,
+    },
+}
+
+#[derive(Debug, Subcommand)]
+pub enum ConfigCommand {
+    /// Print a commented example.
+    Example,
+}
+
+/// What wins over the configuration file.
+#[derive(Args, Debug, Default)]
+pub struct Settings {
+    /// Its name, for the log.
+    #[arg(long, value_name = "NAME")]
+    name: Option<String>,
+    /// Where clients connect.
+    #[arg(long, value_name = "ADDR")]
+    listen: Option<String>,
+    /// Where operators call.
+    #[arg(long, value_name = "ADDR")]
+    operator: Option<String>,
+    /// The least level of the log.
+    #[arg(long, value_name = "LEVEL")]
+    log_level: Option<String>,
+    /// text or json.
+    #[arg(long, value_name = "FORMAT")]
+    log_format: Option<String>,
+    /// Any field of the file by its path, such as limits.sockets=512; may come often.
+    #[arg(long, value_name = "FIELD=VALUE")]
+    set: Vec<String>,
+}
+
+impl Settings {
+    /// The file with these over it: flag, environment, file, default, in that order.
+    pub fn load(&self, path: &Path) -> Result<Loaded, Problems> {
+        let mut overrides = Vec::new();
+        let mut add = |field: &str, text: Option<String>, origin: &str| {
+            overrides.extend(text.map(|text| Override {
+                field: field.to_owned(),
+                text,
+                origin: origin.to_owned(),
+            }));
+        };
+        let var = |name: &str| std::env::var(name).ok();
+        add("name", var("ROUTER_NAME"), "$ROUTER_NAME");
+        add("listen", var("ROUTER_LISTEN"), "$ROUTER_LISTEN");
+        add("operator", var("ROUTER_OPERATOR"), "$ROUTER_OPERATOR");
+        add("discovery.address", var("ROUTER_DISCOVERY"), "$ROUTER_DISCOVERY");
+        add("log.level", var("RUST_LOG").filter(|level| !level.is_empty()), "$RUST_LOG");
+        add("name", self.name.clone(), "--name");
+        add("listen", self.listen.clone(), "--listen");
+        add("operator", self.operator.clone(), "--operator");
+        add("log.level", self.log_level.clone(), "--log-level");
+        add("log.format", self.log_format.clone(), "--log-format");
+        for set in &self.set {
+            let (field, value) = set.split_once('=').unwrap_or((set, ""));
+            add(field.trim(), Some(value.trim().to_owned()), &format!("--set {field}"));
+        }
+        Loaded::file(path, overrides)
+    }
+}
+
+/// A call to a running sidecar.
+#[derive(Args, Debug)]
+pub struct Ctl {
+    /// The sidecar's operators' address.
+    #[arg(long, value_name = "ADDR")]
+    pub at: SocketAddr,
+    /// Print JSON.
+    #[arg(long, global = true)]
+    pub json: bool,
+    #[command(subcommand)]
+    pub call: Call,
+}
+
+#[derive(Debug, Subcommand)]
+pub enum Call {
+    /// Ask whether it serves.
+    Ping,
+    /// Print its figures.
+    Info,
+    /// Take an endpoint out of use.
+    Detach {
+        /// The endpoint, by its id in the list.
+        id: String,
+    },
+    /// Give an endpoint back.
+    Attach {
+        /// The endpoint, by its id in the list.
+        id: String,
+    },
+    /// Drain the sidecar.
+    Drain,
+    /// End the drain.
+    Undrain,
+}
--- a/crates/curlewhub/src/serve.rs
+++ b/crates/curlewhub/src/serve.rs
@@ -1,7 +1,8 @@
 //! Starts the sidecar's parts, wires them together, and hands them the signals.
 
+use crate::logs::Counts;
 use curlewhub_balance::Balancer;
-use curlewhub_config::Config;
+use curlewhub_config::{Change, Config, Loaded};
 use curlewhub_runtime::bans::Bans;
 use curlewhub_runtime::budget::Budget;
 use curlewhub_runtime::clock::Clock;
@@ -15,6 +16,9 @@
 use curlewhub_runtime::listing::Listing;
 use curlewhub_runtime::operator::Operator;
 use curlewhub_runtime::outbound::Outbound;
+use curlewhub_runtime::static_list;
+use std::io;
+use std::net::SocketAddr;
 use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
@@ -23,6 +27,7 @@
 use tokio::sync::mpsc::{self, UnboundedSender};
 use tokio::task::spawn_local;
 use tokio::time::{Instant, sleep};
+use tracing::{error, info, warn};
 
 /// A successor whose discovery does not answer serves after this long with the list as last held: its
 /// yes is due within 6 s, and the process before it goes on in the meantime.
@@ -32,82 +37,89 @@
 /// How often it looks whether the list has come.
 const FRESH_CHECK: Duration = Duration::from_millis(10);
 
+/// How often the log tells what of it was dropped.
+const DROPPED_EVERY: Duration = Duration::from_secs(1);
+
+/// What listens or is handed over before the rest of the sidecar is there.
+struct Doors {
+    listener: TcpListener,
+    /// The process before this one, if it serves.
+    before: Option<handover::Talk>,
+    bans: Rc<Bans>,
+}
+
 /// Serves until told to end.
 ///
 /// # Errors
 /// What keeps the sidecar from starting, by field, or what ended it.
-pub async fn run(config: Config) -> Result<(), String> {
-    let Config {
-        name,
-        listen,
-        discovery,
-        operator,
-        seed,
-        sockets,
-        memory_mb,
-        known,
-        settings,
-        names,
-        mut file,
-    } = config;
+pub async fn run(mut loaded: Loaded, counts: Counts) -> Result<(), String> {
+    let config = loaded.config.clone();
     // Without a handler SIGHUP would end the process.
     let mut hup = signal(SignalKind::hangup()).map_err(|e| format!("SIGHUP: {e}"))?;
     let mut term = signal(SignalKind::terminate()).map_err(|e| format!("SIGTERM: {e}"))?;
+    let mut int = signal(SignalKind::interrupt()).map_err(|e| format!("SIGINT: {e}"))?;
     let clock = Clock::start();
-    let balancer =
-        Balancer::new(settings.clone(), seed, clock.now()).map_err(|e| format!("settings: {e}"))?;
-    let budget = Budget::new(sockets, memory_mb);
-    let figures = Figures::new(names.classes.iter().map(|class| class.name.clone()));
+    let balancer = Balancer::new(config.settings.clone(), config.seed, clock.now())
+        .map_err(|e| format!("settings: {e}"))?;
+    let budget = Budget::new(config.sockets, config.memory_mb);
+    let figures = Figures::new(config.names.classes.iter().map(|class| class.name.clone()));
     let lifecycle = Lifecycle::new();
     let (commands, commanded) = mpsc::unbounded_channel();
-    let folder = std::env::temp_dir();
-    let handover = Handover::new(&folder, listen, sockets, budget.clone(), commands.clone());
-    if let Some(at) = operator {
+    let handover =
+        Handover::new(&config.state_dir, config.listen, config.sockets, budget.clone(), commands.clone());
+    if let Some(at) = config.operator {
         // Before all else: whoever asks is owed an answer from the start on.
-        let listener = TcpListener::bind(at).await.map_err(|e| format!("operator: {at}: {e}"))?;
+        let listener = TcpListener::bind(at).await.map_err(|e| taken("operator", at, &e, ""))?;
         let operator =
             Operator::new(lifecycle.clone(), figures.clone(), commands, handover.clone(), budget.clone());
         spawn_local(operator.serve(listener));
     }
-    let bans = Bans::load(&folder, listen);
-    let (listener, before) = match handover.take().await {
-        Some(Taken { listener, bans: held, talk }) => {
-            bans.replace(held);
-            (listener, Some(talk))
-        }
-        None => (handover::bind(listen).map_err(|e| format!("listen: {listen}: {e}"))?, None),
-    };
-    handover.keep(&listener).map_err(|e| format!("listen: {listen}: {e}"))?;
+    let Doors { listener, before, bans } = open(&config, &handover).await?;
     let (inbox, inputs) = mpsc::unbounded_channel();
     let (calls, asked) = mpsc::unbounded_channel();
-    let outbound = Outbound::new(&settings, budget.clone(), figures.clone());
+    let outbound = Outbound::new(&config.settings, budget.clone(), figures.clone());
     let inbound = Inbound::new(
-        settings.clone(),
-        &names,
+        config.settings.clone(),
+        &config.names,
         budget,
         outbound.clone(),
         lifecycle.clone(),
         figures.clone(),
         inbox.clone(),
     );
-    let listing = Listing::new(names);
-    let discovery = Discovery::new(discovery, settings.discovery, listing.clone(), seed, inbox.clone());
+    let listing = Listing::new(config.names.clone());
     // The list as last held is there before the first client.
-    let _ = inbox.send(Input::List(discovery.cached(known)));
-    let attempts = settings.limits.max_attempts;
+    let discovery = match config.discovery {
+        Some(at) => {
+            let mode = config.settings.discovery;
+            let discovery = Discovery::new(at, mode, listing.clone(), config.seed, inbox.clone());
+            let _ = inbox.send(Input::List(discovery.cached(config.known.clone())));
+            spawn_local(discovery.clone().run(asked));
+            Some(discovery)
+        }
+        None => {
+            let _ = inbox.send(Input::List(listing.news(config.known.clone())));
+            let linger = config.settings.classes.iter().map(|class| class.deadline).max();
+            let targets = config.known.targets.clone();
+            let linger = linger.unwrap_or_default();
+            spawn_local(static_list::run(targets, linger, clock, listing.clone(), asked, inbox.clone()));
+            None
+        }
+    };
+    let attempts = config.settings.limits.max_attempts;
     let parts = Parts { outbound: outbound.clone(), listing, bans: bans.clone() };
     let driver = Driver::new(balancer, clock, attempts, parts, calls.clone(), inbox);
     let mut driver = spawn_local(driver.run(inputs, commanded));
-    spawn_local(discovery.clone().run(asked));
     spawn_local(outbound.clone().sweep());
-    eprintln!("{name}: serving on {listen}");
+    spawn_local(tell_dropped(counts));
+    info!(name = config.name, listen = %config.listen, "serving");
     let succeeds = before.is_some();
     if let Some(talk) = before {
         handover.follow(talk);
     }
     let mut serving = pin!(inbound.serve(listener, handover.clone()));
     let mut offered = pin!(async {
-        if succeeds {
+        if let Some(discovery) = discovery.filter(|_| succeeds) {
             fresh_list(&discovery, &calls).await;
         }
         lifecycle.complete();
@@ -120,26 +132,74 @@
             () = &mut offered => {}
             ended = &mut driver => return Err(format!("the driver ended: {ended:?}")),
             _ = term.recv() => lifecycle.terminate(),
-            _ = hup.recv() => match Config::reload(&mut file) {
-                Ok((moved, restart)) => {
-                    figures.reconfigured(true);
-                    eprintln!("reloaded: discovery {}", moved.map_or("as it was".to_owned(), |at| at.to_string()));
-                    if !restart.is_empty() {
-                        eprintln!("reloaded: changes that need a restart: {}", restart.join(", "));
-                    }
-                    if let Some(address) = moved {
-                        let _ = calls.send(Call::Move(address)); // fails only while the process ends
-                    }
-                }
-                Err(problem) => {
-                    figures.reconfigured(false);
-                    eprintln!("reload: {problem}; going on as before");
-                }
-            },
+            _ = int.recv() => lifecycle.terminate(),
+            _ = hup.recv() => reload(&mut loaded, &figures, &calls),
         }
     }
 }
 
+/// The clients' listener: handed over by the process before this one, or bound anew.
+async fn open(config: &Config, handover: &Rc<Handover>) -> Result<Doors, String> {
+    let bans = Bans::load(&config.state_dir, config.listen);
+    let handed = if config.replaces { handover.take().await } else { None };
+    let (listener, before) = match handed {
+        Some(Taken { listener, bans: held, talk }) => {
+            bans.replace(held);
+            (listener, Some(talk))
+        }
+        None => {
+            let hint = "; `--replace` takes over from a curlewhub that serves there";
+            let bound = handover::bind(config.listen, config.replaces);
+            (bound.map_err(|e| taken("listen", config.listen, &e, hint))?, None)
+        }
+    };
+    handover.keep(&listener).map_err(|e| format!("listen: {}: {e}", config.listen))?;
+    Ok(Doors { listener, before, bans })
+}
+
+/// Why an address can't be listened on.
+fn taken(field: &str, at: SocketAddr, error: &io::Error, hint: &str) -> String {
+    match error.kind() {
+        io::ErrorKind::AddrInUse => format!("{field}: {at}: another program listens there already{hint}"),
+        _ => format!("{field}: {at}: {error}"),
+    }
+}
+
+/// Takes over what a new configuration changes; a wrong one changes nothing.
+fn reload(loaded: &mut Loaded, figures: &Figures, calls: &UnboundedSender<Call>) {
+    let Change { discovery, endpoints, restart } = match loaded.reload() {
+        Ok(change) => change,
+        Err(problems) => {
+            figures.reconfigured(false);
+            for problem in &problems.0 {
+                error!(%problem, "reload");
+            }
+            return error!(problems = problems.0.len(), "reload: going on as before");
+        }
+    };
+    figures.reconfigured(true);
+    let moved = discovery.map(|at| at.to_string());
+    info!(discovery = moved, endpoints = endpoints.as_ref().map(Vec::len), "reloaded");
+    if !restart.is_empty() {
+        warn!(fields = restart.join(", "), "reload: changes that need a restart");
+    }
+    // These fail only while the process ends.
+    if let Some(address) = discovery {
+        let _ = calls.send(Call::Move(address));
+    }
+    if let Some(endpoints) = endpoints {
+        let _ = calls.send(Call::Replace(endpoints));
+    }
+}
+
+async fn tell_dropped(counts: Counts) {
+    let mut unwritten = 0;
+    loop {
+        sleep(DROPPED_EVERY).await;
+        counts.log(&mut unwritten);
+    }
+}
+
 /// Waits for the list as discovery has it now: the known one may be as old as the process before.
 async fn fresh_list(discovery: &Rc<Discovery>, calls: &UnboundedSender<Call>) {
     let start = Instant::now();
--- /dev/null
+++ b/crates/curlewhub/tests/cli.rs
@@ -0,0 +1,288 @@
+//! The command line: what it prints, how it ends, and a sidecar run from an operator's file.
+
+mod support;
+
+use serde_json::Value;
+use std::io::Write;
+use std::net::{SocketAddr, TcpListener};
+use std::path::PathBuf;
+use std::process::{Command, Output, Stdio};
+use std::time::{Duration, Instant};
+use support::*;
+
+/// The program, without what this machine's environment says.
+fn program() -> Command {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_curlewhub"));
+    for name in
+        ["ROUTER_CONFIG", "ROUTER_NAME", "ROUTER_LISTEN", "ROUTER_DISCOVERY", "ROUTER_OPERATOR", "RUST_LOG"]
+    {
+        command.env_remove(name);
+    }
+    command
+}
+
+fn output(words: &[&str]) -> Output {
+    program().args(words).output().unwrap()
+}
+
+fn said(output: &Output) -> (Option<i32>, String, String) {
+    let text = |bytes: &[u8]| String::from_utf8_lossy(bytes).into_owned();
+    (output.status.code(), text(&output.stdout), text(&output.stderr))
+}
+
+/// A file of its own for a test, in a folder that goes with it.
+struct File(PathBuf);
+
+impl File {
+    fn new(name: &str, text: &str) -> File {
+        let folder = std::env::temp_dir().join(format!("curlewhub-cli-{}-{name}", std::process::id()));
+        std::fs::create_dir_all(&folder).unwrap();
+        let file = File(folder.join("shop.toml"));
+        file.write(text);
+        file
+    }
+
+    fn write(&self, text: &str) {
+        std::fs::write(&self.0, text).unwrap();
+    }
+
+    fn path(&self) -> &str {
+        self.0.to_str().unwrap()
+    }
+
+    fn folder(&self) -> PathBuf {
+        self.0.parent().unwrap().to_owned()
+    }
+}
+
+impl Drop for File {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(self.folder());
+    }
+}
+
+/// A configuration for these endpoints.
+fn toml(listen: SocketAddr, operator: SocketAddr, endpoints: &[(&str, SocketAddr)]) -> String {
+    let mut text = format!(
+        "listen = \"{listen}\"\noperator = \"{operator}\"\n\
+         [[classes]]\nname = \"quote\"\nrepeat = \"safe\"\ndeadline = \"10s\"\nobjective = \"5s\"\n"
+    );
+    for (id, at) in endpoints {
+        text += &format!("[[endpoints]]\nid = \"{id}\"\naddress = \"{at}\"\n");
+    }
+    text
+}
+
+/// Starts a sidecar from this file.
+fn start(file: &File, listen: SocketAddr, operator: SocketAddr) -> Sidecar {
+    let log = std::fs::File::create(file.0.with_extension("log")).unwrap();
+    let child = program()
+        .args(["run", "--config", file.path()])
+        .env("TMPDIR", file.folder())
+        .stderr(log)
+        .spawn()
+        .unwrap();
+    let sidecar = Sidecar::running(child, listen, operator, file.0.clone());
+    wait_for("readiness", || sidecar.ready() == Some(200));
+    sidecar
+}
+
+fn ctl(at: SocketAddr, words: &[&str]) -> (Option<i32>, String, String) {
+    let at = at.to_string();
+    let words: Vec<&str> = ["ctl", "--at", &at].iter().chain(words).copied().collect();
+    said(&output(&words))
+}
+
+#[test]
+fn every_way_of_starting_it_wrongly_ends_with_two_and_says_why() {
+    let wrong = File::new("wrong", "listen = 5\nnope = 1\n");
+    for words in [
+        &[][..],
+        &["run"],
+        &["serve"],
+        &["run", "--config", "/nowhere/at.toml"],
+        &["run", "--config", wrong.path()],
+        &["check", "--config", wrong.path()],
+        &["ctl", "--at", "somewhere", "ping"],
+    ] {
+        let (code, _, problem) = said(&output(words));
+        assert_eq!(code, Some(2), "{words:?}: {problem}");
+        assert!(!problem.contains("panicked"), "{problem}");
+    }
+    let (code, text, _) = said(&output(&["check", "--config", wrong.path(), "--json"]));
+    let found: Value = serde_json::from_str(&text).unwrap();
+    assert_eq!(
+        (code, found["ok"].as_bool(), found["problems"].as_array().unwrap().len()),
+        (Some(2), Some(false), 4)
+    );
+}
+
+#[test]
+fn what_it_prints_is_what_it_takes() {
+    let (code, example, _) = said(&output(&["config", "example"]));
+    assert_eq!(code, Some(0));
+    let file = File::new("example", &example);
+    assert_eq!(output(&["check", "--config", file.path()]).status.code(), Some(0));
+    let (_, text, _) =
+        said(&output(&["check", "--config", file.path(), "--print", "--listen", "127.0.0.1:7171"]));
+    assert!(text.contains("listen = \"127.0.0.1:7171\"  # --listen\n"), "{text}");
+    assert!(text.contains("limits.connect_timeout = \"250ms\"  # default\n"), "{text}");
+    let (code, text, _) = said(&output(&["completions", "bash"]));
+    assert!(code == Some(0) && text.contains("--config"), "{text}");
+    assert!(said(&output(&["--version"])).1.starts_with("curlewhub "));
+}
+
+#[test]
+fn a_newcomers_file_serves_and_ctl_reaches_it() {
+    let peer = Peer::serving("hello");
+    let (listen, operator) = (nowhere(), nowhere());
+    let file = File::new("serves", &toml(listen, operator, &[("one", peer.address)]));
+    let mut sidecar = start(&file, listen, operator);
+    assert_eq!(sidecar.client().ask("quote", "r1").body, b"hello");
+    assert_eq!(ctl(operator, &["ping"]), (Some(0), "yes\n".to_owned(), String::new()));
+    let (code, text, _) = ctl(operator, &["info", "--json"]);
+    let figures: Value = serde_json::from_str(&text).unwrap();
+    assert_eq!((code, &figures["figures"]["router.success.quote"]), (Some(0), &Value::from(1)));
+    assert_eq!(ctl(operator, &["detach", "two"]).0, Some(1), "there is no such endpoint");
+    assert_eq!(ctl(operator, &["detach", "one"]).0, Some(0));
+    assert_eq!(sidecar.client().ask("quote", "r2").status(), 503);
+    assert_eq!(ctl(operator, &["attach", "one"]).0, Some(0));
+    assert_eq!(ctl(operator, &["drain"]).0, Some(0));
+    let (code, _, problem) = ctl(operator, &["ping"]);
+    assert_eq!((code, problem.as_str()), (Some(1), "curlewhub: no: Draining\n"));
+    assert_eq!(ctl(operator, &["undrain"]).0, Some(0));
+    assert_eq!(sidecar.client().ask("quote", "r3").body, b"hello");
+    sidecar.signal("-INT");
+    assert!(sidecar.ended().success(), "ctrl-c drains");
+}
+
+#[test]
+fn a_call_to_a_dead_or_silent_address_ends_within_two_seconds_and_says_so() {
+    let silent = TcpListener::bind("127.0.0.1:0").unwrap();
+    for (at, want) in
+        [(nowhere(), "nobody listens there"), (silent.local_addr().unwrap(), "no answer within")]
+    {
+        let start = Instant::now();
+        let (code, _, problem) = ctl(at, &["info"]);
+        assert!(start.elapsed() < PATIENCE, "{:?}", start.elapsed());
+        assert_eq!(code, Some(1));
+        assert!(problem.contains(want) && problem.lines().count() == 1, "{problem}");
+        let (code, text, _) = ctl(at, &["ping", "--json"]);
+        let answer: Value = serde_json::from_str(&text).unwrap();
+        assert_eq!((code, answer["ok"].as_bool()), (Some(1), Some(false)));
+    }
+}
+
+#[test]
+fn a_second_sidecar_on_the_port_is_told_so_and_the_first_goes_on() {
+    let peer = Peer::serving("first");
+    let (listen, operator) = (nowhere(), nowhere());
+    let file = File::new("port", &toml(listen, operator, &[("one", peer.address)]));
+    let sidecar = start(&file, listen, operator);
+    let second = |words: &[&str]| {
+        let words: Vec<&str> = ["run", "--config", file.path()].iter().chain(words).copied().collect();
+        said(&program().args(words).env("TMPDIR", file.folder()).output().unwrap())
+    };
+    let (code, _, problem) = second(&[]);
+    assert_eq!(code, Some(1));
+    assert!(
+        problem.contains(&format!("operator: {operator}: another program listens there already")),
+        "{problem}"
+    );
+    let other = nowhere().to_string();
+    let (code, _, problem) = second(&["--operator", &other]);
+    assert_eq!(code, Some(1));
+    assert!(
+        problem.contains(&format!("listen: {listen}: another program listens there already")),
+        "{problem}"
+    );
+    assert!(problem.contains("--replace"), "{problem}");
+    assert_eq!(sidecar.client().ask("quote", "r1").body, b"first");
+}
+
+#[test]
+fn sighup_takes_a_new_list_over_drains_what_is_gone_and_keeps_the_old_one_where_the_file_is_broken() {
+    let (old, new) = (Peer::new(|_| Do::Late(Duration::from_millis(500))), Peer::serving("new"));
+    let (listen, operator) = (nowhere(), nowhere());
+    let file = File::new("hup", &toml(listen, operator, &[("old", old.address)]));
+    let mut sidecar = start(&file, listen, operator);
+    let mut client = sidecar.client();
+    client.send(&request("quote", "r0", "9000m"));
+    wait_for("the attempt", || old.count() == 1);
+    file.write("listen = ");
+    sidecar.signal("-HUP");
+    wait_for("the failure", || sidecar.figure("reconfig_failed") == 1);
+    assert_eq!(sidecar.figure("hosts_listed"), 1);
+    file.write(&toml(listen, operator, &[("new", new.address)]));
+    sidecar.signal("-HUP");
+    wait_for("the new list", || sidecar.figure("reconfig_ok") == 1 && sidecar.figure("hosts_listed") == 2);
+    assert_eq!(sidecar.figure("hosts_down"), 1, "the old one drains");
+    // What is new is taken for cold: a burst on it alone may be refused, but nothing goes to the old one.
+    let mut served = 0;
+    for n in 0..20 {
+        let answer = sidecar.client().ask("quote", &format!("r1-{n}"));
+        assert!(matches!((answer.status(), &answer.body[..]), (200, b"new") | (503, _)));
+        served += usize::from(answer.status() == 200);
+    }
+    assert!(served > 0);
+    assert_eq!(old.count(), 1);
+    assert_eq!(client.receive().expect("what was open there is still answered").body, b"late");
+    assert!(sidecar.child.try_wait().unwrap().is_none());
+    assert!(sidecar.log().contains("reload: going on as before"));
+}
+
+#[test]
+fn a_log_that_nobody_reads_or_whose_reader_is_gone_does_not_stop_traffic() {
+    let peer = Peer::serving("hello");
+    for gone in [true, false] {
+        let (listen, operator) = (nowhere(), nowhere());
+        let file = File::new(&format!("log-{gone}"), &toml(listen, operator, &[("one", peer.address)]));
+        // At this level every request writes lines: a pipe that nobody empties is soon full.
+        let mut child = program()
+            .args([
+                "run",
+                "--config",
+                file.path(),
+                "--log-level",
+                "trace",
+                "--set",
+                "log.per_second=100000",
+            ])
+            .env("TMPDIR", file.folder())
+            .stderr(Stdio::piped())
+            .spawn()
+            .unwrap();
+        let pipe = child.stderr.take();
+        let kept = pipe.filter(|_| !gone);
+        let sidecar = Sidecar::running(child, listen, operator, file.0.clone());
+        wait_for("readiness", || sidecar.ready() == Some(200));
+        let mut client = sidecar.client();
+        for n in 0..400 {
+            assert_eq!(client.ask("quote", &format!("r{n}")).status(), 200);
+        }
+        drop(kept);
+    }
+}
+
+#[test]
+fn json_lines_have_fields_by_name() {
+    let peer = Peer::serving("hello");
+    let (listen, operator) = (nowhere(), nowhere());
+    let text =
+        toml(listen, operator, &[("one", peer.address)]) + "[log]\nformat = \"json\"\nlevel = \"debug\"\n";
+    let file = File::new("json", &text);
+    let sidecar = start(&file, listen, operator);
+    assert_eq!(sidecar.client().ask("quote", "r1").status(), 200);
+    let line = |what: &str| {
+        let log = sidecar.log();
+        let lines = log.lines().filter_map(|line| serde_json::from_str::<Value>(line).ok());
+        lines.into_iter().find(|line| line["message"] == what)
+    };
+    wait_for("the attempt's line", || line("attempt ended").is_some());
+    let found = line("attempt ended").unwrap();
+    assert_eq!(
+        (&found["endpoint"], &found["outcome"], &found["attempt"]),
+        (&"one".into(), &"ok".into(), &0.into())
+    );
+    std::io::stdout().flush().unwrap();
+}
--- a/crates/curlewhub/tests/list.rs
+++ b/crates/curlewhub/tests/list.rs
@@ -121,9 +121,12 @@
         assert_eq!(sidecar.ask("book", &format!("r{n}")).status(), 200);
         old = new;
     }
-    wait_for("all of them to be replaced", || sidecar.log().contains("n-198 is gone"));
-    let sizes = "listed 1, names 1, idle connections ";
-    wait_for("a summary", || sidecar.log().lines().last().is_some_and(|line| line.contains(sizes)));
+    let summaries = || sidecar.log().lines().filter(|line| line.contains("summary")).count();
+    let before = summaries();
+    wait_for("a summary after the last change", || summaries() > before);
+    let log = sidecar.log();
+    let last = log.lines().rfind(|line| line.contains("summary")).unwrap();
+    assert!(last.contains("listed=1 names=1 idle="), "{last}");
 }
 
 #[test]
--- a/crates/curlewhub/tests/operator.rs
+++ b/crates/curlewhub/tests/operator.rs
@@ -167,7 +167,7 @@
         (12, true, vec![entry(0, &first, "up"), entry(1, &second, "up")]),
     ] {
         discovery.say(&list(rev, all, &entries).to_string());
-        wait_for("the list", || sidecar.log().contains(&format!("rev {rev},")));
+        wait_for("the list", || sidecar.log().contains(&format!("rev={rev} ")));
         load(&format!("b{rev}-"));
     }
     assert_eq!(first.count(), before, "nothing went there");
--- a/crates/curlewhub/tests/support/mod.rs
+++ b/crates/curlewhub/tests/support/mod.rs
@@ -383,6 +383,17 @@
         sidecar
     }
 
+    /// One that has been started by other means, from this file; it need not be ready yet.
+    pub fn running(
+        child: Child,
+        address: SocketAddr,
+        operator: SocketAddr,
+        file: std::path::PathBuf,
+    ) -> Sidecar {
+        let folder = file.with_extension("tmp");
+        Sidecar { child, address, operator: Some(operator), file, folder }
+    }
+
     /// Starts a second process beside this one: another second address, and all else the same. It need
     /// not be ready yet.
     pub fn successor(&self, config: &Value) -> Sidecar {
--- a/crates/runtime/src/bans.rs
+++ b/crates/runtime/src/bans.rs
@@ -8,6 +8,7 @@
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
+use tracing::{error, warn};
 
 /// The form of the file that this version writes and reads.
 const VERSION: u32 = 1;
@@ -32,13 +33,13 @@
         let path = folder.join(format!("curlewhub-bans-{}-{}.json", listen.ip(), listen.port()));
         let out = match std::fs::read(&path) {
             Ok(bytes) => read(&bytes).unwrap_or_else(|problem| {
-                eprintln!("bans: {}: {problem}; starting with none", path.display());
+                warn!(path = %path.display(), problem, "the bans can't be read; starting with none");
                 let _ = std::fs::rename(&path, path.with_extension("spoilt")); // only for whoever looks into it
                 BTreeSet::new()
             }),
             Err(e) if e.kind() == io::ErrorKind::NotFound => BTreeSet::new(),
             Err(e) => {
-                eprintln!("bans: {}: {e}; starting with none", path.display());
+                warn!(path = %path.display(), error = %e, "the bans can't be read; starting with none");
                 BTreeSet::new()
             }
         };
@@ -71,7 +72,8 @@
     pub fn replace(&self, uids: Vec<String>) {
         let new: BTreeSet<String> = uids.into_iter().collect();
         if let Err(e) = self.write(&new) {
-            eprintln!("bans: {}: {e}", self.path.display()); // they hold all the same, in both processes
+            // They hold all the same, in both processes.
+            error!(path = %self.path.display(), error = %e, "the bans can't be kept on disk");
         }
         self.out.replace(new);
     }
--- a/crates/runtime/src/discovery.rs
+++ b/crates/runtime/src/discovery.rs
@@ -19,6 +19,7 @@
 use tokio::sync::mpsc::UnboundedReceiver;
 use tokio::task::{JoinSet, spawn_local};
 use tokio::time::timeout;
+use tracing::{info, warn};
 
 /// A connection to discovery that is not up after this long has failed.
 const CONNECT: Duration = Duration::from_secs(1);
@@ -90,6 +91,7 @@
                     drop(watch.take());
                     self.tell(unchanged());
                 }
+                Some(Call::Replace(_)) => {} // the file's list was for the start alone
                 Some(Call::Fetch) => drop(fetches.spawn_local(self.clone().fetch_once())),
                 Some(Call::Move(address)) => {
                     self.address.set(address);
@@ -223,15 +225,14 @@
             self.moved.set(false);
         }
         if !list.targets.is_empty() {
-            let sort = if list.all { "whole list" } else { "changes" };
-            eprintln!("list: {sort}, rev {}, {} entries", list.rev, list.targets.len());
+            info!(rev = list.rev, whole = list.all, entries = list.targets.len(), "list");
         }
         let news = self.listing.news(list);
         self.tell(news);
     }
 
     fn failed(&self, reason: &str) {
-        eprintln!("discovery: {reason}");
+        warn!(reason, "discovery");
         self.tell(News { membership: Membership::Failed, addresses: Vec::new() });
     }
 
--- a/crates/runtime/src/driver.rs
+++ b/crates/runtime/src/driver.rs
@@ -21,6 +21,7 @@
 use tokio::sync::{oneshot, watch};
 use tokio::task::spawn_local;
 use tokio::time::{Instant, sleep_until};
+use tracing::{debug, error, info, warn};
 
 /// Unusual outcomes are summed up in the log this often.
 const SUMMARY: Duration = Duration::from_secs(10);
@@ -151,10 +152,16 @@
             let (open, timers, module) =
                 (self.requests.len(), self.timers.len(), self.balancer.remembered());
             let (listed, names, links) = (self.addresses.len(), self.listing.names(), self.outbound.idle());
-            eprintln!(
-                "outcomes in {} s: {counts:?}; open {open}, timers {timers}, module {module}, \
-                 listed {listed}, names {names}, idle connections {links}",
-                SUMMARY.as_secs()
+            info!(
+                seconds = SUMMARY.as_secs(),
+                outcomes = ?counts,
+                open,
+                timers,
+                module,
+                listed,
+                names,
+                idle = links,
+                "summary"
             );
         }
     }
@@ -173,7 +180,7 @@
             Input::GiveUp => {
                 let open = self.requests.iter().filter(|(_, open)| open.answer.is_some());
                 let open: Vec<RequestId> = open.map(|(id, _)| *id).collect();
-                eprintln!("giving up {} requests", open.len());
+                warn!(requests = open.len(), "giving up what is still open");
                 for id in open {
                     self.finish(id, Answer::Failed);
                     self.handle(Event::RequestGone(id));
@@ -202,10 +209,10 @@
             return Err("no such endpoint");
         }
         self.bans.set(uid, on).map_err(|e| {
-            eprintln!("bans: {e}");
+            error!(endpoint = uid, error = %e, "the ban can't be kept on disk");
             "it can't be kept on disk"
         })?;
-        eprintln!("bans: {uid} is {}", if on { "out of use" } else { "back" });
+        info!(endpoint = uid, detached = on, "ban");
         self.hold_back(uid, on);
         Ok(())
     }
@@ -226,6 +233,7 @@
     fn arrived(&mut self, arrival: Arrival) {
         let Arrival { mut request, deadline, time, forward, answer } = arrival;
         request.time_left = deadline.saturating_duration_since(Instant::now());
+        debug!(request = request.id.0, class = request.class.0, tenant = request.tenant.0, "request");
         let coming = request.body_coming.then_some(time);
         let deadline = watch::Sender::new(deadline);
         let open = Open { forward, deadline, coming, answer: Some(answer), tries: Vec::new(), out: 0 };
@@ -264,6 +272,14 @@
         // Until a body has come whole, no endpoint takes any time over it.
         let elapsed = if open.coming.is_some() { Duration::ZERO } else { sent.elapsed() };
         let Ended { outcome, body, report } = ended;
+        debug!(
+            request = id.0,
+            attempt = attempt.0,
+            endpoint = self.listing.uid(endpoint),
+            outcome = outcome_name(outcome),
+            micros = elapsed.as_micros() as u64,
+            "attempt ended"
+        );
         if outcome == Outcome::TimedOut {
             self.outbound.close_unheard(endpoint, sent);
         }
@@ -301,7 +317,7 @@
             // Nothing new goes there.
             self.outbound.close_idle(entry.id);
             let state = if entry.state == EndpointState::Gone { "gone" } else { "draining" };
-            eprintln!("list: {} is {state}", self.listing.uid(entry.id));
+            info!(endpoint = self.listing.uid(entry.id), state, "endpoint leaves");
             if entry.state == EndpointState::Gone {
                 self.addresses.remove(&entry.id);
             }
@@ -368,7 +384,7 @@
             Action::FetchList => drop(self.calls.send(Call::Fetch)),
             Action::Probe { endpoint } => self.probe(endpoint),
             Action::CloseIdle { endpoint } => self.outbound.close_idle(endpoint),
-            Action::Log(text) => eprintln!("module: {}", text.replace(['\n', '\r'], " ")),
+            Action::Log(text) => info!(said = text, "module"),
         }
     }
 
@@ -429,8 +445,14 @@
         let Some(to) = open.answer.take() else { return };
         match &answer {
             Answer::Served(_) => {}
-            Answer::Refused(_) => self.count("refused"),
-            Answer::Failed => self.count("failed"),
+            Answer::Refused(wait) => {
+                debug!(request = id.0, reason = "refused", retry_after = ?wait, "final answer");
+                self.count("refused");
+            }
+            Answer::Failed => {
+                debug!(request = id.0, reason = "failed", "final answer");
+                self.count("failed");
+            }
         }
         let _ = to.send(answer); // fails where the client has just gone
     }
--- a/crates/runtime/src/events.rs
+++ b/crates/runtime/src/events.rs
@@ -4,6 +4,7 @@
 use crate::figures::Hosts;
 use crate::streaming::{AnswerBody, Payload};
 use curlewhub_balance::{AttemptNo, EndpointId, Membership, Outcome, RequestId};
+use curlewhub_config::list::Target;
 use hyper::body::Bytes;
 use hyper::header::{self, HeaderName, HeaderValue};
 use hyper::{HeaderMap, Method, Request, Uri};
@@ -125,6 +126,8 @@
     Fetch,
     /// Discovery is at another address from now on.
     Move(SocketAddr),
+    /// The static list is this one from now on.
+    Replace(Vec<Target>),
 }
 
 impl Forward {
--- a/crates/runtime/src/handover.rs
+++ b/crates/runtime/src/handover.rs
@@ -35,6 +35,7 @@
 use tokio::sync::{Notify, oneshot};
 use tokio::task::spawn_local;
 use tokio::time::{interval, sleep, timeout};
+use tracing::{info, warn};
 
 /// A predecessor that has not handed everything over by then is taken for hung. The successor's yes is
 /// due within 6 s, with a fresh list still to come.
@@ -156,11 +157,11 @@
                 None
             }
             Ok(Err(e)) => {
-                eprintln!("handover: {e}; starting without");
+                warn!(error = %e, "handover failed; starting without");
                 None
             }
             Err(_) => {
-                eprintln!("handover: the process before does not answer; starting without");
+                warn!("handover: the process before does not answer; starting without");
                 None
             }
         }
@@ -191,7 +192,7 @@
         spawn_local(async move {
             let (link, words) = Link::new();
             this.converse(talk, link, words).await;
-            eprintln!("handover: the process before has gone");
+            info!("handover: the process before has gone");
             this.budget.share(this.sockets, false);
             this.has_predecessor.set(false);
             this.changed.notify_waiters();
@@ -203,17 +204,15 @@
         let listener = match self.bind() {
             Ok(listener) => listener,
             Err(e) => {
-                return eprintln!(
-                    "handover: {}: {e}; a successor has to share the port",
-                    self.path().display()
-                );
+                let path = self.path();
+                return warn!(path = %path.display(), error = %e, "no handover; a successor has to share the port");
             }
         };
         loop {
             let stream = match listener.accept().await {
                 Ok((stream, _)) => stream,
                 Err(e) => {
-                    eprintln!("handover: accept: {e}");
+                    warn!(error = %e, "handover: accept");
                     sleep(SPARE_CHECK).await;
                     continue;
                 }
@@ -226,10 +225,10 @@
                 Err(e) => Err(e),
             };
             if let Err(e) = sent {
-                eprintln!("handover: {e}");
+                warn!(error = %e, "handover: the socket could not be given");
                 continue;
             }
-            eprintln!("handover: a successor has come");
+            info!("handover: a successor has come");
             let (link, words) = Link::new();
             for uid in bans.all() {
                 link.say(Word::Ban { uid, on: true });
@@ -245,7 +244,7 @@
                 () = self.converse(talk, link.clone(), words) => {}
                 () = self.give_way(&link, &lifecycle, &outbound) => {}
             }
-            eprintln!("handover: the successor has gone");
+            info!("handover: the successor has gone");
             self.has_successor.set(false);
             self.budget.share(self.sockets, false);
         }
@@ -297,7 +296,7 @@
                         }
                     }
                     Some(Word::Spare(sockets)) => self.budget.share(sockets, true),
-                    None => eprintln!("handover: `{line}` is not understood"),
+                    None => warn!(line, "handover: not understood"),
                 }
             }
         };
@@ -376,11 +375,11 @@
 }
 
 /// A listening socket for clients where no process serves yet. A successor that finds no way to be
-/// handed it may still share the port.
-pub fn bind(listen: SocketAddr) -> io::Result<TcpListener> {
+/// handed it may still share the port, where that is wanted; else a second program there is an error.
+pub fn bind(listen: SocketAddr, shared: bool) -> io::Result<TcpListener> {
     let socket = if listen.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
     socket.set_reuseaddr(true)?;
-    socket.set_reuseport(true)?;
+    socket.set_reuseport(shared)?;
     socket.bind(listen)?;
     socket.listen(BACKLOG)
 }
--- a/crates/runtime/src/inbound/mod.rs
+++ b/crates/runtime/src/inbound/mod.rs
@@ -21,6 +21,7 @@
 use tokio::net::TcpListener;
 use tokio::task::spawn_local;
 use tokio::time::{Instant, sleep, timeout, timeout_at};
+use tracing::{info, warn};
 
 /// Wait after a failed accept: out of descriptors it would fail again at once, and spin.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
@@ -112,7 +113,7 @@
             }
         }
         let asked = Instant::now();
-        eprintln!("draining: {} clients connected", self.budget.clients());
+        info!(clients = self.budget.clients(), "draining");
         let handed_over = handover.has_successor();
         while !handed_over && timeout_at(asked + DRAIN_ACCEPT, self.accept(&listener)).await.is_ok() {}
         let longest = self.settings.classes.iter().map(|c| c.deadline).max().unwrap_or_default();
@@ -133,7 +134,7 @@
             let _ = self.inbox.send(Input::GiveUp);
             let _ = timeout(LAST_ANSWERS, self.all_gone()).await;
         }
-        eprintln!("drained in {} ms", asked.elapsed().as_millis());
+        info!(millis = asked.elapsed().as_millis() as u64, "drained");
     }
 
     /// While an operator has the sidecar drained, closes connections between requests.
@@ -174,7 +175,7 @@
             }
             Err(e) => {
                 if !self.failing.replace(true) {
-                    eprintln!("accept: {e}");
+                    warn!(error = %e, "accept");
                 }
                 self.outbound.close_oldest_idle();
                 sleep(ACCEPT_PAUSE).await;
--- a/crates/runtime/src/lib.rs
+++ b/crates/runtime/src/lib.rs
@@ -20,4 +20,5 @@
 pub mod operator;
 pub mod outbound;
 pub mod socket;
+pub mod static_list;
 pub mod streaming;
--- a/crates/runtime/src/lifecycle.rs
+++ b/crates/runtime/src/lifecycle.rs
@@ -5,6 +5,7 @@
 use std::rc::Rc;
 use tokio::sync::Notify;
 use tokio::time::Instant;
+use tracing::info;
 
 /// Where the process stands.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -115,7 +116,7 @@
     }
 
     fn tell(&self) {
-        eprintln!("lifecycle: {:?}", self.state());
+        info!(state = ?self.state(), "lifecycle");
         self.changed.notify_waiters();
     }
 }
--- a/crates/runtime/src/operator.rs
+++ b/crates/runtime/src/operator.rs
@@ -14,6 +14,7 @@
 use tokio::sync::{Notify, oneshot};
 use tokio::task::spawn_local;
 use tokio::time::{sleep, timeout};
+use tracing::warn;
 
 /// The longest line, in bytes: a word and an endpoint's id, with room to spare.
 const LINE_MOST: usize = 1024;
@@ -72,7 +73,7 @@
                     spawn_local(async move { this.connection(stream, permit).await });
                 }
                 Err(e) => {
-                    eprintln!("operator: accept: {e}");
+                    warn!(error = %e, "operator: accept");
                     drop(permit);
                     sleep(ACCEPT_PAUSE).await;
                 }
--- a/crates/runtime/src/outbound.rs
+++ b/crates/runtime/src/outbound.rs
@@ -23,6 +23,7 @@
 use tokio::net::TcpStream;
 use tokio::task::spawn_local;
 use tokio::time::{Instant, sleep, sleep_until, timeout};
+use tracing::warn;
 
 /// Part of the endpoints' idle time after which we close a connection ourselves: what is written to
 /// one that the endpoint is just closing ends as a reset, and an unsafe request is then lost for good.
@@ -339,9 +340,9 @@
             // One more is enough to give them up again after the pause.
             self.aged_resets.set(AGED_RESETS - 1.0);
             self.aged_until.set(Some(Instant::now() + AGED_PAUSE));
-            eprintln!(
-                "aged connections are reset at the next request: not used for {} s",
-                AGED_PAUSE.as_secs()
+            warn!(
+                seconds = AGED_PAUSE.as_secs(),
+                "aged connections are reset at the next request: not used for a while"
             );
         }
     }
