Add stand-in endpoints and discovery over real sockets, with faults by order

Change: a package of its own. What a machine does with its work is a model sans I/O (shared cores, slots, waiting room, cold start, slow state under a backlog, cancel); endpoints and discovery put it behind sockets; the books say what ran, how often, and what came to a draining endpoint late. Faults come by schedule or over a control address: die, hang, stall, slow, reset, spoil, vanish, drain, remove; discovery down, short, cut. Draws follow from the seed and the request's id alone.

--- /dev/null
+++ b/crates/standins/src/discovery.rs
@@ -0,0 +1,250 @@
+//! Discovery over sockets: the whole list, and a watch on its changes; late, slow, short or down as ordered.
+
+use crate::endpoint::{Endpoint, World};
+use crate::fault::Fault;
+use crate::http::{Message, Reader, Side};
+use crate::spec::DirectorySpec;
+use curlewhub_config::list::{List, State, Target};
+use socket2::SockRef;
+use std::cell::{Cell, RefCell};
+use std::collections::VecDeque;
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::io::AsyncWriteExt;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+use tokio::task::spawn_local;
+use tokio::time::{Instant, sleep, sleep_until, timeout};
+
+/// So many changes are kept for watches that resume; who is further behind is given the whole list.
+const HISTORY_MOST: usize = 4096;
+
+pub(crate) struct Directory {
+    world: Rc<World>,
+    spec: DirectorySpec,
+    listener: TcpListener,
+    endpoints: Vec<Rc<Endpoint>>,
+    rev: watch::Sender<u64>,
+    listed: RefCell<Vec<Target>>,
+    /// What changed, and at which version.
+    history: RefCell<VecDeque<(u64, Target)>>,
+    /// Calls are handled in turn: the last of them is done then.
+    busy_until: Cell<Instant>,
+    down: watch::Sender<bool>,
+    short: Cell<f64>,
+    cut: Cell<bool>,
+    calls: Cell<u64>,
+}
+
+impl Directory {
+    /// Takes its address; the list has all endpoints.
+    pub async fn new(
+        world: Rc<World>,
+        spec: DirectorySpec,
+        at: SocketAddr,
+        endpoints: Vec<Rc<Endpoint>>,
+    ) -> io::Result<Rc<Directory>> {
+        let listed = endpoints.iter().filter_map(|endpoint| endpoint.target()).collect();
+        let (history, short, cut, calls) = Default::default();
+        Ok(Rc::new(Directory {
+            world,
+            spec,
+            listener: TcpListener::bind(at).await?,
+            endpoints,
+            rev: watch::Sender::new(1),
+            listed: RefCell::new(listed),
+            history,
+            busy_until: Cell::new(Instant::now()),
+            down: watch::Sender::new(false),
+            short,
+            cut,
+            calls,
+        }))
+    }
+
+    pub fn address(&self) -> io::Result<SocketAddr> {
+        self.listener.local_addr()
+    }
+
+    /// Calls that came so far.
+    pub fn calls(&self) -> u64 {
+        self.calls.get()
+    }
+
+    /// Lets a fault of discovery's begin or end.
+    pub fn set(&self, fault: Fault, on: bool) {
+        match fault {
+            Fault::DirectoryDown => drop(self.down.send_replace(on)),
+            Fault::DirectoryShort { share } => self.short.set(if on { share } else { 0.0 }),
+            Fault::DirectoryCut => self.cut.set(on),
+            Fault::Heal => {
+                self.down.send_replace(false);
+                self.short.set(0.0);
+                self.cut.set(false);
+            }
+            _ => {}
+        }
+    }
+
+    /// Notices, after its time, what has become of the endpoints.
+    pub fn notice(self: &Rc<Self>) {
+        let this = self.clone();
+        spawn_local(async move {
+            sleep(this.spec.notice.0).await;
+            this.publish();
+        });
+    }
+
+    fn publish(&self) {
+        let rev = *self.rev.borrow() + 1;
+        let mut changes = Vec::new();
+        let mut listed = self.listed.borrow_mut();
+        for endpoint in &self.endpoints {
+            let at = listed.iter().position(|target| target.uid == endpoint.spec.id);
+            let new = endpoint.target();
+            endpoint.published(new.as_ref().map(|target| target.state));
+            match (at, new) {
+                (Some(at), Some(new)) if listed[at] != new => {
+                    listed[at] = new.clone();
+                    changes.push(new);
+                }
+                (None, Some(new)) => {
+                    listed.push(new.clone());
+                    changes.push(new);
+                }
+                (Some(at), None) => changes.push(Target { state: State::Removed, ..listed.remove(at) }),
+                _ => {}
+            }
+        }
+        drop(listed);
+        if changes.is_empty() {
+            return;
+        }
+        let mut history = self.history.borrow_mut();
+        history.extend(changes.into_iter().map(|target| (rev, target)));
+        let over = history.len().saturating_sub(HISTORY_MOST);
+        history.drain(..over);
+        drop(history);
+        self.rev.send_replace(rev);
+    }
+
+    /// Serves until the fleet ends.
+    pub async fn run(self: Rc<Self>) {
+        loop {
+            match self.listener.accept().await {
+                Ok((stream, _)) => {
+                    let this = self.clone();
+                    spawn_local(async move { this.connection(stream).await });
+                }
+                Err(_) => sleep(Duration::from_millis(10)).await,
+            }
+        }
+    }
+
+    async fn connection(&self, stream: TcpStream) {
+        let _ = stream.set_nodelay(true);
+        let mut reader = Reader::new(stream, Side::Requests);
+        let mut down = self.down.subscribe();
+        let is_down = tokio::select! {
+            biased;
+            _ = down.wait_for(|down| *down) => true,
+            _ = self.follow(&mut reader) => false,
+        };
+        if is_down {
+            let _ = SockRef::from(&*reader.inner()).set_linger(Some(Duration::ZERO));
+        }
+    }
+
+    async fn follow(&self, reader: &mut Reader<TcpStream>) -> io::Result<()> {
+        while let Some(message) = reader.message().await? {
+            self.calls.set(self.calls.get() + 1);
+            let stream = reader.inner();
+            if !message.target.starts_with("/api/targets") {
+                stream.write_all(b"HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n").await?;
+            } else if !self.turn().await {
+                stream.write_all(b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n").await?;
+            } else if message.target.contains("watch=1") {
+                return self.watch(&message, stream).await;
+            } else {
+                let text = json(&self.whole());
+                let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", text.len());
+                if self.cut.get() {
+                    stream.write_all(format!("{head}{}", &text[..text.len() / 2]).as_bytes()).await?;
+                    return Ok(());
+                }
+                stream.write_all((head + &text).as_bytes()).await?;
+            }
+        }
+        Ok(())
+    }
+
+    /// Waits for this call's turn; whether it came in time.
+    async fn turn(&self) -> bool {
+        let now = Instant::now();
+        let each = Duration::try_from_secs_f64(1.0 / self.spec.calls_per_s).unwrap_or_default();
+        let done = self.busy_until.get().max(now) + each;
+        let latest = now + self.spec.timeout.0;
+        if done > latest {
+            sleep_until(latest).await;
+            return false;
+        }
+        self.busy_until.set(done);
+        sleep_until(done).await;
+        true
+    }
+
+    fn whole(&self) -> List {
+        let mut targets = self.listed.borrow().clone();
+        let left = targets.len() as f64 * (1.0 - self.short.get());
+        targets.truncate(left.round() as usize);
+        List { rev: *self.rev.borrow(), all: true, targets }
+    }
+
+    /// What changed after this version; the whole list where that is not known any more.
+    fn after(&self, rev: u64) -> List {
+        let history = self.history.borrow();
+        let now = *self.rev.borrow();
+        let complete = rev == now || history.front().is_some_and(|(first, _)| *first <= rev + 1);
+        if rev > now || !complete {
+            return self.whole();
+        }
+        let changes = history.iter().filter(|(at, _)| *at > rev);
+        List { rev: now, all: false, targets: changes.map(|(_, target)| target.clone()).collect() }
+    }
+
+    async fn watch(&self, message: &Message, stream: &mut TcpStream) -> io::Result<()> {
+        let query = message.target.split_once('?').map_or("", |(_, query)| query);
+        let after = query.split('&').find_map(|pair| pair.strip_prefix("after=")?.parse().ok());
+        stream.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n").await?;
+        let mut rev = self.rev.subscribe();
+        let first = after.map_or_else(|| self.whole(), |after| self.after(after));
+        rev.mark_unchanged();
+        let mut told = first.rev;
+        write_line(stream, &json(&first)).await?;
+        loop {
+            let changed = timeout(self.spec.idle_line.0, rev.changed()).await;
+            if changed.is_err() {
+                write_line(stream, "").await?;
+                continue;
+            }
+            let changes = self.after(told);
+            told = changes.rev;
+            write_line(stream, &json(&changes)).await?;
+        }
+    }
+
+    /// The fleet's clock, for whoever reports.
+    pub fn now(&self) -> Duration {
+        self.world.now()
+    }
+}
+
+fn json(list: &List) -> String {
+    serde_json::to_string(list).unwrap_or_default() // numbers and text: it never fails
+}
+
+async fn write_line(stream: &mut TcpStream, line: &str) -> io::Result<()> {
+    stream.write_all(format!("{:x}\r\n{line}\n\r\n", line.len() + 1).as_bytes()).await
+}
--- /dev/null
+++ b/crates/standins/src/fleet.rs
@@ -0,0 +1,210 @@
+//! A fleet of stand-ins on a thread of its own.
+
+use crate::control;
+use crate::discovery::Directory;
+use crate::endpoint::{Endpoint, World};
+use crate::fault::{Fault, FaultAt};
+use crate::ledger::{Ledger, Totals};
+use crate::spec::FleetSpec;
+use serde_json::{Value, json};
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError, mpsc as std_mpsc};
+use std::thread::JoinHandle;
+use tokio::net::TcpListener;
+use tokio::sync::{mpsc, oneshot};
+use tokio::task::{LocalSet, spawn_local};
+use tokio::time::{Instant, sleep, sleep_until};
+
+/// What the fleet's own thread works with.
+pub(crate) struct Inner {
+    world: Rc<World>,
+    endpoints: Vec<Rc<Endpoint>>,
+    directory: Rc<Directory>,
+}
+
+/// An order, and who waits for what came of it.
+type Order = (FaultAt, oneshot::Sender<Result<(), String>>);
+
+/// Where a fleet's parts listen.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Addresses {
+    /// Discovery.
+    pub discovery: SocketAddr,
+    /// The control address.
+    pub control: SocketAddr,
+    /// Each endpoint's id and address, in the file's order.
+    pub endpoints: Vec<(String, SocketAddr)>,
+}
+
+/// A running fleet; it ends when this is dropped.
+pub struct Fleet {
+    addresses: Addresses,
+    ledger: Arc<Mutex<Ledger>>,
+    orders: Option<mpsc::UnboundedSender<Order>>,
+    thread: Option<JoinHandle<()>>,
+}
+
+impl Inner {
+    /// Carries out an order now.
+    pub fn order(self: &Rc<Self>, order: &FaultAt) -> Result<(), String> {
+        match &order.endpoint {
+            Some(id) => {
+                let found = self.endpoints.iter().find(|endpoint| endpoint.spec.id == *id);
+                let endpoint = found.ok_or_else(|| format!("endpoint: there is no `{id}`"))?.clone();
+                if !order.fault.is_an_endpoints() {
+                    return Err("endpoint: that is no fault of an endpoint's".to_owned());
+                }
+                self.set(Some(&endpoint), order.fault, true);
+                self.end_later(Some(endpoint), order);
+            }
+            None if order.fault.needs_endpoint() => return Err("endpoint: missing".to_owned()),
+            None => {
+                self.set(None, order.fault, true);
+                self.end_later(None, order);
+            }
+        }
+        Ok(())
+    }
+
+    fn set(&self, endpoint: Option<&Rc<Endpoint>>, fault: Fault, on: bool) {
+        match endpoint {
+            Some(endpoint) => endpoint.set(fault, on),
+            None => self.directory.set(fault, on),
+        }
+        self.directory.notice();
+    }
+
+    fn end_later(self: &Rc<Self>, endpoint: Option<Rc<Endpoint>>, order: &FaultAt) {
+        let (Some(lasts), fault) = (order.lasts, order.fault) else { return };
+        let this = self.clone();
+        spawn_local(async move {
+            sleep(lasts.0).await;
+            this.set(endpoint.as_ref(), fault, false);
+        });
+    }
+
+    /// What ran.
+    pub fn ledger(&self) -> Value {
+        self.world.ledger(|ledger| {
+            json!({"ok": true, "at_ms": self.directory.now().as_millis() as u64, "totals": ledger.totals(),
+                   "ran_twice": ledger.twice(), "discovery_calls": self.directory.calls()})
+        })
+    }
+
+    /// How the endpoints stand.
+    pub fn describe(&self) -> Value {
+        json!({"ok": true, "endpoints": self.endpoints.iter().map(|e| e.describe()).collect::<Vec<_>>()})
+    }
+
+    async fn start(spec: &FleetSpec, ledger: Arc<Mutex<Ledger>>) -> io::Result<(Rc<Inner>, Addresses)> {
+        let (seed, start, classes) = (spec.seed, Instant::now(), spec.classes.clone());
+        let world = Rc::new(World { seed, start, classes, ledger });
+        let endpoints = spec.endpoints.iter().map(|spec| Endpoint::new(world.clone(), spec.clone()));
+        let endpoints: Vec<_> = endpoints.collect::<io::Result<_>>()?;
+        let directory =
+            Directory::new(world.clone(), spec.directory.clone(), spec.discovery, endpoints.clone())
+                .await?;
+        let control = TcpListener::bind(spec.control).await?;
+        let addresses = Addresses {
+            discovery: directory.address()?,
+            control: control.local_addr()?,
+            endpoints: endpoints.iter().map(|e| (e.spec.id.clone(), e.address())).collect(),
+        };
+        for endpoint in &endpoints {
+            spawn_local(endpoint.clone().run());
+        }
+        spawn_local(directory.clone().run());
+        let inner = Rc::new(Inner { world, endpoints, directory });
+        spawn_local(control::run(inner.clone(), control));
+        for fault in spec.faults.clone() {
+            let inner = inner.clone();
+            spawn_local(async move {
+                sleep_until(start + fault.at.0).await;
+                inner.order(&fault)
+            });
+        }
+        Ok((inner, addresses))
+    }
+}
+
+impl Fleet {
+    /// Starts a fleet; once this returns, all of it listens.
+    ///
+    /// # Errors
+    /// What is wrong with the fleet's description, or an address that can't be listened on.
+    pub fn start(spec: FleetSpec) -> Result<Fleet, String> {
+        let problems = spec.problems();
+        if !problems.is_empty() {
+            return Err(problems.join("\n"));
+        }
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+        let runtime = runtime.map_err(|e| e.to_string())?;
+        let ledger = Arc::<Mutex<Ledger>>::default();
+        let books = ledger.clone();
+        let (orders, mut ordered) = mpsc::unbounded_channel::<Order>();
+        let (told, started) = std_mpsc::channel();
+        let thread = std::thread::Builder::new().name("standins".to_owned()).spawn(move || {
+            LocalSet::new().block_on(&runtime, async move {
+                let inner = match Inner::start(&spec, books).await {
+                    Ok((inner, addresses)) => {
+                        let _ = told.send(Ok(addresses));
+                        inner
+                    }
+                    Err(e) => return drop(told.send(Err(e.to_string()))),
+                };
+                // Ends, and the fleet with it, once nobody can order anything any more.
+                while let Some((order, told)) = ordered.recv().await {
+                    let _ = told.send(inner.order(&order));
+                }
+            });
+        });
+        let thread = thread.map_err(|e| e.to_string())?;
+        let addresses = started.recv().map_err(|e| e.to_string())??;
+        Ok(Fleet { addresses, ledger, orders: Some(orders), thread: Some(thread) })
+    }
+
+    /// Where its parts listen.
+    pub fn addresses(&self) -> &Addresses {
+        &self.addresses
+    }
+
+    /// An endpoint's address.
+    pub fn endpoint(&self, id: &str) -> Option<SocketAddr> {
+        self.addresses.endpoints.iter().find(|(known, _)| known == id).map(|(_, at)| *at)
+    }
+
+    /// Lets something go wrong, now; it has when this returns.
+    ///
+    /// # Errors
+    /// There is no such endpoint, or the fault does not fit.
+    pub fn order(&self, endpoint: Option<&str>, fault: Fault) -> Result<(), String> {
+        let (told, done) = oneshot::channel();
+        let endpoint = endpoint.map(str::to_owned);
+        let order = FaultAt { at: Default::default(), endpoint, fault, lasts: None };
+        let gone = || "the fleet has ended".to_owned();
+        let orders = self.orders.as_ref().ok_or_else(gone)?;
+        orders.send((order, told)).map_err(|_| gone())?;
+        done.blocking_recv().map_err(|_| gone())?
+    }
+
+    /// The books.
+    pub fn ledger(&self) -> MutexGuard<'_, Ledger> {
+        self.ledger.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// The counts so far.
+    pub fn totals(&self) -> Totals {
+        self.ledger().totals()
+    }
+}
+
+impl Drop for Fleet {
+    fn drop(&mut self) {
+        self.orders = None;
+        if let Some(thread) = self.thread.take() {
+            let _ = thread.join(); // it has said what went wrong
+        }
+    }
+}
--- /dev/null
+++ b/crates/standins/src/lib.rs
@@ -0,0 +1,20 @@
+//! Stand-ins for what a sidecar meets: endpoints that follow the platform's protocol, and discovery, over
+//! real sockets on loopback, with faults by schedule and by hand.
+//!
+//! What an endpoint does with its work is decided by [`machine::Machine`], sans I/O: cores, slots, a waiting
+//! room, a cold start, a slow state under a backlog. [`fleet::Fleet`] puts machines behind sockets, keeps the
+//! [`ledger`] of what ran, and lets a test or an operator break things.
+
+mod control;
+mod discovery;
+mod endpoint;
+pub mod fault;
+pub mod fleet;
+pub mod http;
+pub mod ledger;
+pub mod machine;
+pub mod spec;
+
+pub use fault::{Fault, FaultAt};
+pub use fleet::Fleet;
+pub use spec::FleetSpec;
--- /dev/null
+++ b/crates/standins/src/spec.rs
@@ -0,0 +1,212 @@
+//! What a fleet of stand-ins is made of, as its file says it.
+
+use crate::fault::FaultAt;
+use curlewhub_config::units::Span;
+use serde::{Deserialize, Serialize};
+use std::collections::HashSet;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// A fleet file.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct FleetSpec {
+    /// All that is drawn follows from it.
+    #[serde(default)]
+    pub seed: u64,
+    /// Where discovery listens; any free port of loopback where nothing is said.
+    #[serde(default = "loopback")]
+    pub discovery: SocketAddr,
+    /// Where faults are ordered; any free port where nothing is said.
+    #[serde(default = "loopback")]
+    pub control: SocketAddr,
+    /// How discovery behaves.
+    #[serde(default)]
+    pub directory: DirectorySpec,
+    /// What a request of each class costs.
+    pub classes: Vec<ClassSpec>,
+    /// The endpoints.
+    pub endpoints: Vec<EndpointSpec>,
+    /// What goes wrong, and when.
+    #[serde(default)]
+    pub faults: Vec<FaultAt>,
+}
+
+/// How discovery behaves.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct DirectorySpec {
+    /// Calls that it handles a second, one after another.
+    pub calls_per_s: f64,
+    /// A call that has waited for longer fails.
+    pub timeout: Span,
+    /// A change shows in the list after this long.
+    pub notice: Span,
+    /// A watch brings an empty line this often while nothing changes.
+    pub idle_line: Span,
+}
+
+impl Default for DirectorySpec {
+    fn default() -> Self {
+        let span = |ms| Span(Duration::from_millis(ms));
+        DirectorySpec { calls_per_s: 50.0, timeout: span(3000), notice: span(0), idle_line: span(2000) }
+    }
+}
+
+/// What a request of a class costs an endpoint.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct ClassSpec {
+    /// The class, the first part of the path.
+    pub name: String,
+    /// Mean work on one core of the yardstick speed.
+    pub work: Span,
+    /// Its coefficient of variation, 0 to 5; the work is drawn from a log-normal distribution.
+    #[serde(default)]
+    pub cv: f64,
+    /// Endpoints of one group drop a repeat of a key for this long; zero where the class has no keys.
+    #[serde(default)]
+    pub window: Span,
+}
+
+/// One endpoint.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct EndpointSpec {
+    /// Its id in the list.
+    pub id: String,
+    /// Where it listens; any free port of loopback where nothing is said.
+    #[serde(default = "loopback")]
+    pub address: SocketAddr,
+    /// Its zone; endpoints of one zone share which keys they have seen.
+    #[serde(default)]
+    pub zone: String,
+    /// Its machine kind.
+    #[serde(default)]
+    pub kind: String,
+    /// The machine.
+    #[serde(default)]
+    pub machine: MachineSpec,
+}
+
+/// A machine.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct MachineSpec {
+    /// Cores.
+    pub cores: u32,
+    /// Speed of a core, as a multiple of the yardstick's.
+    pub speed: f64,
+    /// Requests in work at once; they share the cores.
+    pub slots: u32,
+    /// Requests that may wait; beyond that they are turned away.
+    pub queue: u32,
+    /// It starts at this part of its capacity, 0 to 1 ...
+    pub cold_share: f64,
+    /// ... and is warm after this long, its capacity rising evenly.
+    pub warm_after: Span,
+    /// Requests held for each core beyond which it works less efficiently; 0: never.
+    pub thrash_at: f64,
+    /// Part of its capacity that is lost at twice that.
+    pub thrash: f64,
+    /// The slow state under a backlog, if it has one.
+    pub choke: Option<ChokeSpec>,
+    /// A request given up by its caller stops even while it runs, and not only while it waits.
+    pub cancel_running: bool,
+    /// Part of the requests that end as errors, 0 to 1.
+    pub error_rate: f64,
+}
+
+impl Default for MachineSpec {
+    fn default() -> Self {
+        MachineSpec {
+            cores: 2,
+            speed: 1.0,
+            slots: 16,
+            queue: 40,
+            cold_share: 0.4,
+            warm_after: Span(Duration::from_secs(5)),
+            thrash_at: 0.0,
+            thrash: 0.0,
+            choke: None,
+            cancel_running: true,
+            error_rate: 0.0,
+        }
+    }
+}
+
+/// The slow state that a machine falls into under a backlog, and stays in for a while.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct ChokeSpec {
+    /// It holds more than so many requests for each core ...
+    pub at: f64,
+    /// ... for this long, and is slow from then on,
+    pub over: Span,
+    /// by this factor, over 1,
+    pub slower: f64,
+    /// until it has held fewer than so many for each core ...
+    pub below: f64,
+    /// ... for this long,
+    pub rest: Span,
+    /// or until this long has passed.
+    pub most: Span,
+}
+
+fn loopback() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 0))
+}
+
+impl FleetSpec {
+    /// Reads a fleet file.
+    ///
+    /// # Errors
+    /// What is wrong with it, with the line where the parser can tell it.
+    pub fn parse(text: &str) -> Result<FleetSpec, String> {
+        let spec: FleetSpec = toml::from_str(text).map_err(|e| e.to_string())?;
+        let problems = spec.problems();
+        if problems.is_empty() { Ok(spec) } else { Err(problems.join("\n")) }
+    }
+
+    /// All that makes no sense, field by field.
+    pub fn problems(&self) -> Vec<String> {
+        let mut problems = Vec::new();
+        let mut wants = |ok: bool, field: String, allowed: &str| {
+            if !ok {
+                problems.push(format!("{field}: allowed: {allowed}"));
+            }
+        };
+        let mut ids = HashSet::new();
+        wants(!self.classes.is_empty(), "classes".to_owned(), "at least one");
+        wants(!self.endpoints.is_empty(), "endpoints".to_owned(), "at least one");
+        wants(self.directory.calls_per_s > 0.0, "directory.calls_per_s".to_owned(), "over 0");
+        wants(!self.directory.idle_line.0.is_zero(), "directory.idle_line".to_owned(), "over 0");
+        for (n, class) in self.classes.iter().enumerate() {
+            wants((0.0..=5.0).contains(&class.cv), format!("classes[{n}].cv"), "0 to 5");
+        }
+        for (n, endpoint) in self.endpoints.iter().enumerate() {
+            let at = |field: &str| format!("endpoints[{n}].{field}");
+            let machine = &endpoint.machine;
+            wants(ids.insert(&endpoint.id), at("id"), "one of its own");
+            wants(endpoint.address.ip().is_loopback(), at("address"), "on loopback");
+            wants((1..=1024).contains(&machine.cores), at("machine.cores"), "1 to 1024");
+            wants(machine.speed > 0.0 && machine.speed <= 1e3, at("machine.speed"), "over 0, up to 1000");
+            wants((1..=100_000).contains(&machine.slots), at("machine.slots"), "1 to 100000");
+            wants(machine.queue <= 100_000, at("machine.queue"), "0 to 100000");
+            let share = |share: f64| share > 0.0 && share <= 1.0;
+            wants(share(machine.cold_share), at("machine.cold_share"), "over 0, up to 1");
+            wants((0.0..=0.95).contains(&machine.thrash), at("machine.thrash"), "0 to 0.95");
+            wants((0.0..=1.0).contains(&machine.error_rate), at("machine.error_rate"), "0 to 1");
+            if let Some(choke) = &machine.choke {
+                wants(choke.slower >= 1.0, at("machine.choke.slower"), "1 or more");
+            }
+        }
+        for (n, fault) in self.faults.iter().enumerate() {
+            let known = fault.endpoint.as_ref().is_none_or(|id| ids.contains(id));
+            wants(known, format!("faults[{n}].endpoint"), "an endpoint's id");
+            let fits = fault.fault.needs_endpoint() == fault.endpoint.is_some();
+            wants(fits, format!("faults[{n}].endpoint"), "one where the fault is an endpoint's, else none");
+        }
+        problems
+    }
+}
