Add a load tool that accounts for every request, and a demonstration

Change: curlewhub-lab load (open loop by default, latencies from when a request was due, clients' retries as the protocol has them, every request in one count, each try checked for none, two or another's answer) and curlewhub-lab demo (stand-ins, three real sidecar processes, one endpoint killed, one hung, one drained, books checked at the end). The sidecar's program is a library too, so that one command runs it all from a fresh clone.

--- /dev/null
+++ b/crates/lab/src/load/client.rs
@@ -0,0 +1,305 @@
+//! Clients: connections that are kept, one request at a time on each, and retries as the protocol has them.
+
+use super::Plan;
+use super::mix::{ClassMix, Mix, Repeat, RetryMix};
+use curlewhub_standins::http::{Message, Reader, Side};
+use rand_core::RngCore;
+use rand_pcg::Pcg32;
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::io;
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+use tokio::time::{Instant, sleep, timeout};
+
+/// An answer that comes up to this long after the time that its request gave is still waited for, to tell
+/// one that is late from one that never comes.
+const LATE_MOST: Duration = Duration::from_secs(5);
+/// An answer this much after its request's time is late: what clocks and scheduling blur.
+const LATE: Duration = Duration::from_millis(50);
+/// Idle connections to one sidecar, at the most; beyond that a connection is closed after its answer.
+const IDLE_MOST: usize = 256;
+/// A client closes a connection that has been idle for this long itself.
+const IDLE: Duration = Duration::from_secs(10);
+
+/// How a request ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum End {
+    /// With its answer.
+    Served,
+    /// Trying again is harmless.
+    Refused,
+    /// Any other answer.
+    Failed,
+    /// With none.
+    Unanswered,
+}
+
+/// A request's end and what its tries brought.
+#[derive(Clone, Copy, Debug)]
+pub struct Outcome {
+    /// Its end, the last try's.
+    pub end: End,
+    /// Tries, retries among them.
+    pub tries: u32,
+    /// Tries that had no answer.
+    pub unanswered: u32,
+    /// Tries with bytes behind their answer that belong to no request.
+    pub answered_twice: u32,
+    /// Tries served with what was not made for them.
+    pub wrong: u32,
+    /// Tries answered after their time.
+    pub late: u32,
+}
+
+/// One request.
+pub struct Request {
+    /// Its class, by number.
+    pub class: usize,
+    target: SocketAddr,
+    tenant: Option<usize>,
+    key: u64,
+}
+
+struct Kept {
+    reader: Reader<TcpStream>,
+    since: Instant,
+}
+
+/// All clients.
+pub struct Client {
+    targets: Vec<SocketAddr>,
+    mix: Mix,
+    /// Sets ids of this run apart from those of another one.
+    run: u64,
+    next: Cell<u64>,
+    idle: RefCell<HashMap<SocketAddr, Vec<Kept>>>,
+}
+
+/// One try's answer.
+struct Answer {
+    message: Message,
+    twice: bool,
+    late: bool,
+}
+
+impl Client {
+    /// No connections yet.
+    pub fn new(plan: &Plan) -> Self {
+        let (next, idle) = Default::default();
+        let run = std::process::id().into();
+        Client { targets: plan.targets.clone(), mix: plan.mix.clone(), run, next, idle }
+    }
+
+    /// Draws a request.
+    pub fn request(&self, draws: &mut Pcg32) -> Request {
+        let class = pick(draws, self.mix.classes.iter().map(|class| class.share)).unwrap_or_default();
+        let tenant = pick(draws, self.mix.tenants.iter().map(|tenant| tenant.share));
+        let target = self.targets[draws.next_u32() as usize % self.targets.len()];
+        Request { class, target, tenant, key: draws.next_u64() }
+    }
+
+    /// Asks, and asks again as clients do, until the end.
+    pub async fn ask(&self, request: &Request, draws: &mut Pcg32) -> Outcome {
+        let class = &self.mix.classes[request.class];
+        let retry = &self.mix.retry;
+        let start = Instant::now();
+        let (unanswered, answered_twice, wrong, late) = Default::default();
+        let mut outcome =
+            Outcome { end: End::Unanswered, tries: 0, unanswered, answered_twice, wrong, late };
+        loop {
+            outcome.tries += 1;
+            let left = class.deadline.0.saturating_sub(start.elapsed());
+            let time = class.deadline.0.mul_f64(retry.try_share).min(left);
+            let id = format!("{:x}-{:x}", self.run, self.next.replace(self.next.get() + 1));
+            let text = self.text(request, class, &id, time, outcome.tries > 1);
+            let mut wait = Duration::ZERO;
+            outcome.end = match self.exchange(request.target, &text, time).await {
+                None => {
+                    outcome.unanswered += 1;
+                    End::Unanswered
+                }
+                Some(answer) => {
+                    outcome.answered_twice += u32::from(answer.twice);
+                    outcome.late += u32::from(answer.late);
+                    wait =
+                        retry_after(&answer.message).filter(|_| retry.heed_retry_after).unwrap_or_default();
+                    match answer.message.status {
+                        200 if answer.message.body.windows(id.len()).any(|part| part == id.as_bytes()) => {
+                            End::Served
+                        }
+                        200 => {
+                            outcome.wrong += 1;
+                            End::Failed
+                        }
+                        429 | 503 => End::Refused,
+                        _ => End::Failed,
+                    }
+                }
+            };
+            if !again(&outcome, class, retry) {
+                return outcome;
+            }
+            let grown = retry.growth.powi(outcome.tries as i32 - 1);
+            let jitter = 1.0 - f64::from(draws.next_u32()) / f64::from(u32::MAX) / 2.0;
+            let wait = wait.max(retry.backoff.0.mul_f64(grown * jitter));
+            if start.elapsed() + wait >= class.deadline.0 {
+                return outcome;
+            }
+            sleep(wait).await;
+        }
+    }
+
+    fn text(&self, request: &Request, class: &ClassMix, id: &str, time: Duration, again: bool) -> Vec<u8> {
+        let method = if class.repeat == Repeat::Safe { "GET" } else { "POST" };
+        let mut text = format!(
+            "{method} /{}/x?user={:x} HTTP/1.1\r\nHost: load\r\nX-Request-ID: {id}\r\nX-Timeout: {}u\r\n",
+            class.name,
+            request.key,
+            time.as_micros()
+        );
+        if let Some(tenant) = request.tenant {
+            text += &format!("X-Tenant-Id: {}\r\n", self.mix.tenants[tenant].name);
+        }
+        if class.repeat == Repeat::Keyed {
+            text += &format!("Idempotency-Key: {:016x}{:x}\r\n", request.key, self.run);
+        }
+        if again {
+            text += "X-Retried: 1\r\n";
+        }
+        let length = if class.repeat == Repeat::Safe { 0 } else { class.body.0 as usize };
+        if class.repeat != Repeat::Safe {
+            text += &format!("Content-Length: {length}\r\n");
+        }
+        text += "\r\n";
+        let mut bytes = text.into_bytes();
+        bytes.resize(bytes.len() + length, b'x');
+        bytes
+    }
+
+    /// One try: none where it had no answer.
+    async fn exchange(&self, target: SocketAddr, text: &[u8], time: Duration) -> Option<Answer> {
+        let due = Instant::now() + time;
+        loop {
+            let kept = self.take(target);
+            let (used, connected) = match kept {
+                Some(reader) => (true, Some(reader)),
+                None => (false, timeout(time, connect(target)).await.ok()?.ok()),
+            };
+            let mut reader = connected?;
+            let read = async {
+                reader.inner().write_all(text).await?;
+                reader.message().await
+            };
+            let left = due.saturating_duration_since(Instant::now()) + LATE_MOST;
+            match timeout(left, read).await.ok()? {
+                Ok(Some(message)) => {
+                    let late = Instant::now() > due + LATE;
+                    let twice = reader.surplus() > 0;
+                    if !twice && !message.closes() {
+                        self.keep(target, reader);
+                    }
+                    return Some(Answer { message, twice, late });
+                }
+                // Its close crossed a request that the sidecar has not read: once more on a new one.
+                Ok(None) | Err(_) if used => {}
+                Ok(None) | Err(_) => return None,
+            }
+        }
+    }
+
+    /// An idle connection that is still open, the most recently used first.
+    fn take(&self, target: SocketAddr) -> Option<Reader<TcpStream>> {
+        let mut idle = self.idle.borrow_mut();
+        let kept = idle.entry(target).or_default();
+        while let Some(mut one) = kept.pop() {
+            if one.since.elapsed() >= IDLE {
+                kept.clear(); // the others are older
+                return None;
+            }
+            // Anything but "nothing yet" is its end, or what nobody asked for.
+            let quiet = one.reader.inner().try_read(&mut [0]);
+            if quiet.is_err_and(|e| e.kind() == io::ErrorKind::WouldBlock) {
+                return Some(one.reader);
+            }
+        }
+        None
+    }
+
+    fn keep(&self, target: SocketAddr, reader: Reader<TcpStream>) {
+        let mut idle = self.idle.borrow_mut();
+        let kept = idle.entry(target).or_default();
+        if kept.len() < IDLE_MOST {
+            kept.push(Kept { reader, since: Instant::now() });
+        }
+    }
+}
+
+async fn connect(target: SocketAddr) -> io::Result<Reader<TcpStream>> {
+    let stream = TcpStream::connect(target).await?;
+    stream.set_nodelay(true)?;
+    Ok(Reader::new(stream, Side::Answers))
+}
+
+/// Whether a client tries once more.
+fn again(outcome: &Outcome, class: &ClassMix, retry: &RetryMix) -> bool {
+    let harmless =
+        outcome.end == End::Refused || class.repeat == Repeat::Safe || retry.when_it_may_have_run;
+    outcome.end != End::Served && harmless && outcome.tries <= retry.most
+}
+
+fn retry_after(message: &Message) -> Option<Duration> {
+    let seconds = message.header("retry-after")?.parse().ok()?;
+    Duration::try_from_secs_f64(seconds).ok()
+}
+
+/// A draw in proportion to the shares; none where there is none.
+fn pick(draws: &mut Pcg32, shares: impl Iterator<Item = f64> + Clone) -> Option<usize> {
+    let all: f64 = shares.clone().sum();
+    let mut left = f64::from(draws.next_u32()) / 4_294_967_296.0 * all;
+    let mut last = None;
+    for (n, share) in shares.enumerate() {
+        last = Some(n);
+        if left < share {
+            break;
+        }
+        left -= share;
+    }
+    last
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use rand_core::SeedableRng;
+
+    #[test]
+    fn draws_follow_the_shares() {
+        let mut draws = Pcg32::seed_from_u64(1);
+        let mut counts = [0; 3];
+        for _ in 0..10_000 {
+            counts[pick(&mut draws, [1.0, 2.0, 7.0].into_iter()).unwrap()] += 1;
+        }
+        assert!((900..1100).contains(&counts[0]) && (1850..2150).contains(&counts[1]), "{counts:?}");
+        assert_eq!(pick(&mut draws, [].into_iter()), None);
+    }
+
+    #[test]
+    fn what_may_have_run_is_tried_again_only_where_that_is_wanted() {
+        let mix = Mix::default();
+        let outcome = |end| Outcome { end, tries: 1, unanswered: 0, answered_twice: 0, wrong: 0, late: 0 };
+        let (view, job) = (&mix.classes[0], &mix.classes[1]);
+        assert!(again(&outcome(End::Failed), view, &mix.retry));
+        assert!(again(&outcome(End::Refused), job, &mix.retry));
+        assert!(!again(&outcome(End::Failed), job, &mix.retry));
+        assert!(!again(&outcome(End::Served), view, &mix.retry));
+        let bold = RetryMix { when_it_may_have_run: true, ..RetryMix::default() };
+        assert!(again(&outcome(End::Unanswered), job, &bold));
+        assert!(
+            !again(&Outcome { tries: 2, ..outcome(End::Refused) }, view, &mix.retry),
+            "no more than one"
+        );
+    }
+}
--- /dev/null
+++ b/crates/lab/src/main.rs
@@ -0,0 +1,236 @@
+//! `curlewhub-lab`: experiments with curlewhub.
+
+use clap::{Parser, Subcommand};
+use curlewhub_lab::demo;
+use curlewhub_lab::load::{self, Arrivals, Look, Mix, Plan};
+use indicatif::{ProgressBar, ProgressStyle};
+use std::ffi::OsString;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+use std::time::Duration;
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::task::LocalSet;
+
+/// Wrong use.
+const USAGE: u8 = 2;
+/// Ended by a signal, as shells count it.
+const INTERRUPTED: u8 = 130;
+
+/// Experiments with curlewhub.
+#[derive(Debug, Parser)]
+#[command(name = "curlewhub-lab", version)]
+struct Cli {
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Debug, Subcommand)]
+enum Command {
+    /// Start everything, break some of it, and check what came of that.
+    Demo {
+        /// For how long requests come.
+        #[arg(long, default_value_t = 20.0)]
+        seconds: f64,
+        /// Requests a second.
+        #[arg(long, default_value_t = 150.0)]
+        rate: f64,
+        /// All that is drawn follows from it.
+        #[arg(long, default_value_t = 7)]
+        seed: u64,
+        /// Sidecars listen from this port on; those in use are passed over.
+        #[arg(long, default_value_t = 17070)]
+        base_port: u16,
+        /// The sidecar's program; this file's own by default.
+        #[arg(long, value_name = "PROGRAM")]
+        sidecar: Option<PathBuf>,
+        /// Write the books there as JSON.
+        #[arg(long, value_name = "FILE")]
+        json: Option<PathBuf>,
+    },
+    /// Make load, and account for every request.
+    Load {
+        /// A sidecar; may come often.
+        #[arg(long, value_name = "ADDR", required = true)]
+        to: Vec<SocketAddr>,
+        /// Requests a second, at random (open loop).
+        #[arg(long, default_value_t = 100.0, conflicts_with = "clients")]
+        rate: f64,
+        /// Evenly instead of at random.
+        #[arg(long, conflicts_with = "clients")]
+        even: bool,
+        /// So many clients that each ask again once they are answered (closed loop).
+        #[arg(long, value_name = "N")]
+        clients: Option<usize>,
+        /// For how long requests come.
+        #[arg(long, default_value_t = 10.0)]
+        seconds: f64,
+        /// What the requests are (TOML); `mix` prints the default.
+        #[arg(long, value_name = "FILE")]
+        mix: Option<PathBuf>,
+        /// All that is drawn follows from it.
+        #[arg(long, default_value_t = 7)]
+        seed: u64,
+        /// Open requests, at the most.
+        #[arg(long, default_value_t = 10_000)]
+        open_most: usize,
+        /// Write the books there as JSON.
+        #[arg(long, value_name = "FILE")]
+        json: Option<PathBuf>,
+    },
+    /// Print the default mix of requests.
+    Mix,
+    /// Be a sidecar: the words are curlewhub's own.
+    #[command(hide = true, disable_help_flag = true)]
+    Sidecar {
+        #[arg(trailing_var_arg = true, allow_hyphen_values = true)]
+        words: Vec<OsString>,
+    },
+}
+
+fn main() -> ExitCode {
+    match Cli::parse().command {
+        Command::Sidecar { words } => curlewhub::program(std::iter::once("curlewhub".into()).chain(words)),
+        Command::Mix => match toml::to_string(&Mix::default()) {
+            Ok(text) => {
+                print!("{text}");
+                ExitCode::SUCCESS
+            }
+            Err(e) => wrong(&e.to_string()),
+        },
+        Command::Demo { seconds, rate, seed, base_port, sidecar, json } => {
+            let (Some(lasts), true) = (span(seconds), rate > 0.0) else {
+                return wrong("--seconds, --rate: allowed: over 0");
+            };
+            let own = || std::env::current_exe().map(|own| (own, vec!["sidecar".to_owned()]));
+            let sidecar = match sidecar.map_or_else(own, |program| Ok((program, Vec::new()))) {
+                Ok(sidecar) => sidecar,
+                Err(e) => return wrong(&format!("--sidecar: {e}")),
+            };
+            let options = demo::Options { lasts, rate, seed, base_port, sidecar };
+            block_on(show(options, json))
+        }
+        Command::Load { to, rate, even, clients, seconds, mix, seed, open_most, json } => {
+            let mix = match mix.as_deref().map(read_mix).transpose() {
+                Ok(mix) => mix.unwrap_or_default(),
+                Err(problem) => return wrong(&problem),
+            };
+            let (Some(lasts), true) = (span(seconds), rate > 0.0 && clients != Some(0)) else {
+                return wrong("--seconds, --rate, --clients: allowed: over 0");
+            };
+            let arrivals = match (clients, even) {
+                (Some(clients), _) => Arrivals::Closed(clients),
+                (None, true) => Arrivals::Even(rate),
+                (None, false) => Arrivals::Random(rate),
+            };
+            let phases = Vec::new();
+            let plan = Plan { targets: to, arrivals, lasts, mix, seed, phases, open_most };
+            block_on(make_load(plan, json))
+        }
+    }
+}
+
+/// A time over 0 and up to a day.
+fn span(seconds: f64) -> Option<Duration> {
+    Duration::try_from_secs_f64(seconds)
+        .ok()
+        .filter(|span| !span.is_zero() && *span <= Duration::from_secs(86_400))
+}
+
+fn read_mix(path: &Path) -> Result<Mix, String> {
+    let text = std::fs::read_to_string(path).map_err(|e| format!("{}: {e}", path.display()))?;
+    Mix::parse(&text).map_err(|e| format!("{}: {e}", path.display()))
+}
+
+fn wrong(problem: &str) -> ExitCode {
+    eprintln!("curlewhub-lab: {problem}");
+    ExitCode::from(USAGE)
+}
+
+fn failed(problem: &str) -> ExitCode {
+    eprintln!("curlewhub-lab: {problem}");
+    ExitCode::FAILURE
+}
+
+/// Runs until the end, or until a signal: what was started ends with it either way.
+fn block_on(task: impl Future<Output = ExitCode>) -> ExitCode {
+    let runtime = match tokio::runtime::Builder::new_current_thread().enable_all().build() {
+        Ok(runtime) => runtime,
+        Err(e) => return failed(&e.to_string()),
+    };
+    LocalSet::new().block_on(&runtime, async {
+        let (Ok(mut int), Ok(mut term)) =
+            (signal(SignalKind::interrupt()), signal(SignalKind::terminate()))
+        else {
+            return failed("signals can't be waited for");
+        };
+        tokio::select! {
+            code = task => code,
+            _ = int.recv() => ExitCode::from(INTERRUPTED),
+            _ = term.recv() => ExitCode::from(INTERRUPTED),
+        }
+    })
+}
+
+fn write_json(path: Option<PathBuf>, value: &impl serde::Serialize) -> Result<(), String> {
+    let Some(path) = path else { return Ok(()) };
+    let text = serde_json::to_string_pretty(value).map_err(|e| e.to_string())?;
+    std::fs::write(&path, text + "\n").map_err(|e| format!("{}: {e}", path.display()))
+}
+
+async fn show(options: demo::Options, json: Option<PathBuf>) -> ExitCode {
+    let shown = match demo::run(&options, |line| println!("{line}")).await {
+        Ok(shown) => shown,
+        Err(problem) => return failed(&problem),
+    };
+    println!("\n{}", load::table(&shown.clients));
+    let books = &shown.endpoints;
+    println!(
+        "endpoints: {} requests came, {} ran, {} turned away unseen, {} repeats dropped, {} keyed jobs ran twice, \
+         {} sent to a draining endpoint after 250 ms; sidecars hold {:?} KiB",
+        books.came,
+        books.ran,
+        books.turned_away,
+        books.repeats_dropped,
+        books.ran_twice,
+        books.sent_to_draining,
+        shown.sidecar_kib
+    );
+    if let Err(problem) = write_json(json, &shown) {
+        return failed(&problem);
+    }
+    if shown.ok {
+        println!("every try had exactly one answer, and no keyed job ran twice");
+        ExitCode::SUCCESS
+    } else {
+        failed(&shown.problems.join("; "))
+    }
+}
+
+async fn make_load(plan: Plan, json: Option<PathBuf>) -> ExitCode {
+    let bar = ProgressBar::new(plan.lasts.as_secs().max(1));
+    let style = ProgressStyle::with_template("{bar:20} {pos}/{len} s  {msg}");
+    bar.set_style(style.unwrap_or_else(|_| ProgressStyle::default_bar()));
+    let report = load::run(plan, |look: &Look| {
+        let [served, refused, failed, unanswered] = look.ended;
+        let text = format!(
+            "asked {} served {served} refused {refused} failed {failed} unanswered {unanswered} \
+             p50 {:.1} ms p99 {:.1} ms",
+            look.asked, look.millis.0, look.millis.1
+        );
+        bar.set_position(look.elapsed.as_secs());
+        // Where nobody watches a terminal, a line a second tells the same.
+        if bar.is_hidden() {
+            eprintln!("{:.0} s {text}", look.elapsed.as_secs_f64());
+        }
+        bar.set_message(text);
+    })
+    .await;
+    bar.finish_and_clear();
+    println!("{}", load::table(&report));
+    match write_json(json, &report) {
+        Err(problem) => failed(&problem),
+        Ok(()) if report.one_answer_each() => ExitCode::SUCCESS,
+        Ok(()) => failed("not every try had exactly one answer, its own"),
+    }
+}
--- a/crates/standins/src/fleet.rs
+++ b/crates/standins/src/fleet.rs
@@ -13,7 +13,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError, mpsc as std_mpsc};
 use std::thread::JoinHandle;
 use tokio::net::TcpListener;
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::mpsc;
 use tokio::task::{LocalSet, spawn_local};
 use tokio::time::{Instant, sleep, sleep_until};
 
@@ -25,7 +25,7 @@
 }
 
 /// An order, and who waits for what came of it.
-type Order = (FaultAt, oneshot::Sender<Result<(), String>>);
+type Order = (FaultAt, std_mpsc::Sender<Result<(), String>>);
 
 /// Where a fleet's parts listen.
 #[derive(Clone, Debug, PartialEq)]
@@ -180,13 +180,13 @@
     /// # Errors
     /// There is no such endpoint, or the fault does not fit.
     pub fn order(&self, endpoint: Option<&str>, fault: Fault) -> Result<(), String> {
-        let (told, done) = oneshot::channel();
+        let (told, done) = std_mpsc::channel();
         let endpoint = endpoint.map(str::to_owned);
         let order = FaultAt { at: Default::default(), endpoint, fault, lasts: None };
         let gone = || "the fleet has ended".to_owned();
         let orders = self.orders.as_ref().ok_or_else(gone)?;
         orders.send((order, told)).map_err(|_| gone())?;
-        done.blocking_recv().map_err(|_| gone())?
+        done.recv().map_err(|_| gone())?
     }
 
     /// The books.
