--- a/crates/config/src/reader.rs
+++ b/crates/config/src/reader.rs
@@ -106,7 +106,8 @@
         self.problems.push(Problem {
             source,
             line,
-            field: field.to_owned(),
+            // A quoted key may hold anything.
+            field: field.escape_debug().to_string(),
             // On one line, whatever the parser has to say.
             problem: problem.split_whitespace().collect::<Vec<_>>().join(" "),
             allowed: allowed.to_owned(),
