Hand what was learnt to a successor, and keep it over a crash

Need: a process that replaces another starts with open windows and takes the first latencies it sees for the usual ones; where servers are crowded just then, it takes the crowding for normal.

Found on the way: the test of three upgrades in a row handed over only once, since the folder went with the first sidecar and the later ones shared the port unnoticed; it now asserts each handover.

--- a/crates/balance/src/balance.rs
+++ b/crates/balance/src/balance.rs
@@ -4,6 +4,10 @@
 //! the fewest of this balancer's own calls in flight, break ties at random. Each exception either
 //! narrows the eligible set or adds to an endpoint's occupancy; none is a second chooser.
 
+mod snapshot;
+
+pub use snapshot::{AGE_MOST, EndpointSnapshot, Snapshot};
+
 use crate::stats::{Draws, Fading, LATENCY_FIRST, Latency, UNHURRIED_FIRST};
 use crate::types::*;
 use std::collections::{HashMap, HashSet};
--- a/crates/balance/src/lib.rs
+++ b/crates/balance/src/lib.rs
@@ -23,6 +23,6 @@
 mod stats;
 mod types;
 
-pub use balance::Balancer;
+pub use balance::{AGE_MOST, Balancer, EndpointSnapshot, Snapshot};
 pub use names::EndpointNames;
 pub use types::*;
--- a/crates/balance/src/stats.rs
+++ b/crates/balance/src/stats.rs
@@ -2,6 +2,7 @@
 
 use rand_core::{RngCore, SeedableRng};
 use rand_pcg::Pcg32;
+use serde::{Deserialize, Serialize};
 use std::time::Duration;
 
 /// The first latencies of a class, averaged evenly: before so many its mean is not yet judged by.
@@ -16,7 +17,7 @@
 const UNHURRIED_SECONDS: f64 = 60.0;
 
 /// A value, as of `at`, that falls to a third in a stated number of seconds.
-#[derive(Clone, Copy, Default)]
+#[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq, Serialize)]
 pub(crate) struct Fading {
     pub(crate) value: f64,
     at: Duration,
@@ -39,6 +40,11 @@
         (self.value, self.at) = (value, now);
     }
 
+    /// The same, with no time ahead of now: the clock may have stepped back between two processes.
+    pub(crate) fn not_ahead(self, now: Duration) -> Self {
+        Fading { at: self.at.min(now), ..self }
+    }
+
     /// Counts one more: what is read with the same `seconds` is then the rate a second.
     pub(crate) fn count(&mut self, now: Duration, seconds: f64) {
         self.set(now, self.read(now, seconds) + 1.0 / seconds);
@@ -52,7 +58,7 @@
 }
 
 /// Running mean of a class's latencies, in seconds, and the least that it has been of late.
-#[derive(Clone, Copy, Default)]
+#[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq, Serialize)]
 pub(crate) struct Latency {
     pub(crate) mean: f64,
     /// Mean distance from the mean.
@@ -69,6 +75,12 @@
         Duration::from_secs_f64(self.mean + spreads * self.spread.max(self.mean / 4.0))
     }
 
+    /// The same, with a mean that is at most this multiple of the unhurried one: more is a jam's.
+    pub(crate) fn unjammed(self, now: Duration, multiple: f64) -> Self {
+        let mean = self.mean.min(self.unhurried * multiple);
+        Latency { mean, spread: self.spread.min(mean), at: self.at.min(now), ..self }
+    }
+
     pub(crate) fn add(&mut self, now: Duration, seconds: f64) {
         let kept = fade(now.saturating_sub(self.at).as_secs_f64(), UNHURRIED_SECONDS);
         self.at = now;
--- a/crates/balance/src/types.rs
+++ b/crates/balance/src/types.rs
@@ -2,6 +2,7 @@
 //!
 //! Times are `Duration`s on the caller's clock, which may start anywhere.
 
+use serde::{Deserialize, Serialize};
 use std::time::Duration;
 use thiserror::Error;
 
@@ -10,7 +11,7 @@
 pub struct RequestId(pub u64);
 /// A server process that requests can be sent to; survives restarts of the process. All balancers should know
 /// an endpoint by the same number, such as a hash of its address: callers inside a tier divide the endpoints by it.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize)]
 pub struct EndpointId(pub u64);
 /// Number of an attempt within its request: 0, 1, 2 ... in the order sent.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
--- a/crates/curlewhub/src/cli.rs
+++ b/crates/curlewhub/src/cli.rs
@@ -69,6 +69,9 @@
     Config(ConfigCommand),
     /// Call a running sidecar on its operators' address.
     Ctl(Ctl),
+    /// Look at what a sidecar has learnt and kept.
+    #[command(subcommand)]
+    Snapshot(SnapshotCommand),
     /// Print completions for a shell.
     Completions {
         /// The shell.
@@ -82,6 +85,18 @@
     Example,
 }
 
+#[derive(Debug, Subcommand)]
+pub enum SnapshotCommand {
+    /// Print a snapshot's file, whatever settings it is of and however old it is.
+    Show {
+        /// The file, such as curlewhub-learnt-127.0.0.1-7070.bin in the state folder.
+        file: PathBuf,
+        /// Print JSON.
+        #[arg(long)]
+        json: bool,
+    },
+}
+
 /// What wins over the configuration file.
 #[derive(Args, Debug, Default)]
 pub struct Settings {
--- a/crates/curlewhub/src/lib.rs
+++ b/crates/curlewhub/src/lib.rs
@@ -5,9 +5,10 @@
 mod ctl;
 mod logs;
 mod serve;
+mod snapshot;
 
 use clap::{CommandFactory, Parser};
-use cli::{Cli, Command, ConfigCommand, Exit, Settings};
+use cli::{Cli, Command, ConfigCommand, Exit, Settings, SnapshotCommand};
 use curlewhub_config::{Loaded, file, platform};
 use std::ffi::OsString;
 use std::io::Write;
@@ -35,6 +36,7 @@
         Some(Command::Check { config, print, json, settings }) => check(&config, &settings, print, json),
         Some(Command::Config(ConfigCommand::Example)) => say(file::EXAMPLE),
         Some(Command::Ctl(call)) => ctl::run(&call),
+        Some(Command::Snapshot(SnapshotCommand::Show { file, json })) => snapshot::show(&file, json),
         Some(Command::Completions { shell }) => {
             let mut text = Vec::new();
             clap_complete::generate(shell, &mut Cli::command(), "curlewhub", &mut text);
--- a/crates/curlewhub/src/serve.rs
+++ b/crates/curlewhub/src/serve.rs
@@ -12,11 +12,13 @@
 use curlewhub_runtime::figures::Figures;
 use curlewhub_runtime::handover::{self, Handover, Taken};
 use curlewhub_runtime::inbound::Inbound;
+use curlewhub_runtime::learnt::Learnt;
 use curlewhub_runtime::lifecycle::Lifecycle;
 use curlewhub_runtime::listing::Listing;
 use curlewhub_runtime::operator::Operator;
 use curlewhub_runtime::outbound::Outbound;
 use curlewhub_runtime::static_list;
+use curlewhub_snapshot::{Store, fingerprint};
 use std::io;
 use std::net::SocketAddr;
 use std::pin::pin;
@@ -70,8 +72,13 @@
     if let Some(at) = config.operator {
         // Before all else: whoever asks is owed an answer from the start on.
         let listener = TcpListener::bind(at).await.map_err(|e| taken("operator", at, &e, ""))?;
-        let operator =
-            Operator::new(lifecycle.clone(), figures.clone(), commands, handover.clone(), budget.clone());
+        let operator = Operator::new(
+            lifecycle.clone(),
+            figures.clone(),
+            commands.clone(),
+            handover.clone(),
+            budget.clone(),
+        );
         spawn_local(operator.serve(listener));
     }
     let Doors { listener, before, bans } = open(&config, &handover).await?;
@@ -88,6 +95,15 @@
         inbox.clone(),
     );
     let listing = Listing::new(config.names.clone());
+    let learnt = Learnt::new(
+        clock,
+        fingerprint(&config.settings),
+        Store::new(&config.state_dir, config.listen),
+        commands,
+        inbox.clone(),
+        figures.clone(),
+    );
+    handover.lets_learn(learnt.clone());
     // The list as last held is there before the first client.
     let discovery = match config.discovery {
         Some(at) => {
@@ -122,7 +138,13 @@
         if let Some(discovery) = discovery.filter(|_| succeeds) {
             fresh_list(&discovery, &calls).await;
         }
+        // As late as can be: what was learnt until now is the freshest, and this module has none of its own.
+        match handover.learn().await {
+            Some(bytes) => drop(learnt.give(&bytes, "the process before").await),
+            None => learnt.read().await,
+        }
         lifecycle.complete();
+        spawn_local(learnt.keep(lifecycle.clone(), handover.clone()));
         handover.clone().offer(bans, lifecycle.clone(), outbound.clone()).await;
         std::future::pending::<()>().await;
     });
--- a/crates/curlewhub/tests/handover.rs
+++ b/crates/curlewhub/tests/handover.rs
@@ -21,16 +21,20 @@
 fn an_upgrade_under_load_refuses_no_connection_and_loses_no_request() {
     let peer = Peer::serving("ok");
     let (config, _discovery) = with_discovery(&[&peer]);
-    let mut old = Sidecar::start(&config);
-    let load = Load::start(&old, 6);
+    let first = Sidecar::start(&config);
+    let load = Load::start(&first, 6);
+    // The folder that they share goes with the first one: all are kept until the end.
+    let mut all = vec![first];
     for _ in 0..3 {
-        let next = old.successor(&config);
+        let next = all[all.len() - 1].successor(&config);
         wait_for("the successor's yes", || next.call("PING") == "YES\n");
+        let old = all.last_mut().unwrap();
+        assert!(old.log().contains("a successor has come"), "{}", old.log());
         old.signal("-TERM");
         assert!(old.ended().success());
-        old = next;
-        wait_for("its use", || old.figure("success.quote") > 0);
-        assert_eq!(old.figure("failure.quote"), 0);
+        wait_for("its use", || next.figure("success.quote") > 0);
+        assert_eq!(next.figure("failure.quote"), 0);
+        all.push(next);
     }
     assert!(load.end() > 0);
 }
--- a/crates/runtime/src/driver.rs
+++ b/crates/runtime/src/driver.rs
@@ -177,6 +177,10 @@
                 self.handle(Event::ProbeEnded { endpoint, outcome, elapsed, report });
             }
             Input::List(news) => self.list(news),
+            Input::Restore(snapshot, told) => {
+                let restored = self.balancer.restore(self.clock.now(), &snapshot);
+                let _ = told.send(restored); // who asked may have given up
+            }
             Input::GiveUp => {
                 let open = self.requests.iter().filter(|(_, open)| open.answer.is_some());
                 let open: Vec<RequestId> = open.map(|(id, _)| *id).collect();
@@ -197,6 +201,7 @@
                 let down = self.balancer.avoided(self.clock.now());
                 let _ = told.send(Hosts { listed: self.addresses.len(), down });
             }
+            Command::Learnt(told) => drop(told.send(self.balancer.snapshot(self.clock.now()))),
             Command::Ban { uid, on, known, told } => drop(told.send(self.ban(&uid, on, known))),
         }
     }
--- a/crates/runtime/src/events.rs
+++ b/crates/runtime/src/events.rs
@@ -3,7 +3,7 @@
 
 use crate::figures::Hosts;
 use crate::streaming::{AnswerBody, Payload};
-use curlewhub_balance::{AttemptNo, EndpointId, Membership, Outcome, RequestId};
+use curlewhub_balance::{AttemptNo, EndpointId, Membership, Outcome, RequestId, Snapshot};
 use curlewhub_config::list::Target;
 use hyper::body::Bytes;
 use hyper::header::{self, HeaderName, HeaderValue};
@@ -33,6 +33,8 @@
     ProbeEnded(EndpointId, Ended, Duration),
     /// News from discovery.
     List(News),
+    /// Start from what another process has learnt; told whether that is so.
+    Restore(Box<Snapshot>, oneshot::Sender<bool>),
     /// The process must end: fail what is still open.
     GiveUp,
 }
@@ -44,6 +46,8 @@
 pub enum Command {
     /// How many endpoints are listed, and how many of them avoided.
     Hosts(oneshot::Sender<Hosts>),
+    /// What the module has learnt.
+    Learnt(oneshot::Sender<Snapshot>),
     /// Take the endpoint of this uid out of use, or give it back.
     Ban {
         /// The uid.
--- a/crates/runtime/src/figures.rs
+++ b/crates/runtime/src/figures.rs
@@ -51,6 +51,8 @@
     in_flight: Cell<u64>,
     reconfig_ok: Cell<u64>,
     reconfig_failed: Cell<u64>,
+    snapshot_ok: Cell<u64>,
+    snapshot_failed: Cell<u64>,
 }
 
 /// A request until it ends; counts it when dropped.
@@ -74,7 +76,16 @@
         };
         let classes = classes.chain([UNKNOWN.to_owned()]).map(class).collect();
         let (backend_calls, in_flight, reconfig_ok, reconfig_failed) = Default::default();
-        Rc::new(Figures { classes, backend_calls, in_flight, reconfig_ok, reconfig_failed })
+        let (snapshot_ok, snapshot_failed) = Default::default();
+        Rc::new(Figures {
+            classes,
+            backend_calls,
+            in_flight,
+            reconfig_ok,
+            reconfig_failed,
+            snapshot_ok,
+            snapshot_failed,
+        })
     }
 
     /// A request has begun to come: of this class, if it names a known one. It ends as a failure unless
@@ -95,6 +106,11 @@
         raise(if ok { &self.reconfig_ok } else { &self.reconfig_failed });
     }
 
+    /// A snapshot was written to its file, or could not be.
+    pub fn snapshot(&self, ok: bool) {
+        raise(if ok { &self.snapshot_ok } else { &self.snapshot_failed });
+    }
+
     /// All figures, one a line.
     pub fn report(&self, hosts: Hosts) -> String {
         let mut text = String::new();
@@ -110,6 +126,8 @@
         line("backend_calls", "", self.backend_calls.get(), "c");
         line("reconfig_ok", "", self.reconfig_ok.get(), "c");
         line("reconfig_failed", "", self.reconfig_failed.get(), "c");
+        line("snapshot_ok", "", self.snapshot_ok.get(), "c");
+        line("snapshot_failed", "", self.snapshot_failed.get(), "c");
         line("inflight", "", self.in_flight.get(), "g");
         line("hosts_listed", "", hosts.listed as u64, "g");
         line("hosts_down", "", hosts.down as u64, "g");
@@ -177,6 +195,7 @@
                     router.success.b:0|c\nrouter.busy.b:0|c\nrouter.failure.b:2|c\n\
                     router.success.unknown:0|c\nrouter.busy.unknown:0|c\nrouter.failure.unknown:2|c\n\
                     router.backend_calls:1|c\nrouter.reconfig_ok:1|c\nrouter.reconfig_failed:0|c\n\
+                    router.snapshot_ok:0|c\nrouter.snapshot_failed:0|c\n\
                     router.inflight:0|g\nrouter.hosts_listed:3|g\nrouter.hosts_down:1|g\n";
         assert_eq!(figures.report(hosts), want);
     }
--- a/crates/runtime/src/handover.rs
+++ b/crates/runtime/src/handover.rs
@@ -8,13 +8,17 @@
 //!
 //! After the socket, both sides write lines: `DETACH ID`, `ATTACH ID`, `DONE` for each of those that
 //! holds and is kept, and from the first `SPARE N` (descriptors). The first one's bans come as `DETACH`
-//! lines before its first `SPARE`.
+//! lines before its first `SPARE`. Once all else of the second is ready it writes `LEARN`, and the first
+//! answers `LEARNT` and what its module has learnt, in base64.
 
 use super::bans::Bans;
 use super::budget::Budget;
 use super::events::{Command, Commands};
+use super::learnt::Learnt;
 use super::lifecycle::{Lifecycle, State};
 use super::outbound::Outbound;
+use base64::Engine;
+use base64::engine::general_purpose::STANDARD;
 use rustix::net::{
     RecvAncillaryBuffer, RecvAncillaryMessage, RecvFlags, SendAncillaryBuffer, SendAncillaryMessage,
     SendFlags, recvmsg, sendmsg,
@@ -42,6 +46,8 @@
 const TAKE_TIME: Duration = Duration::from_secs(1);
 /// The other process keeps a ban within this: the caller waits for 1 s.
 const SHARE_TIME: Duration = Duration::from_millis(400);
+/// What the process before has learnt comes within this: its successor's yes is due.
+const LEARN_TIME: Duration = Duration::from_millis(700);
 /// How often the first process looks at what it holds, once it has a successor.
 const SPARE_CHECK: Duration = Duration::from_millis(100);
 /// Descriptors that an ending process may hold beyond those it has: its open requests still need
@@ -58,6 +64,8 @@
     Ban { uid: String, on: bool },
     Done,
     Spare(usize),
+    Learn,
+    Learnt(Vec<u8>),
 }
 
 /// The other process, as long as it lives.
@@ -65,6 +73,8 @@
     out: UnboundedSender<Word>,
     /// Who waits for the other's `DONE`, in the order of asking.
     waiting: RefCell<VecDeque<oneshot::Sender<()>>>,
+    /// Who waits for what the other has learnt.
+    learning: Cell<Option<oneshot::Sender<Vec<u8>>>>,
 }
 
 /// This process's dealings with the one before it and the one after it.
@@ -80,6 +90,8 @@
     has_successor: Cell<bool>,
     has_predecessor: Cell<bool>,
     changed: Notify,
+    /// What this process's module has learnt; there once it has a module.
+    learnt: RefCell<Option<Rc<Learnt>>>,
 }
 
 /// What a predecessor has handed over.
@@ -107,7 +119,7 @@
         budget: Rc<Budget>,
         commands: Commands,
     ) -> Rc<Self> {
-        let (clients, links, has_successor, has_predecessor, changed) = Default::default();
+        let (clients, links, has_successor, has_predecessor, changed, learnt) = Default::default();
         let folder = folder.to_owned();
         Rc::new(Handover {
             folder,
@@ -120,9 +132,25 @@
             has_successor,
             has_predecessor,
             changed,
+            learnt,
         })
     }
 
+    /// What a successor may ask for from now on.
+    pub fn lets_learn(&self, learnt: Rc<Learnt>) {
+        self.learnt.replace(Some(learnt));
+    }
+
+    /// What the process before has learnt until now; none where it does not say, or has gone.
+    pub async fn learn(&self) -> Option<Vec<u8>> {
+        let link = self.links.borrow().first().cloned().filter(|_| self.has_predecessor.get())?;
+        let (told, learnt) = oneshot::channel();
+        link.learning.set(Some(told));
+        link.say(Word::Learn);
+        drop(link);
+        timeout(LEARN_TIME, learnt).await.ok()?.ok()
+    }
+
     /// Whether another process accepts clients in this one's stead.
     pub fn has_successor(&self) -> bool {
         self.has_successor.get()
@@ -188,9 +216,10 @@
     /// Goes on with the predecessor for as long as it lives.
     pub fn follow(self: &Rc<Self>, talk: Talk) {
         self.has_predecessor.set(true);
+        let (link, words) = Link::new();
+        self.links.borrow_mut().push(link.clone());
         let this = self.clone();
         spawn_local(async move {
-            let (link, words) = Link::new();
             this.converse(talk, link, words).await;
             info!("handover: the process before has gone");
             this.budget.share(this.sockets, false);
@@ -240,11 +269,14 @@
             let (reader, writer) = stream.into_split();
             let talk = Talk { lines: BufReader::new(reader).lines(), writer };
             self.has_successor.set(true);
+            self.links.borrow_mut().push(link.clone());
             tokio::select! {
                 () = self.converse(talk, link.clone(), words) => {}
                 () = self.give_way(&link, &lifecycle, &outbound) => {}
             }
             info!("handover: the successor has gone");
+            // Whichever of the two ended first.
+            self.links.borrow_mut().retain(|other| !Rc::ptr_eq(other, &link));
             self.has_successor.set(false);
             self.budget.share(self.sockets, false);
         }
@@ -271,7 +303,6 @@
     /// Talks with the other process until it has gone.
     async fn converse(&self, talk: Talk, link: Rc<Link>, mut words: UnboundedReceiver<Word>) {
         let Talk { mut lines, mut writer } = talk;
-        self.links.borrow_mut().push(link.clone());
         let say = async {
             while let Some(word) = words.recv().await {
                 if writer.write_all(word.write().as_bytes()).await.is_err() {
@@ -296,6 +327,20 @@
                         }
                     }
                     Some(Word::Spare(sockets)) => self.budget.share(sockets, true),
+                    Some(Word::Learn) => {
+                        let learnt = self.learnt.borrow().clone();
+                        // One that can't be told is not answered: the other then starts without.
+                        if let Some(learnt) = learnt
+                            && let Some(bytes) = learnt.take().await
+                        {
+                            link.say(Word::Learnt(bytes));
+                        }
+                    }
+                    Some(Word::Learnt(bytes)) => {
+                        if let Some(told) = link.learning.take() {
+                            let _ = told.send(bytes); // who asked may have given up
+                        }
+                    }
                     None => warn!(line, "handover: not understood"),
                 }
             }
@@ -343,7 +388,7 @@
 impl Link {
     fn new() -> (Rc<Self>, UnboundedReceiver<Word>) {
         let (out, words) = unbounded_channel();
-        (Rc::new(Link { out, waiting: RefCell::default() }), words)
+        (Rc::new(Link { out, waiting: RefCell::default(), learning: Cell::default() }), words)
     }
 
     fn say(&self, word: Word) {
@@ -360,6 +405,8 @@
             }
             "DONE" if rest.is_empty() => Some(Word::Done),
             "SPARE" => rest.parse().ok().map(Word::Spare),
+            "LEARN" if rest.is_empty() => Some(Word::Learn),
+            "LEARNT" => STANDARD.decode(rest).ok().map(Word::Learnt),
             _ => None,
         }
     }
@@ -370,6 +417,8 @@
             Word::Ban { uid, on: false } => format!("ATTACH {uid}\n"),
             Word::Done => "DONE\n".to_owned(),
             Word::Spare(sockets) => format!("SPARE {sockets}\n"),
+            Word::Learn => "LEARN\n".to_owned(),
+            Word::Learnt(bytes) => format!("LEARNT {}\n", STANDARD.encode(bytes)),
         }
     }
 }
@@ -427,10 +476,11 @@
     #[test]
     fn words_read_as_they_are_written() {
         let ban = |on| Word::Ban { uid: "s-1".to_owned(), on };
-        for word in [ban(true), ban(false), Word::Done, Word::Spare(96)] {
+        let learnt = Word::Learnt(vec![0, 10, 255]);
+        for word in [ban(true), ban(false), Word::Done, Word::Spare(96), Word::Learn, learnt] {
             assert_eq!(Word::read(word.write().trim_end()), Some(word));
         }
-        for bad in ["", "DETACH", "SPARE", "SPARE -1", "DONE x", "HELLO"] {
+        for bad in ["", "DETACH", "SPARE", "SPARE -1", "DONE x", "HELLO", "LEARN x", "LEARNT ~"] {
             assert_eq!(Word::read(bad), None, "{bad}");
         }
     }
