--- a/crates/lab/tests/load.rs
+++ b/crates/lab/tests/load.rs
@@ -104,7 +104,7 @@
 
 #[test]
 fn nobody_there_is_no_answer_and_too_many_open_are_not_sent() {
-    let gone = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+    let gone = TcpListener::bind("127.77.0.1:0").unwrap().local_addr().unwrap();
     let report = play(gone, views(0), Arrivals::Even(100.0), 100);
     assert_eq!(report.classes.last().unwrap().unanswered, report.tries);
     let spec = "[[classes]]\nname = \"proof-view\"\nwork = \"1ms\"\n[[endpoints]]\nid = \"a\"\n";
