--- a/crates/config/src/source.rs
+++ b/crates/config/src/source.rs
@@ -6,6 +6,7 @@
 use crate::reader::{Effective, Override};
 use crate::{file, platform};
 use serde_json::Value;
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 
@@ -86,11 +87,10 @@
             field => is_static && field.starts_with("endpoints["),
         };
         let differs = |from: &[Effective], to: &[Effective]| {
-            let found = |e: &Effective| to.iter().any(|t| t.field == e.field && t.value == e.value);
-            from.iter()
-                .filter(|e| !lives(&e.field) && !found(e))
-                .map(|e| e.field.clone())
-                .collect::<Vec<_>>()
+            let values: HashMap<&str, &Value> = to.iter().map(|e| (e.field.as_str(), &e.value)).collect();
+            let same = |e: &&Effective| values.get(e.field.as_str()) == Some(&&e.value);
+            let changed = from.iter().filter(|e| !lives(&e.field) && !same(e));
+            changed.map(|e| e.field.clone()).collect::<Vec<_>>()
         };
         let mut restart = differs(effective, &self.effective);
         restart.extend(differs(&self.effective, effective));
--- a/crates/curlewhub/src/cli.rs
+++ b/crates/curlewhub/src/cli.rs
@@ -98,7 +98,7 @@
 }
 
 /// What wins over the configuration file.
-#[derive(Args, Debug, Default)]
+#[derive(Args, Debug, Default, PartialEq)]
 pub struct Settings {
     /// Its name, for the log.
     #[arg(long, value_name = "NAME")]
--- a/crates/curlewhub/src/lib.rs
+++ b/crates/curlewhub/src/lib.rs
@@ -25,7 +25,10 @@
             let _ = Cli::command().print_help();
             Exit::Usage
         }
-        Some(Command::Run { config: None, .. }) if std::env::var_os(platform::CONFIG_VAR).is_some() => {
+        // Flags win over an operators' file; the platform's takes none, and to ignore one would mislead.
+        Some(Command::Run { config: None, settings, .. })
+            if std::env::var_os(platform::CONFIG_VAR).is_some() && settings == Settings::default() =>
+        {
             run(Loaded::platform(), false)
         }
         Some(Command::Run { config: None, .. }) => {
--- a/crates/curlewhub/tests/cli.rs
+++ b/crates/curlewhub/tests/cli.rs
@@ -109,6 +109,9 @@
         assert_eq!(code, Some(2), "{words:?}: {problem}");
         assert!(!problem.contains("panicked"), "{problem}");
     }
+    let on_platform =
+        program().args(["run", "--listen", "127.0.0.1:7"]).env("ROUTER_CONFIG", "/x").output();
+    assert_eq!(on_platform.unwrap().status.code(), Some(2), "a flag is not silently ignored");
     let (code, text, _) = said(&output(&["check", "--config", wrong.path(), "--json"]));
     let found: Value = serde_json::from_str(&text).unwrap();
     assert_eq!(
--- a/crates/curlewhub/tests/learnt.rs
+++ b/crates/curlewhub/tests/learnt.rs
@@ -36,6 +36,17 @@
     (0..30).for_each(|n| assert_eq!(sidecar.ask("quote", &format!("l{n}")).status(), 200));
 }
 
+/// A sidecar that was killed outright after it had learnt and kept something, and its file.
+fn killed(config: &Value) -> (Sidecar, PathBuf) {
+    let mut sidecar = Sidecar::start(config);
+    learn(&sidecar);
+    let kept = file(&sidecar);
+    wait_for("the file", || seen(&kept) >= 30);
+    sidecar.signal("-KILL");
+    sidecar.ended();
+    (sidecar, kept)
+}
+
 #[test]
 fn a_successor_and_its_successor_start_with_what_was_learnt() {
     let peer = Peer::serving("ok");
@@ -68,12 +79,7 @@
 fn killed_outright_it_comes_back_with_what_it_knew() {
     let peer = Peer::serving("ok");
     let (config, _discovery) = with_discovery(&peer);
-    let mut first = Sidecar::start(&config);
-    learn(&first);
-    let kept = file(&first);
-    wait_for("the file", || seen(&kept) >= 30);
-    first.signal("-KILL");
-    first.ended();
+    let (first, _) = killed(&config);
     let second = first.successor(&config);
     wait_for("its yes", || second.call("PING") == "YES\n");
     let log = second.log();
@@ -86,12 +92,7 @@
 fn a_file_that_is_no_use_is_refused_by_name_and_the_start_goes_on() {
     let peer = Peer::serving("ok");
     let (config, _discovery) = with_discovery(&peer);
-    let mut first = Sidecar::start(&config);
-    learn(&first);
-    let kept = file(&first);
-    wait_for("the file", || seen(&kept) >= 30);
-    first.signal("-KILL");
-    first.ended();
+    let (first, kept) = killed(&config);
     let good = std::fs::read(&kept).unwrap();
     let mut flipped = good.clone();
     flipped[30] ^= 1;
--- a/crates/runtime/src/static_list.rs
+++ b/crates/runtime/src/static_list.rs
@@ -8,6 +8,7 @@
 use crate::listing::Listing;
 use curlewhub_balance::Membership;
 use curlewhub_config::list::{List, State, Target};
+use std::collections::{HashMap, HashSet};
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::mpsc::UnboundedReceiver;
@@ -31,15 +32,17 @@
     fn replace(&mut self, new: Vec<Target>, now: Instant, linger: Duration, unix_ms: f64) {
         self.rev += 1;
         let old = std::mem::take(&mut self.targets);
-        self.leaving.retain(|(_, left)| new.iter().all(|target| target.uid != left.uid));
-        for target in &old {
-            if new.iter().all(|other| other.uid != target.uid) {
-                let drained = Target { state: State::Draining, ..target.clone() };
-                self.leaving.push((now + linger, drained));
-            }
-        }
+        // By name: a file may hold 100,000 endpoints, and traffic waits while it is taken over.
+        let stays: HashSet<&str> = new.iter().map(|target| target.uid.as_str()).collect();
+        self.leaving.retain(|(_, left)| !stays.contains(left.uid.as_str()));
+        let gone = old.iter().filter(|target| !stays.contains(target.uid.as_str()));
+        let drained = gone.map(|target| Target { state: State::Draining, ..target.clone() });
+        self.leaving.extend(drained.map(|target| (now + linger, target)));
+        let before: HashMap<&str, &Target> =
+            old.iter().map(|target| (target.uid.as_str(), target)).collect();
         let known = |target: &Target| {
-            let before = old.iter().find(|o| o.uid == target.uid && o.endpoint == target.endpoint);
+            let before =
+                before.get(target.uid.as_str()).filter(|before| before.endpoint == target.endpoint);
             before.map(|before| before.boot_ms)
         };
         self.targets = new
