Share out windows, limits and the cold budget while two processes serve

Cause: a successor starts with all that the old process has learnt, windows too, so during the overlap the two sent up to twice what one would, to endpoints that are filled for one.

The decision module scales windows, limits, the cold budget and saved retries by its share, and a part that moves carries its giver's windows along. Figure router.share_parts.

Killed old and killed new process over real sockets: the other one holds 64 parts.

--- a/crates/balance/src/balance.rs
+++ b/crates/balance/src/balance.rs
@@ -4,8 +4,10 @@
 //! the fewest of this balancer's own calls in flight, break ties at random. Each exception either
 //! narrows the eligible set or adds to an endpoint's occupancy; none is a second chooser.
 
+mod share;
 mod snapshot;
 
+pub use share::Portion;
 pub use snapshot::{AGE_MOST, EndpointSnapshot, Snapshot};
 
 use crate::stats::{Draws, Fading, LATENCY_FIRST, Latency, UNHURRIED_FIRST};
@@ -92,6 +94,9 @@
 const MISSED_SECONDS: f64 = 2.0;
 /// A client's repeat has spent some of its objective: it counts as a late answer does, or at least so much.
 const REPEAT_LEAST: f64 = 0.1;
+/// Beside another process of this sidecar answers come to each in proportion to its share, so each counts for more;
+/// but from less than this share on single ones would throw a window about.
+const SHARE_LEARNS: f64 = 0.25;
 /// Held requests are looked at again this often, besides whenever a call ends.
 const HOLD_RECHECK: Duration = Duration::from_millis(20);
 /// A tenant is over its share beyond this multiple of what the median tenant uses of its own.
@@ -190,6 +195,8 @@
     common_heat: f64,
     /// Of the own zone and of all others together: a crowded zone must not shut the others.
     windows: [Window; 2],
+    /// Its share of windows, limits, cold budget and saved retries: less than one beside another process.
+    share: f64,
     recheck_set: bool,
     /// The value of the worthiest request refused of late without having been sent.
     missed: Fading,
@@ -247,6 +254,7 @@
             held: Vec::new(),
             common_heat: 0.0,
             windows: [Window { size: 1.0, out: 0, opening: true }; 2],
+            share: 1.0,
             recheck_set: false,
             missed: Fading::default(),
             timers: HashMap::new(),
@@ -449,7 +457,7 @@
             return;
         }
         self.arrivals.count(now, RATE_SECONDS);
-        self.retry_tokens = (self.retry_tokens + RETRY_EARN).min(RETRY_SAVED);
+        self.retry_tokens = (self.retry_tokens + RETRY_EARN).min(self.retries_most());
         let class = request.class.0.min(self.settings.classes.len() - 1);
         let over_share = self.over_share(now, request.tenant.0);
         let mut part = if over_share { self.settings.over_share_worth } else { 1.0 };
@@ -675,12 +683,13 @@
         // One call an endpoint, parted among all balancers. It is the least a window falls to, and the
         // larger a window the less it gains: else what starts first measures idle servers, yields to
         // what starts last and measured crowded ones, and is starved for good.
-        let window = &mut self.windows[side];
+        let (window, weight) = (&mut self.windows[side], 1.0 / self.share.max(SHARE_LEARNS));
         if late {
-            window.size = (window.size - WINDOW_CUT).max(part.max(1.0));
+            window.size = (window.size - WINDOW_CUT * weight).max(part.max(1.0));
             window.opening = false;
-        } else if ended.outcome == Outcome::Ok && f64::from(window.out) * 2.0 > window.size {
-            window.size += if window.opening { part.min(1.0) } else { WINDOW_GAIN * part / window.size };
+        } else if ended.outcome == Outcome::Ok && f64::from(window.out) * 2.0 > window.size * self.share {
+            let gain = if window.opening { part.min(1.0) } else { WINDOW_GAIN * part / window.size };
+            window.size += gain * weight;
         }
         window.out = window.out.saturating_sub(u32::from(!coming));
         let usual = Duration::from_secs_f64(self.latency[class].mean);
@@ -690,7 +699,7 @@
             (endpoint.limit, endpoint.limit_cut_at) = ((endpoint.limit * (1.0 - LIMIT_CUT)).max(1.0), now);
         } else if ended.outcome == Outcome::Ok
             && !late
-            && f64::from(endpoint.in_flight) * 2.0 > endpoint.limit
+            && f64::from(endpoint.in_flight) * 2.0 > endpoint.limit * self.share
         {
             let opening = if endpoint.opening { (PART_CALLERS / balancers).min(1.0) } else { 0.0 };
             endpoint.limit += opening.max(1.0 / endpoint.limit);
@@ -791,7 +800,7 @@
         let (window, out) = (self.windows[side], self.windows[0].out + self.windows[1].out);
         // At its floor of one call: two such windows of each of many balancers would still be a jam.
         let spared = window.size > 1.0 || out == 0 || FLOOR_CALLS * self.part() >= 1.0;
-        let fits = f64::from(window.out) < window.size * part;
+        let fits = f64::from(window.out) < window.size * self.share * part;
         self.settings.tier > 0 || (fits && spared)
     }
 
@@ -967,7 +976,7 @@
 
     /// Own calls that an endpoint may hold now.
     fn room(&self, now: Duration, i: usize) -> f64 {
-        (self.endpoints[i].limit * self.warmth(now, i)).max(1.0)
+        (self.endpoints[i].limit * self.share * self.warmth(now, i)).max(1.0)
     }
 
     /// The part of its capacity that an endpoint surely has: it rises evenly from the cold share.
@@ -984,7 +993,8 @@
     fn cold_tokens(&self, now: Duration, i: usize) -> f64 {
         let rules = &self.settings.rules;
         let endpoint = &self.endpoints[i];
-        let rate = self.warmth(now, i) * rules.fall_multiple * COLD_CAUTION * self.proven_rate(now);
+        let caution = COLD_CAUTION * self.share;
+        let rate = self.warmth(now, i) * rules.fall_multiple * caution * self.proven_rate(now);
         let most = (rate * rules.fall_after.as_secs_f64() * COLD_CAUTION).max(1.0);
         (endpoint.cold_tokens + rate * now.saturating_sub(endpoint.cold_at).as_secs_f64()).min(most)
     }
--- a/crates/balance/src/balance/snapshot.rs
+++ b/crates/balance/src/balance/snapshot.rs
@@ -140,7 +140,9 @@
             (endpoint.heat, endpoint.drag) = (old.heat.not_ahead(now), old.drag.not_ahead(now));
             (endpoint.limit, endpoint.opening) = (old.limit.max(1.0), old.opening);
             endpoint.limit_cut_at = old.limit_cut_at.min(now);
-            (endpoint.cold_tokens, endpoint.cold_at) = (old.cold_tokens, old.cold_at.min(now));
+            // Beside the one that it was learnt by, that one goes on using what is saved up.
+            let saved = if self.share < 1.0 { old.cold_tokens.min(0.0) } else { old.cold_tokens };
+            (endpoint.cold_tokens, endpoint.cold_at) = (saved, old.cold_at.min(now));
             endpoint.back = endpoint.back.max(old.back.map(|at| at.min(now)));
             if endpoint.banned {
                 endpoint.limit = LIMIT_START; // it is cold when it comes back
@@ -152,7 +154,9 @@
         self.latency =
             snapshot.latency.iter().map(|latency| latency.unjammed(now, LATE_MULTIPLE)).collect();
         self.late_share = snapshot.late_share.min(LATE_SHARE);
-        self.retry_tokens = snapshot.retry_tokens.min(RETRY_SAVED);
+        if self.share == 1.0 {
+            self.retry_tokens = snapshot.retry_tokens.min(RETRY_SAVED);
+        }
         self.tenants = snapshot.tenants.iter().map(|tenant| tenant.not_ahead(now)).collect();
         self.born = snapshot.born.min(now);
         self.missed = snapshot.missed.not_ahead(now);
--- a/crates/balance/src/lib.rs
+++ b/crates/balance/src/lib.rs
@@ -23,6 +23,6 @@
 mod stats;
 mod types;
 
-pub use balance::{AGE_MOST, Balancer, EndpointSnapshot, Snapshot};
+pub use balance::{AGE_MOST, Balancer, EndpointSnapshot, Portion, Snapshot};
 pub use names::EndpointNames;
 pub use types::*;
--- a/crates/curlewhub/src/serve.rs
+++ b/crates/curlewhub/src/serve.rs
@@ -123,7 +123,8 @@
         }
     };
     let attempts = config.settings.limits.max_attempts;
-    let parts = Parts { outbound: outbound.clone(), listing, bans: bans.clone() };
+    let parts =
+        Parts { outbound: outbound.clone(), listing, bans: bans.clone(), lifecycle: lifecycle.clone() };
     let driver = Driver::new(balancer, clock, attempts, parts, calls.clone(), inbox);
     let mut driver = spawn_local(driver.run(inputs, commanded));
     spawn_local(outbound.clone().sweep());
--- /dev/null
+++ b/crates/curlewhub/tests/sharing.rs
@@ -0,0 +1,135 @@
+//! Two processes of one sidecar side by side: who holds how much, and what becomes of it when one has gone.
+
+mod support;
+
+use rustix::net::{SendAncillaryBuffer, SendAncillaryMessage, SendFlags, sendmsg};
+use serde_json::{Value, json};
+use std::io::{BufRead, BufReader, IoSlice, Write};
+use std::mem::MaybeUninit;
+use std::net::TcpListener;
+use std::os::fd::AsFd;
+use std::os::unix::net::{UnixListener, UnixStream};
+use std::thread::JoinHandle;
+use support::*;
+
+/// A configuration for one endpoint whose discovery answers.
+fn with_discovery(peer: &Peer) -> (Value, Discovery) {
+    let mut config = operated(&[peer]);
+    let discovery = Discovery::new(list(8, true, &[target("s-0", peer.address, "up")]));
+    config["discovery"] = json!(discovery.address.to_string());
+    (config, discovery)
+}
+
+/// Two side by side, the second one with its yes, and load at them.
+fn pair(config: &Value) -> (Sidecar, Sidecar, Load) {
+    let old = Sidecar::start(config);
+    assert_eq!(old.figure("share_parts"), 64, "alone it has all");
+    let load = Load::start(&old, 4);
+    let new = old.successor(config);
+    wait_for("the successor's yes", || new.call("PING") == "YES\n");
+    (old, new, load)
+}
+
+#[test]
+fn two_share_and_the_old_ones_parts_come_to_the_new_one_when_it_ends() {
+    let peer = Peer::serving("ok");
+    let (config, _discovery) = with_discovery(&peer);
+    let (mut old, new, load) = pair(&config);
+    wait_for("shares", || (1..64).contains(&old.figure("share_parts")) && new.figure("share_parts") > 0);
+    assert!(new.log().contains("restored=true"));
+    old.signal("-TERM");
+    assert!(old.ended().success());
+    wait_for("all", || new.figure("share_parts") == 64);
+    assert!(load.end() > 0);
+}
+
+#[test]
+fn when_the_old_one_is_killed_amid_the_overlap_the_new_one_has_all() {
+    let peer = Peer::serving("ok");
+    let (config, _discovery) = with_discovery(&peer);
+    let old = Sidecar::start(&config);
+    let new = old.successor(&config);
+    wait_for("shares", || (1..64).contains(&new.figure("share_parts")));
+    old.signal("-KILL");
+    wait_for("all", || new.figure("share_parts") == 64);
+    assert_eq!(new.ask("quote", "r1").status(), 200);
+}
+
+#[test]
+fn when_the_new_one_is_killed_amid_the_overlap_the_old_one_has_all_again() {
+    let peer = Peer::serving("ok");
+    let (config, _discovery) = with_discovery(&peer);
+    let old = Sidecar::start(&config);
+    let mut new = old.successor(&config);
+    wait_for("shares", || (1..64).contains(&old.figure("share_parts")));
+    new.signal("-KILL");
+    new.ended();
+    wait_for("all", || old.figure("share_parts") == 64);
+    assert_eq!(old.ask("quote", "r1").status(), 200);
+}
+
+/// A process before that hands over what every version does, and then does this with the rest.
+fn scripted(first: &Sidecar, rest: impl FnOnce(UnixStream) + Send + 'static) -> JoinHandle<()> {
+    let at = first.address;
+    let path = first.folder().join(format!("curlewhub-handover-{}-{}.sock", at.ip(), at.port()));
+    let _ = std::fs::remove_file(&path);
+    let door = UnixListener::bind(path).unwrap();
+    let clients = TcpListener::bind("127.0.0.1:0").unwrap();
+    std::thread::spawn(move || {
+        let (mut stream, _) = door.accept().unwrap();
+        let mut space = [MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(1))];
+        let mut message = SendAncillaryBuffer::new(&mut space);
+        let sockets = [clients.as_fd()];
+        assert!(message.push(SendAncillaryMessage::ScmRights(&sockets)));
+        sendmsg(&stream, &[IoSlice::new(b"L")], &mut message, SendFlags::empty()).unwrap();
+        stream.write_all(b"SPARE 200\n").unwrap();
+        rest(stream);
+    })
+}
+
+/// A sidecar that was killed and has left its snapshot.
+fn killed(config: &Value) -> Sidecar {
+    let mut first = Sidecar::start(config);
+    assert_eq!(first.ask("quote", "l1").status(), 200);
+    wait_for("the file", || first.figure("snapshot_ok") > 0);
+    first.signal("-KILL");
+    first.ended();
+    first
+}
+
+#[test]
+fn one_before_that_dies_between_socket_and_snapshot_leaves_the_file() {
+    let peer = Peer::serving("ok");
+    let (config, _discovery) = with_discovery(&peer);
+    let first = killed(&config);
+    let before = scripted(&first, |stream| {
+        // Until it is asked for what it has learnt; then it is no more.
+        let asked = BufReader::new(&stream).lines().map_while(Result::ok).any(|line| line == "LEARN");
+        assert!(asked);
+    });
+    let new = first.successor(&config);
+    wait_for("its yes", || new.call("PING") == "YES\n");
+    before.join().unwrap();
+    let log = new.log();
+    let line = log.lines().find(|line| line.contains("snapshot: read")).unwrap_or_else(|| panic!("{log}"));
+    assert!(line.contains("from=\"file\"") && line.contains("restored=true"), "{line}");
+    wait_for("all", || new.figure("share_parts") == 64);
+}
+
+#[test]
+fn one_before_that_knows_nothing_of_parts_does_not_hold_the_new_one_up() {
+    let peer = Peer::serving("ok");
+    let (config, _discovery) = with_discovery(&peer);
+    let first = killed(&config);
+    let before = scripted(&first, |stream| {
+        // It reads on and says nothing, until the other end is closed.
+        assert!(BufReader::new(&stream).lines().map_while(Result::ok).count() > 0);
+    });
+    let mut new = first.successor(&config);
+    wait_for("its yes", || new.call("PING") == "YES\n");
+    wait_for("all", || new.figure("share_parts") == 64);
+    assert!(new.log().contains("does not share"), "{}", new.log());
+    new.signal("-KILL");
+    new.ended();
+    before.join().unwrap();
+}
--- a/crates/runtime/src/driver.rs
+++ b/crates/runtime/src/driver.rs
@@ -6,8 +6,10 @@
 use super::clock::Clock;
 use super::events::{Answer, Arrival, Call, Command, Ended, Forward, Inbox, Input, News};
 use super::figures::Hosts;
+use super::lifecycle::{Lifecycle, State};
 use super::listing::Listing;
 use super::outbound::{Outbound, Progress};
+use super::sharing::Sharing;
 use curlewhub_balance::{
     Action, AttemptEnded, AttemptNo, Balancer, EndpointId, EndpointState, Event, Membership, Outcome,
     RequestId, TimerToken,
@@ -54,6 +56,8 @@
     pub listing: Rc<Listing>,
     /// What operators have taken out of use.
     pub bans: Rc<Bans>,
+    /// Whether the process is to end.
+    pub lifecycle: Rc<Lifecycle>,
 }
 
 /// Owns the module, its timers, and the requests and attempts in flight.
@@ -71,8 +75,11 @@
     outbound: Rc<Outbound>,
     listing: Rc<Listing>,
     bans: Rc<Bans>,
+    lifecycle: Rc<Lifecycle>,
     /// Their ids.
     banned: HashSet<EndpointId>,
+    /// With the processes beside this one.
+    sharing: Sharing,
     calls: UnboundedSender<Call>,
     inbox: Inbox,
 }
@@ -87,7 +94,7 @@
         calls: UnboundedSender<Call>,
         inbox: Inbox,
     ) -> Self {
-        let Parts { outbound, listing, bans } = parts;
+        let Parts { outbound, listing, bans, lifecycle } = parts;
         Driver {
             balancer,
             clock,
@@ -101,7 +108,9 @@
             outbound,
             listing,
             bans,
+            lifecycle,
             banned: HashSet::new(),
+            sharing: Sharing::default(),
             calls,
             inbox,
         }
@@ -122,6 +131,7 @@
         }
         loop {
             let next = self.timers.peek().map_or(self.summary_at, |Reverse((at, _))| *at);
+            let next = self.sharing.next().map_or(next, |at| at.min(next));
             tokio::select! {
                 biased;
                 // Operators wait for a second at most, whatever else does.
@@ -144,6 +154,8 @@
             self.timers.pop();
             self.handle(Event::Timer(TimerToken(token)));
         }
+        let open = self.requests.len();
+        self.share(|sharing, now, balancer, out| sharing.look(open, now, balancer, out));
         if now >= self.summary_at {
             self.summary_at = now + SUMMARY;
             let mut counts: Vec<_> = self.unusual.drain().collect();
@@ -199,9 +211,20 @@
         match command {
             Command::Hosts(told) => {
                 let down = self.balancer.avoided(self.clock.now());
-                let _ = told.send(Hosts { listed: self.addresses.len(), down });
+                let _ =
+                    told.send(Hosts { listed: self.addresses.len(), down, parts: self.sharing.parts() });
             }
             Command::Learnt(told) => drop(told.send(self.balancer.snapshot(self.clock.now()))),
+            Command::Beside { link, before, say } => {
+                self.share(|sharing, now, balancer, _| sharing.beside(link, before, say, now, balancer));
+            }
+            Command::Said(link, said) => {
+                self.share(|sharing, now, balancer, out| sharing.hears(link, said, now, balancer, out));
+            }
+            Command::Left(link) => {
+                let ending = self.lifecycle.state() == State::Terminating;
+                self.share(|sharing, now, balancer, out| sharing.left(link, ending, now, balancer, out));
+            }
             Command::Ban { uid, on, known, told } => drop(told.send(self.ban(&uid, on, known))),
         }
     }
@@ -243,6 +266,7 @@
         let deadline = watch::Sender::new(deadline);
         let open = Open { forward, deadline, coming, answer: Some(answer), tries: Vec::new(), out: 0 };
         self.requests.insert(request.id, open);
+        self.sharing.came();
         self.handle(Event::Request(request));
     }
 
@@ -342,11 +366,26 @@
         self.handle(Event::Membership(news.membership));
     }
 
+    /// Lets the sharing go on, and carries out what the module then wants done.
+    fn share(&mut self, go_on: impl FnOnce(&mut Sharing, Duration, &mut Balancer, &mut Vec<Action>)) {
+        let mut actions = Vec::new();
+        go_on(&mut self.sharing, self.clock.now(), &mut self.balancer, &mut actions);
+        self.settle(actions);
+    }
+
     /// Gives the module an event and carries out what it wants done, and what comes of that.
     fn handle(&mut self, event: Event) {
         self.due.push_back(event);
-        let mut actions = Vec::new();
-        while let Some(event) = self.due.pop_front() {
+        self.settle(Vec::new());
+    }
+
+    /// Carries out these actions, and what comes of them.
+    fn settle(&mut self, mut actions: Vec<Action>) {
+        loop {
+            for action in actions.drain(..) {
+                self.carry_out(action);
+            }
+            let Some(event) = self.due.pop_front() else { return };
             let about = match &event {
                 Event::AttemptEnded(ended) => Some(ended.request),
                 _ => None,
--- a/crates/runtime/src/events.rs
+++ b/crates/runtime/src/events.rs
@@ -3,7 +3,7 @@
 
 use crate::figures::Hosts;
 use crate::streaming::{AnswerBody, Payload};
-use curlewhub_balance::{AttemptNo, EndpointId, Membership, Outcome, RequestId, Snapshot};
+use curlewhub_balance::{AttemptNo, EndpointId, Membership, Outcome, Portion, RequestId, Snapshot};
 use curlewhub_config::list::Target;
 use hyper::body::Bytes;
 use hyper::header::{self, HeaderName, HeaderValue};
@@ -59,6 +59,28 @@
         /// Told once that holds and is on disk, or why it isn't so.
         told: oneshot::Sender<Result<(), &'static str>>,
     },
+    /// Another process of this sidecar is there.
+    Beside {
+        /// The number of the connection to it.
+        link: u64,
+        /// It was there before this one.
+        before: bool,
+        /// Says something to it.
+        say: Box<dyn Fn(Said)>,
+    },
+    /// It says something.
+    Said(u64, Said),
+    /// It has gone.
+    Left(u64),
+}
+
+/// What processes that share tell each other.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Said {
+    /// How much it needs.
+    Need(u32),
+    /// It gives so many parts, and what goes along with them.
+    Give(u32, Portion),
 }
 
 /// A request as it came in.
--- a/crates/runtime/src/figures.rs
+++ b/crates/runtime/src/figures.rs
@@ -41,6 +41,8 @@
     pub listed: usize,
     /// Of these, avoided: taken out by hand, leaving, or failing.
     pub down: usize,
+    /// Parts of 64 of what one sidecar may use that this process holds: fewer beside another process of it.
+    pub parts: u32,
 }
 
 /// The counts since the start of the process.
@@ -131,6 +133,7 @@
         line("inflight", "", self.in_flight.get(), "g");
         line("hosts_listed", "", hosts.listed as u64, "g");
         line("hosts_down", "", hosts.down as u64, "g");
+        line("share_parts", "", u64::from(hosts.parts), "g");
         text
     }
 }
@@ -186,7 +189,7 @@
             verdict.into_iter().for_each(|verdict| counted.ends(verdict));
             open.push(counted);
         }
-        let hosts = Hosts { listed: 3, down: 1 };
+        let hosts = Hosts { listed: 3, down: 1, parts: 64 };
         assert!(figures.report(hosts).contains("router.inflight:6|g\n"));
         drop(open);
         figures.written();
@@ -196,7 +199,7 @@
                     router.success.unknown:0|c\nrouter.busy.unknown:0|c\nrouter.failure.unknown:2|c\n\
                     router.backend_calls:1|c\nrouter.reconfig_ok:1|c\nrouter.reconfig_failed:0|c\n\
                     router.snapshot_ok:0|c\nrouter.snapshot_failed:0|c\n\
-                    router.inflight:0|g\nrouter.hosts_listed:3|g\nrouter.hosts_down:1|g\n";
+                    router.inflight:0|g\nrouter.hosts_listed:3|g\nrouter.hosts_down:1|g\nrouter.share_parts:64|g\n";
         assert_eq!(figures.report(hosts), want);
     }
 }
--- a/crates/runtime/src/handover.rs
+++ b/crates/runtime/src/handover.rs
@@ -9,16 +9,18 @@
 //! After the socket, both sides write lines: `DETACH ID`, `ATTACH ID`, `DONE` for each of those that
 //! holds and is kept, and from the first `SPARE N` (descriptors). The first one's bans come as `DETACH`
 //! lines before its first `SPARE`. Once all else of the second is ready it writes `LEARN`, and the first
-//! answers `LEARNT` and what its module has learnt, in base64.
+//! answers `LEARNT` and what its module has learnt, in base64. As long as both live, each writes `NEED N` and
+//! `GIVE N PORTION`: see `sharing`.
 
 use super::bans::Bans;
 use super::budget::Budget;
-use super::events::{Command, Commands};
+use super::events::{Command, Commands, Said};
 use super::learnt::Learnt;
 use super::lifecycle::{Lifecycle, State};
 use super::outbound::Outbound;
 use base64::Engine;
 use base64::engine::general_purpose::STANDARD;
+use curlewhub_balance::Portion;
 use rustix::net::{
     RecvAncillaryBuffer, RecvAncillaryMessage, RecvFlags, SendAncillaryBuffer, SendAncillaryMessage,
     SendFlags, recvmsg, sendmsg,
@@ -66,6 +68,7 @@
     Spare(usize),
     Learn,
     Learnt(Vec<u8>),
+    Share(Said),
 }
 
 /// The other process, as long as it lives.
@@ -75,6 +78,8 @@
     waiting: RefCell<VecDeque<oneshot::Sender<()>>>,
     /// Who waits for what the other has learnt.
     learning: Cell<Option<oneshot::Sender<Vec<u8>>>>,
+    /// Tells it from the others of this process.
+    number: u64,
 }
 
 /// This process's dealings with the one before it and the one after it.
@@ -89,6 +94,7 @@
     links: RefCell<Vec<Rc<Link>>>,
     has_successor: Cell<bool>,
     has_predecessor: Cell<bool>,
+    next_link: Cell<u64>,
     changed: Notify,
     /// What this process's module has learnt; there once it has a module.
     learnt: RefCell<Option<Rc<Learnt>>>,
@@ -119,7 +125,8 @@
         budget: Rc<Budget>,
         commands: Commands,
     ) -> Rc<Self> {
-        let (clients, links, has_successor, has_predecessor, changed, learnt) = Default::default();
+        let (clients, links, has_successor, has_predecessor, next_link) = Default::default();
+        let (changed, learnt) = Default::default();
         let folder = folder.to_owned();
         Rc::new(Handover {
             folder,
@@ -131,6 +138,7 @@
             links,
             has_successor,
             has_predecessor,
+            next_link,
             changed,
             learnt,
         })
@@ -216,8 +224,8 @@
     /// Goes on with the predecessor for as long as it lives.
     pub fn follow(self: &Rc<Self>, talk: Talk) {
         self.has_predecessor.set(true);
-        let (link, words) = Link::new();
-        self.links.borrow_mut().push(link.clone());
+        let (link, words) = self.link();
+        self.beside(&link, true);
         let this = self.clone();
         spawn_local(async move {
             this.converse(talk, link, words).await;
@@ -258,7 +266,7 @@
                 continue;
             }
             info!("handover: a successor has come");
-            let (link, words) = Link::new();
+            let (link, words) = self.link();
             for uid in bans.all() {
                 link.say(Word::Ban { uid, on: true });
             }
@@ -269,14 +277,13 @@
             let (reader, writer) = stream.into_split();
             let talk = Talk { lines: BufReader::new(reader).lines(), writer };
             self.has_successor.set(true);
-            self.links.borrow_mut().push(link.clone());
+            self.beside(&link, false);
             tokio::select! {
                 () = self.converse(talk, link.clone(), words) => {}
                 () = self.give_way(&link, &lifecycle, &outbound) => {}
             }
             info!("handover: the successor has gone");
-            // Whichever of the two ended first.
-            self.links.borrow_mut().retain(|other| !Rc::ptr_eq(other, &link));
+            self.forget(&link); // whichever of the two ended first
             self.has_successor.set(false);
             self.budget.share(self.sockets, false);
         }
@@ -341,6 +348,9 @@
                             let _ = told.send(bytes); // who asked may have given up
                         }
                     }
+                    Some(Word::Share(said)) => {
+                        let _ = self.commands.send(Command::Said(link.number, said));
+                    }
                     None => warn!(line, "handover: not understood"),
                 }
             }
@@ -349,7 +359,32 @@
             () = say => {}
             () = hear => {}
         }
-        self.links.borrow_mut().retain(|other| !Rc::ptr_eq(other, &link));
+        self.forget(&link);
+    }
+
+    fn link(&self) -> (Rc<Link>, UnboundedReceiver<Word>) {
+        let (out, words) = unbounded_channel();
+        let number = self.next_link.replace(self.next_link.get() + 1);
+        let (waiting, learning) = Default::default();
+        (Rc::new(Link { out, waiting, learning, number }), words)
+    }
+
+    /// Another process is there, before this one or after it. Commands are lost only at the end.
+    fn beside(&self, link: &Rc<Link>, before: bool) {
+        self.links.borrow_mut().push(link.clone());
+        let out = link.out.clone();
+        let say = Box::new(move |said| drop(out.send(Word::Share(said))));
+        let _ = self.commands.send(Command::Beside { link: link.number, before, say });
+    }
+
+    /// It has gone.
+    fn forget(&self, link: &Rc<Link>) {
+        let mut links = self.links.borrow_mut();
+        let known = links.len();
+        links.retain(|other| !Rc::ptr_eq(other, link));
+        if links.len() < known {
+            let _ = self.commands.send(Command::Left(link.number));
+        }
     }
 
     /// Tells the other process, if there is one, of a ban or its end; whether that holds there too. One
@@ -386,11 +421,6 @@
 }
 
 impl Link {
-    fn new() -> (Rc<Self>, UnboundedReceiver<Word>) {
-        let (out, words) = unbounded_channel();
-        (Rc::new(Link { out, waiting: RefCell::default(), learning: Cell::default() }), words)
-    }
-
     fn say(&self, word: Word) {
         let _ = self.out.send(word); // fails only once the other has gone
     }
@@ -407,6 +437,12 @@
             "SPARE" => rest.parse().ok().map(Word::Spare),
             "LEARN" if rest.is_empty() => Some(Word::Learn),
             "LEARNT" => STANDARD.decode(rest).ok().map(Word::Learnt),
+            "NEED" => rest.parse().ok().map(|need| Word::Share(Said::Need(need))),
+            "GIVE" => {
+                let (parts, portion) = rest.split_once(' ')?;
+                let portion: Portion = serde_json::from_str(portion).ok().filter(Portion::is_sound)?;
+                Some(Word::Share(Said::Give(parts.parse().ok()?, portion)))
+            }
             _ => None,
         }
     }
@@ -419,6 +455,11 @@
             Word::Spare(sockets) => format!("SPARE {sockets}\n"),
             Word::Learn => "LEARN\n".to_owned(),
             Word::Learnt(bytes) => format!("LEARNT {}\n", STANDARD.encode(bytes)),
+            Word::Share(Said::Need(need)) => format!("NEED {need}\n"),
+            Word::Share(Said::Give(parts, portion)) => {
+                let portion = serde_json::to_string(portion).unwrap_or_default(); // numbers alone: never fails
+                format!("GIVE {parts} {portion}\n")
+            }
         }
     }
 }
@@ -477,10 +518,16 @@
     fn words_read_as_they_are_written() {
         let ban = |on| Word::Ban { uid: "s-1".to_owned(), on };
         let learnt = Word::Learnt(vec![0, 10, 255]);
-        for word in [ban(true), ban(false), Word::Done, Word::Spare(96), Word::Learn, learnt] {
+        let portion: Portion =
+            serde_json::from_str(r#"{"windows":[[3.25,true],[1.0,false]],"retries":0.1}"#).unwrap();
+        let (need, give) = (Word::Share(Said::Need(9)), Word::Share(Said::Give(7, portion)));
+        for word in [ban(true), ban(false), Word::Done, Word::Spare(96), Word::Learn, learnt, need, give] {
             assert_eq!(Word::read(word.write().trim_end()), Some(word));
         }
-        for bad in ["", "DETACH", "SPARE", "SPARE -1", "DONE x", "HELLO", "LEARN x", "LEARNT ~"] {
+        let wrong = r#"GIVE 3 {"windows":[[1e999,true],[1.0,false]],"retries":0.1}"#;
+        for bad in
+            ["", "DETACH", "SPARE", "SPARE -1", "DONE x", "HELLO", "LEARN x", "LEARNT ~", "NEED", wrong]
+        {
             assert_eq!(Word::read(bad), None, "{bad}");
         }
     }
--- a/crates/runtime/src/lib.rs
+++ b/crates/runtime/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod listing;
 pub mod operator;
 pub mod outbound;
+pub mod sharing;
 pub mod socket;
 pub mod static_list;
 pub mod streaming;
