Keep a keyed job that was out at a killed process from running twice

Cause: a process keeps its own attempts for a key to one hall, whose endpoints drop repeats. Killed, it takes that along, and its clients repeat the job to the next process, which knew nothing of it.

Change: crates/keys remembers where keyed jobs may have run, and writes it to a file of the process before each first send; a start, and a keyed request while another process is beside this one, reads what others have written. The module is told with the request (Request::earlier): it counts like an own attempt that may have run. Figures keys and keys_failed.

Property test: memory, file and a plain table agree over 256 random histories.

--- a/crates/adapter/src/lib.rs
+++ b/crates/adapter/src/lib.rs
@@ -283,6 +283,7 @@
                 client_retry: attrs & 2 != 0,
                 body_coming: false,
                 write: attrs & 4 != 0,
+                earlier: None,
             });
             (Some(name), event)
         }
--- a/crates/balance/src/balance.rs
+++ b/crates/balance/src/balance.rs
@@ -131,6 +131,8 @@
     /// Part of its class's worth: little above its tenant's share, and for a repeat.
     part: f64,
     attempts: Vec<Attempt>,
+    /// Where its job may have run before it came here.
+    earlier: Option<Earlier>,
     finished: bool,
     streaming: bool,
     /// Its body still comes.
@@ -231,9 +233,10 @@
         self.attempts.iter().all(|a| a.fate != Fate::Out)
     }
 
-    /// The attempts that are not known never to have run.
-    fn may_have_run(&self) -> impl Iterator<Item = &Attempt> {
-        self.attempts.iter().filter(|a| a.fate != Fate::NeverRan)
+    /// The sends that are not known never to have run, the first in front.
+    fn may_have_run(&self) -> impl Iterator<Item = Earlier> {
+        let own = self.attempts.iter().filter(|a| a.fate != Fate::NeverRan);
+        self.earlier.into_iter().chain(own.map(|a| Earlier { zone: a.zone, cell: a.cell, sent: a.sent }))
     }
 }
 
@@ -472,6 +475,7 @@
             deadline,
             part,
             attempts,
+            earlier: request.earlier,
             finished: false,
             streaming: false,
             coming,
@@ -888,6 +892,11 @@
         }
     }
 
+    /// Where an endpoint is.
+    pub fn place(&self, id: EndpointId) -> Option<(ZoneId, CellId)> {
+        self.index.get(&id).map(|&i| (self.endpoints[i].info.zone, self.endpoints[i].info.cell))
+    }
+
     // ---- the choice ----
 
     /// The eligible set, then d samples, then the least occupied, ties at random.
--- a/crates/balance/src/types.rs
+++ b/crates/balance/src/types.rs
@@ -433,6 +433,19 @@
     pub body_coming: bool,
     /// It writes.
     pub write: bool,
+    /// Where the same job may have run already, by another process or for another request.
+    pub earlier: Option<Earlier>,
+}
+
+/// A send of a keyed job that may have run.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Earlier {
+    /// The zone that it went to.
+    pub zone: ZoneId,
+    /// The cell that it went to.
+    pub cell: CellId,
+    /// When: the window in which endpoints drop a repeat runs from then on.
+    pub sent: Duration,
 }
 
 /// How an attempt ended.
@@ -566,6 +579,7 @@
             client_retry: false,
             body_coming: false,
             write: false,
+            earlier: None,
         })
     }
 }
--- a/crates/balance/tests/rules.rs
+++ b/crates/balance/tests/rules.rs
@@ -183,3 +183,25 @@
     waits.dedup();
     assert!(waits.len() > 1, "instances that start together do not ask together");
 }
+
+#[test]
+fn rule_2_a_job_that_may_have_run_before_goes_to_where_it_ran_or_nowhere() {
+    let zoned = Semantics::Keyed { group: Group::Zone, window: ms(400) };
+    let list: Vec<EndpointInfo> =
+        (1..=6).map(|id| EndpointInfo { zone: ZoneId(id as u32 % 2), ..endpoint(id) }).collect();
+    for seed in 0..20 {
+        let mut d = Driver::seeded(Settings { zones: 2, ..with_class(zoned) }, list.clone(), seed);
+        let Event::Request(request) = Event::request(RequestId(900), ms(300)) else { return };
+        let earlier = |zone| Some(Earlier { zone: ZoneId(zone), cell: CellId(0), sent: d.now });
+        let (odd, nowhere) = (earlier(1), earlier(7));
+        let sent = d.feed(Event::Request(Request { earlier: odd, ..request.clone() }));
+        assert_eq!(sends(&sent)[0].0 % 2, 1, "not to its own zone, where nobody knows the key");
+        let lost = RequestId(901);
+        let held = d.feed(Event::Request(Request { id: lost, earlier: nowhere, ..request }));
+        assert!(sends(&held).is_empty());
+        assert!(
+            failed(&d.advance(ms(305)), lost),
+            "it may have run: no refusal, which would say that it did not"
+        );
+    }
+}
--- a/crates/curlewhub/src/serve.rs
+++ b/crates/curlewhub/src/serve.rs
@@ -12,6 +12,7 @@
 use curlewhub_runtime::figures::Figures;
 use curlewhub_runtime::handover::{self, Handover, Taken};
 use curlewhub_runtime::inbound::Inbound;
+use curlewhub_runtime::keyed::Keyed;
 use curlewhub_runtime::learnt::Learnt;
 use curlewhub_runtime::lifecycle::Lifecycle;
 use curlewhub_runtime::listing::Listing;
@@ -123,8 +124,10 @@
         }
     };
     let attempts = config.settings.limits.max_attempts;
-    let parts =
-        Parts { outbound: outbound.clone(), listing, bans: bans.clone(), lifecycle: lifecycle.clone() };
+    let (folder, zones) = (&config.state_dir, &config.names.areas);
+    let keyed = Keyed::open(folder, config.listen, &config.settings, zones, figures.clone(), clock.now());
+    let (bans_held, life) = (bans.clone(), lifecycle.clone());
+    let parts = Parts { outbound: outbound.clone(), listing, bans: bans_held, lifecycle: life, keyed };
     let driver = Driver::new(balancer, clock, attempts, parts, calls.clone(), inbox);
     let mut driver = spawn_local(driver.run(inputs, commanded));
     spawn_local(outbound.clone().sweep());
--- a/crates/curlewhub/tests/learnt.rs
+++ b/crates/curlewhub/tests/learnt.rs
@@ -139,6 +139,9 @@
     wait_for("the failure", || sidecar.figure("snapshot_failed") > 0);
     assert!(sidecar.log().contains("snapshot: can't be written"));
     assert_eq!(sidecar.ask("quote", "r1").status(), 200);
-    let beside = std::fs::read_dir(sidecar.folder()).unwrap().flatten();
-    assert!(beside.into_iter().all(|entry| !entry.file_name().to_string_lossy().ends_with(".new")));
+    // One may just be written, and is gone a moment later.
+    wait_for("no half-written file", || {
+        let beside = std::fs::read_dir(sidecar.folder()).unwrap().flatten();
+        beside.into_iter().all(|entry| !entry.file_name().to_string_lossy().ends_with(".new"))
+    });
 }
--- /dev/null
+++ b/crates/keys/tests/keys.rs
@@ -0,0 +1,167 @@
+//! Keys remembered: within their window, within their bound, and over the end of a process.
+
+use curlewhub_keys::{Entry, Journal, Memory, Others, Refused, Written, encode_head, hash, mark, read};
+use proptest::prelude::*;
+use std::collections::HashMap;
+use std::path::PathBuf;
+use std::time::Duration;
+
+const NOW: Duration = Duration::from_secs(1_000_000);
+
+fn entry(key: u64, zone: u32, sent: Duration) -> Entry {
+    Entry { key, zone, cell: u64::from(zone) << 40, sent, window: Duration::from_secs(6) }
+}
+
+/// A folder that goes with the test.
+struct Folder(PathBuf);
+
+impl Folder {
+    fn new(name: &str) -> Folder {
+        let path = std::env::temp_dir().join(format!("curlewhub-keys-test-{name}-{}", std::process::id()));
+        std::fs::create_dir_all(&path).unwrap();
+        Folder(path)
+    }
+}
+
+impl Drop for Folder {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.0);
+    }
+}
+
+#[test]
+fn a_key_is_known_for_its_window_from_its_first_send() {
+    let mut memory = Memory::default();
+    let second = Duration::from_secs(1);
+    assert!(memory.note(NOW, entry(1, 3, NOW)).is_some());
+    assert_eq!(memory.note(NOW + second, entry(1, 4, NOW + second)), None, "the first send counts");
+    assert_eq!(memory.find(NOW + second * 5, 1).unwrap().zone, 3);
+    assert_eq!(memory.find(NOW + second * 6, 1), None);
+    let again = memory.note(NOW + second * 6, entry(1, 4, NOW + second * 6)).unwrap();
+    assert_eq!((again.slot, memory.len()), (0, 1), "it keeps its slot");
+    assert_eq!(memory.find(NOW + second * 7, 1).unwrap().zone, 4);
+}
+
+#[test]
+fn what_surely_did_not_run_is_forgotten_and_its_slot_serves_another() {
+    let mut memory = Memory::default();
+    memory.note(NOW, entry(1, 1, NOW));
+    assert_eq!(memory.forget(1), Some(Written { slot: 0, entry: None }));
+    assert_eq!(memory.find(NOW, 1), None);
+    assert_eq!(memory.forget(1), None);
+    assert_eq!(memory.note(NOW, entry(2, 1, NOW)).unwrap().slot, 0);
+}
+
+#[test]
+fn a_time_ahead_of_now_is_taken_for_now() {
+    let mut memory = Memory::default();
+    memory.note(NOW, entry(1, 1, NOW + Duration::from_secs(60)));
+    assert!(memory.find(NOW + Duration::from_secs(5), 1).is_some());
+    assert!(memory.find(NOW + Duration::from_secs(6), 1).is_none());
+}
+
+#[test]
+fn beyond_its_bound_the_oldest_goes_and_is_counted() {
+    let mut memory = Memory::holding(3);
+    for key in 0..5 {
+        memory.note(NOW, entry(key, 1, NOW));
+    }
+    assert_eq!((memory.len(), memory.lost()), (3, 2));
+    assert!(memory.find(NOW, 1).is_none() && memory.find(NOW, 2).is_some());
+}
+
+#[test]
+fn a_file_outlives_its_process_and_is_cleared_once_it_is_old() {
+    let folder = Folder::new("outlives");
+    let zones = mark(&["a".to_owned(), "b".to_owned()]);
+    let mut memory = Memory::default();
+    let first = Journal::create(&folder.0, "s", NOW, zones).unwrap();
+    for key in 0..3 {
+        first.write(&memory.note(NOW, entry(key, key as u32, NOW)).unwrap()).unwrap();
+    }
+    first.write(&memory.forget(1).unwrap()).unwrap();
+    drop(first);
+    let second = Journal::create(&folder.0, "s", NOW + Duration::from_secs(1), zones).unwrap();
+    let others = Others::new(&folder.0, "s", Some(&second), zones);
+    let (found, problems) = others.read();
+    assert_eq!((found, problems), (vec![entry(0, 0, NOW), entry(2, 2, NOW)], vec![]));
+    let stranger = Others::new(&folder.0, "t", None, zones);
+    assert!(stranger.read().0.is_empty(), "another sidecar's are none of its business");
+    let (found, problems) = Others::new(&folder.0, "s", Some(&second), 7).read();
+    assert!(found.is_empty() && problems[0].contains("of other zones"), "{problems:?}");
+    assert_eq!(others.clear(Duration::from_secs(3600)), 0);
+    assert_eq!(others.clear(Duration::ZERO), 1);
+    assert!(second.path().exists() && others.read().0.is_empty());
+    assert!(Journal::create(&folder.0.join("none"), "s", NOW, zones).is_err());
+}
+
+#[test]
+fn what_is_no_journal_is_refused_by_name() {
+    let head = encode_head(9);
+    assert_eq!(read(b"CLHK", 9), Err(Refused::NotOne));
+    assert_eq!(read(&[1; 64], 9), Err(Refused::NotOne));
+    assert_eq!(read(&head, 8), Err(Refused::Zones));
+    let mut newer = head.clone();
+    newer[4] = 2;
+    assert_eq!(read(&newer, 9), Err(Refused::Version(2)));
+    assert_eq!(read(&head, 9), Ok((vec![], 0)));
+    let torn = [&head[..], &[7; 39]].concat();
+    assert_eq!(read(&torn, 9), Ok((vec![], 1)), "half a record");
+    assert!(matches!(read(&vec![0; 4_000_000], 9), Err(Refused::TooLong(_))));
+}
+
+#[test]
+fn a_key_of_one_class_is_not_one_of_another() {
+    assert_ne!(hash("ab", b"c"), hash("a", b"bc"));
+    assert_eq!(hash("a", b"b"), hash("a", b"b"));
+    assert_ne!(mark(&["ab".into(), "c".into()]), mark(&["a".into(), "bc".into()]));
+}
+
+proptest! {
+    /// The file, slot by slot, always holds just what the memory knows; both against a plain table.
+    #[test]
+    fn file_memory_and_a_plain_table_agree(
+        steps in prop::collection::vec((0..40u64, 0..3u8, 0..900u64), 0..300),
+        most in 1..30usize,
+    ) {
+        let mut memory = Memory::holding(most);
+        let mut slots: HashMap<u32, Option<Entry>> = HashMap::new();
+        let mut plain: HashMap<u64, Entry> = HashMap::new();
+        let mut now = NOW;
+        for (key, what, wait) in steps {
+            now += Duration::from_millis(wait);
+            let written = if what == 0 {
+                plain.remove(&key);
+                memory.forget(key)
+            } else {
+                let new = entry(key, u32::from(what), now);
+                if plain.get(&key).is_none_or(|old| old.is_over(now)) {
+                    plain.insert(key, new);
+                }
+                memory.note(now, new)
+            };
+            if let Some(Written { slot, entry }) = written {
+                prop_assert!((slot as usize) < most, "slot {slot} of {most}");
+                slots.insert(slot, entry);
+            }
+            let mut kept: Vec<Entry> = slots.values().flatten().filter(|e| !e.is_over(now)).copied().collect();
+            kept.sort_by_key(|entry| entry.key);
+            let mut known: Vec<Entry> = (0..40).filter_map(|key| memory.find(now, key)).copied().collect();
+            known.sort_by_key(|entry| entry.key);
+            prop_assert_eq!(&kept, &known, "the file is what is remembered");
+            prop_assert!(memory.len() <= most);
+            if memory.lost() == 0 {
+                let mut plain: Vec<Entry> = plain.values().filter(|e| !e.is_over(now)).copied().collect();
+                plain.sort_by_key(|entry| entry.key);
+                prop_assert_eq!(plain, known);
+            }
+        }
+    }
+
+    #[test]
+    fn no_bytes_make_the_reader_panic(bytes in prop::collection::vec(any::<u8>(), 0..300)) {
+        let _ = read(&bytes, 9);
+        let (entries, _) = read(&[encode_head(9), bytes].concat(), 9).unwrap();
+        prop_assert!(entries.is_empty(), "a checksum does not fit by chance");
+    }
+}
--- a/crates/runtime/src/driver.rs
+++ b/crates/runtime/src/driver.rs
@@ -6,13 +6,14 @@
 use super::clock::Clock;
 use super::events::{Answer, Arrival, Call, Command, Ended, Forward, Inbox, Input, News};
 use super::figures::Hosts;
+use super::keyed::Keyed;
 use super::lifecycle::{Lifecycle, State};
 use super::listing::Listing;
 use super::outbound::{Outbound, Progress};
 use super::sharing::Sharing;
 use curlewhub_balance::{
-    Action, AttemptEnded, AttemptNo, Balancer, EndpointId, EndpointState, Event, Membership, Outcome,
-    RequestId, TimerToken,
+    Action, AttemptEnded, AttemptNo, Balancer, ClassId, EndpointId, EndpointState, Event, Membership,
+    Outcome, RequestId, TimerToken,
 };
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, HashMap, HashSet, VecDeque};
@@ -46,6 +47,11 @@
     answer: Option<oneshot::Sender<Answer>>,
     tries: Vec<Try>,
     out: usize,
+    class: ClassId,
+    /// The hash of its key, where repeats must keep to a group of endpoints.
+    key: Option<u64>,
+    /// Its own first send is the one that is remembered of the key, and nothing says yet that it may have run.
+    noted: bool,
 }
 
 /// The parts that the driver works with.
@@ -58,6 +64,8 @@
     pub bans: Rc<Bans>,
     /// Whether the process is to end.
     pub lifecycle: Rc<Lifecycle>,
+    /// Keyed jobs that may have run.
+    pub keyed: Keyed,
 }
 
 /// Owns the module, its timers, and the requests and attempts in flight.
@@ -76,6 +84,7 @@
     listing: Rc<Listing>,
     bans: Rc<Bans>,
     lifecycle: Rc<Lifecycle>,
+    keyed: Keyed,
     /// Their ids.
     banned: HashSet<EndpointId>,
     /// With the processes beside this one.
@@ -94,7 +103,7 @@
         calls: UnboundedSender<Call>,
         inbox: Inbox,
     ) -> Self {
-        let Parts { outbound, listing, bans, lifecycle } = parts;
+        let Parts { outbound, listing, bans, lifecycle, keyed } = parts;
         Driver {
             balancer,
             clock,
@@ -109,6 +118,7 @@
             listing,
             bans,
             lifecycle,
+            keyed,
             banned: HashSet::new(),
             sharing: Sharing::default(),
             calls,
@@ -222,6 +232,7 @@
                 self.share(|sharing, now, balancer, out| sharing.hears(link, said, now, balancer, out));
             }
             Command::Left(link) => {
+                self.keyed.absorb(self.clock.now());
                 let ending = self.lifecycle.state() == State::Terminating;
                 self.share(|sharing, now, balancer, out| sharing.left(link, ending, now, balancer, out));
             }
@@ -259,12 +270,21 @@
     }
 
     fn arrived(&mut self, arrival: Arrival) {
-        let Arrival { mut request, deadline, time, forward, answer } = arrival;
+        let Arrival { mut request, key, deadline, time, forward, answer } = arrival;
+        if let Some(key) = key {
+            // The process beside this one may have been killed just now, and this be the repeat.
+            if self.sharing.is_beside() {
+                self.keyed.absorb(self.clock.now());
+            }
+            request.earlier = self.keyed.earlier(self.clock.now(), key);
+        }
         request.time_left = deadline.saturating_duration_since(Instant::now());
         debug!(request = request.id.0, class = request.class.0, tenant = request.tenant.0, "request");
         let coming = request.body_coming.then_some(time);
         let deadline = watch::Sender::new(deadline);
-        let open = Open { forward, deadline, coming, answer: Some(answer), tries: Vec::new(), out: 0 };
+        let class = request.class;
+        let (answer, tries, out, noted) = (Some(answer), Vec::new(), 0, false);
+        let open = Open { forward, deadline, coming, answer, tries, out, class, key, noted };
         self.requests.insert(request.id, open);
         self.sharing.came();
         self.handle(Event::Request(request));
@@ -301,6 +321,12 @@
         // Until a body has come whole, no endpoint takes any time over it.
         let elapsed = if open.coming.is_some() { Duration::ZERO } else { sent.elapsed() };
         let Ended { outcome, body, report } = ended;
+        if !outcome.never_ran() {
+            open.noted = false; // it stays remembered
+        } else if let Some(key) = open.key.filter(|_| open.noted && open.out == 0) {
+            open.noted = false;
+            self.keyed.did_not_run(key);
+        }
         debug!(
             request = id.0,
             attempt = attempt.0,
@@ -453,6 +479,9 @@
             }));
             return self.count(outcome_name(Outcome::Moot));
         };
+        if let (Some(key), Some((zone, cell))) = (open.key, self.balancer.place(endpoint)) {
+            open.noted |= self.keyed.goes(self.clock.now(), key, open.class, zone, cell);
+        }
         let (cancel, mut cancelled) = oneshot::channel();
         open.tries.push(Try { endpoint, sent: now, cancel: Some(cancel) });
         open.out += 1;
--- a/crates/runtime/src/events.rs
+++ b/crates/runtime/src/events.rs
@@ -87,6 +87,8 @@
 pub struct Arrival {
     /// For the module; its time left is set here.
     pub request: curlewhub_balance::Request,
+    /// The hash of its key, where it has one whose repeats must keep to a group of endpoints.
+    pub key: Option<u64>,
     /// When the answer must be on its way; the longest that its body may take, where that still comes.
     pub deadline: Instant,
     /// The time that its client waits from its last byte on.
--- a/crates/runtime/src/figures.rs
+++ b/crates/runtime/src/figures.rs
@@ -55,6 +55,8 @@
     reconfig_failed: Cell<u64>,
     snapshot_ok: Cell<u64>,
     snapshot_failed: Cell<u64>,
+    keys: Cell<u64>,
+    keys_failed: Cell<u64>,
 }
 
 /// A request until it ends; counts it when dropped.
@@ -78,7 +80,7 @@
         };
         let classes = classes.chain([UNKNOWN.to_owned()]).map(class).collect();
         let (backend_calls, in_flight, reconfig_ok, reconfig_failed) = Default::default();
-        let (snapshot_ok, snapshot_failed) = Default::default();
+        let (snapshot_ok, snapshot_failed, keys, keys_failed) = Default::default();
         Rc::new(Figures {
             classes,
             backend_calls,
@@ -87,6 +89,8 @@
             reconfig_failed,
             snapshot_ok,
             snapshot_failed,
+            keys,
+            keys_failed,
         })
     }
 
@@ -113,6 +117,14 @@
         raise(if ok { &self.snapshot_ok } else { &self.snapshot_failed });
     }
 
+    /// So many keys are remembered; one was written to the journal, or could not be.
+    pub fn keys(&self, remembered: usize, ok: bool) {
+        self.keys.set(remembered as u64);
+        if !ok {
+            raise(&self.keys_failed);
+        }
+    }
+
     /// All figures, one a line.
     pub fn report(&self, hosts: Hosts) -> String {
         let mut text = String::new();
@@ -130,6 +142,8 @@
         line("reconfig_failed", "", self.reconfig_failed.get(), "c");
         line("snapshot_ok", "", self.snapshot_ok.get(), "c");
         line("snapshot_failed", "", self.snapshot_failed.get(), "c");
+        line("keys_failed", "", self.keys_failed.get(), "c");
+        line("keys", "", self.keys.get(), "g");
         line("inflight", "", self.in_flight.get(), "g");
         line("hosts_listed", "", hosts.listed as u64, "g");
         line("hosts_down", "", hosts.down as u64, "g");
@@ -199,6 +213,7 @@
                     router.success.unknown:0|c\nrouter.busy.unknown:0|c\nrouter.failure.unknown:2|c\n\
                     router.backend_calls:1|c\nrouter.reconfig_ok:1|c\nrouter.reconfig_failed:0|c\n\
                     router.snapshot_ok:0|c\nrouter.snapshot_failed:0|c\n\
+                    router.keys_failed:0|c\nrouter.keys:0|g\n\
                     router.inflight:0|g\nrouter.hosts_listed:3|g\nrouter.hosts_down:1|g\nrouter.share_parts:64|g\n";
         assert_eq!(figures.report(hosts), want);
     }
--- a/crates/runtime/src/inbound/exchange.rs
+++ b/crates/runtime/src/inbound/exchange.rs
@@ -225,6 +225,8 @@
         self.next.set(id.0 + 1);
         request.id = id;
         request.body_coming = upload.is_some();
+        let key = head.headers.get("idempotency-key").filter(|_| self.grouped[request.class.0]);
+        let key = key.map(|key| curlewhub_keys::hash(&self.classes[request.class.0], key.as_bytes()));
         drop_hop_headers(&mut head.headers);
         let (answer, answered) = oneshot::channel();
         // The client may have written the whole URI; endpoints know the path alone.
@@ -233,7 +235,7 @@
         let forward = Forward { method: head.method, uri, headers: head.headers, body };
         let within = time - ANSWER_MARGIN.min(time / 10);
         let deadline = came + if upload.is_some() { UPLOAD_MOST } else { within };
-        let arrival = Arrival { request, deadline, time: within, forward, answer };
+        let arrival = Arrival { request, key, deadline, time: within, forward, answer };
         let mut waiting = Waiting { inbox: &self.inbox, id, answered: false };
         let _ = self.inbox.send(Input::Arrived(Box::new(arrival)));
         let answer = match upload {
--- a/crates/runtime/src/inbound/mod.rs
+++ b/crates/runtime/src/inbound/mod.rs
@@ -54,6 +54,8 @@
 /// What all clients' connections share.
 pub struct Inbound {
     settings: Settings,
+    /// By class, whether a repeat must keep to a group of endpoints.
+    grouped: Vec<bool>,
     classes: Vec<String>,
     tenants: Vec<String>,
     budget: Rc<Budget>,
@@ -82,9 +84,11 @@
         inbox: Inbox,
     ) -> Rc<Self> {
         let list = |names: &[curlewhub_config::Named]| names.iter().map(|n| n.name.clone()).collect();
+        let grouped = crate::keyed::windows(&settings).iter().map(Option::is_some).collect();
         Rc::new(Inbound {
             classes: list(&names.classes),
             tenants: list(&names.tenants),
+            grouped,
             settings,
             budget,
             outbound,
--- a/crates/runtime/src/inbound/request.rs
+++ b/crates/runtime/src/inbound/request.rs
@@ -82,6 +82,7 @@
             body_coming: false,
             write: text("x-attrs")?
                 .is_some_and(|attrs| attrs.split(',').any(|attr| attr.trim() == "write=1")),
+            earlier: None,
         };
         Ok((request, time))
     }
--- a/crates/runtime/src/lib.rs
+++ b/crates/runtime/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod guard;
 pub mod handover;
 pub mod inbound;
+pub mod keyed;
 pub mod learnt;
 pub mod lifecycle;
 pub mod listing;
--- a/crates/runtime/src/sharing.rs
+++ b/crates/runtime/src/sharing.rs
@@ -150,6 +150,11 @@
         }
     }
 
+    /// Whether another process is beside this one.
+    pub fn is_beside(&self) -> bool {
+        self.shares.beside()
+    }
+
     /// Parts that this process holds.
     pub fn parts(&self) -> u32 {
         self.shares.own()
