Work the paper's loss model out, and free the parts of a process that hangs

Need: the decisions come from mathematics that nothing here checked, and a process that was stopped amid an overlap kept its parts from the other until it ended.

Processes that share say what they need every 100 ms; one that has said nothing for 500 ms no longer counts, and each goes on with all.

Test over real sockets: the other process holds all 64 parts after SIGSTOP of the old one.

--- a/crates/curlewhub/tests/sharing.rs
+++ b/crates/curlewhub/tests/sharing.rs
@@ -68,6 +68,25 @@
     assert_eq!(old.ask("quote", "r1").status(), 200);
 }
 
+#[test]
+fn one_that_is_stopped_amid_the_overlap_does_not_keep_its_parts() {
+    let peer = Peer::serving("ok");
+    let (config, _discovery) = with_discovery(&peer);
+    let old = Sidecar::start(&config);
+    let new = old.successor(&config);
+    wait_for("shares", || (1..64).contains(&new.figure("share_parts")));
+    assert_eq!(
+        old.figure("share_parts") + new.figure("share_parts"),
+        64,
+        "idle, nothing moves between the two looks"
+    );
+    old.signal("-STOP");
+    wait_for("all", || new.figure("share_parts") == 64);
+    assert!(new.log().contains("does not share, or not any more"));
+    old.signal("-CONT");
+    wait_for("the old one to go on too", || old.figure("share_parts") == 64);
+}
+
 /// A process before that hands over what every version does, and then does this with the rest.
 fn scripted(first: &Sidecar, rest: impl FnOnce(UnixStream) + Send + 'static) -> JoinHandle<()> {
     let at = first.address;
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -3,4 +3,5 @@
 
 pub mod demo;
 pub mod load;
+pub mod paper;
 pub mod sim;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -3,6 +3,7 @@
 use clap::{Parser, Subcommand};
 use curlewhub_lab::demo;
 use curlewhub_lab::load::{self, Arrivals, Look, Mix, Plan};
+use curlewhub_lab::paper;
 use curlewhub_lab::sim;
 use indicatif::{ProgressBar, ProgressStyle};
 use std::ffi::OsString;
@@ -109,6 +110,21 @@
         #[command(flatten)]
         runs: Runs,
     },
+    /// Work the paper's section 8 out again, and what own counts lose against true ones.
+    Paper {
+        /// Runs for each figure.
+        #[arg(long, default_value_t = 10, value_parser = clap::value_parser!(u64).range(2..=1000))]
+        seeds: u64,
+        /// Job arrivals counted in each run, about.
+        #[arg(long, default_value_t = 2_000_000.0)]
+        jobs: f64,
+        /// Write plots into this folder, as SVG.
+        #[arg(long, value_name = "DIR")]
+        out: Option<PathBuf>,
+        /// Write all figures there as JSON.
+        #[arg(long, value_name = "FILE")]
+        json: Option<PathBuf>,
+    },
     /// Print the default mix of requests.
     Mix,
     /// Be a sidecar: the words are curlewhub's own.
@@ -162,6 +178,23 @@
                 (Err(problem), _) | (_, Err(problem)) => wrong(&problem),
             }
         }
+        Command::Paper { seeds, jobs, out, json } => {
+            if !(1000.0..=1e10).contains(&jobs) {
+                return wrong("--jobs: allowed: 1000 to 10000000000");
+            }
+            let worked_out = paper::paper(paper::Effort { seeds, jobs }).and_then(|figures| {
+                print!("{}", paper::tables(&figures));
+                write_json(json, &figures)?;
+                out.map_or(Ok(Vec::new()), |folder| paper::plots(&figures, &folder))
+            });
+            match worked_out {
+                Ok(plots) => {
+                    plots.into_iter().for_each(|path| println!("{path}"));
+                    ExitCode::SUCCESS
+                }
+                Err(problem) => failed(&problem),
+            }
+        }
         Command::Mix => match toml::to_string(&Mix::default()) {
             Ok(text) => {
                 print!("{text}");
--- a/crates/lab/src/sim/compare.rs
+++ b/crates/lab/src/sim/compare.rs
@@ -105,6 +105,11 @@
     if yes { Verdict::Better } else { Verdict::Worse }
 }
 
+/// The mean of these values, and half its 95% confidence interval, where there are two or more.
+pub fn mean_and_half(values: &[f64]) -> (f64, Option<f64>) {
+    (values.iter().sum::<f64>() / (values.len() as f64).max(1.0), half(values))
+}
+
 /// Half the 95% confidence interval of the mean of these values.
 pub(super) fn half(values: &[f64]) -> Option<f64> {
     let n = values.len() as f64;
--- a/crates/lab/src/sim/mod.rs
+++ b/crates/lab/src/sim/mod.rs
@@ -4,7 +4,7 @@
 mod plot;
 mod table;
 
-pub use compare::{Comparison, Difference, Verdict, compare};
+pub use compare::{Comparison, Difference, Verdict, compare, mean_and_half};
 pub use plot::plot;
 pub use table::{comparison_table, summary_table};
 
--- a/crates/lab/tests/sim.rs
+++ b/crates/lab/tests/sim.rs
@@ -53,3 +53,18 @@
         assert!(String::from_utf8_lossy(&done.stderr).contains(problem), "{set}");
     }
 }
+
+#[test]
+fn the_paper_is_worked_out_and_plotted() {
+    let folder = std::env::temp_dir().join(format!("curlewhub-paper-{}", std::process::id()));
+    let words = ["paper", "--seeds", "2", "--jobs", "20000", "--out"];
+    let done = lab(&words, &folder);
+    let said = String::from_utf8_lossy(&done.stdout);
+    assert!(done.status.success(), "{}", String::from_utf8_lossy(&done.stderr));
+    assert!(said.contains("N = 10000") && said.contains("Pareto") && said.contains("Erlang B"), "{said}");
+    for plot in ["figure-1", "figure-2", "own-counts"] {
+        let svg = std::fs::read_to_string(folder.join(format!("{plot}.svg"))).unwrap();
+        assert!(svg.contains("polyline"), "{plot}");
+    }
+    std::fs::remove_dir_all(&folder).unwrap();
+}
--- a/crates/runtime/src/sharing.rs
+++ b/crates/runtime/src/sharing.rs
@@ -4,7 +4,7 @@
 use crate::events::Said;
 use curlewhub_balance::{Action, Balancer};
 use curlewhub_share::Shares;
-use std::collections::{HashMap, VecDeque};
+use std::collections::{HashMap, HashSet, VecDeque};
 use std::time::Duration;
 use tokio::time::Instant;
 use tracing::{info, warn};
@@ -16,14 +16,21 @@
 const LOOKS: usize = 25;
 /// One from before that does not answer in parts by then does not know of them.
 const ANSWERS_WITHIN: Duration = Duration::from_millis(600);
+/// Each says what it needs at least this often, changed or not.
+const SAYS_EVERY: Duration = Duration::from_millis(100);
+/// One that has said nothing for so long is stopped or hung: what it holds is of use to nobody. Should it go on later,
+/// both have all, as with one that knows of no parts.
+const SILENT_MOST: Duration = Duration::from_millis(500);
 
 /// A process beside this one.
 struct Beside {
     say: Box<dyn Fn(Said)>,
-    /// What it was last told that this one needs.
-    told: Option<u32>,
-    /// When it came, where it has said nothing yet.
-    unheard_since: Option<Instant>,
+    /// What it was last told that this one needs, and when.
+    told: Option<(u32, Instant)>,
+    /// When it last said something; when it came, where it has said nothing yet.
+    heard_at: Instant,
+    /// It has said something.
+    heard: bool,
     /// It was there before: it holds all.
     before: bool,
 }
@@ -33,6 +40,8 @@
 pub struct Sharing {
     shares: Shares,
     beside: HashMap<u64, Beside>,
+    /// Connections to other processes, those that share no more among them.
+    links: HashSet<u64>,
     /// Requests that came, by look; the last is still counted.
     came: VecDeque<u32>,
     look_at: Option<Instant>,
@@ -54,9 +63,10 @@
         } else {
             self.shares.successor(link);
         }
-        let unheard_since = Some(Instant::now());
-        self.beside.insert(link, Beside { say, told: None, unheard_since, before });
-        self.look_at = unheard_since;
+        let heard_at = Instant::now();
+        self.links.insert(link);
+        self.beside.insert(link, Beside { say, told: None, heard_at, heard: false, before });
+        self.look_at = Some(heard_at);
     }
 
     /// It says something.
@@ -68,9 +78,12 @@
         balancer: &mut Balancer,
         out: &mut Vec<Action>,
     ) {
-        // Its first word is answered at once: a successor starts by what it is given then.
-        if self.beside.get_mut(&link).and_then(|other| other.unheard_since.take()).is_some() {
-            self.look_at = Some(Instant::now());
+        if let Some(other) = self.beside.get_mut(&link) {
+            other.heard_at = Instant::now();
+            // Its first word is answered at once: a successor starts by what it is given then.
+            if !std::mem::replace(&mut other.heard, true) {
+                self.look_at = Some(other.heard_at);
+            }
         }
         let taken = match &said {
             Said::Need(need) => self.shares.needs(link, *need),
@@ -93,13 +106,26 @@
         now: Duration,
         balancer: &mut Balancer,
         out: &mut Vec<Action>,
+    ) {
+        self.links.remove(&link);
+        self.let_go(link, ending, now, balancer, out);
+        info!(parts = self.shares.own(), "sharing: the other process has gone");
+    }
+
+    /// Counts on it no longer: what it held is this process's again.
+    fn let_go(
+        &mut self,
+        link: u64,
+        ending: bool,
+        now: Duration,
+        balancer: &mut Balancer,
+        out: &mut Vec<Action>,
     ) {
         self.beside.remove(&link);
         let back = self.shares.gone(link, ending);
         if back > 0 {
             balancer.gains(now, self.shares.share(), None, out);
         }
-        info!(back, parts = self.shares.own(), "sharing: the other process has gone");
         if self.beside.is_empty() {
             (self.look_at, self.came) = Default::default();
         }
@@ -130,29 +156,37 @@
             self.came.pop_front();
         }
         for (link, other) in &mut self.beside {
-            if other.told != Some(need) {
-                other.told = Some(need);
+            if other.told.is_none_or(|(told, at)| told != need || at.elapsed() >= SAYS_EVERY) {
+                other.told = Some((need, Instant::now()));
                 (other.say)(Said::Need(need));
             }
             if let Some(parts) = self.shares.gives(*link, need) {
                 (other.say)(Said::Give(parts, balancer.gives(now, self.shares.share())));
             }
         }
-        // An older version says nothing of parts, and goes on with all.
-        let silent = |other: &Beside| {
-            other.before && other.unheard_since.is_some_and(|at| at.elapsed() > ANSWERS_WITHIN)
+        self.drop_silent(now, balancer, out);
+    }
+
+    /// Goes on without those that say nothing.
+    fn drop_silent(&mut self, now: Duration, balancer: &mut Balancer, out: &mut Vec<Action>) {
+        let silent = |other: &Beside| match (other.heard, other.before) {
+            (true, _) => other.heard_at.elapsed() > SILENT_MOST,
+            // An older version says nothing of parts, and goes on with all.
+            (false, true) => other.heard_at.elapsed() > ANSWERS_WITHIN,
+            // A successor holds nothing before it has said something.
+            (false, false) => false,
         };
         let silent: Vec<u64> =
             self.beside.iter().filter(|(_, o)| silent(o)).map(|(link, _)| *link).collect();
         for link in silent {
-            warn!("sharing: the process before does not share; both go on with all");
-            self.left(link, false, now, balancer, out);
+            warn!("sharing: the other process does not share, or not any more; both go on with all");
+            self.let_go(link, false, now, balancer, out);
         }
     }
 
     /// Whether another process is beside this one.
     pub fn is_beside(&self) -> bool {
-        self.shares.beside()
+        !self.links.is_empty()
     }
 
     /// Parts that this process holds.
