Split the decision module by concern: members, attempts, learning, choice

Cause: balance.rs had grown to 1,048 lines that mixed the list, a request's life, what is learnt and the choice.

--- /dev/null
+++ b/crates/balance/src/balance/choice.rs
@@ -0,0 +1,157 @@
+//! The choice: the eligible set, d samples, the least occupied; and how much room there is.
+
+use super::*;
+
+/// Endpoints sampled for a call: the paper's d; two gives most of the gain.
+const CHOICES: usize = 2;
+/// Endpoints of a pool looked at for one choice, open or not: work a request must not grow with the fleet.
+const DRAWS: usize = 16;
+/// An endpoint's answers may take longer than the unhurried mean by this multiple of it before that counts.
+const DRAG_FREE: f64 = 0.5;
+/// Occupancy by which an endpoint of another zone must be better: a crossing costs time and money.
+const CROSS_MARGIN: f64 = 1.0;
+/// Share of the multiple at which a cold endpoint falls that all balancers together may use.
+const COLD_CAUTION: f64 = 0.5;
+/// Calls of all balancers at each endpoint beyond which floors of one call are too many.
+const FLOOR_CALLS: f64 = 8.0;
+
+impl Balancer {
+    /// Own calls in flight leave room for one more of such value: while worthier ones are refused, a part is
+    /// theirs alone. A caller inside a tier holds a slot while it waits: what got so far is not held up.
+    fn has_room(&self, now: Duration, value: f64, side: usize) -> bool {
+        let part = (value / self.missed.read(now, MISSED_SECONDS).max(1e-9)).sqrt().min(1.0);
+        let (window, out) = (self.windows[side], self.windows[0].out + self.windows[1].out);
+        // At its floor of one call: two such windows of each of many balancers would still be a jam.
+        let spared = window.size > 1.0 || out == 0 || FLOOR_CALLS * self.part() >= 1.0;
+        let fits = f64::from(window.out) < window.size * self.share * part;
+        self.settings.tier > 0 || (fits && spared)
+    }
+
+    /// Some zone with endpoints has room for the worthiest.
+    pub(super) fn any_room(&self, now: Duration) -> bool {
+        (0..2).any(|side| !self.pools[2 + side].is_empty() && self.has_room(now, f64::MAX, side))
+    }
+
+    pub(super) fn ready(&self) -> f64 {
+        (self.pools[2].len() + self.pools[3].len()) as f64
+    }
+
+    /// This balancer's part of one call at each endpoint.
+    pub(super) fn part(&self) -> f64 {
+        self.ready() / f64::from(self.settings.balancers.max(1))
+    }
+
+    /// 0 for an endpoint of the own zone, 1 for one of another.
+    pub(super) fn side(&self, i: usize) -> usize {
+        usize::from(self.endpoints[i].info.zone != self.settings.zone)
+    }
+
+    /// The eligible set, then d samples, then the least occupied, ties at random.
+    pub(super) fn pick(&mut self, now: Duration, id: RequestId) -> Option<usize> {
+        self.common_heat = self.shared_heat(now);
+        // Of this balancer's part, or of all where too few of it can take the call.
+        for pool in [0, 2] {
+            let near = self.sample(now, id, pool);
+            let far = self.sample(now, id, pool + 1);
+            if pool == 0 && near.1 + far.1 < CHOICES {
+                continue;
+            }
+            // Own zone first: another one's best sample must be better by a clear margin.
+            match (near.0, far.0) {
+                (Some((_, a)), Some((j, b))) if b + CROSS_MARGIN < a => return Some(j),
+                (Some((i, _)), _) | (None, Some((i, _))) => return Some(i),
+                (None, None) => {}
+            }
+        }
+        None
+    }
+
+    /// Draws d eligible endpoints of a pool without replacement: the least occupied and how many there
+    /// were. The first drawn wins ties.
+    fn sample(&mut self, now: Duration, id: RequestId, pool: usize) -> (Option<(usize, f64)>, usize) {
+        let (mut best, mut found): (Option<(usize, f64)>, usize) = (None, 0);
+        let room = self.has_room(now, self.value(id), pool % 2);
+        let size = if room { self.pools[pool].len() } else { 0 };
+        for k in 0..size.min(DRAWS) {
+            let drawn = k + self.draws.below(size - k);
+            self.pools[pool].swap(k, drawn);
+            let i = self.pools[pool][k];
+            let pending = self.requests.get(&id).filter(|p| self.allowed(now, i, p));
+            let Some(occupancy) = pending.map(|p| self.occupancy(now, i, p)) else { continue };
+            found += 1;
+            if best.is_none_or(|(_, least)| occupancy < least) {
+                best = Some((i, occupancy));
+            }
+            if found == CHOICES {
+                break;
+            }
+        }
+        (best, found)
+    }
+
+    /// The heat of the best quarter, of all endpoints or of every so many.
+    fn shared_heat(&mut self, now: Duration) -> f64 {
+        let step = self.endpoints.len().div_ceil(DRAWS).max(1);
+        let skipped = self.draws.below(step);
+        let ready = self.endpoints.iter().skip(skipped).step_by(step).filter(|e| e.is_ready());
+        let mut heats: Vec<f64> = ready.map(|e| e.heat(now)).collect();
+        heats.sort_by(f64::total_cmp);
+        heats.get(heats.len() / 4).copied().unwrap_or(0.0)
+    }
+
+    /// Own calls in flight and what failures beyond the common measure count for.
+    fn load(&self, now: Duration, i: usize) -> f64 {
+        let endpoint = &self.endpoints[i];
+        f64::from(endpoint.in_flight) + (endpoint.heat(now) - self.common_heat).max(0.0)
+    }
+
+    /// Own calls in flight plus what failures, slow answers and an earlier attempt there count for.
+    fn occupancy(&self, now: Duration, i: usize, pending: &Pending) -> f64 {
+        let endpoint = &self.endpoints[i];
+        let drag = (endpoint.drag.read(now, DRAG_SECONDS) - DRAG_FREE).max(0.0);
+        let tried = pending.attempts.iter().any(|a| a.endpoint == endpoint.info.id);
+        self.load(now, i) + drag + if tried { HEAT_MOST } else { 0.0 }
+    }
+
+    /// Hard limits: the list, the cold budget, and rule 2 for a keyed request that may have run.
+    fn allowed(&self, now: Duration, i: usize, pending: &Pending) -> bool {
+        let endpoint = &self.endpoints[i];
+        let overspent = self.warmth(now, i) < 1.0 && self.cold_tokens(now, i) < 1.0;
+        if !endpoint.is_ready() || self.load(now, i) + 1.0 > self.room(now, i) || overspent {
+            return false;
+        }
+        let Semantics::Keyed { group, .. } = self.settings.classes[pending.class].semantics else {
+            return true;
+        };
+        pending.may_have_run().all(|a| match group {
+            Group::All => true,
+            Group::Zone => a.zone == endpoint.info.zone,
+            Group::Cell => a.cell == endpoint.info.cell,
+        })
+    }
+
+    /// Own calls that an endpoint may hold now.
+    pub(super) fn room(&self, now: Duration, i: usize) -> f64 {
+        (self.endpoints[i].limit * self.share * self.warmth(now, i)).max(1.0)
+    }
+
+    /// The part of its capacity that an endpoint surely has: it rises evenly from the cold share.
+    pub(super) fn warmth(&self, now: Duration, i: usize) -> f64 {
+        let rules = &self.settings.rules;
+        let endpoint = &self.endpoints[i];
+        let Some(started) = endpoint.info.started.max(endpoint.back) else { return 1.0 };
+        let age = now.saturating_sub(started).as_secs_f64() / rules.warm_within.as_secs_f64().max(1e-3);
+        (rules.cold_share + (1.0 - rules.cold_share) * age).clamp(0.01, 1.0)
+    }
+
+    /// Rule 4. All balancers together may send a cold endpoint a part of the multiple at which it
+    /// falls; each keeps to its own proportion, judged by what warm endpoints serve for it.
+    pub(super) fn cold_tokens(&self, now: Duration, i: usize) -> f64 {
+        let rules = &self.settings.rules;
+        let endpoint = &self.endpoints[i];
+        let caution = COLD_CAUTION * self.share;
+        let rate = self.warmth(now, i) * rules.fall_multiple * caution * self.proven_rate(now);
+        let most = (rate * rules.fall_after.as_secs_f64() * COLD_CAUTION).max(1.0);
+        (endpoint.cold_tokens + rate * now.saturating_sub(endpoint.cold_at).as_secs_f64()).min(most)
+    }
+}
--- /dev/null
+++ b/crates/balance/src/balance/members.rs
@@ -0,0 +1,149 @@
+//! The endpoint list: what is listed, what is banned, and which part of it this balancer uses.
+
+use super::*;
+
+/// Calls of all balancers at each endpoint before any measurement; own windows start at their part of that,
+/// or a hundred balancers would open with a jam. Until the first late answer each timely one adds a part.
+const WINDOW_START: f64 = 4.0;
+/// Endpoints of a zone that a caller uses at least, so that d samples still find a choice among failing ones.
+const PART_LEAST: f64 = 4.0;
+/// Step from one balancer's place on the ring to the next one's: the golden ratio spaces any run evenly.
+const PLACE_STEP: f64 = 0.618_033_988_75;
+/// First wait before discovery is asked again after a failure; doubles up to a fifth of a minute.
+const ASK_BACKOFF: f64 = 0.5;
+
+impl Balancer {
+    pub(super) fn on_membership(&mut self, now: Duration, news: Membership, out: &mut Vec<Action>) {
+        let ask = self.settings.discovery == Discovery::Ask;
+        match news {
+            Membership::Failed => {
+                if ask {
+                    // Jittered and doubling, so that instances refused together do not return together.
+                    let doubled = ASK_BACKOFF * f64::from(1u32 << self.ask_failures.min(4));
+                    let wait = doubled * (0.5 + self.draws.uniform());
+                    self.ask_failures += 1;
+                    self.set_timer(Duration::from_secs_f64(wait), Timer::Ask, out);
+                }
+                return;
+            }
+            Membership::Delta(entries) => self.update_endpoints(now, entries),
+            Membership::Full(entries) | Membership::Cached(entries) => {
+                for endpoint in &mut self.endpoints {
+                    endpoint.info.state = EndpointState::Gone;
+                }
+                self.update_endpoints(now, entries);
+            }
+        }
+        if ask && !self.started {
+            // All instances may start at once; discovery answers them one after another.
+            let most = self.settings.rules.ask_within.as_secs_f64() / 8.0;
+            let wait = Duration::from_secs_f64(self.draws.uniform() * most);
+            self.set_timer(wait, Timer::Ask, out);
+        } else {
+            self.ask_failures = 0;
+        }
+        if !std::mem::replace(&mut self.started, true) {
+            let size = (WINDOW_START * self.part()).max(1.0);
+            self.windows.iter_mut().for_each(|window| window.size = size);
+        }
+        self.release_held(now, out);
+    }
+
+    fn update_endpoints(&mut self, now: Duration, entries: Vec<EndpointInfo>) {
+        for info in entries {
+            match self.index.get(&info.id) {
+                Some(&i) => {
+                    let endpoint = &mut self.endpoints[i];
+                    if info.started != endpoint.info.started {
+                        endpoint.drag.value = 0.0;
+                        endpoint.heat.value = 0.0; // another process: its forerunner's failures say nothing
+                        (endpoint.cold_tokens, endpoint.cold_at) = (0.0, now);
+                    }
+                    endpoint.info = info;
+                }
+                None => {
+                    self.index.insert(info.id, self.endpoints.len());
+                    let (cold_tokens, opening) = (self.draws.uniform(), info.started.is_none());
+                    let banned = self.banned.contains(&info.id);
+                    self.endpoints.push(Endpoint {
+                        info,
+                        banned,
+                        back: None,
+                        in_flight: 0,
+                        heat: Fading::default(),
+                        drag: Fading::default(),
+                        limit: LIMIT_START,
+                        opening,
+                        limit_cut_at: now,
+                        heard: None,
+                        cold_tokens,
+                        cold_at: now,
+                    });
+                }
+            }
+        }
+        // Endpoints that left are forgotten once their last call has ended.
+        self.endpoints.retain(|e| e.info.state != EndpointState::Gone || e.in_flight > 0);
+        self.index = self.endpoints.iter().enumerate().map(|(i, e)| (e.info.id, i)).collect();
+        self.choose_part(now);
+    }
+
+    /// Takes an endpoint out of use until it is given back, or gives it back: cold, and with a clean record.
+    pub(super) fn on_ban(&mut self, now: Duration, id: EndpointId, on: bool, out: &mut Vec<Action>) {
+        let changed = if on { self.banned.insert(id) } else { self.banned.remove(&id) };
+        if let Some(&i) = self.index.get(&id).filter(|_| changed) {
+            let endpoint = &mut self.endpoints[i];
+            endpoint.banned = on;
+            if !on {
+                (endpoint.back, endpoint.limit) = (Some(now), LIMIT_START);
+                (endpoint.drag.value, endpoint.heat.value) = (0.0, 0.0);
+                // One call at once: it shows that the endpoint serves again.
+                (endpoint.cold_tokens, endpoint.cold_at) = (1.0, now);
+            }
+            self.choose_part(now);
+            self.release_held(now, out);
+        }
+    }
+
+    /// How many listed endpoints it avoids now: out of use by hand, leaving, or barred by failures alone.
+    pub fn avoided(&self, now: Duration) -> usize {
+        let avoided = |i: usize| {
+            let endpoint = &self.endpoints[i];
+            let heat = (endpoint.heat(now) - self.common_heat).max(0.0);
+            !endpoint.is_ready() || heat + 1.0 > self.room(now, i)
+        };
+        let listed = |i: &usize| self.endpoints[*i].info.state != EndpointState::Gone;
+        (0..self.endpoints.len()).filter(listed).filter(|&i| avoided(i)).count()
+    }
+
+    /// All balancers see the endpoints of a zone on the same ring; each begins at a place of its own, by the
+    /// golden ratio: so parts cover it evenly, also for those of one zone, however they are numbered.
+    pub(super) fn choose_part(&mut self, now: Duration) {
+        let ready = self.endpoints.iter().enumerate().filter(|(_, e)| e.is_ready());
+        let mut ring: Vec<_> = ready.map(|(i, e)| (e.info.zone, e.info.id, i)).collect();
+        ring.sort();
+        let callers = f64::from(self.settings.balancers.max(1));
+        let mut in_part = vec![false; self.endpoints.len()];
+        for zone in ring.chunk_by(|a, b| a.0 == b.0) {
+            let size = zone.len() as f64;
+            let start = (size * (f64::from(self.settings.me) * PLACE_STEP).fract()) as usize;
+            // Cold endpoints come on top: through a release a part of them alone would be crowded.
+            let mut wanted = (size * PART_CALLERS / callers).max(PART_LEAST);
+            for place in start..start + zone.len() {
+                let i = zone[place % zone.len()].2;
+                in_part[i] = wanted > 0.0;
+                if self.warmth(now, i) >= 1.0 {
+                    wanted -= 1.0;
+                }
+            }
+        }
+        self.pools = Default::default();
+        for (i, part) in in_part.into_iter().enumerate().filter(|&(i, _)| self.endpoints[i].is_ready()) {
+            let side = self.side(i);
+            self.pools[2 + side].push(i);
+            if part {
+                self.pools[side].push(i);
+            }
+        }
+    }
+}
--- a/crates/balance/src/balance/share.rs
+++ b/crates/balance/src/balance/share.rs
@@ -1,8 +1,9 @@
 //! A share of what one sidecar may use, while another process of it serves beside this one.
 //!
-//! Windows move with the share: each part that is given carries its giver's windows, and whoever gets it takes the
-//! mean of both by weight. So `share * window`, summed over both processes, stays what it was when parts move, and
-//! answers change it by what they would change one process's. Which process holds how much is decided elsewhere.
+//! Windows move with the share: each part that is given carries its giver's windows, and whoever gets it
+//! takes the mean of both by weight. So `share * window`, summed over both processes, stays what it was when
+//! parts move, and answers change it by what they would change one process's. Which process holds how much is
+//! decided elsewhere.
 
 use super::{Balancer, RETRY_SAVED};
 use crate::types::Action;
@@ -47,8 +48,8 @@
         Portion { windows: self.windows.map(|window| (window.size, window.opening)), retries }
     }
 
-    /// Has this share from now on, which is more than before, and what goes along with it; nothing does where the
-    /// other process has gone.
+    /// Has this share from now on, which is more than before, and what goes along with it; nothing does where
+    /// the other process has gone.
     pub fn gains(&mut self, now: Duration, share: f64, portion: Option<&Portion>, out: &mut Vec<Action>) {
         let weight = if share > 0.0 { 1.0 - (self.share / share).min(1.0) } else { 0.0 };
         if let Some(portion) = portion {
