--- a/crates/runtime/src/driver.rs
+++ b/crates/runtime/src/driver.rs
@@ -10,7 +10,7 @@
 use super::lifecycle::{Lifecycle, State};
 use super::listing::Listing;
 use super::outbound::{Outbound, Progress};
-use super::sharing::Sharing;
+use super::sharing::{Module, Sharing};
 use curlewhub_balance::{
     Action, AttemptEnded, AttemptNo, Balancer, ClassId, EndpointId, EndpointState, Event, Membership,
     Outcome, RequestId, TimerToken,
@@ -165,7 +165,7 @@
             self.handle(Event::Timer(TimerToken(token)));
         }
         let open = self.requests.len();
-        self.share(|sharing, now, balancer, out| sharing.look(open, now, balancer, out));
+        self.share(|sharing, module| sharing.look(open, module));
         if now >= self.summary_at {
             self.summary_at = now + SUMMARY;
             let mut counts: Vec<_> = self.unusual.drain().collect();
@@ -226,15 +226,15 @@
             }
             Command::Learnt(told) => drop(told.send(self.balancer.snapshot(self.clock.now()))),
             Command::Beside { link, before, say } => {
-                self.share(|sharing, now, balancer, _| sharing.beside(link, before, say, now, balancer));
+                self.share(|sharing, module| sharing.beside(link, before, say, module));
             }
             Command::Said(link, said) => {
-                self.share(|sharing, now, balancer, out| sharing.hears(link, said, now, balancer, out));
+                self.share(|sharing, module| sharing.hears(link, said, module));
             }
             Command::Left(link) => {
                 self.keyed.absorb(self.clock.now());
                 let ending = self.lifecycle.state() == State::Terminating;
-                self.share(|sharing, now, balancer, out| sharing.left(link, ending, now, balancer, out));
+                self.share(|sharing, module| sharing.left(link, ending, module));
             }
             Command::Ban { uid, on, known, told } => drop(told.send(self.ban(&uid, on, known))),
         }
@@ -273,7 +273,7 @@
         let Arrival { mut request, key, deadline, time, forward, answer } = arrival;
         if let Some(key) = key {
             // The process beside this one may have been killed just now, and this be the repeat.
-            if self.sharing.is_beside() {
+            if self.sharing.is_beside() && !self.keyed.knows(self.clock.now(), key) {
                 self.keyed.absorb(self.clock.now());
             }
             request.earlier = self.keyed.earlier(self.clock.now(), key);
@@ -393,9 +393,10 @@
     }
 
     /// Lets the sharing go on, and carries out what the module then wants done.
-    fn share(&mut self, go_on: impl FnOnce(&mut Sharing, Duration, &mut Balancer, &mut Vec<Action>)) {
+    fn share(&mut self, go_on: impl FnOnce(&mut Sharing, &mut Module<'_>)) {
         let mut actions = Vec::new();
-        go_on(&mut self.sharing, self.clock.now(), &mut self.balancer, &mut actions);
+        let mut module = Module { now: self.clock.now(), balancer: &mut self.balancer, out: &mut actions };
+        go_on(&mut self.sharing, &mut module);
         self.settle(actions);
     }
 
--- a/crates/runtime/src/handover.rs
+++ b/crates/runtime/src/handover.rs
@@ -34,7 +34,7 @@
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::io::{AsyncBufReadExt, AsyncWriteExt, BufReader, Interest, Lines};
+use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader, Interest};
 use tokio::net::unix::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::{TcpListener, TcpSocket, UnixListener, UnixStream};
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
@@ -57,6 +57,8 @@
 const ENDING_MORE: usize = 4;
 /// Connections that the kernel holds until they are accepted.
 const BACKLOG: u32 = 1024;
+/// No line is longer: the longest holds a snapshot in base64, four bytes for three.
+const LINE_MOST: u64 = (curlewhub_snapshot::BYTES_MOST as u64 / 3 + 1) * 4 + 64;
 /// Goes with the socket: a message can't be empty.
 const MARK: &[u8; 1] = b"L";
 
@@ -110,9 +112,25 @@
     pub talk: Talk,
 }
 
+/// What the other process says, line by line.
+struct Lines(BufReader<OwnedReadHalf>);
+
+impl Lines {
+    /// The next line without its end; none once the other has gone.
+    async fn next(&mut self) -> io::Result<Option<String>> {
+        let mut line = String::new();
+        (&mut self.0).take(LINE_MOST).read_line(&mut line).await?;
+        match line.strip_suffix('\n') {
+            Some(whole) => Ok(Some(whole.to_owned())),
+            None if line.len() as u64 == LINE_MOST => Err(io::Error::other("a line is too long")),
+            None => Ok(None), // cut off by its end, if there was any
+        }
+    }
+}
+
 /// The two directions of the connection between two processes.
 pub struct Talk {
-    lines: Lines<BufReader<OwnedReadHalf>>,
+    lines: Lines,
     writer: OwnedWriteHalf,
 }
 
@@ -207,10 +225,10 @@
         let stream = UnixStream::connect(path).await?;
         let listener = receive(&stream).await?;
         let (reader, writer) = stream.into_split();
-        let mut lines = BufReader::new(reader).lines();
+        let mut lines = Lines(BufReader::new(reader));
         let mut bans = Vec::new();
         loop {
-            match lines.next_line().await?.as_deref().and_then(Word::read) {
+            match lines.next().await?.as_deref().and_then(Word::read) {
                 Some(Word::Ban { uid, on: true }) => bans.push(uid),
                 Some(Word::Spare(sockets)) => {
                     self.budget.share(sockets, true);
@@ -275,7 +293,7 @@
             link.say(Word::Spare(spare));
             self.budget.share(self.sockets - spare, true);
             let (reader, writer) = stream.into_split();
-            let talk = Talk { lines: BufReader::new(reader).lines(), writer };
+            let talk = Talk { lines: Lines(BufReader::new(reader)), writer };
             self.has_successor.set(true);
             self.beside(&link, false);
             tokio::select! {
@@ -318,7 +336,7 @@
             }
         };
         let hear = async {
-            while let Ok(Some(line)) = lines.next_line().await {
+            while let Ok(Some(line)) = lines.next().await {
                 match Word::read(&line) {
                     Some(Word::Ban { uid, on }) => {
                         let (told, done) = oneshot::channel();
--- a/crates/runtime/src/keyed.rs
+++ b/crates/runtime/src/keyed.rs
@@ -82,6 +82,11 @@
         self.puzzled = !problems.is_empty();
     }
 
+    /// Whether it is known where the job of this key may have run.
+    pub fn knows(&self, now: Duration, key: u64) -> bool {
+        self.memory.find(now, key).is_some()
+    }
+
     /// Where the job of this key may have run, as far as endpoints still remember it.
     pub fn earlier(&self, now: Duration, key: u64) -> Option<Earlier> {
         let entry = self.memory.find(now, key)?;
@@ -104,7 +109,8 @@
     }
 
     fn write(&mut self, written: Option<Written>) {
-        let (Some(written), Some(journal)) = (written, &self.journal) else { return };
+        let Some(written) = written else { return };
+        let Some(journal) = &self.journal else { return self.figures.keys(self.memory.len(), false) };
         let done = journal.write(&written);
         self.figures.keys(self.memory.len(), done.is_ok());
         match done {
--- a/crates/runtime/src/sharing.rs
+++ b/crates/runtime/src/sharing.rs
@@ -3,17 +3,12 @@
 
 use crate::events::Said;
 use curlewhub_balance::{Action, Balancer};
-use curlewhub_share::Shares;
-use std::collections::{HashMap, HashSet, VecDeque};
+use curlewhub_share::{LOOK_EVERY, Need, Shares};
+use std::collections::{HashMap, HashSet};
 use std::time::Duration;
 use tokio::time::Instant;
 use tracing::{info, warn};
 
-/// How often a process looks at what it needs, while another is beside it: well within the 250 ms in which parts
-/// are to follow, and a few lines a second.
-const EVERY: Duration = Duration::from_millis(20);
-/// Requests that came within so many looks count as needed: half a second of them.
-const LOOKS: usize = 25;
 /// One from before that does not answer in parts by then does not know of them.
 const ANSWERS_WITHIN: Duration = Duration::from_millis(600);
 /// Each says what it needs at least this often, changed or not.
@@ -22,6 +17,16 @@
 /// both have all, as with one that knows of no parts.
 const SILENT_MOST: Duration = Duration::from_millis(500);
 
+/// The module, and what it then wants done.
+pub struct Module<'a> {
+    /// The module's clock.
+    pub now: Duration,
+    /// The module.
+    pub balancer: &'a mut Balancer,
+    /// What it wants done.
+    pub out: &'a mut Vec<Action>,
+}
+
 /// A process beside this one.
 struct Beside {
     say: Box<dyn Fn(Said)>,
@@ -42,24 +47,16 @@
     beside: HashMap<u64, Beside>,
     /// Connections to other processes, those that share no more among them.
     links: HashSet<u64>,
-    /// Requests that came, by look; the last is still counted.
-    came: VecDeque<u32>,
+    need: Need,
     look_at: Option<Instant>,
 }
 
 impl Sharing {
     /// Another process is there.
-    pub fn beside(
-        &mut self,
-        link: u64,
-        before: bool,
-        say: Box<dyn Fn(Said)>,
-        now: Duration,
-        balancer: &mut Balancer,
-    ) {
+    pub fn beside(&mut self, link: u64, before: bool, say: Box<dyn Fn(Said)>, module: &mut Module<'_>) {
         if before {
             self.shares.predecessor(link);
-            balancer.holds_nothing(now);
+            module.balancer.holds_nothing(module.now);
         } else {
             self.shares.successor(link);
         }
@@ -70,14 +67,7 @@
     }
 
     /// It says something.
-    pub fn hears(
-        &mut self,
-        link: u64,
-        said: Said,
-        now: Duration,
-        balancer: &mut Balancer,
-        out: &mut Vec<Action>,
-    ) {
+    pub fn hears(&mut self, link: u64, said: Said, module: &mut Module<'_>) {
         if let Some(other) = self.beside.get_mut(&link) {
             other.heard_at = Instant::now();
             // Its first word is answered at once: a successor starts by what it is given then.
@@ -91,7 +81,7 @@
         };
         match (taken, said) {
             (Ok(()), Said::Give(_, portion)) => {
-                balancer.gains(now, self.shares.share(), Some(&portion), out)
+                module.balancer.gains(module.now, self.shares.share(), Some(&portion), module.out)
             }
             (Ok(()), Said::Need(_)) => {}
             (Err(wrong), _) => warn!(link, %wrong, "sharing: not taken"),
@@ -99,43 +89,27 @@
     }
 
     /// It has gone; this process may itself be `ending`.
-    pub fn left(
-        &mut self,
-        link: u64,
-        ending: bool,
-        now: Duration,
-        balancer: &mut Balancer,
-        out: &mut Vec<Action>,
-    ) {
+    pub fn left(&mut self, link: u64, ending: bool, module: &mut Module<'_>) {
         self.links.remove(&link);
-        self.let_go(link, ending, now, balancer, out);
+        self.let_go(link, ending, module);
         info!(parts = self.shares.own(), "sharing: the other process has gone");
     }
 
     /// Counts on it no longer: what it held is this process's again.
-    fn let_go(
-        &mut self,
-        link: u64,
-        ending: bool,
-        now: Duration,
-        balancer: &mut Balancer,
-        out: &mut Vec<Action>,
-    ) {
+    fn let_go(&mut self, link: u64, ending: bool, module: &mut Module<'_>) {
         self.beside.remove(&link);
         let back = self.shares.gone(link, ending);
         if back > 0 {
-            balancer.gains(now, self.shares.share(), None, out);
+            module.balancer.gains(module.now, self.shares.share(), None, module.out);
         }
         if self.beside.is_empty() {
-            (self.look_at, self.came) = Default::default();
+            (self.look_at, self.need) = Default::default();
         }
     }
 
     /// A request has come.
     pub fn came(&mut self) {
-        if let Some(now) = self.came.back_mut() {
-            *now += 1;
-        }
+        self.need.came();
     }
 
     /// When it wants to look next.
@@ -145,30 +119,26 @@
 
     /// Looks, if it is time: tells the others what this process needs with so many requests open, and gives what
     /// it does not.
-    pub fn look(&mut self, open: usize, now: Duration, balancer: &mut Balancer, out: &mut Vec<Action>) {
+    pub fn look(&mut self, open: usize, module: &mut Module<'_>) {
         if self.look_at.is_none_or(|at| at > Instant::now()) {
             return;
         }
-        self.look_at = Some(Instant::now() + EVERY);
-        let need = u32::try_from(open).unwrap_or(u32::MAX).saturating_add(self.came.iter().sum());
-        self.came.push_back(0);
-        if self.came.len() > LOOKS {
-            self.came.pop_front();
-        }
+        self.look_at = Some(Instant::now() + LOOK_EVERY);
+        let need = self.need.look(open);
         for (link, other) in &mut self.beside {
             if other.told.is_none_or(|(told, at)| told != need || at.elapsed() >= SAYS_EVERY) {
                 other.told = Some((need, Instant::now()));
                 (other.say)(Said::Need(need));
             }
             if let Some(parts) = self.shares.gives(*link, need) {
-                (other.say)(Said::Give(parts, balancer.gives(now, self.shares.share())));
+                (other.say)(Said::Give(parts, module.balancer.gives(module.now, self.shares.share())));
             }
         }
-        self.drop_silent(now, balancer, out);
+        self.drop_silent(module);
     }
 
     /// Goes on without those that say nothing.
-    fn drop_silent(&mut self, now: Duration, balancer: &mut Balancer, out: &mut Vec<Action>) {
+    fn drop_silent(&mut self, module: &mut Module<'_>) {
         let silent = |other: &Beside| match (other.heard, other.before) {
             (true, _) => other.heard_at.elapsed() > SILENT_MOST,
             // An older version says nothing of parts, and goes on with all.
@@ -180,7 +150,7 @@
             self.beside.iter().filter(|(_, o)| silent(o)).map(|(link, _)| *link).collect();
         for link in silent {
             warn!("sharing: the other process does not share, or not any more; both go on with all");
-            self.let_go(link, false, now, balancer, out);
+            self.let_go(link, false, module);
         }
     }
 
--- a/crates/share/src/lib.rs
+++ b/crates/share/src/lib.rs
@@ -9,7 +9,8 @@
 //! In a row of three (a successor has a successor) the middle one passes parts on. Killed, it leaves the two others
 //! not knowing of each other: then a process that is ending takes nothing back, see [`Shares::gone`].
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
+use std::time::Duration;
 use thiserror::Error;
 
 /// All that one sidecar may use. Fine enough that a sixteenth of the calls is not rounded away.
@@ -19,6 +20,38 @@
 /// Less than this is not worth a message: needs change with every call.
 pub const STEP: u32 = 4;
 
+/// How often a process looks at what it needs, while another is beside it: well within the 250 ms in which parts
+/// are to follow, and a few lines a second.
+pub const LOOK_EVERY: Duration = Duration::from_millis(20);
+/// Requests that came within so many looks count as needed: half a second of them.
+const LOOKS: usize = 25;
+
+/// What a process needs: its open requests, and those that came of late.
+#[derive(Clone, Debug, Default)]
+pub struct Need {
+    /// Requests that came, by look; the last one is still counted.
+    came: VecDeque<u32>,
+}
+
+impl Need {
+    /// A request has come. Counted from the first look on.
+    pub fn came(&mut self) {
+        if let Some(now) = self.came.back_mut() {
+            *now += 1;
+        }
+    }
+
+    /// Looks, once in [`LOOK_EVERY`]: what is needed with so many requests open.
+    pub fn look(&mut self, open: usize) -> u32 {
+        let need = u32::try_from(open).unwrap_or(u32::MAX).saturating_add(self.came.iter().sum());
+        self.came.push_back(0);
+        if self.came.len() > LOOKS {
+            self.came.pop_front();
+        }
+        need
+    }
+}
+
 /// One neighbour: the process before this one, or the one after it.
 #[derive(Clone, Copy, Debug)]
 struct Side {
--- a/crates/share/tests/shares.rs
+++ b/crates/share/tests/shares.rs
@@ -1,6 +1,6 @@
 //! Two processes and what they hold, whatever is said when, and whatever gets lost.
 
-use curlewhub_share::{LEAST, PARTS, Shares, Wrong};
+use curlewhub_share::{LEAST, Need, PARTS, Shares, Wrong};
 use proptest::prelude::*;
 use std::collections::VecDeque;
 
@@ -78,6 +78,17 @@
     assert!(!pair.shares[1].beside());
 }
 
+#[test]
+fn a_need_is_what_is_open_and_what_came_within_half_a_second() {
+    let mut need = Need::default();
+    need.came();
+    assert_eq!(need.look(3), 3, "nothing is counted before the first look");
+    (0..5).for_each(|_| need.came());
+    assert_eq!(need.look(2), 7);
+    let later: Vec<u32> = (0..30).map(|_| need.look(0)).collect();
+    assert_eq!((later[0], later[23], later[24], later[29]), (5, 5, 0, 0));
+}
+
 #[test]
 fn one_that_never_says_what_it_needs_is_given_nothing() {
     let mut old = Shares::default();
