--- a/crates/config/src/file.rs
+++ b/crates/config/src/file.rs
@@ -4,6 +4,7 @@
 use crate::list::{List, State, Target};
 use crate::problem::{Problem, Problems};
 use crate::reader::{Effective, Override, Reader, Section, any, only};
+use crate::repeat::Repeat;
 use crate::units::{Size, Span};
 use curlewhub_balance::{
     Class, Costs, Discovery, Goal, Group, Limits, LoadReports, ReportVia, Rules, Semantics, Settings,
@@ -21,15 +22,6 @@
 const ENDPOINTS_MOST: usize = 100_000;
 const MIB: u64 = 1 << 20;
 
-/// Whether a class's requests may run again.
-#[derive(Clone, Copy, Deserialize, Serialize)]
-#[serde(rename_all = "lowercase")]
-enum Repeat {
-    Safe,
-    Keyed,
-    Never,
-}
-
 #[derive(Clone, Copy, Deserialize, Serialize)]
 #[serde(rename_all = "lowercase")]
 enum RepeatGroup {
--- a/crates/lab/src/load/client.rs
+++ b/crates/lab/src/load/client.rs
@@ -1,9 +1,11 @@
 //! Clients: connections that are kept, one request at a time on each, and retries as the protocol has them.
 
 use super::Plan;
-use super::mix::{ClassMix, Mix, Repeat, RetryMix};
+use super::mix::{ClassMix, Mix};
+use curlewhub_config::Repeat;
+use curlewhub_model::{End, pick};
 use curlewhub_standins::http::{Message, Reader, Side};
-use rand_core::RngCore;
+use rand::Rng;
 use rand_pcg::Pcg32;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
@@ -24,19 +26,6 @@
 /// A client closes a connection that has been idle for this long itself.
 const IDLE: Duration = Duration::from_secs(10);
 
-/// How a request ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum End {
-    /// With its answer.
-    Served,
-    /// Trying again is harmless.
-    Refused,
-    /// Any other answer.
-    Failed,
-    /// With none.
-    Unanswered,
-}
-
 /// A request's end and what its tries brought.
 #[derive(Clone, Copy, Debug)]
 pub struct Outcome {
@@ -95,10 +84,10 @@
 
     /// Draws a request.
     pub fn request(&self, draws: &mut Pcg32) -> Request {
-        let class = pick(draws, self.mix.classes.iter().map(|class| class.share)).unwrap_or_default();
-        let tenant = pick(draws, self.mix.tenants.iter().map(|tenant| tenant.share));
-        let target = self.targets[draws.next_u32() as usize % self.targets.len()];
-        Request { class, target, tenant, key: draws.next_u64() }
+        let class = pick(self.mix.classes.iter().map(|class| class.share), draws).unwrap_or_default();
+        let tenant = pick(self.mix.tenants.iter().map(|tenant| tenant.share), draws);
+        let target = self.targets[draws.random_range(0..self.targets.len())];
+        Request { class, target, tenant, key: draws.random() }
     }
 
     /// Asks, and asks again as clients do, until the end.
@@ -112,10 +101,10 @@
         loop {
             outcome.tries += 1;
             let left = class.deadline.0.saturating_sub(start.elapsed());
-            let time = class.deadline.0.mul_f64(retry.try_share).min(left);
+            let time = retry.time(class.deadline.0, left);
             let id = format!("{:x}-{:x}", self.run, self.next.replace(self.next.get() + 1));
             let text = self.text(request, class, &id, time, outcome.tries > 1);
-            let mut wait = Duration::ZERO;
+            let mut told = None;
             outcome.end = match self.exchange(request.target, &text, time).await {
                 None => {
                     outcome.unanswered += 1;
@@ -124,8 +113,7 @@
                 Some(answer) => {
                     outcome.answered_twice += u32::from(answer.twice);
                     outcome.late += u32::from(answer.late);
-                    wait =
-                        retry_after(&answer.message).filter(|_| retry.heed_retry_after).unwrap_or_default();
+                    told = retry_after(&answer.message);
                     match answer.message.status {
                         200 if answer.message.body.windows(id.len()).any(|part| part == id.as_bytes()) => {
                             End::Served
@@ -139,12 +127,10 @@
                     }
                 }
             };
-            if !again(&outcome, class, retry) {
+            if !retry.again(outcome.end, class.repeat, outcome.tries) {
                 return outcome;
             }
-            let grown = retry.growth.powi(outcome.tries as i32 - 1);
-            let jitter = 1.0 - f64::from(draws.next_u32()) / f64::from(u32::MAX) / 2.0;
-            let wait = wait.max(retry.backoff.0.mul_f64(grown * jitter));
+            let wait = retry.wait(outcome.tries, told, draws);
             if start.elapsed() + wait >= class.deadline.0 {
                 return outcome;
             }
@@ -243,63 +229,7 @@
     Ok(Reader::new(stream, Side::Answers))
 }
 
-/// Whether a client tries once more.
-fn again(outcome: &Outcome, class: &ClassMix, retry: &RetryMix) -> bool {
-    let harmless =
-        outcome.end == End::Refused || class.repeat == Repeat::Safe || retry.when_it_may_have_run;
-    outcome.end != End::Served && harmless && outcome.tries <= retry.most
-}
-
 fn retry_after(message: &Message) -> Option<Duration> {
     let seconds = message.header("retry-after")?.parse().ok()?;
     Duration::try_from_secs_f64(seconds).ok()
 }
-
-/// A draw in proportion to the shares; none where there is none.
-fn pick(draws: &mut Pcg32, shares: impl Iterator<Item = f64> + Clone) -> Option<usize> {
-    let all: f64 = shares.clone().sum();
-    let mut left = f64::from(draws.next_u32()) / 4_294_967_296.0 * all;
-    let mut last = None;
-    for (n, share) in shares.enumerate() {
-        last = Some(n);
-        if left < share {
-            break;
-        }
-        left -= share;
-    }
-    last
-}
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-    use rand_core::SeedableRng;
-
-    #[test]
-    fn draws_follow_the_shares() {
-        let mut draws = Pcg32::seed_from_u64(1);
-        let mut counts = [0; 3];
-        for _ in 0..10_000 {
-            counts[pick(&mut draws, [1.0, 2.0, 7.0].into_iter()).unwrap()] += 1;
-        }
-        assert!((900..1100).contains(&counts[0]) && (1850..2150).contains(&counts[1]), "{counts:?}");
-        assert_eq!(pick(&mut draws, [].into_iter()), None);
-    }
-
-    #[test]
-    fn what_may_have_run_is_tried_again_only_where_that_is_wanted() {
-        let mix = Mix::default();
-        let outcome = |end| Outcome { end, tries: 1, unanswered: 0, answered_twice: 0, wrong: 0, late: 0 };
-        let (view, job) = (&mix.classes[0], &mix.classes[1]);
-        assert!(again(&outcome(End::Failed), view, &mix.retry));
-        assert!(again(&outcome(End::Refused), job, &mix.retry));
-        assert!(!again(&outcome(End::Failed), job, &mix.retry));
-        assert!(!again(&outcome(End::Served), view, &mix.retry));
-        let bold = RetryMix { when_it_may_have_run: true, ..RetryMix::default() };
-        assert!(again(&outcome(End::Unanswered), job, &bold));
-        assert!(
-            !again(&Outcome { tries: 2, ..outcome(End::Refused) }, view, &mix.retry),
-            "no more than one"
-        );
-    }
-}
--- a/crates/lab/src/load/mix.rs
+++ b/crates/lab/src/load/mix.rs
@@ -1,22 +1,11 @@
 //! What requests are made of, as a file says it.
 
+use curlewhub_config::Repeat;
 use curlewhub_config::units::{Size, Span};
+use curlewhub_model::RetrySpec;
 use serde::{Deserialize, Serialize};
 use std::time::Duration;
 
-/// Whether a class's requests may run again.
-#[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq, Eq, Serialize)]
-#[serde(rename_all = "lowercase")]
-pub enum Repeat {
-    /// GET.
-    #[default]
-    Safe,
-    /// POST with a key.
-    Keyed,
-    /// POST.
-    Never,
-}
-
 /// A mix of requests.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 #[serde(deny_unknown_fields)]
@@ -28,7 +17,7 @@
     pub tenants: Vec<TenantMix>,
     /// What clients do by themselves where they are not served.
     #[serde(default)]
-    pub retry: RetryMix,
+    pub retry: RetrySpec,
 }
 
 /// One class.
@@ -61,37 +50,6 @@
     pub share: f64,
 }
 
-/// What clients do by themselves where they are not served.
-#[derive(Clone, Debug, Deserialize, Serialize)]
-#[serde(deny_unknown_fields, default)]
-pub struct RetryMix {
-    /// Retries of a request, at the most.
-    pub most: u32,
-    /// Wait before the first one, less up to half at random ...
-    pub backoff: Span,
-    /// ... which grows by this factor with each.
-    pub growth: f64,
-    /// A refusal's Retry-After is heeded where it is longer.
-    pub heed_retry_after: bool,
-    /// A try is given up after this part of the class's deadline.
-    pub try_share: f64,
-    /// Also where a request that is not safe to repeat failed or was never answered, and may have run.
-    pub when_it_may_have_run: bool,
-}
-
-impl Default for RetryMix {
-    fn default() -> Self {
-        RetryMix {
-            most: 1,
-            backoff: Span(Duration::from_millis(200)),
-            growth: 2.0,
-            heed_retry_after: true,
-            try_share: 0.9,
-            when_it_may_have_run: false,
-        }
-    }
-}
-
 impl Default for Mix {
     /// Views that are safe to repeat, and jobs that carry a key.
     fn default() -> Self {
@@ -109,7 +67,7 @@
                 class("job-submit", 0.35, Repeat::Keyed, 1500, 4000, 212),
             ],
             tenants: Vec::new(),
-            retry: RetryMix::default(),
+            retry: RetrySpec::default(),
         }
     }
 }
@@ -147,14 +105,9 @@
             wants(token(&tenant.name), format!("tenants[{n}].name"), "text without spaces and slashes");
             wants(share(tenant.share), format!("tenants[{n}].share"), "over 0");
         }
-        let retry = &self.retry;
-        wants(
-            retry.try_share > 0.0 && retry.try_share <= 1.0,
-            "retry.try_share".to_owned(),
-            "over 0, up to 1",
-        );
-        wants((1.0..=10.0).contains(&retry.growth), "retry.growth".to_owned(), "1 to 10");
-        wants(retry.most <= 10, "retry.most".to_owned(), "0 to 10");
+        for (field, allowed) in self.retry.problems() {
+            wants(false, format!("retry.{field}"), allowed);
+        }
         problems
     }
 }
--- a/crates/lab/src/load/mod.rs
+++ b/crates/lab/src/load/mod.rs
@@ -9,12 +9,12 @@
 mod report;
 mod tally;
 
-pub use mix::{ClassMix, Mix, Repeat, RetryMix, TenantMix};
+pub use mix::{ClassMix, Mix, TenantMix};
 pub use report::table;
 pub use tally::{ClassReport, Latencies, PhaseReport, Report};
 
 use client::{Client, Outcome};
-use rand_core::{RngCore, SeedableRng};
+use rand::{RngCore, SeedableRng};
 use rand_distr::{Distribution, Exp};
 use rand_pcg::Pcg32;
 use std::cell::RefCell;
--- a/crates/lab/src/load/tally.rs
+++ b/crates/lab/src/load/tally.rs
@@ -1,8 +1,9 @@
 //! The books of a load: every request that was asked ends in exactly one count.
 
 use super::Look;
-use super::client::{End, Outcome};
+use super::client::Outcome;
 use super::mix::Mix;
+use curlewhub_model::End;
 use hdrhistogram::Histogram;
 use serde::Serialize;
 use std::time::Duration;
--- a/crates/lab/src/paper.rs
+++ b/crates/lab/src/paper.rs
@@ -1,12 +1,12 @@
 //! The paper's section 8 again, and what own counts lose against true occupancies.
 
+use crate::chart::{self, Chart, Line};
 use crate::sim::mean_and_half;
 use comfy_table::{Table, presets};
 use curlewhub_loss::field::Field;
 use curlewhub_loss::fleet::{Plan, Sight, play};
 use curlewhub_loss::{CAPACITY, Service, erlang_b, lower_bound};
 use indicatif::{ParallelProgressIterator, ProgressBar, ProgressStyle};
-use plotters::prelude::*;
 use rayon::prelude::*;
 use serde::Serialize;
 use std::path::Path;
@@ -18,16 +18,6 @@
 /// The load at which fleets of several sizes, lengths and dispatchers are compared: near what servers bear, so that
 /// there is something to lose.
 const LOAD: f64 = 4.5;
-const SIZE: (u32, u32) = (760, 420);
-const COLORS: [RGBColor; 6] = [
-    RGBColor(31, 119, 180),
-    RGBColor(214, 39, 40),
-    RGBColor(44, 160, 44),
-    RGBColor(148, 103, 189),
-    RGBColor(255, 127, 14),
-    RGBColor(90, 90, 90),
-];
-
 /// How much is played.
 #[derive(Clone, Copy, Debug)]
 pub struct Effort {
@@ -37,15 +27,6 @@
     pub jobs: f64,
 }
 
-/// One line of a plot.
-#[derive(Clone, Debug, Serialize)]
-pub struct Line {
-    /// What it shows.
-    pub name: String,
-    /// Its points.
-    pub points: Vec<(f64, f64)>,
-}
-
 /// A simulated figure beside the one that theory gives.
 #[derive(Clone, Debug, Serialize)]
 pub struct Beside {
@@ -100,7 +81,7 @@
         let plan = Plan { lambda, choices: 1, ..base(1000) };
         (format!("lambda = {lambda}, d = 1"), erlang_b(CAPACITY, lambda), plan)
     });
-    let dispatchers = [1, 3, 10, 30, 100, 300, 1000];
+    let dispatchers = [1, 2, 3, 4, 10, 30, 100, 300, 1000];
     let own = dispatchers.map(|n| (n.to_string(), field, Plan { sight: Sight::Own(n), ..base(1000) }));
     let groups = [sizes.to_vec(), lengths.to_vec(), erlang.to_vec(), own.to_vec()];
     let mut played = beside(&groups.concat(), effort.seeds).into_iter();
@@ -149,7 +130,7 @@
         let path = field.follow(field.start(start), 8.0, 10)?;
         let points =
             path.times.iter().zip(&path.shares).map(|(at, shares)| (*at, field.distance(shares, &settled)));
-        Ok(Line { name: name.to_owned(), points: points.collect() })
+        Ok(Line { name: name.to_owned(), points: points.collect(), ..Line::default() })
     };
     starts.into_iter().map(line).collect()
 }
@@ -158,11 +139,11 @@
     let line = |choices: usize| {
         let points: Result<Vec<_>, String> =
             LOADS.par_iter().map(|lambda| Ok((*lambda, blocking(*lambda, choices)?))).collect();
-        Ok(Line { name: format!("d = {choices}"), points: points? })
+        Ok(Line { name: format!("d = {choices}"), points: points?, ..Line::default() })
     };
     let mut lines: Vec<Line> = [1, 2, 3, 5].into_iter().map(line).collect::<Result<_, String>>()?;
     let bound = LOADS.map(|lambda| (lambda, lower_bound(CAPACITY, lambda)));
-    lines.push(Line { name: "lower bound".to_owned(), points: bound.to_vec() });
+    lines.push(Line { name: "lower bound".to_owned(), points: bound.to_vec(), ..Line::default() });
     Ok(lines)
 }
 
@@ -198,66 +179,28 @@
 /// # Errors
 /// A file can't be written.
 pub fn plots(paper: &Paper, folder: &Path) -> Result<Vec<String>, String> {
-    std::fs::create_dir_all(folder).map_err(|e| format!("{}: {e}", folder.display()))?;
     let logs = |lines: &[Line], log_x: bool| -> Vec<Line> {
         let log = |value: f64| value.max(1e-12).log10();
         let at = |(x, y): &(f64, f64)| if log_x { (log(*x), *y) } else { (*x, log(*y)) };
-        lines
-            .iter()
-            .map(|l| Line { name: l.name.clone(), points: l.points.iter().map(at).collect() })
-            .collect()
+        lines.iter().map(|l| Line { points: l.points.iter().map(at).collect(), ..l.clone() }).collect()
     };
     let own = |name: &str, read: fn(&Beside) -> f64| Line {
         name: name.to_owned(),
         points: paper.own.iter().map(|one| (one.what.parse().unwrap_or(1.0), read(one))).collect(),
+        ..Line::default()
     };
     let alone = own("one choice at random (Erlang B)", |_| erlang_b(CAPACITY, LOAD));
     let own = [own("own counts", |one| one.played), own("true counts", |one| one.field), alone];
+    let chart = |name, title, x, lines| Chart { name, title, x, lines };
     let charts = [
-        (
+        chart(
             "figure-1",
             "squared distance to the fixed point, log10",
             "mean job lengths",
             logs(&paper.distance, false),
         ),
-        ("figure-2", "part of the jobs lost", "arrivals a server, lambda", paper.blocking.clone()),
-        ("own-counts", "part of the jobs lost, lambda = 4.5", "dispatchers, log10", logs(&own, true)),
+        chart("figure-2", "part of the jobs lost", "arrivals a server, lambda", paper.blocking.clone()),
+        chart("own-counts", "part of the jobs lost, lambda = 4.5", "dispatchers, log10", logs(&own, true)),
     ];
-    let write = |(name, label, x, lines): (&str, &str, &str, Vec<Line>)| {
-        let path = folder.join(format!("{name}.svg"));
-        let svg = chart(label, x, &lines).map_err(|e| format!("{name}: {e}"))?;
-        std::fs::write(&path, svg).map_err(|e| format!("{}: {e}", path.display()))?;
-        Ok(path.display().to_string())
-    };
-    charts.into_iter().map(write).collect()
-}
-
-fn chart(label: &str, x: &str, lines: &[Line]) -> Result<String, Box<dyn std::error::Error>> {
-    let all = || lines.iter().flat_map(|line| &line.points);
-    let range = |read: fn(&(f64, f64)) -> f64| {
-        let (low, high) = all().map(read).fold((f64::MAX, f64::MIN), |(a, b), v| (a.min(v), b.max(v)));
-        low..high.max(low + 1e-9)
-    };
-    let mut svg = String::new();
-    {
-        let area = SVGBackend::with_string(&mut svg, SIZE).into_drawing_area();
-        area.fill(&WHITE)?;
-        let mut chart = ChartBuilder::on(&area)
-            .caption(label, ("sans-serif", 16))
-            .margin(8)
-            .x_label_area_size(32)
-            .y_label_area_size(56)
-            .build_cartesian_2d(range(|p| p.0), range(|p| p.1))?;
-        chart.configure_mesh().x_desc(x).draw()?;
-        for (n, line) in lines.iter().enumerate() {
-            let style = COLORS[n % COLORS.len()].stroke_width(2);
-            chart
-                .draw_series(LineSeries::new(line.points.iter().copied(), style))?
-                .label(line.name.clone())
-                .legend(move |(x, y)| PathElement::new([(x, y), (x + 18, y)], style));
-        }
-        chart.configure_series_labels().background_style(WHITE.mix(0.8)).draw()?;
-        area.present()?;
-    }
-    Ok(svg)
+    chart::write(&charts, folder)
 }
--- a/crates/lab/tests/keyed.rs
+++ b/crates/lab/tests/keyed.rs
@@ -1,48 +1,17 @@
 //! Keyed jobs that are out at a process when it is killed, and are asked for again at the one after it: none runs
 //! twice, by the books of the endpoints.
 
+mod support;
+
 use curlewhub_standins::{Fleet, FleetSpec};
 use std::io::{BufRead, BufReader, Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{SocketAddr, TcpStream};
 use std::path::{Path, PathBuf};
-use std::process::{Child, Command, Stdio};
-use std::time::{Duration, Instant};
+use support::*;
 
-/// Nothing that a test waits for may take longer, not even on a slow machine.
-const PATIENCE: Duration = Duration::from_secs(30);
 /// Jobs out at once: more than the sidecar sends to its own zone alone.
 const JOBS: usize = 10;
 
-struct Sidecar(Child);
-
-impl Drop for Sidecar {
-    fn drop(&mut self) {
-        let _ = self.0.kill(); // SIGKILL
-        let _ = self.0.wait();
-    }
-}
-
-struct Folder(PathBuf);
-
-impl Drop for Folder {
-    fn drop(&mut self) {
-        let _ = std::fs::remove_dir_all(&self.0);
-    }
-}
-
-/// On an address of its own, so that no other test comes to listen there.
-fn free() -> SocketAddr {
-    TcpListener::bind("127.78.0.2:0").unwrap().local_addr().unwrap()
-}
-
-fn wait_for(what: &str, mut condition: impl FnMut() -> bool) {
-    let began = Instant::now();
-    while !condition() {
-        assert!(began.elapsed() < PATIENCE, "never came: {what}");
-        std::thread::sleep(Duration::from_millis(5));
-    }
-}
-
 /// Two endpoints in each of two zones, whose jobs take seconds.
 fn fleet() -> Fleet {
     let mut text = "seed = 5\n[[classes]]\nname = \"proof-view\"\nwork = \"1ms\"\n\
@@ -68,30 +37,6 @@
             objective = \"19s\"\ndeadline = \"20s\"\n"
 }
 
-/// Starts one, beside or after the one before, and waits for its yes.
-fn start(file: &Path, folder: &Path) -> Sidecar {
-    let operator = free();
-    let child = Command::new(env!("CARGO_BIN_EXE_curlewhub-lab"))
-        .args(["sidecar", "run", "--replace", "--config"])
-        .arg(file)
-        .args(["--operator", &operator.to_string()])
-        .env("TMPDIR", folder)
-        .stderr(Stdio::null())
-        .spawn()
-        .unwrap();
-    let sidecar = Sidecar(child);
-    let says_yes = || -> std::io::Result<bool> {
-        let mut stream = TcpStream::connect(operator)?;
-        stream.set_read_timeout(Some(PATIENCE))?;
-        stream.write_all(b"PING\n")?;
-        let mut answer = String::new();
-        stream.read_to_string(&mut answer)?;
-        Ok(answer == "YES\n")
-    };
-    wait_for("its yes", || says_yes().unwrap_or(false));
-    sidecar
-}
-
 /// A connection to whoever accepts.
 fn connect(listen: SocketAddr) -> TcpStream {
     let mut stream = None;
@@ -154,18 +99,17 @@
 /// Jobs go out, the process is killed, `then` says what serves from then on, and every client asks again.
 fn killed(name: &str, beside: bool, then: impl FnOnce(&Path, &Path) -> Vec<Sidecar>) {
     let fleet = fleet();
-    let folder = Folder(std::env::temp_dir().join(format!("curlewhub-{name}-{}", std::process::id())));
-    std::fs::create_dir_all(&folder.0).unwrap();
+    let folder = Folder::new(name);
     let listen = free();
     let file = folder.0.join("shop.toml");
     std::fs::write(&file, config(&fleet, listen)).unwrap();
-    let first = start(&file, &folder.0);
+    let first = Sidecar::start(&file, &folder.0);
     // Their connections are the first one's, whoever comes later.
     let mut clients: Vec<TcpStream> = (0..JOBS).map(|_| connect(listen)).collect();
     for (n, client) in clients.iter_mut().enumerate() {
         assert_eq!(view(client, n), 200);
     }
-    let second = beside.then(|| start(&file, &folder.0));
+    let second = beside.then(|| Sidecar::start(&file, &folder.0));
     let before = zones(&fleet);
     for (job, client) in clients.iter_mut().enumerate() {
         submit(client, job, 0);
@@ -194,13 +138,13 @@
 
 #[test]
 fn a_job_out_at_a_process_killed_alone_runs_once() {
-    killed("alone", false, |file, folder| vec![start(file, folder)]);
+    killed("alone", false, |file, folder| vec![Sidecar::start(file, folder)]);
 }
 
 #[test]
 fn a_job_is_remembered_over_two_processes_killed_in_a_row() {
     killed("row", false, |file, folder| {
-        drop(start(file, folder));
+        drop(Sidecar::start(file, folder));
         // All that the first one left is gone: the second one has to have written it down again.
         let left = std::fs::read_dir(folder).unwrap().flatten().map(|entry| entry.path());
         let mut left: Vec<PathBuf> =
@@ -208,6 +152,6 @@
         left.sort();
         assert_eq!(left.len(), 2);
         std::fs::remove_file(&left[0]).unwrap();
-        vec![start(file, folder)]
+        vec![Sidecar::start(file, folder)]
     });
 }
--- a/crates/lab/tests/load.rs
+++ b/crates/lab/tests/load.rs
@@ -1,7 +1,8 @@
 //! The load tool against peers that do wrong: each wrong is told apart, and no request is lost in the books.
 
+use curlewhub_config::Repeat;
 use curlewhub_config::units::Span;
-use curlewhub_lab::load::{Arrivals, Mix, Plan, Repeat, Report, run, table};
+use curlewhub_lab::load::{Arrivals, Mix, Plan, Report, run, table};
 use curlewhub_standins::{Fault, Fleet, FleetSpec};
 use std::io::{BufRead, BufReader, Write};
 use std::net::{SocketAddr, TcpListener};
--- a/crates/lab/tests/replacements.rs
+++ b/crates/lab/tests/replacements.rs
@@ -1,42 +1,18 @@
 //! A sidecar replaced five times in a row under load against slow endpoints: every try has one answer, no keyed
 //! job runs twice, and service during the replacements stays near what it was before.
 
+mod support;
+
 use curlewhub_lab::load::{Arrivals, Mix, Plan, Report, run};
 use curlewhub_standins::{Fleet, FleetSpec};
-use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::path::{Path, PathBuf};
-use std::process::{Child, Command, Stdio};
-use std::time::{Duration, Instant};
+use std::net::SocketAddr;
+use std::process::Command;
+use std::time::Duration;
+use support::*;
 use tokio::task::LocalSet;
 
-/// Nothing that a test waits for may take longer, not even on a slow machine.
-const PATIENCE: Duration = Duration::from_secs(30);
 const REPLACEMENTS: u32 = 5;
 
-/// A running sidecar; it ends with this.
-struct Sidecar(Child);
-
-impl Drop for Sidecar {
-    fn drop(&mut self) {
-        let _ = self.0.kill();
-        let _ = self.0.wait();
-    }
-}
-
-/// A folder that goes with the test.
-struct Folder(PathBuf);
-
-impl Drop for Folder {
-    fn drop(&mut self) {
-        let _ = std::fs::remove_dir_all(&self.0);
-    }
-}
-
-/// On an address of its own, so that no other test comes to listen there.
-fn free() -> SocketAddr {
-    TcpListener::bind("127.78.0.1:0").unwrap().local_addr().unwrap()
-}
-
 /// Six endpoints, each with a slow state that a backlog brings about.
 fn fleet() -> Fleet {
     let mut text = "seed = 5\n[[classes]]\nname = \"proof-view\"\nwork = \"60ms\"\ncv = 0.4\n\
@@ -61,39 +37,6 @@
             [[classes]]\nname = \"job-submit\"\nrepeat = \"keyed\"\nwindow = \"6s\"\nobjective = \"1.5s\"\ndeadline = \"4s\"\n"
 }
 
-/// Starts one that takes over from the one before, if there is one, and waits for its yes.
-fn start(file: &Path, folder: &Path) -> (Sidecar, SocketAddr) {
-    let operator = free();
-    let child = Command::new(env!("CARGO_BIN_EXE_curlewhub-lab"))
-        .args(["sidecar", "run", "--replace", "--config"])
-        .arg(file)
-        .args(["--operator", &operator.to_string()])
-        .env("TMPDIR", folder)
-        .stderr(Stdio::null())
-        .spawn()
-        .unwrap();
-    let sidecar = Sidecar(child);
-    let began = Instant::now();
-    while !says_yes(operator) {
-        assert!(began.elapsed() < PATIENCE, "it never said yes");
-        std::thread::sleep(Duration::from_millis(10));
-    }
-    (sidecar, operator)
-}
-
-fn says_yes(operator: SocketAddr) -> bool {
-    use std::io::{Read, Write};
-    let ask = || -> std::io::Result<bool> {
-        let mut stream = TcpStream::connect(operator)?;
-        stream.set_read_timeout(Some(Duration::from_secs(2)))?;
-        stream.write_all(b"PING\n")?;
-        let mut answer = String::new();
-        stream.read_to_string(&mut answer)?;
-        Ok(answer == "YES\n")
-    };
-    ask().unwrap_or(false)
-}
-
 fn term(sidecar: &Sidecar) {
     let pid = sidecar.0.id().to_string();
     assert!(Command::new("kill").args(["-TERM", &pid]).status().unwrap().success());
@@ -127,17 +70,16 @@
 #[test]
 fn five_replacements_in_a_row_lose_no_request_and_run_no_job_twice() {
     let fleet = fleet();
-    let folder = Folder(std::env::temp_dir().join(format!("curlewhub-replaced-{}", std::process::id())));
-    std::fs::create_dir_all(&folder.0).unwrap();
+    let folder = Folder::new("replaced");
     let listen = free();
     let file = folder.0.join("shop.toml");
     std::fs::write(&file, config(&fleet, listen)).unwrap();
-    let (first, _) = start(&file, &folder.0);
+    let first = Sidecar::start(&file, &folder.0);
     let state = folder.0.clone();
     let (report, _last) = under_load(listen, move || {
         let mut all = vec![first];
         for _ in 0..REPLACEMENTS {
-            let (next, _) = start(&file, &state);
+            let next = Sidecar::start(&file, &state);
             term(all.last().unwrap());
             all.push(next);
         }
--- a/crates/loss/src/fleet.rs
+++ b/crates/loss/src/fleet.rs
@@ -1,7 +1,8 @@
 //! The model with N servers, played.
 
 use crate::service::Service;
-use rand_core::{RngCore, SeedableRng};
+use rand::seq::index;
+use rand::{Rng, SeedableRng};
 use rand_distr::{Distribution, Exp1};
 use rand_pcg::Pcg32;
 use serde::Serialize;
@@ -102,7 +103,7 @@
             held[server as usize] -= 1;
             own[by as usize * plan.servers + server as usize] -= 1;
         }
-        let by = below(&mut draws, dispatchers);
+        let by = draws.random_range(0..dispatchers);
         let seen = &own[by * plan.servers..(by + 1) * plan.servers];
         let server = choose(seen, plan.choices, &mut draws);
         let counted = now >= plan.warm_up;
@@ -119,26 +120,8 @@
     counts
 }
 
-/// Of so many sampled without replacement the one that holds the fewest; ties are even, since samples are.
+/// Of so many sampled without replacement, in random order, the first of those that hold the fewest.
 fn choose(held: &[u16], choices: usize, draws: &mut Pcg32) -> usize {
-    let mut sampled: Vec<usize> = Vec::with_capacity(choices);
-    while sampled.len() < choices.min(held.len()) {
-        let drawn = below(draws, held.len());
-        if !sampled.contains(&drawn) {
-            sampled.push(drawn);
-        }
-    }
+    let sampled = index::sample(draws, held.len(), choices.min(held.len()));
     sampled.into_iter().min_by_key(|server| held[*server]).unwrap_or_default()
 }
-
-/// An unbiased draw from `0..n`, by rejection.
-fn below(draws: &mut Pcg32, n: usize) -> usize {
-    let n = n as u32;
-    let limit = u32::MAX - u32::MAX % n;
-    loop {
-        let draw = draws.next_u32();
-        if draw < limit {
-            return (draw % n) as usize;
-        }
-    }
-}
--- a/crates/loss/src/service.rs
+++ b/crates/loss/src/service.rs
@@ -1,6 +1,6 @@
 //! How long jobs take: distributions of mean 1.
 
-use rand_core::RngCore;
+use rand::Rng;
 use rand_distr::{Distribution, Exp1, LogNormal, Pareto};
 use rand_pcg::Pcg32;
 use serde::Serialize;
@@ -43,7 +43,7 @@
         match self {
             Service::Exponential => Exp1.sample(draws),
             Service::MixedErlang => {
-                let at = f64::from(draws.next_u32()) / 4_294_967_296.0;
+                let at = draws.random::<f64>();
                 let phases = 1 + usize::from(at >= PHASES[0]) + usize::from(at >= PHASES[0] + PHASES[1]);
                 let phase = |_| -> f64 { Exp1.sample(draws) };
                 (0..phases).map(phase).sum::<f64>() / phase_rate()
--- a/crates/model/src/clients.rs
+++ b/crates/model/src/clients.rs
@@ -1,8 +1,8 @@
 //! Clients: when requests arrive, what they are, and whether they are asked again.
 
-use crate::scenario::{ClassSpec, ClientSpec, Point, Repeat, Scenario};
-use curlewhub_balance::Earlier;
-use rand_core::{RngCore, SeedableRng};
+use crate::retry::{End, RetrySpec, pick};
+use crate::scenario::{ClassSpec, Point, Scenario};
+use rand::{Rng, SeedableRng};
 use rand_distr::{Distribution, Exp1, LogNormal};
 use rand_pcg::Pcg32;
 use std::time::Duration;
@@ -15,21 +15,6 @@
     Pcg32::seed_from_u64(xxh3_64_with_seed(&bytes, seed))
 }
 
-/// An even draw from `0.0..1.0`.
-pub(crate) fn uniform(draws: &mut Pcg32) -> f64 {
-    f64::from(draws.next_u32()) / 4_294_967_296.0
-}
-
-/// How a try ended for its client.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum End {
-    Served,
-    Refused,
-    Failed,
-    /// No answer: its process was killed, or none was there.
-    Unanswered,
-}
-
 /// One request, over all its tries.
 pub(crate) struct Call {
     pub(crate) class: usize,
@@ -42,8 +27,6 @@
     /// Halls in which its job began, and when: its books.
     pub(crate) runs: Vec<(u32, Duration)>,
     pub(crate) ran_twice: bool,
-    /// Where it was first sent, what still may have run, and by which process: what the sidecar's journal holds.
-    pub(crate) first: Option<(usize, Earlier)>,
     /// The process and request that it waits for, while it waits.
     pub(crate) waits_at: Option<(usize, u64)>,
 }
@@ -93,7 +76,7 @@
             if self.at >= self.until {
                 return None;
             }
-            if uniform(&mut self.draws) * self.most < self.factor(self.at) {
+            if self.draws.random::<f64>() * self.most < self.factor(self.at) {
                 return Some(self.at);
             }
         }
@@ -103,27 +86,10 @@
 /// The request of this number, drawn from a stream of its own.
 pub(crate) fn draw(scenario: &Scenario, seed: u64, number: u64, born: Duration) -> Call {
     let mut draws = stream(seed, "call", number);
-    let all: f64 = scenario.classes.iter().map(|class| class.share).sum();
-    let mut left = uniform(&mut draws) * all;
-    let picked = scenario.classes.iter().position(|class| {
-        left -= class.share;
-        left < 0.0
-    });
-    let class = picked.unwrap_or_default();
+    let class = pick(scenario.classes.iter().map(|class| class.share), &mut draws).unwrap_or_default();
     let work = work(&scenario.classes[class], &mut draws);
-    let home = draws.next_u32() as usize % scenario.sidecars as usize;
-    Call {
-        class,
-        work,
-        home,
-        born,
-        tries: 0,
-        draws,
-        runs: Vec::new(),
-        ran_twice: false,
-        first: None,
-        waits_at: None,
-    }
+    let home = draws.random_range(0..scenario.sidecars as usize);
+    Call { class, work, home, born, tries: 0, draws, runs: Vec::new(), ran_twice: false, waits_at: None }
 }
 
 /// Log-normal with the class's mean and coefficient of variation.
@@ -143,18 +109,12 @@
         now: Duration,
         retry_after: Option<Duration>,
         class: &ClassSpec,
-        clients: &ClientSpec,
+        clients: &RetrySpec,
     ) -> Option<Duration> {
-        let harmless = end == End::Refused
-            || class.repeat == Repeat::Safe
-            || end == End::Unanswered && class.repeat == Repeat::Keyed
-            || clients.when_it_may_have_run;
-        if end == End::Served || !harmless || self.tries > clients.retries {
+        if !clients.again(end, class.repeat, self.tries) {
             return None;
         }
-        let grown = clients.growth.powi(self.tries as i32 - 1);
-        let wait = clients.backoff.0.mul_f64(grown * (1.0 - uniform(&mut self.draws) / 2.0));
-        let wait = wait.max(retry_after.filter(|_| clients.heed_retry_after).unwrap_or_default());
+        let wait = clients.wait(self.tries, retry_after, &mut self.draws);
         (now + wait < self.born + class.deadline.0).then_some(wait)
     }
 }
@@ -195,21 +155,14 @@
     }
 
     #[test]
-    fn a_request_that_may_have_run_is_asked_again_only_where_that_is_harmless() {
+    fn a_request_is_not_asked_again_where_its_time_is_over_by_then() {
         let scenario = scenario("");
-        let clients = scenario.clients;
         let mut call = draw(&scenario, 3, 1, Duration::ZERO);
         call.tries = 1;
         let mut class = scenario.classes[0].clone();
-        let now = Duration::from_millis(100);
-        assert!(call.again(End::Failed, now, None, &class, &clients).is_some());
-        class.repeat = Repeat::Never;
-        assert_eq!(call.again(End::Failed, now, None, &class, &clients), None);
-        let told = Some(Duration::from_millis(800));
-        assert_eq!(call.again(End::Refused, now, told, &class, &clients), told);
+        let (now, told) = (Duration::from_millis(100), Some(Duration::from_millis(800)));
+        assert_eq!(call.again(End::Refused, now, told, &class, &scenario.clients), told);
         class.deadline = Span(Duration::from_millis(850));
-        assert_eq!(call.again(End::Refused, now, told, &class, &clients), None, "too late by then");
-        call.tries = 2;
-        assert_eq!(call.again(End::Refused, now, None, &class, &clients), None, "no more than one");
+        assert_eq!(call.again(End::Refused, now, told, &class, &scenario.clients), None);
     }
 }
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -29,13 +29,16 @@
 mod clients;
 mod process;
 mod queue;
+mod retry;
 mod scenario;
 mod tally;
 mod world;
 
+pub use curlewhub_config::Repeat;
+pub use retry::{End, RetrySpec, pick};
 pub use scenario::{
-    ArrivalSpec, Carry, ClassSpec, ClientSpec, EndpointsSpec, FaultSpec, NetworkSpec, Point, Repeat,
-    ReplacementSpec, Scenario, Trouble,
+    ArrivalSpec, Carry, ClassSpec, EndpointsSpec, FaultSpec, NetworkSpec, Point, ReplacementSpec, Scenario,
+    Trouble,
 };
 pub use tally::{Outcome, Second, Totals};
 
--- a/crates/model/src/process.rs
+++ b/crates/model/src/process.rs
@@ -1,14 +1,17 @@
 //! One process of a modelled sidecar: the decision module, and what the driver keeps beside it.
 
 use curlewhub_balance::{AttemptNo, Balancer};
-use curlewhub_share::Shares;
-use std::collections::{BTreeMap, HashMap, VecDeque};
+use curlewhub_keys::Memory;
+use curlewhub_share::{Need, Shares};
+use std::collections::{BTreeMap, HashMap};
 use std::time::Duration;
 
 /// A request until it is answered and all its attempts have ended.
 pub(crate) struct Open {
     pub(crate) call: u64,
     pub(crate) answered: bool,
+    /// Its own first send is the one that is remembered of its key, and nothing says yet that it may have run.
+    pub(crate) noted: bool,
     pub(crate) until: Duration,
     /// Attempts by number: the flight, while it is out.
     pub(crate) tries: Vec<Option<u64>>,
@@ -42,15 +45,16 @@
     /// Idle connections by endpoint, and when one was last used.
     idle: HashMap<usize, (u32, Duration)>,
     pub(crate) shares: Shares,
-    /// Requests that came, by look.
-    pub(crate) came: VecDeque<u32>,
+    pub(crate) need: Need,
+    /// Where keyed jobs may have run; used where that is lost with the process.
+    pub(crate) keys: Memory,
 }
 
 impl Process {
     pub(crate) fn new(balancer: Balancer, sidecar: usize, hall: u32) -> Self {
-        let (open, idle, shares, came) = Default::default();
+        let (open, idle, shares, need, keys) = Default::default();
         let (alive, accepts, next_request) = (true, false, 0);
-        Process { balancer, sidecar, hall, alive, accepts, next_request, open, idle, shares, came }
+        Process { balancer, sidecar, hall, alive, accepts, next_request, open, idle, shares, need, keys }
     }
 
     /// Takes a connection to an endpoint; whether it is an idle one.
--- a/crates/model/src/scenario.rs
+++ b/crates/model/src/scenario.rs
@@ -1,6 +1,8 @@
 //! A scenario: what the fleet is, what is asked of it, and what goes wrong when.
 
+use crate::retry::RetrySpec;
 use curlewhub_balance::{Class, Group, Limits, Rules, Semantics, Settings, ZoneId};
+use curlewhub_config::Repeat;
 use curlewhub_config::units::Span;
 use curlewhub_standins::spec::MachineSpec;
 use serde::{Deserialize, Serialize};
@@ -42,7 +44,7 @@
     pub arrivals: ArrivalSpec,
     /// How clients behave.
     #[serde(default)]
-    pub clients: ClientSpec,
+    pub clients: RetrySpec,
     /// Whether a second attempt may go out beside a slow one.
     #[serde(default)]
     pub second_copies: bool,
@@ -104,19 +106,6 @@
     pub machine: MachineSpec,
 }
 
-/// Whether a request may run again.
-#[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq, Eq, Serialize)]
-#[serde(rename_all = "lowercase")]
-pub enum Repeat {
-    /// Any repeat is harmless.
-    #[default]
-    Safe,
-    /// Endpoints of a hall drop repeats.
-    Keyed,
-    /// Never.
-    Never,
-}
-
 /// A class.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 #[serde(deny_unknown_fields)]
@@ -188,34 +177,6 @@
     pub factor: f64,
 }
 
-/// How clients behave.
-#[derive(Clone, Copy, Debug, Deserialize, Serialize)]
-#[serde(deny_unknown_fields, default)]
-pub struct ClientSpec {
-    /// Retries for a request, at the most.
-    pub retries: u32,
-    /// Wait before the first retry; jittered by up to half.
-    pub backoff: Span,
-    /// Each further wait is this multiple of the one before.
-    pub growth: f64,
-    /// They wait as long as a refusal tells them.
-    pub heed_retry_after: bool,
-    /// They retry requests that may have run, keyed ones among them.
-    pub when_it_may_have_run: bool,
-}
-
-impl Default for ClientSpec {
-    fn default() -> Self {
-        ClientSpec {
-            retries: 1,
-            backoff: ms(100),
-            growth: 2.0,
-            heed_retry_after: true,
-            when_it_may_have_run: false,
-        }
-    }
-}
-
 /// What goes wrong.
 #[derive(Clone, Copy, Debug, Deserialize, PartialEq, Serialize)]
 #[serde(rename_all = "lowercase")]
@@ -334,7 +295,6 @@
         number("arrivals.rate".into(), self.arrivals.rate, 0.0, 1e7);
         number("network.jitter".into(), self.network.jitter, 0.0, 10.0);
         number("max_attempts".into(), self.max_attempts.into(), 1.0, 100.0);
-        number("clients.growth".into(), self.clients.growth, 1.0, 100.0);
         number("halls".into(), self.halls.len() as f64, 1.0, 1000.0);
         number("classes".into(), self.classes.len() as f64, 1.0, 1000.0);
         let count: u64 = self.endpoints.iter().map(|kind| u64::from(kind.count)).sum();
@@ -370,6 +330,9 @@
         for hall in halls.flatten().filter(|hall| !self.halls.contains(hall)) {
             problems.push(format!("hall: `{hall}` is not among `halls`"));
         }
+        for (field, allowed) in self.clients.problems() {
+            problems.push(format!("clients.{field}: allowed: {allowed}"));
+        }
         if self.arrivals.shape.windows(2).any(|pair| pair[0].at.0 >= pair[1].at.0) {
             problems.push("arrivals.shape: the points' times must rise".to_owned());
         }
--- a/crates/model/src/tally.rs
+++ b/crates/model/src/tally.rs
@@ -1,6 +1,6 @@
 //! What a run brought.
 
-use crate::clients::End;
+use crate::retry::End;
 use hdrhistogram::Histogram;
 use serde::Serialize;
 use std::time::Duration;
--- a/crates/model/src/world.rs
+++ b/crates/model/src/world.rs
@@ -1,16 +1,20 @@
 //! The run: takes what is to come in its order, and lets it happen.
 
-use crate::clients::{Arrivals, Call, End, draw, stream, uniform};
+use crate::clients::{Arrivals, Call, draw, stream};
 use crate::process::{Flight, Open, Process};
 use crate::queue::Queue;
-use crate::scenario::{Carry, FaultSpec, Repeat, Scenario, Trouble};
+use crate::retry::End;
+use crate::scenario::{Carry, FaultSpec, Scenario, Trouble};
 use crate::tally::{Outcome as Brought, Tally};
 use curlewhub_balance::{
     Action, AttemptEnded, AttemptNo, Balancer, CellId, ClassId, Earlier, EndpointId, EndpointInfo, Event,
     Membership, Outcome, Request, RequestId, Snapshot, TenantId, TimerToken, ZoneId,
 };
+use curlewhub_config::Repeat;
+use curlewhub_keys::{Entry, Memory};
+use curlewhub_share::LOOK_EVERY;
 use curlewhub_standins::machine::{Happened, Machine, Offered};
-use rand_core::RngCore;
+use rand::{Rng, RngCore};
 use rand_pcg::Pcg32;
 use std::collections::{BTreeSet, HashMap, VecDeque};
 use std::time::Duration;
@@ -19,10 +23,6 @@
 const EPOCH: Duration = Duration::from_secs(1_000_000);
 /// Kept back from a client's time, as the sidecar does.
 const ANSWER_MARGIN: Duration = Duration::from_millis(10);
-/// How often processes that share look at what they need, as the sidecar does.
-const SHARE_EVERY: Duration = Duration::from_millis(20);
-/// Requests that came within so many looks count as needed, as in the sidecar.
-const LOOKS: usize = 25;
 /// The list says so long after that an endpoint has started again.
 const LIST_LAG: Duration = Duration::from_millis(100);
 /// A process that was told to end is killed after this: the longest deadline and a little.
@@ -72,6 +72,8 @@
     processes: Vec<Process>,
     /// By sidecar, its living processes, the oldest first.
     sidecars: Vec<Vec<usize>>,
+    /// By sidecar, where keyed jobs may have run.
+    keys: Vec<Memory>,
     calls: HashMap<u64, Call>,
     flights: HashMap<u64, Flight>,
     next_flight: u64,
@@ -90,6 +92,7 @@
             endpoints: Vec::new(),
             processes: Vec::new(),
             sidecars: Vec::new(),
+            keys: (0..scenario.sidecars).map(|_| Memory::default()).collect(),
             calls: HashMap::new(),
             flights: HashMap::new(),
             next_flight: 0,
@@ -237,7 +240,8 @@
         call.tries += 1;
         let (tries, class, born) = (call.tries, call.class, call.born);
         self.tally.at(born).tries += 1;
-        let time = (born + self.scenario.classes[class].deadline.0).saturating_sub(since);
+        let deadline = self.scenario.classes[class].deadline.0;
+        let time = self.scenario.clients.time(deadline, (born + deadline).saturating_sub(since));
         // Several that accept do so from one queue.
         let accepting: Vec<usize> = self.sidecars[call.home]
             .iter()
@@ -247,25 +251,24 @@
         if accepting.is_empty() {
             return self.client_hears(id, End::Unanswered, None);
         }
-        let process = accepting[call.draws.next_u32() as usize % accepting.len()];
-        let window = self.scenario.classes[class].window.0;
-        let known = |(by, earlier): (usize, Earlier)| {
-            let kept =
-                by == process || self.scenario.replacements.iter().all(|replacement| replacement.keys);
-            (kept && self.now < earlier.sent + window).then_some(earlier)
-        };
-        let earlier = call.first.and_then(known);
+        let process = accepting[call.draws.random_range(0..accepting.len())];
         let within = time - ANSWER_MARGIN.min(time / 10);
         let host = &mut self.processes[process];
         let request = host.next_request;
         host.next_request += 1;
         call.waits_at = Some((process, request));
         let (until, tries_out) = (self.now + within, Vec::new());
-        host.open.insert(request, Open { call: id, answered: false, until, tries: tries_out });
-        if let Some(came) = host.came.back_mut() {
-            *came += 1;
-        }
+        host.open
+            .insert(request, Open { call: id, answered: false, noted: false, until, tries: tries_out });
+        host.need.came();
         self.queue.plan(self.now + time, Ev::GivesUp { call: id, tries });
+        let now = self.now;
+        let known = self.memory(process).find(now, id).copied();
+        let earlier = known.map(|entry| Earlier {
+            zone: ZoneId(entry.zone),
+            cell: CellId(entry.cell),
+            sent: entry.sent,
+        });
         let request = Request {
             id: RequestId(request),
             class: ClassId(class),
@@ -404,13 +407,8 @@
         let crosses = host.hall != self.endpoints[place].hall;
         let hall = host.hall;
         self.flights.insert(id, flight);
-        if let Some(call) = self.calls.get_mut(&call) {
-            let class = &self.scenario.classes[call.class];
-            let over = |(_, first): (usize, Earlier)| now >= first.sent + class.window.0;
-            if class.repeat == Repeat::Keyed && call.first.is_none_or(over) {
-                let zone = ZoneId(self.endpoints[place].hall);
-                call.first = Some((process, Earlier { zone, cell: CellId(0), sent: now }));
-            }
+        self.note(process, request.0, call, place);
+        if let Some(call) = self.calls.get(&call) {
             let totals = self.tally.at(call.born);
             totals.attempts += 1;
             totals.crossings += u64::from(crosses);
@@ -422,11 +420,45 @@
         self.queue.plan(until, Ev::TimesOut(id));
     }
 
+    /// Where the jobs of a process's clients may have run: the sidecar's, or lost with the process.
+    fn memory(&mut self, process: usize) -> &mut Memory {
+        let host = &mut self.processes[process];
+        let lost = self.scenario.replacements.iter().any(|replacement| !replacement.keys);
+        if lost { &mut host.keys } else { &mut self.keys[host.sidecar] }
+    }
+
+    /// A keyed job is about to be sent, as the sidecar's driver notes it.
+    fn note(&mut self, process: usize, request: u64, call: u64, place: usize) {
+        let Some(class) = self.calls.get(&call).map(|call| &self.scenario.classes[call.class]) else {
+            return;
+        };
+        if class.repeat != Repeat::Keyed {
+            return;
+        }
+        let (zone, now) = (self.endpoints[place].hall, self.now);
+        let entry = Entry { key: call, zone, cell: 0, sent: now, window: class.window.0 };
+        let noted = self.memory(process).note(now, entry).is_some();
+        if let Some(open) = self.processes[process].open.get_mut(&request) {
+            open.noted |= noted;
+        }
+    }
+
+    /// An attempt has ended: a job that has surely not run is forgotten, as by the sidecar's driver.
+    fn outcome_of_key(&mut self, process: usize, request: u64, call: u64, outcome: Outcome) {
+        let Some(open) = self.processes[process].open.get_mut(&request) else { return };
+        if !outcome.never_ran() {
+            open.noted = false;
+        } else if open.noted && open.tries.iter().all(Option::is_none) {
+            open.noted = false;
+            self.memory(process).forget(call);
+        }
+    }
+
     /// One way between a hall and an endpoint.
     fn delay(&mut self, hall: u32, endpoint: usize) -> Duration {
         let network = &self.scenario.network;
         let base = if hall == self.endpoints[endpoint].hall { network.within.0 } else { network.between.0 };
-        base.mul_f64(1.0 + network.jitter * uniform(&mut self.network))
+        base.mul_f64(1.0 + network.jitter * self.network.random::<f64>())
     }
 
     /// A process hears how an attempt ended.
@@ -447,12 +479,7 @@
         if let Some(open) = self.processes[process].open.get_mut(&request) {
             open.tries[number.0 as usize] = None;
         }
-        if outcome.never_ran()
-            && let Some(call) = self.calls.get_mut(&call)
-            && call.first.is_some_and(|(by, first)| by == process && first.sent == sent)
-        {
-            call.first = None;
-        }
+        self.outcome_of_key(process, request, call, outcome);
         if outcome == Outcome::Ok {
             let now = self.now;
             self.processes[process].leave(endpoint, now);
@@ -736,12 +763,7 @@
         }
         let needs = [old, new].map(|process| {
             let host = &mut self.processes[process];
-            let need = host.open.len() as u32 + host.came.iter().sum::<u32>();
-            host.came.push_back(0);
-            if host.came.len() > LOOKS {
-                host.came.pop_front();
-            }
-            need
+            host.need.look(host.open.len())
         });
         for (from, to, need) in [(old, new, needs[0]), (new, old, needs[1])] {
             if self.processes[to].shares.needs(from as u64, need).is_err() {
@@ -758,7 +780,7 @@
                 self.settle(to, actions);
             }
         }
-        self.queue.plan(self.now + SHARE_EVERY, Ev::Shares { old, new });
+        self.queue.plan(self.now + LOOK_EVERY, Ev::Shares { old, new });
     }
 
     fn gauge(&mut self, second: usize) {
--- a/crates/model/tests/model.rs
+++ b/crates/model/tests/model.rs
@@ -63,7 +63,7 @@
 fn a_killed_process_makes_a_job_run_twice_only_where_keys_are_not_kept() {
     let twice = |keys: bool| {
         let mut scenario = upgrade(90.0);
-        scenario.clients.retries = 4;
+        (scenario.clients.most, scenario.clients.when_it_may_have_run) = (4, true);
         for replacement in &mut scenario.replacements {
             (replacement.killed, replacement.keys) = (true, keys);
         }
@@ -136,7 +136,7 @@
     ) {
         let mut scenario = upgrade(rate);
         scenario.lasts = curlewhub_config::units::Span(std::time::Duration::from_secs(15));
-        scenario.clients.retries = 3;
+        (scenario.clients.most, scenario.clients.when_it_may_have_run) = (3, true);
         let tables: String = faults.iter().map(|(at, lasts, what, endpoints)| {
             let what = ["\"crash\"", "\"hang\"", "{ slow = 0.2 }"][usize::from(*what)];
             format!("[[faults]]\nat = \"{}ms\"\nlasts = \"{lasts}s\"\nwhat = {what}\nendpoints = {endpoints}\n", at * 400)
