Keep held requests and tenants' rates in order, and drop timers that are done for

Cause: each release of what is held took the list apart and sorted it again, each request sorted every tenant, and a finished request's timers stayed in the module and the driver until they came due.

--- a/crates/adapter/src/lib.rs
+++ b/crates/adapter/src/lib.rs
@@ -323,9 +323,11 @@
     })
 }
 
-/// Prints one action of `instance`; `request` is the wire's name of the request it is about.
-pub fn print(instance: u32, action: &Action, request: &str, names: &EndpointNames) -> String {
-    match action {
+/// Prints one action of `instance`; `request` is the wire's name of the request it is about. None for what the wire
+/// has no word for: a timer can't be taken back, and comes for nothing.
+pub fn print(instance: u32, action: &Action, request: &str, names: &EndpointNames) -> Option<String> {
+    Some(match action {
+        Action::DropTimer { .. } => return None,
         Action::Send { endpoint, timeout, .. } => {
             // Zero would mean "no time-out of its own", so the least that can be said is a microsecond.
             let timeout = (*timeout).max(Duration::from_micros(1));
@@ -343,7 +345,7 @@
         Action::Probe { endpoint } => format!("ask_load {instance} {}", names.name(*endpoint)),
         Action::CloseIdle { endpoint } => format!("release {instance} {}", names.name(*endpoint)),
         Action::Log(text) => format!("trace {instance} {}", one_line(text)),
-    }
+    })
 }
 
 /// Prints the report of a panic in an instance.
--- a/crates/adapter/src/main.rs
+++ b/crates/adapter/src/main.rs
@@ -179,8 +179,10 @@
         }
         for action in &self.actions {
             let request = host.note(action);
-            self.reply.push_str(&wire::print(instance, action, &request, &self.names));
-            self.reply.push('\n');
+            if let Some(line) = wire::print(instance, action, &request, &self.names) {
+                self.reply.push_str(&line);
+                self.reply.push('\n');
+            }
         }
         for id in about.into_iter().chain(self.actions.iter().filter_map(about_request)) {
             host.tidy(id);
--- a/crates/balance/src/balance.rs
+++ b/crates/balance/src/balance.rs
@@ -14,8 +14,10 @@
 pub use share::Portion;
 pub use snapshot::{AGE_MOST, EndpointSnapshot, Snapshot};
 
+use crate::held::{Held, Kind, Walk};
 use crate::stats::{Draws, Fading, LATENCY_FIRST, Latency, UNHURRIED_FIRST};
 use crate::types::*;
+use crate::uses::Uses;
 use std::collections::{HashMap, HashSet};
 use std::time::Duration;
 
@@ -72,6 +74,8 @@
     /// Part of its class's worth: little above its tenant's share, and for a repeat.
     part: f64,
     attempts: Vec<Attempt>,
+    /// Set for it, and dropped with it.
+    timers: Vec<TimerToken>,
     /// Where its job may have run before it came here.
     earlier: Option<Earlier>,
     finished: bool,
@@ -132,7 +136,7 @@
     /// Ready endpoints: of the own zone, of others, each first those of this balancer's part, then all.
     pools: [Vec<usize>; 4],
     requests: HashMap<RequestId, Pending>,
-    held: Vec<RequestId>,
+    held: Held,
     /// Heat that three quarters of the endpoints share: it comes from below and is nobody's fault here.
     /// Not the median's, or a zone lost would pass for it.
     common_heat: f64,
@@ -148,7 +152,7 @@
     latency: Vec<Latency>,
     retry_tokens: f64,
     /// Requests by tenant.
-    tenants: Vec<Fading>,
+    tenants: Uses,
     arrivals: Fading,
     /// Requests served by warm endpoints.
     served: Fading,
@@ -185,7 +189,8 @@
     /// A balancer that knows no endpoints yet. Equal settings, seeds and events give equal actions.
     pub fn new(settings: Settings, seed: u64, now: Duration) -> Result<Self, SettingsError> {
         settings.validate()?;
-        let (classes, tenants) = (settings.classes.len(), settings.tenants.len());
+        let classes = settings.classes.len();
+        let tenants = Uses::new(settings.tenants.iter().map(|t| t.allowance_per_s), RATE_SECONDS);
         Ok(Balancer {
             settings,
             born: now,
@@ -195,7 +200,7 @@
             banned: HashSet::new(),
             pools: Default::default(),
             requests: HashMap::new(),
-            held: Vec::new(),
+            held: Held::default(),
             common_heat: 0.0,
             windows: [Window { size: 1.0, out: 0, opening: true }; 2],
             share: 1.0,
@@ -205,7 +210,7 @@
             next_timer: 0,
             latency: vec![Latency::default(); classes],
             retry_tokens: RETRY_SAVED,
-            tenants: vec![Fading::default(); tenants],
+            tenants,
             arrivals: Fading::default(),
             served: Fading::default(),
             proven: Fading::default(),
@@ -264,8 +269,14 @@
 
     fn set_timer(&mut self, after: Duration, timer: Timer, out: &mut Vec<Action>) {
         self.next_timer += 1;
+        let token = TimerToken(self.next_timer);
+        if let Timer::Deadline(id) | Timer::Overdue(id, _) = timer
+            && let Some(pending) = self.requests.get_mut(&id)
+        {
+            pending.timers.push(token);
+        }
         self.timers.insert(self.next_timer, timer);
-        out.push(Action::SetTimer { token: TimerToken(self.next_timer), after });
+        out.push(Action::SetTimer { token, after });
     }
 }
 
--- a/crates/balance/src/balance/attempts.rs
+++ b/crates/balance/src/balance/attempts.rs
@@ -40,6 +40,7 @@
             deadline,
             part,
             attempts,
+            timers: Vec::new(),
             earlier: request.earlier,
             finished: false,
             streaming: false,
@@ -61,6 +62,9 @@
     ) {
         let Some(pending) = self.requests.get_mut(&id).filter(|p| p.coming && !p.settled()) else { return };
         (pending.coming, pending.arrived, pending.deadline) = (false, now, now + left);
+        if self.held.contains(id) {
+            self.held.put(id, Kind::new(pending.class, pending.part), now);
+        }
         let mut outs = Vec::new();
         for (n, attempt) in pending.attempts.iter_mut().enumerate().filter(|(_, a)| a.fate == Fate::Out) {
             attempt.sent = now;
@@ -89,7 +93,7 @@
             return self.give_up(id, out);
         }
         let Some(i) = self.pick(now, id) else {
-            self.held.push(id);
+            self.hold(id);
             return self.set_recheck(out);
         };
         self.send(now, id, i, out);
@@ -275,10 +279,21 @@
                 }
             }
         }
-        self.held.retain(|&held| held != id);
+        for token in std::mem::take(&mut pending.timers) {
+            if self.timers.remove(&token.0).is_some() {
+                out.push(Action::DropTimer { token });
+            }
+        }
+        self.held.remove(id);
         self.forget(id);
     }
 
+    fn hold(&mut self, id: RequestId) {
+        if let Some(p) = self.requests.get(&id) {
+            self.held.put(id, Kind::new(p.class, p.part), p.arrived);
+        }
+    }
+
     fn forget(&mut self, id: RequestId) {
         if self.requests.get(&id).is_some_and(|p| p.finished && p.none_out()) {
             self.requests.remove(&id);
@@ -293,15 +308,13 @@
         }
         // The worthiest first, and of equals the one that came last: in a jam the oldest would only
         // be answered after its objective, and so would all behind it.
-        let rank = |&id: &RequestId| (self.value(id), self.requests.get(&id).map(|p| p.arrived), id);
-        let mut waiting: Vec<_> = self.held.iter().map(rank).collect();
-        waiting.sort_by(|a, b| b.0.total_cmp(&a.0).then(b.1.cmp(&a.1)).then(b.2.0.cmp(&a.2.0)));
-        for (_, _, id) in waiting {
+        let mut walk = Walk::default();
+        while let Some(id) = self.held.next(&mut walk, |kind| self.worth(kind.class(), kind.part())) {
             let untried = self.requests.get(&id).is_some_and(|p| p.attempts.is_empty());
-            self.held.retain(|&held| held != id);
+            self.held.remove(id);
             self.advance(now, id, out);
             // What found no endpoint, though all are open to it, leaves none to the others either.
-            if !self.any_room(now) || (untried && self.held.last() == Some(&id)) {
+            if !self.any_room(now) || (untried && self.held.contains(id)) {
                 return;
             }
         }
@@ -309,9 +322,8 @@
 
     /// Refuses what is held and can't be served in time any more.
     pub(super) fn drop_late(&mut self, now: Duration, out: &mut Vec<Action>) {
-        let late = |id: &RequestId| self.requests.get(id).is_some_and(|p| self.too_late(now, p));
-        let late: Vec<RequestId> = self.held.iter().copied().filter(late).collect();
-        for id in late {
+        let late = |id: RequestId| self.requests.get(&id).is_some_and(|p| self.too_late(now, p));
+        for id in self.held.which(late) {
             let value = self.value(id);
             self.missed.set(now, value.max(self.missed.read(now, MISSED_SECONDS)));
             self.give_up(id, out);
@@ -323,23 +335,21 @@
 
     /// What serving a request adds to the result for the time it keeps a server busy.
     pub(super) fn value(&self, id: RequestId) -> f64 {
-        let Some(pending) = self.requests.get(&id) else { return 0.0 };
-        self.settings.classes[pending.class].worth * pending.part
-            / self.latency[pending.class].unhurried.max(0.001)
+        self.requests.get(&id).map_or(0.0, |pending| self.worth(pending.class, pending.part))
+    }
+
+    fn worth(&self, class: usize, part: f64) -> f64 {
+        self.settings.classes[class].worth * part / self.latency[class].unhurried.max(0.001)
     }
 
     /// Counts a tenant's request and tells whether it lies above the tenant's share. A balancer sees
     /// an unknown part of all traffic, so tenants are judged against the median one.
     fn over_share(&mut self, now: Duration, tenant: usize) -> bool {
-        let Some(rate) = self.tenants.get_mut(tenant) else { return false };
-        rate.count(now, RATE_SECONDS);
-        let used = |t: usize| {
-            self.tenants[t].read(now, RATE_SECONDS) / self.settings.tenants[t].allowance_per_s.max(1e-9)
-        };
-        let mut uses: Vec<f64> = (0..self.tenants.len()).map(used).collect();
-        uses.sort_by(f64::total_cmp);
-        let fair = uses[(uses.len() - 1) / 2] * SHARE_SLACK;
-        let excess = 1.0 - fair / used(tenant).max(1e-9);
+        if !self.tenants.count(now, tenant) {
+            return false;
+        }
+        let fair = self.tenants.median(now) * SHARE_SLACK;
+        let excess = 1.0 - fair / self.tenants.used(now, tenant).max(1e-9);
         self.draws.uniform() < excess
     }
 
--- a/crates/balance/src/balance/snapshot.rs
+++ b/crates/balance/src/balance/snapshot.rs
@@ -112,7 +112,7 @@
             missed: self.missed,
             latency: self.latency.clone(),
             retry_tokens: self.retry_tokens,
-            tenants: self.tenants.clone(),
+            tenants: self.tenants.rates().to_vec(),
             arrivals: self.arrivals,
             served: self.served,
             proven: self.proven,
@@ -126,7 +126,7 @@
     /// dropped. What is open here stays as it is.
     pub fn restore(&mut self, now: Duration, snapshot: &Snapshot) -> bool {
         let fits = snapshot.latency.len() == self.latency.len()
-            && snapshot.tenants.len() == self.tenants.len()
+            && snapshot.tenants.len() == self.tenants.rates().len()
             && snapshot.is_sound();
         if !fits || snapshot.age(now) > AGE_MOST {
             return false;
@@ -157,7 +157,7 @@
         if self.share == 1.0 {
             self.retry_tokens = snapshot.retry_tokens.min(RETRY_SAVED);
         }
-        self.tenants = snapshot.tenants.iter().map(|tenant| tenant.not_ahead(now)).collect();
+        self.tenants.set(snapshot.tenants.iter().map(|tenant| tenant.not_ahead(now)).collect());
         self.born = snapshot.born.min(now);
         self.missed = snapshot.missed.not_ahead(now);
         self.arrivals = snapshot.arrivals.not_ahead(now);
@@ -238,7 +238,7 @@
                 attempt += 1;
             }
             // Timers' numbers are a balancer's own.
-            actions.retain(|action| !matches!(action, Action::SetTimer { .. }));
+            actions.retain(|action| !matches!(action, Action::SetTimer { .. } | Action::DropTimer { .. }));
             all.extend(actions);
         }
         all
--- a/crates/balance/src/lib.rs
+++ b/crates/balance/src/lib.rs
@@ -19,9 +19,11 @@
 //! ```
 
 mod balance;
+mod held;
 mod names;
 mod stats;
 mod types;
+mod uses;
 
 pub use balance::{AGE_MOST, Balancer, EndpointSnapshot, Portion, Snapshot};
 pub use names::EndpointNames;
--- a/crates/balance/src/stats.rs
+++ b/crates/balance/src/stats.rs
@@ -40,6 +40,11 @@
         (self.value, self.at) = (value, now);
     }
 
+    /// As of when its value holds.
+    pub(crate) fn at(&self) -> Duration {
+        self.at
+    }
+
     /// The same, with no time ahead of now: the clock may have stepped back between two processes.
     pub(crate) fn not_ahead(self, now: Duration) -> Self {
         Fading { at: self.at.min(now), ..self }
--- a/crates/balance/src/types.rs
+++ b/crates/balance/src/types.rs
@@ -533,6 +533,11 @@
         /// From now.
         after: Duration,
     },
+    /// A timer whose coming would bring nothing about any more. A host that can't take it back may let it come.
+    DropTimer {
+        /// As it was set with.
+        token: TimerToken,
+    },
     /// Follow changes of the endpoint list (or stop).
     Watch(bool),
     /// Ask for the complete list once.
--- a/crates/balance/tests/support/mod.rs
+++ b/crates/balance/tests/support/mod.rs
@@ -221,6 +221,7 @@
         for action in &actions {
             match action {
                 Action::SetTimer { token, after } => self.timers.push((self.now + *after, *token)),
+                Action::DropTimer { token } => self.timers.retain(|timer| timer.1 != *token),
                 Action::Send { request, endpoint, timeout } => {
                     let number = self.attempts.entry(*request).or_default();
                     self.out.push((*request, AttemptNo(*number), *endpoint, self.now + *timeout));
--- a/crates/model/src/world.rs
+++ b/crates/model/src/world.rs
@@ -359,6 +359,8 @@
                 self.queue.plan(self.now + after, Ev::Timer { process, token: token.0 });
             }
             Action::CloseIdle { endpoint } => self.processes[process].close_idle(endpoint.0 as usize),
+            // A timer that comes all the same brings nothing about.
+            Action::DropTimer { .. } => {}
             Action::Watch(_) | Action::FetchList | Action::Probe { .. } | Action::Log(_) => {}
         }
     }
--- a/crates/runtime/src/driver.rs
+++ b/crates/runtime/src/driver.rs
@@ -11,12 +11,12 @@
 use super::listing::Listing;
 use super::outbound::{Outbound, Progress};
 use super::sharing::{Module, Sharing};
+use super::timers::Timers;
 use curlewhub_balance::{
     Action, AttemptEnded, AttemptNo, Balancer, ClassId, EndpointId, EndpointState, Event, Membership,
     Outcome, RequestId, TimerToken,
 };
-use std::cmp::Reverse;
-use std::collections::{BinaryHeap, HashMap, HashSet, VecDeque};
+use std::collections::{HashMap, HashSet, VecDeque};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -75,7 +75,7 @@
     max_attempts: usize,
     requests: HashMap<RequestId, Open>,
     addresses: HashMap<EndpointId, SocketAddr>,
-    timers: BinaryHeap<Reverse<(Instant, u64)>>,
+    timers: Timers,
     /// Events that the driver's own doings brought about.
     due: VecDeque<Event>,
     unusual: HashMap<&'static str, u64>,
@@ -110,7 +110,7 @@
             max_attempts: max_attempts as usize,
             requests: HashMap::new(),
             addresses: HashMap::new(),
-            timers: BinaryHeap::new(),
+            timers: Timers::default(),
             due: VecDeque::new(),
             unusual: HashMap::new(),
             summary_at: Instant::now() + SUMMARY,
@@ -140,7 +140,7 @@
             self.take(input);
         }
         loop {
-            let next = self.timers.peek().map_or(self.summary_at, |Reverse((at, _))| *at);
+            let next = self.timers.next().unwrap_or(self.summary_at);
             let next = self.sharing.next().map_or(next, |at| at.min(next));
             tokio::select! {
                 biased;
@@ -158,10 +158,7 @@
 
     fn fire(&mut self) {
         let now = Instant::now();
-        while let Some(&Reverse((at, token))) = self.timers.peek()
-            && at <= now
-        {
-            self.timers.pop();
+        while let Some(token) = self.timers.take_due(now) {
             self.handle(Event::Timer(TimerToken(token)));
         }
         let open = self.requests.len();
@@ -449,8 +446,9 @@
                 }
             }
             Action::SetTimer { token, after } => {
-                self.timers.push(Reverse((Instant::now() + after, token.0)));
+                self.timers.set(token.0, Instant::now() + after);
             }
+            Action::DropTimer { token } => self.timers.drop(token.0),
             // These fail only while the process ends.
             Action::Watch(on) => drop(self.calls.send(Call::Watch(on))),
             Action::FetchList => drop(self.calls.send(Call::Fetch)),
--- a/crates/runtime/src/lib.rs
+++ b/crates/runtime/src/lib.rs
@@ -25,3 +25,4 @@
 pub mod socket;
 pub mod static_list;
 pub mod streaming;
+pub mod timers;
