Set the decision module beside the textbook's rules, on the same events

Need: nothing showed what the module's decisions add to the plain rules they come from, nor what an oracle would reach.

Change: a scenario's `decisions` puts random, round robin, least own, the shortest true queue, SQ(1, 2, 3, 5) or tower's p2c in place of the module; the model's world drives either through one small interface. Each rule resends as the classes allow. Outcomes count the jobs that endpoints began.

--- a/crates/lab/src/chart.rs
+++ b/crates/lab/src/chart.rs
@@ -5,13 +5,17 @@
 use std::path::Path;
 
 const SIZE: (u32, u32) = (900, 380);
-const COLORS: [RGBColor; 6] = [
+const COLORS: [RGBColor; 10] = [
     RGBColor(31, 119, 180),
     RGBColor(214, 39, 40),
     RGBColor(44, 160, 44),
     RGBColor(148, 103, 189),
     RGBColor(255, 127, 14),
     RGBColor(90, 90, 90),
+    RGBColor(140, 86, 75),
+    RGBColor(227, 119, 194),
+    RGBColor(188, 189, 34),
+    RGBColor(23, 190, 207),
 ];
 
 /// One line of a chart.
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -110,6 +110,16 @@
         #[command(flatten)]
         runs: Runs,
     },
+    /// Play a scenario with the decision module and with the textbook's rules beside it, on the same events.
+    Baselines {
+        /// The scenario (TOML).
+        scenario: PathBuf,
+        /// Set a field; may come often.
+        #[arg(long, value_name = "KEY=VALUE")]
+        set: Vec<String>,
+        #[command(flatten)]
+        runs: Runs,
+    },
     /// Work the paper's section 8 out again, and what own counts lose against true ones.
     Paper {
         /// Runs for each figure.
@@ -178,6 +188,16 @@
                 (Err(problem), _) | (_, Err(problem)) => wrong(&problem),
             }
         }
+        Command::Baselines { scenario, set, runs } => match sim::read(&scenario, &set) {
+            Ok(scenario) => {
+                let stop = stopped_by_signal();
+                let played = sim::baselines(&scenario, runs.from, runs.seeds, &stop);
+                println!("{}", sim::baselines_table(&played));
+                let all: Vec<&sim::Runs> = played.runs.iter().collect();
+                report(&all, &played, runs)
+            }
+            Err(problem) => wrong(&problem),
+        },
         Command::Paper { seeds, jobs, out, json } => {
             if !(1000.0..=1e10).contains(&jobs) {
                 return wrong("--jobs: allowed: 1000 to 10000000000");
--- a/crates/lab/src/sim/compare.rs
+++ b/crates/lab/src/sim/compare.rs
@@ -61,13 +61,14 @@
 /// A figure, and whether more of it is better.
 type Figure = (&'static str, bool, fn(&Outcome) -> f64);
 
-const FIGURES: [Figure; 7] = [
+const FIGURES: [Figure; 8] = [
     ("worth served, of 1", true, Outcome::worth),
     ("worst second's worth, of 1", true, worst),
     ("in time, of 1", true, |o| o.totals.in_time as f64 / (o.totals.offered as f64).max(1.0)),
     ("p50, ms", false, |o| o.p50_ms),
     ("p99, ms", false, |o| o.p99_ms),
     ("attempts a request", false, |o| o.totals.attempts as f64 / (o.totals.offered as f64).max(1.0)),
+    ("waste, of jobs begun", false, Outcome::waste),
     ("crossings a request", false, |o| o.totals.crossings as f64 / (o.totals.offered as f64).max(1.0)),
 ];
 
--- a/crates/lab/src/sim/mod.rs
+++ b/crates/lab/src/sim/mod.rs
@@ -1,9 +1,11 @@
 //! Experiments in simulated time: a scenario over many seeds, two variants side by side, plots.
 
+mod baselines;
 mod compare;
 mod plot;
 mod table;
 
+pub use baselines::{Baselines, baselines, baselines_table};
 pub use compare::{Comparison, Difference, Verdict, compare, mean_and_half};
 pub use plot::plot;
 pub use table::{comparison_table, summary_table};
--- a/crates/lab/src/sim/table.rs
+++ b/crates/lab/src/sim/table.rs
@@ -29,6 +29,7 @@
     row("p99, ms", &|o| o.p99_ms);
     row("attempts", &|o| o.totals.attempts as f64);
     row("crossings", &|o| o.totals.crossings as f64);
+    row("waste, of jobs begun", &Outcome::waste);
     row("jobs that ran twice", &|o| o.totals.ran_twice as f64);
     row("answered twice", &|o| o.totals.answered_twice as f64);
     row("events", &|o| o.events as f64);
--- a/crates/lab/tests/sim.rs
+++ b/crates/lab/tests/sim.rs
@@ -10,6 +10,10 @@
     files.filter(|path| path.extension().is_some_and(|end| end == "toml")).collect()
 }
 
+fn named(name: &str) -> PathBuf {
+    Path::new(env!("CARGO_MANIFEST_DIR")).join(format!("../../scenarios/{name}.toml"))
+}
+
 fn lab(words: &[&str], file: &Path) -> Output {
     Command::new(env!("CARGO_BIN_EXE_curlewhub-lab")).args(words).arg(file).output().unwrap()
 }
@@ -38,7 +42,7 @@
 
 #[test]
 fn two_variants_are_told_apart_and_wrong_fields_are_named() {
-    let file = &scenarios()[0];
+    let file = &named("upgrade");
     let words = ["compare", "--seeds", "4", "--set", "lasts=6s", "--set-first", "arrivals.rate=200.0"];
     let done = lab(&words, file);
     let said = String::from_utf8_lossy(&done.stdout);
@@ -54,6 +58,17 @@
     }
 }
 
+#[test]
+fn the_module_is_set_beside_the_textbooks_rules() {
+    let words = ["baselines", "--seeds", "3", "--set", "lasts=12s", "--set", "arrivals.rate=700.0"];
+    let done = lab(&words, &named("fleet"));
+    let said = String::from_utf8_lossy(&done.stdout);
+    assert!(done.status.success(), "{}", String::from_utf8_lossy(&done.stderr));
+    for rule in ["module", "random", "round_robin", "least_own", "shortest", "sq1", "sq5", "p2c"] {
+        assert!(said.contains(&format!("| {rule} ")), "{rule}: {said}");
+    }
+}
+
 #[test]
 fn the_paper_is_worked_out_and_plotted() {
     let folder = std::env::temp_dir().join(format!("curlewhub-paper-{}", std::process::id()));
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -26,7 +26,9 @@
 //! # Ok::<(), String>(())
 //! ```
 
+mod baselines;
 mod clients;
+mod decider;
 mod process;
 mod queue;
 mod retry;
@@ -34,6 +36,7 @@
 mod tally;
 mod world;
 
+pub use baselines::Decisions;
 pub use curlewhub_config::Repeat;
 pub use retry::{End, RetrySpec, pick};
 pub use scenario::{
--- a/crates/model/src/process.rs
+++ b/crates/model/src/process.rs
@@ -1,6 +1,7 @@
 //! One process of a modelled sidecar: the decision module, and what the driver keeps beside it.
 
-use curlewhub_balance::{AttemptNo, Balancer};
+use crate::decider::Decider;
+use curlewhub_balance::AttemptNo;
 use curlewhub_keys::Memory;
 use curlewhub_share::{Need, Shares};
 use std::collections::{BTreeMap, HashMap};
@@ -34,7 +35,7 @@
 
 /// A process.
 pub(crate) struct Process {
-    pub(crate) balancer: Balancer,
+    pub(crate) decider: Decider,
     pub(crate) sidecar: usize,
     pub(crate) hall: u32,
     pub(crate) alive: bool,
@@ -51,10 +52,10 @@
 }
 
 impl Process {
-    pub(crate) fn new(balancer: Balancer, sidecar: usize, hall: u32) -> Self {
+    pub(crate) fn new(decider: Decider, sidecar: usize, hall: u32) -> Self {
         let (open, idle, shares, need, keys) = Default::default();
         let (alive, accepts, next_request) = (true, false, 0);
-        Process { balancer, sidecar, hall, alive, accepts, next_request, open, idle, shares, need, keys }
+        Process { decider, sidecar, hall, alive, accepts, next_request, open, idle, shares, need, keys }
     }
 
     /// Takes a connection to an endpoint; whether it is an idle one.
--- a/crates/model/src/scenario.rs
+++ b/crates/model/src/scenario.rs
@@ -1,5 +1,6 @@
 //! A scenario: what the fleet is, what is asked of it, and what goes wrong when.
 
+use crate::baselines::Decisions;
 use crate::retry::RetrySpec;
 use curlewhub_balance::{Class, Group, Limits, Rules, Semantics, Settings, ZoneId};
 use curlewhub_config::Repeat;
@@ -36,6 +37,9 @@
     pub network: NetworkSpec,
     /// Sidecars, each with a decision module of its own.
     pub sidecars: u32,
+    /// Who decides in them; the real module where nothing is said.
+    #[serde(default)]
+    pub decisions: Decisions,
     /// Endpoints, by kind.
     pub endpoints: Vec<EndpointsSpec>,
     /// What is asked.
--- a/crates/model/src/tally.rs
+++ b/crates/model/src/tally.rs
@@ -33,6 +33,8 @@
     pub crossings: u64,
     /// Attempts that endpoints turned away unseen.
     pub turned_away: u64,
+    /// Jobs that endpoints began.
+    pub runs: u64,
     /// Jobs that ran twice within their window: never, by the rules.
     pub ran_twice: u64,
     /// Answers to what had been answered: never.
@@ -79,6 +81,12 @@
         share(self.totals.worth_served, self.totals.worth_offered)
     }
 
+    /// Part of the jobs begun that were nobody's answer, 0 to 1.
+    pub fn waste(&self) -> f64 {
+        let served = self.totals.in_time + self.totals.late;
+        1.0 - share(served as f64, self.totals.runs as f64).min(1.0)
+    }
+
     /// The same over the seconds from and up to.
     pub fn worth_between(&self, from: usize, to: usize) -> f64 {
         let seconds = self.seconds.iter().take(to).skip(from);
@@ -190,6 +198,7 @@
             attempts: self.attempts + more.attempts,
             crossings: self.crossings + more.crossings,
             turned_away: self.turned_away + more.turned_away,
+            runs: self.runs + more.runs,
             ran_twice: self.ran_twice + more.ran_twice,
             answered_twice: self.answered_twice + more.answered_twice,
             worth_offered: self.worth_offered + more.worth_offered,
--- a/crates/model/src/world.rs
+++ b/crates/model/src/world.rs
@@ -1,20 +1,21 @@
 //! The run: takes what is to come in its order, and lets it happen.
 
 use crate::clients::{Arrivals, Call, draw, stream};
+use crate::decider::Decider;
 use crate::process::{Flight, Open, Process};
 use crate::queue::Queue;
 use crate::retry::End;
 use crate::scenario::{Carry, FaultSpec, Scenario, Trouble};
 use crate::tally::{Outcome as Brought, Tally};
 use curlewhub_balance::{
-    Action, AttemptEnded, AttemptNo, Balancer, CellId, ClassId, Earlier, EndpointId, EndpointInfo, Event,
-    Membership, Outcome, Request, RequestId, Snapshot, TenantId, TimerToken, ZoneId,
+    Action, AttemptEnded, AttemptNo, CellId, ClassId, Earlier, EndpointId, EndpointInfo, Event, Membership,
+    Outcome, Request, RequestId, Snapshot, TenantId, TimerToken, ZoneId,
 };
 use curlewhub_config::Repeat;
 use curlewhub_keys::{Entry, Memory};
 use curlewhub_share::LOOK_EVERY;
 use curlewhub_standins::machine::{Happened, Machine, Offered};
-use rand::{Rng, RngCore};
+use rand::Rng;
 use rand_pcg::Pcg32;
 use std::collections::{BTreeSet, HashMap, VecDeque};
 use std::time::Duration;
@@ -61,6 +62,13 @@
     look: u64,
 }
 
+impl Endpoint {
+    /// Its true queue, for an oracle; none where it is down or hangs.
+    fn queue(&self) -> Option<usize> {
+        (self.up && !self.hangs).then(|| self.machine.held())
+    }
+}
+
 pub(crate) struct World<'a> {
     scenario: &'a Scenario,
     seed: u64,
@@ -148,9 +156,9 @@
         let number = self.processes.len();
         let settings = self.scenario.settings(sidecar as u32);
         let hall = settings.zone.0;
-        let seed = stream(self.seed, "module", (sidecar as u64) << 16 | generation).next_u64();
-        let balancer = Balancer::new(settings, seed, self.now).expect("the scenario has been checked");
-        self.processes.push(Process::new(balancer, sidecar, hall));
+        let name = (sidecar as u64) << 16 | generation;
+        let decider = Decider::new(self.scenario.decisions, settings, self.seed, name, self.now);
+        self.processes.push(Process::new(decider, sidecar, hall));
         let list = (0..self.endpoints.len()).map(|endpoint| self.entry(endpoint)).collect();
         self.module(number, Event::Membership(Membership::Full(list)));
         number
@@ -321,7 +329,9 @@
         let mut due = VecDeque::from([event]);
         let mut actions = Vec::new();
         while let Some(event) = due.pop_front() {
-            self.processes[process].balancer.handle(self.now, event, &mut actions);
+            let endpoints = &self.endpoints;
+            let truth = |id: EndpointId| endpoints[id.0 as usize].queue();
+            self.processes[process].decider.handle(self.now, event, &truth, &mut actions);
             for action in actions.drain(..) {
                 self.carry_out(process, action, &mut due);
             }
@@ -584,6 +594,7 @@
             Repeat::Never => !call.runs.is_empty(),
         };
         call.runs.push((hall, self.now));
+        self.tally.at(call.born).runs += 1;
         if again && !std::mem::replace(&mut call.ran_twice, true) {
             let born = call.born;
             self.tally.at(born).ran_twice += 1;
@@ -691,10 +702,10 @@
             1 + self.processes.iter().filter(|process| process.sidecar == sidecar).count() as u64;
         let new = self.start_process(sidecar, generation);
         self.sidecars[sidecar].push(new);
-        if spec.carry.shares && !spec.killed {
+        if spec.carry.shares && !spec.killed && self.processes[new].decider.shares() {
             self.processes[old].shares.successor(new as u64);
             self.processes[new].shares.predecessor(old as u64);
-            self.processes[new].balancer.holds_nothing(self.now);
+            self.processes[new].decider.holds_nothing(self.now);
             self.queue.plan(self.now, Ev::Shares { old, new });
         }
         self.queue.plan(self.now + spec.starts.0, Ev::Ready { replacement, new, old });
@@ -702,11 +713,10 @@
 
     fn ready(&mut self, replacement: usize, new: usize, old: usize) {
         let spec = &self.scenario.replacements[replacement];
-        if self.processes[old].alive {
-            let snapshot = self.processes[old].balancer.snapshot(self.now);
-            let fresh = self.processes[new].balancer.snapshot(self.now);
-            let carried = parts(&snapshot, &fresh, spec.carry);
-            self.processes[new].balancer.restore(self.now, &carried);
+        let [learnt, fresh] = [old, new].map(|process| self.processes[process].decider.snapshot(self.now));
+        if let (true, Some(learnt), Some(fresh)) = (self.processes[old].alive, learnt, fresh) {
+            let carried = parts(&learnt, &fresh, spec.carry);
+            self.processes[new].decider.restore(self.now, &carried);
         }
         self.processes[new].accepts = true;
         self.queue.plan(self.now + spec.overlap.0, Ev::Ends(old));
@@ -751,8 +761,8 @@
         for other in self.sidecars[sidecar].clone() {
             let ending = !self.processes[other].accepts;
             if self.processes[other].shares.gone(process as u64, ending) > 0 {
-                let (share, mut actions) = (self.processes[other].shares.share(), Vec::new());
-                self.processes[other].balancer.gains(self.now, share, None, &mut actions);
+                let share = self.processes[other].shares.share();
+                let actions = self.processes[other].decider.gains(self.now, share, None);
                 self.settle(other, actions);
             }
         }
@@ -775,10 +785,10 @@
         for (from, to, need) in [(old, new, needs[0]), (new, old, needs[1])] {
             let Some(parts) = self.processes[from].shares.gives(to as u64, need) else { continue };
             let share = self.processes[from].shares.share();
-            let portion = self.processes[from].balancer.gives(self.now, share);
+            let portion = self.processes[from].decider.gives(self.now, share);
             if self.processes[to].shares.gets(from as u64, parts).is_ok() {
-                let (share, mut actions) = (self.processes[to].shares.share(), Vec::new());
-                self.processes[to].balancer.gains(self.now, share, Some(&portion), &mut actions);
+                let share = self.processes[to].shares.share();
+                let actions = self.processes[to].decider.gains(self.now, share, portion.as_ref());
                 self.settle(to, actions);
             }
         }
--- a/crates/model/tests/model.rs
+++ b/crates/model/tests/model.rs
@@ -1,6 +1,6 @@
 //! The model: the same by seed, its rules kept, its hard cases, and what it has shown once.
 
-use curlewhub_model::{Carry, Outcome, Scenario, run};
+use curlewhub_model::{Carry, Decisions, Outcome, Scenario, run};
 use proptest::prelude::*;
 
 fn upgrade(rate: f64) -> Scenario {
@@ -40,6 +40,40 @@
     assert_eq!(offered(&one), offered(&two));
 }
 
+fn fleet(decisions: Decisions, rate: f64) -> Scenario {
+    let mut scenario = Scenario::parse(include_str!("../../../scenarios/fleet.toml")).unwrap();
+    (scenario.decisions, scenario.arrivals.rate) = (decisions, rate);
+    scenario
+}
+
+#[test]
+fn every_rule_keeps_the_rules_on_the_same_arrivals_through_all_faults() {
+    let offered = |outcome: &Outcome| outcome.seconds.iter().map(|s| s.totals.offered).collect::<Vec<_>>();
+    let module = run(&fleet(Decisions::Module, 420.0), 3);
+    for decisions in Decisions::ALL {
+        let outcome = run(&fleet(decisions, 420.0), 3);
+        let t = &outcome.totals;
+        assert!(all_end(&outcome), "{decisions:?}");
+        assert_eq!((t.ran_twice, t.answered_twice), (0, 0), "{decisions:?}");
+        assert_eq!(offered(&outcome), offered(&module), "{decisions:?}");
+        assert!((0.0..0.1).contains(&outcome.waste()), "{decisions:?}: {}", outcome.waste());
+    }
+}
+
+/// What the theory says of the rules, and what the module adds to them where the fleet can't bear its load.
+#[test]
+fn two_choices_are_better_than_one_and_an_oracle_is_better_still() {
+    let worth =
+        |decisions, rate| (0..4).map(|seed| run(&fleet(decisions, rate), seed).worth()).sum::<f64>() / 4.0;
+    let at = |decisions| worth(decisions, 420.0);
+    let (one, random, two) = (at(Decisions::Sq1), at(Decisions::Random), at(Decisions::Sq2));
+    assert!((one - random).abs() < 0.03, "the same rule: {one}, {random}");
+    assert!(two > one + 0.05, "{two} with two, {one} with one");
+    assert!(at(Decisions::Sq5) > two && at(Decisions::Shortest) > at(Decisions::Sq5));
+    let (module, oracle) = (worth(Decisions::Module, 600.0), worth(Decisions::Shortest, 600.0));
+    assert!(module > oracle + 0.1, "{module} and {oracle}: it refuses in time what can't be served");
+}
+
 /// The jam after an upgrade: a successor that has learnt nothing takes crowded endpoints' latency for the usual one.
 #[test]
 fn a_successor_that_knows_the_usual_latency_ends_the_jam_after_an_upgrade() {
