--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -120,6 +120,26 @@
         #[command(flatten)]
         runs: Runs,
     },
+    /// Play a scenario at several sizes, and tell what an event costs at each.
+    Scale {
+        /// The scenario (TOML).
+        scenario: PathBuf,
+        /// Set a field; may come often.
+        #[arg(long, value_name = "KEY=VALUE")]
+        set: Vec<String>,
+        /// Multiples of its endpoints, sidecars and requests, played in this order.
+        #[arg(long, value_delimiter = ',', default_values_t = [0.01, 0.1, 1.0])]
+        times: Vec<f64>,
+        /// The number of sidecars stays as it is.
+        #[arg(long)]
+        sidecars_stay: bool,
+        /// All that is drawn follows from it.
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        /// Write all figures there as JSON.
+        #[arg(long, value_name = "FILE")]
+        json: Option<PathBuf>,
+    },
     /// Work the paper's section 8 out again, and what own counts lose against true ones.
     Paper {
         /// Runs for each figure.
@@ -198,6 +218,18 @@
             }
             Err(problem) => wrong(&problem),
         },
+        Command::Scale { scenario, set, times, sidecars_stay, seed, json } => {
+            match sim::read(&scenario, &set) {
+                Ok(_) if times.iter().any(|factor| !(1e-6..=1e6).contains(factor)) => {
+                    wrong("--times: allowed: 0.000001 to 1000000")
+                }
+                Ok(scenario) => {
+                    let scaled = |factor: &f64| (*factor, sim::scaled(&scenario, *factor, sidecars_stay));
+                    scale(times.iter().map(scaled).collect(), seed, json)
+                }
+                Err(problem) => wrong(&problem),
+            }
+        }
         Command::Paper { seeds, jobs, out, json } => {
             if !(1000.0..=1e10).contains(&jobs) {
                 return wrong("--jobs: allowed: 1000 to 10000000000");
@@ -299,6 +331,26 @@
     }
 }
 
+fn scale(sizes: Vec<(f64, curlewhub_model::Scenario)>, seed: u64, json: Option<PathBuf>) -> ExitCode {
+    if let Some(problem) = sizes.iter().flat_map(|(_, scaled)| scaled.problems()).next() {
+        return wrong(&format!("--times: {problem}"));
+    }
+    let stop = stopped_by_signal();
+    let mut played = Vec::new();
+    for (factor, scaled) in &sizes {
+        eprintln!("{factor} times {} ...", scaled.name);
+        played.push(sim::play_size(scaled, *factor, seed));
+        if stop.load(std::sync::atomic::Ordering::Relaxed) {
+            break;
+        }
+    }
+    println!("{}", sim::scale_table(&played));
+    match write_json(json, &played) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(problem) => failed(&problem),
+    }
+}
+
 /// Runs until the end, or until a signal: what was started ends with it either way.
 fn block_on(task: impl Future<Output = ExitCode>) -> ExitCode {
     let runtime = match tokio::runtime::Builder::new_current_thread().enable_all().build() {
--- a/crates/lab/src/sim/mod.rs
+++ b/crates/lab/src/sim/mod.rs
@@ -3,11 +3,13 @@
 mod baselines;
 mod compare;
 mod plot;
+mod scale;
 mod table;
 
 pub use baselines::{Baselines, baselines, baselines_table};
 pub use compare::{Comparison, Difference, Verdict, compare, mean_and_half};
 pub use plot::plot;
+pub use scale::{Size, play_size, scale_table, scaled};
 pub use table::{comparison_table, summary_table};
 
 use curlewhub_model::{Outcome, Scenario, run};
--- a/crates/lab/tests/sim.rs
+++ b/crates/lab/tests/sim.rs
@@ -26,7 +26,13 @@
     let (out_text, json_text) = (out.to_string_lossy().into_owned(), json.to_string_lossy().into_owned());
     assert!(!scenarios().is_empty());
     for file in scenarios() {
-        let words = ["sim", "--seeds", "2", "--set", "lasts=6s", "--out", &out_text, "--json", &json_text];
+        let mut words = vec!["sim", "--seeds", "2", "--set", "lasts=6s"];
+        words.extend(["--out", &out_text, "--json", &json_text]);
+        if file.ends_with("large.toml") {
+            let part =
+                ["--set", "sidecars=4", "--set", "endpoints.0.count=24", "--set", "arrivals.rate=150.0"];
+            words.extend(part);
+        }
         let done = lab(&words, &file);
         assert!(done.status.success(), "{}", String::from_utf8_lossy(&done.stderr));
         assert!(String::from_utf8_lossy(&done.stdout).contains("worth served"));
@@ -69,6 +75,20 @@
     }
 }
 
+#[test]
+fn a_run_is_costed_at_several_sizes_and_a_size_too_large_is_refused() {
+    let words = ["scale", "--times", "0.001,0.002", "--set", "lasts=4s"];
+    let done = lab(&words, &named("large"));
+    let said = String::from_utf8_lossy(&done.stdout);
+    assert!(done.status.success() && said.contains("| 10 ") && said.contains("| 20 "), "{said}");
+    for (times, problem) in [("0", "--times: allowed"), ("11", "endpoints: count: 110000 is out of range")]
+    {
+        let done = lab(&["scale", "--times", times], &named("large"));
+        assert_eq!(done.status.code(), Some(2));
+        assert!(String::from_utf8_lossy(&done.stderr).contains(problem), "{times}");
+    }
+}
+
 #[test]
 fn the_paper_is_worked_out_and_plotted() {
     let folder = std::env::temp_dir().join(format!("curlewhub-paper-{}", std::process::id()));
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -47,5 +47,20 @@
 
 /// Plays a scenario once.
 pub fn run(scenario: &Scenario, seed: u64) -> Outcome {
-    world::World::new(scenario, seed).run()
+    Prepared::new(scenario, seed).run()
+}
+
+/// A fleet that stands and has not been asked anything yet: so that the cost of a run can be told from its set-up's.
+pub struct Prepared<'a>(world::World<'a>);
+
+impl<'a> Prepared<'a> {
+    /// Endpoints, sidecars with their lists, and what is planned from the start.
+    pub fn new(scenario: &'a Scenario, seed: u64) -> Self {
+        Prepared(world::World::new(scenario, seed))
+    }
+
+    /// Plays it.
+    pub fn run(self) -> Outcome {
+        self.0.run()
+    }
 }
