Play scenarios over a grid, and write reports that need no network

Need: a value had to be tried one run at a time, and what was played left plots without their tables, and no figures that another tool reads but JSON.

Names are escaped; a test puts markup into one.

--- a/crates/lab/src/chart.rs
+++ b/crates/lab/src/chart.rs
@@ -37,7 +37,7 @@
     /// What stands above it.
     pub title: &'static str,
     /// What its x axis is.
-    pub x: &'static str,
+    pub x: String,
     /// Its lines.
     pub lines: Vec<Line>,
 }
@@ -57,13 +57,17 @@
     charts.iter().map(write).collect()
 }
 
-/// The least and the most of these, and a little more where they are one.
+/// The least and the most of these, and one more where they are one.
 fn range(values: impl Iterator<Item = f64>) -> std::ops::Range<f64> {
     let (low, high) = values.fold((f64::MAX, f64::MIN), |(low, high), v| (low.min(v), high.max(v)));
-    if low > high { 0.0..1.0 } else { low..high.max(low + 1e-9) }
+    if low > high { 0.0..1.0 } else { low..if high > low { high } else { low + 1.0 } }
 }
 
-fn svg(chart: &Chart) -> Result<String, Box<dyn std::error::Error>> {
+/// A chart as the text of an SVG file.
+///
+/// # Errors
+/// It can't be drawn.
+pub fn svg(chart: &Chart) -> Result<String, Box<dyn std::error::Error>> {
     let points = || chart.lines.iter().flat_map(|line| &line.points);
     let bands = || chart.lines.iter().flat_map(|line| &line.band);
     let heights = points().map(|(_, y)| *y).chain(bands().flat_map(|(_, low, high)| [*low, *high]));
@@ -77,7 +81,7 @@
             .x_label_area_size(32)
             .y_label_area_size(56)
             .build_cartesian_2d(range(points().map(|(x, _)| *x)), range(heights))?;
-        plane.configure_mesh().x_desc(chart.x).draw()?;
+        plane.configure_mesh().x_desc(chart.x.clone()).draw()?;
         for (n, line) in chart.lines.iter().enumerate() {
             let color = COLORS[n % COLORS.len()];
             let above = line.band.iter().map(|(x, _, high)| (*x, *high));
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -1,6 +1,7 @@
 //! `curlewhub-lab`: experiments with curlewhub.
 
 use clap::{Parser, Subcommand};
+use curlewhub_lab::chart::Chart;
 use curlewhub_lab::demo;
 use curlewhub_lab::load::{self, Arrivals, Look, Mix, Plan};
 use curlewhub_lab::paper;
@@ -120,6 +121,19 @@
         #[command(flatten)]
         runs: Runs,
     },
+    /// Play a scenario over a grid of values, all cells on the same seeds.
+    Sweep {
+        /// The scenario (TOML).
+        scenario: PathBuf,
+        /// Set a field in every cell; may come often.
+        #[arg(long, value_name = "KEY=VALUE")]
+        set: Vec<String>,
+        /// A field and its values; may come often, and each combination is a cell.
+        #[arg(long, value_name = "KEY=VALUE,...", required = true)]
+        grid: Vec<sim::Axis>,
+        #[command(flatten)]
+        runs: Runs,
+    },
     /// Play a scenario at several sizes, and tell what an event costs at each.
     Scale {
         /// The scenario (TOML).
@@ -174,7 +188,7 @@
     /// The first seed.
     #[arg(long, default_value_t = 1)]
     from: u64,
-    /// Write plots over time into this folder, as SVG.
+    /// Write a report into this folder: a page that holds everything, its plots as SVG, its figures as CSV.
     #[arg(long, value_name = "DIR")]
     out: Option<PathBuf>,
     /// Write all figures there as JSON.
@@ -189,8 +203,8 @@
             Ok(scenario) => {
                 let stop = stopped_by_signal();
                 let played = sim::play(scenario, runs.from, runs.seeds, &stop);
-                print!("{}", sim::summary_table(&played));
-                report(&[&played], &played, runs)
+                println!("{}", sim::summary_table(&played));
+                report(&played.name, &[&played], &[], Vec::new(), &played, runs)
             }
             Err(problem) => wrong(&problem),
         },
@@ -202,8 +216,10 @@
                     let stop = stopped_by_signal();
                     let played = [first, second].map(|s| sim::play(s, runs.from, runs.seeds, &stop));
                     let comparison = sim::compare(&played[0], &played[1]);
-                    print!("{}", sim::comparison_table(&comparison));
-                    report(&played.each_ref(), &comparison, runs)
+                    println!("{}", sim::comparison_table(&comparison));
+                    let (title, all) =
+                        (format!("{} and {}", played[0].name, played[1].name), played.each_ref());
+                    report(&title, &all, std::slice::from_ref(&comparison), Vec::new(), &comparison, runs)
                 }
                 (Err(problem), _) | (_, Err(problem)) => wrong(&problem),
             }
@@ -214,10 +230,22 @@
                 let played = sim::baselines(&scenario, runs.from, runs.seeds, &stop);
                 println!("{}", sim::baselines_table(&played));
                 let all: Vec<&sim::Runs> = played.runs.iter().collect();
-                report(&all, &played, runs)
+                report(&played.name, &all, &played.against_module, Vec::new(), &played, runs)
             }
             Err(problem) => wrong(&problem),
         },
+        Command::Sweep { scenario, set, grid, runs } => {
+            let stop = stopped_by_signal();
+            match sim::sweep(&scenario, &set, &grid, (runs.from, runs.seeds), &stop) {
+                Ok(cells) => {
+                    println!("{}", sim::sweep_table(&grid, &cells));
+                    let all: Vec<&sim::Runs> = cells.iter().map(|cell| &cell.runs).collect();
+                    let title = format!("{} over a grid", scenario.display());
+                    report(&title, &all, &[], sim::sweep_charts(&grid, &cells), &cells, runs)
+                }
+                Err(problem) => wrong(&problem),
+            }
+        }
         Command::Scale { scenario, set, times, sidecars_stay, seed, json } => {
             match sim::read(&scenario, &set) {
                 Ok(_) if times.iter().any(|factor| !(1e-6..=1e6).contains(factor)) => {
@@ -319,9 +347,16 @@
     stop
 }
 
-/// Plots and figures of what was played, where they are wanted.
-fn report(played: &[&sim::Runs], value: &impl serde::Serialize, runs: Runs) -> ExitCode {
-    let plots = runs.out.map(|folder| sim::plot(played, &folder)).transpose();
+/// A report and figures of what was played, where they are wanted.
+fn report(
+    title: &str,
+    played: &[&sim::Runs],
+    comparisons: &[sim::Comparison],
+    more: Vec<Chart>,
+    value: &impl serde::Serialize,
+    runs: Runs,
+) -> ExitCode {
+    let plots = runs.out.map(|folder| sim::write(title, played, comparisons, more, &folder)).transpose();
     match plots.and_then(|plots| write_json(runs.json, value).map(|()| plots)) {
         Ok(plots) => {
             plots.into_iter().flatten().for_each(|path| println!("{path}"));
--- a/crates/lab/src/paper.rs
+++ b/crates/lab/src/paper.rs
@@ -191,7 +191,7 @@
     };
     let alone = own("one choice at random (Erlang B)", |_| erlang_b(CAPACITY, LOAD));
     let own = [own("own counts", |one| one.played), own("true counts", |one| one.field), alone];
-    let chart = |name, title, x, lines| Chart { name, title, x, lines };
+    let chart = |name, title, x: &str, lines| Chart { name, title, x: x.to_owned(), lines };
     let charts = [
         chart(
             "figure-1",
--- a/crates/lab/src/sim/mod.rs
+++ b/crates/lab/src/sim/mod.rs
@@ -3,13 +3,16 @@
 mod baselines;
 mod compare;
 mod plot;
+mod report;
 mod scale;
+mod sweep;
 mod table;
 
 pub use baselines::{Baselines, baselines, baselines_table};
 pub use compare::{Comparison, Difference, Verdict, compare, mean_and_half};
-pub use plot::plot;
+pub use report::write;
 pub use scale::{Size, play_size, scale_table, scaled};
+pub use sweep::{Axis, Cell, sweep, sweep_charts, sweep_table};
 pub use table::{comparison_table, summary_table};
 
 use curlewhub_model::{Outcome, Scenario, run};
--- a/crates/lab/src/sim/plot.rs
+++ b/crates/lab/src/sim/plot.rs
@@ -1,31 +1,31 @@
-//! Plots of runs over time.
+//! Charts of runs over time.
 
 use super::Runs;
-use crate::chart::{self, Chart, Line};
+use crate::chart::{Chart, Line};
 use curlewhub_model::{Outcome, Second};
-use std::path::Path;
 
 /// What is drawn: its file, what it is, and how it is read from a second.
 type Plot = (&'static str, &'static str, fn(&Second) -> f64);
 
-const PLOTS: [Plot; 4] = [
+const PLOTS: [Plot; 7] = [
     ("worth", "worth served, of 1", |s| s.totals.worth_served / s.totals.worth_offered.max(1e-9)),
     ("p50", "median latency, ms", |s| s.p50_ms),
-    ("held", "requests held a core", |s| s.held_per_core),
+    ("p99", "99th percentile of latency, ms", |s| s.p99_ms),
+    ("held", "requests held at endpoints, a core", |s| s.held_per_core),
     ("refused", "refused, of 1", |s| s.totals.refused as f64 / (s.totals.offered as f64).max(1.0)),
+    ("attempts", "attempts a request", |s| s.totals.attempts as f64 / (s.totals.offered as f64).max(1.0)),
+    ("breaks", "rule breaks: jobs that ran twice, second answers", |s| {
+        (s.totals.ran_twice + s.totals.answered_twice) as f64
+    }),
 ];
 
-/// Writes a plot of each into the folder: the mean of each variant over time, and a band from the least to the most
-/// over its seeds.
-///
-/// # Errors
-/// A file can't be written.
-pub fn plot(variants: &[&Runs], folder: &Path) -> Result<Vec<String>, String> {
+/// A chart of each: the mean of each variant over time, and a band from the least to the most over its seeds.
+pub(super) fn charts(variants: &[&Runs]) -> Vec<Chart> {
     let chart = |(name, title, read): Plot| {
         let lines = variants.iter().map(|runs| line(&runs.name, &runs.outcomes, read)).collect();
-        Chart { name, title, x: "seconds", lines }
+        Chart { name, title, x: "seconds".to_owned(), lines }
     };
-    chart::write(&PLOTS.map(chart), folder)
+    PLOTS.map(chart).into()
 }
 
 /// Mean, least and most over the seeds, second by second.
--- a/crates/lab/tests/sim.rs
+++ b/crates/lab/tests/sim.rs
@@ -38,7 +38,7 @@
         assert!(String::from_utf8_lossy(&done.stdout).contains("worth served"));
         let played: serde_json::Value = serde_json::from_slice(&std::fs::read(&json).unwrap()).unwrap();
         assert_eq!(played["outcomes"].as_array().unwrap().len(), 2);
-        for plot in ["worth", "p50", "held", "refused"] {
+        for plot in ["worth", "p50", "p99", "held", "refused", "attempts", "breaks"] {
             let svg = std::fs::read_to_string(out.join(format!("{plot}.svg"))).unwrap();
             assert!(svg.starts_with("<svg") && svg.contains("polyline"), "{plot}");
         }
@@ -75,6 +75,40 @@
     }
 }
 
+#[test]
+fn a_grid_is_played_and_its_report_needs_no_network() {
+    let folder = std::env::temp_dir().join(format!("curlewhub-sweep-{}", std::process::id()));
+    let out = folder.to_string_lossy().into_owned();
+    let grid = ["--grid", "arrivals.rate=200.0,700.0", "--grid", "decisions=module,sq2"];
+    let words = [&["sweep", "--seeds", "2", "--set", "lasts=6s", "--out", &out], &grid[..]].concat();
+    let done = lab(&words, &named("fleet"));
+    let said = String::from_utf8_lossy(&done.stdout);
+    assert!(done.status.success(), "{}", String::from_utf8_lossy(&done.stderr));
+    assert!(said.contains("| 700.0         | sq2"), "{said}");
+    let page = std::fs::read_to_string(folder.join("report.html")).unwrap();
+    assert_eq!(page.matches("<svg").count(), 3);
+    assert!(page.contains("decisions=sq2") && !page.contains("src=") && !page.contains("href="));
+    // Two runs of four cells, and their heads.
+    let lines = |name: &str| std::fs::read_to_string(folder.join(name)).unwrap().lines().count();
+    assert_eq!((lines("runs.csv"), lines("seconds.csv")), (1 + 8, 1 + 8 * 6));
+    std::fs::remove_dir_all(&folder).unwrap();
+    let wrong = lab(&["sweep", "--grid", "arrivals.rate=1.0,-1.0"], &named("fleet"));
+    assert_eq!(wrong.status.code(), Some(2), "no cell is played");
+    assert!(String::from_utf8_lossy(&wrong.stderr).contains("arrivals.rate: -1 is out of range"));
+}
+
+#[test]
+fn a_name_is_no_markup_in_the_report() {
+    let folder = std::env::temp_dir().join(format!("curlewhub-report-{}", std::process::id()));
+    let out = folder.to_string_lossy().into_owned();
+    let set = ["--set", "lasts=2s", "--set", "name=<b>x</b>"];
+    let done = lab(&[&["sim", "--seeds", "1", "--out", &out], &set[..]].concat(), &named("fleet"));
+    assert!(done.status.success(), "{}", String::from_utf8_lossy(&done.stderr));
+    let page = std::fs::read_to_string(folder.join("report.html")).unwrap();
+    assert!(page.contains("&lt;b&gt;x") && !page.contains("<b>x"));
+    std::fs::remove_dir_all(&folder).unwrap();
+}
+
 #[test]
 fn a_run_is_costed_at_several_sizes_and_a_size_too_large_is_refused() {
     let words = ["scale", "--times", "0.001,0.002", "--set", "lasts=4s"];
