Ask for several tenants in the model, with allowances and books by tenant

Change: `tenants` in a scenario has names, shares of the requests and allowances; a bucket tells at birth whether a request is above one, from streams of their own, so that nothing else is drawn differently. The books count by tenant, worth counts over_share_worth above the allowance, and `sim` prints a row for each. scenarios/tenants.toml is a greedy one among three modest ones on a fleet that bears two thirds of what is asked.

--- a/crates/lab/src/sim/table.rs
+++ b/crates/lab/src/sim/table.rs
@@ -1,9 +1,10 @@
 //! Tables of runs, for people.
 
 use super::Runs;
-use super::compare::{Comparison, half};
+use super::compare::{Comparison, half, mean_and_half};
+use super::report::text;
 use comfy_table::{Table, presets};
-use curlewhub_model::Outcome;
+use curlewhub_model::{Outcome, TenantOutcome};
 
 /// A figure of a run, and how it is read.
 type Figure = (&'static str, fn(&Outcome) -> f64);
@@ -40,7 +41,35 @@
         let half = half(&values).map_or("-".to_owned(), text);
         table.add_row([name.to_owned(), text(mean), half, text(least), text(most)]);
     }
-    format!("{}: {} runs from seed {}\n{table}", runs.name, runs.outcomes.len(), runs.first_seed)
+    let head = format!("{}: {} runs from seed {}", runs.name, runs.outcomes.len(), runs.first_seed);
+    match tenants_table(runs) {
+        Some(tenants) => format!("{head}\n{table}\n{tenants}"),
+        None => format!("{head}\n{table}"),
+    }
+}
+
+/// The most tenants that a table for people shows; --json has all.
+const TENANTS_SHOWN: usize = 20;
+
+/// What of each tenant's requests was served, within its allowance and above it; none where there are no tenants.
+fn tenants_table(runs: &Runs) -> Option<String> {
+    let first = runs.outcomes.first().filter(|outcome| !outcome.tenants.is_empty())?;
+    let mut table = Table::new();
+    table.load_preset(presets::ASCII_MARKDOWN);
+    table.set_header(["tenant", "asked", "above its allowance", "served within it", "served above it"]);
+    for (n, tenant) in first.tenants.iter().enumerate().take(TENANTS_SHOWN) {
+        let all = |read: fn(&TenantOutcome) -> f64| {
+            runs.outcomes.iter().map(|outcome| read(&outcome.tenants[n])).collect::<Vec<f64>>()
+        };
+        table.add_row([
+            tenant.name.clone(),
+            format!("{:.0}", mean_and_half(&all(|t| t.offered as f64)).0),
+            format!("{:.0}", mean_and_half(&all(|t| t.over as f64)).0),
+            text(&all(TenantOutcome::within)),
+            text(&all(TenantOutcome::above)),
+        ]);
+    }
+    Some(table.to_string())
 }
 
 /// A comparison, with its verdicts.
--- a/crates/model/src/clients.rs
+++ b/crates/model/src/clients.rs
@@ -20,6 +20,9 @@
     pub(crate) class: usize,
     /// Seconds of work on one core of the yardstick speed.
     pub(crate) work: f64,
+    pub(crate) tenant: usize,
+    /// It was above its tenant's allowance when it was born.
+    pub(crate) over: bool,
     pub(crate) home: usize,
     pub(crate) born: Duration,
     pub(crate) tries: u32,
@@ -83,13 +86,40 @@
     }
 }
 
+/// What a tenant may still ask within its allowance: a second of it can be saved up.
+#[derive(Clone, Copy)]
+pub(crate) struct Allowance {
+    rate: f64,
+    tokens: f64,
+    at: Duration,
+}
+
+impl Allowance {
+    pub(crate) fn new(rate: f64) -> Self {
+        Allowance { rate, tokens: rate.max(1.0), at: Duration::ZERO }
+    }
+
+    /// One more is asked; whether that is above the allowance.
+    pub(crate) fn over(&mut self, at: Duration) -> bool {
+        let earned = self.rate * (at - self.at).as_secs_f64();
+        (self.tokens, self.at) = ((self.tokens + earned).min(self.rate.max(1.0)), at);
+        let over = self.tokens < 1.0;
+        self.tokens -= if over { 0.0 } else { 1.0 };
+        over
+    }
+}
+
 /// The request of this number, drawn from a stream of its own.
 pub(crate) fn draw(scenario: &Scenario, seed: u64, number: u64, born: Duration) -> Call {
     let mut draws = stream(seed, "call", number);
     let class = pick(scenario.classes.iter().map(|class| class.share), &mut draws).unwrap_or_default();
     let work = work(&scenario.classes[class], &mut draws);
     let home = draws.random_range(0..scenario.sidecars as usize);
-    Call { class, work, home, born, tries: 0, draws, runs: Vec::new(), ran_twice: false, waits_at: None }
+    // From a stream of its own: who asks changes nothing of what is asked.
+    let mut who = stream(seed, "tenant", number);
+    let tenant = pick(scenario.tenants.iter().map(|tenant| tenant.share), &mut who).unwrap_or_default();
+    let (over, runs) = (false, Vec::new());
+    Call { class, work, tenant, over, home, born, tries: 0, draws, runs, ran_twice: false, waits_at: None }
 }
 
 /// Log-normal with the class's mean and coefficient of variation.
@@ -145,6 +175,15 @@
         assert!((between(35.0, 45.0) / 2000.0 - 1.0).abs() < 0.1);
     }
 
+    #[test]
+    fn what_is_above_an_allowance_is_told() {
+        let mut allowance = Allowance::new(10.0);
+        // Twenty a second for ten seconds: ten saved up and a hundred earned.
+        let over = (0..200).filter(|n| allowance.over(Duration::from_millis(n * 50))).count();
+        assert!((88..=92).contains(&over), "{over}");
+        assert!(!allowance.over(Duration::from_secs(20)));
+    }
+
     #[test]
     fn work_has_its_mean() {
         let scenario = scenario("");
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -41,9 +41,9 @@
 pub use retry::{End, RetrySpec, pick};
 pub use scenario::{
     ArrivalSpec, Carry, ClassSpec, EndpointsSpec, FaultSpec, NetworkSpec, Point, ReplacementSpec, Scenario,
-    Trouble,
+    TenantSpec, Trouble,
 };
-pub use tally::{Outcome, Second, Totals};
+pub use tally::{Outcome, Second, TenantOutcome, Totals};
 
 /// Plays a scenario once.
 pub fn run(scenario: &Scenario, seed: u64) -> Outcome {
--- a/crates/model/src/scenario.rs
+++ b/crates/model/src/scenario.rs
@@ -2,7 +2,7 @@
 
 use crate::baselines::Decisions;
 use crate::retry::RetrySpec;
-use curlewhub_balance::{Class, Group, Limits, Rules, Semantics, Settings, ZoneId};
+use curlewhub_balance::{Class, Group, Limits, Rules, Semantics, Settings, Tenant, ZoneId};
 use curlewhub_config::Repeat;
 use curlewhub_config::units::Span;
 use curlewhub_standins::spec::MachineSpec;
@@ -44,6 +44,12 @@
     pub endpoints: Vec<EndpointsSpec>,
     /// What is asked.
     pub classes: Vec<ClassSpec>,
+    /// Who asks; one that has no name and no allowance where there are none.
+    #[serde(default)]
+    pub tenants: Vec<TenantSpec>,
+    /// Worth of a request above its tenant's allowance, as a part of its class's, 0 to 1.
+    #[serde(default = "one")]
+    pub over_share_worth: f64,
     /// How often.
     pub arrivals: ArrivalSpec,
     /// How clients behave.
@@ -144,6 +150,19 @@
     pub late_value: f64,
 }
 
+/// A tenant.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct TenantSpec {
+    /// Its name.
+    pub name: String,
+    /// Share of the requests, as a weight.
+    #[serde(default = "one")]
+    pub share: f64,
+    /// Requests a second that it may ask, over the whole fleet.
+    pub allowance: f64,
+}
+
 fn one() -> f64 {
     1.0
 }
@@ -317,6 +336,12 @@
             number(format!("classes.{name}.deadline (s)"), deadline, 0.001, 3600.0);
             number(format!("classes.{name}.objective (s)"), objective, 0.001, deadline);
         }
+        number("over_share_worth".into(), self.over_share_worth, 0.0, 1.0);
+        number("tenants".into(), self.tenants.len() as f64, 0.0, FLEET_MOST.into());
+        for tenant in &self.tenants {
+            number(format!("tenants.{}.share", tenant.name), tenant.share, 0.0, 1e6);
+            number(format!("tenants.{}.allowance", tenant.name), tenant.allowance, 1e-6, 1e7);
+        }
         for (n, kind) in self.endpoints.iter().enumerate() {
             let machine = &kind.machine;
             number(format!("endpoints[{n}].machine.speed"), machine.speed, 1e-6, 1e6);
@@ -357,6 +382,11 @@
             worth: class.worth,
             ..Class::default()
         };
+        let allowed: f64 = self.tenants.iter().map(|tenant| tenant.allowance).sum();
+        let tenant = |tenant: &TenantSpec| Tenant {
+            allowance_per_s: tenant.allowance,
+            portion: tenant.allowance / allowed,
+        };
         let machines = || self.endpoints.iter().map(|kind| &kind.machine);
         Settings {
             balancers: self.sidecars,
@@ -364,6 +394,8 @@
             zone: ZoneId(me % self.halls.len() as u32),
             zones: self.halls.len() as u32,
             classes: self.classes.iter().map(class).collect(),
+            tenants: self.tenants.iter().map(tenant).collect(),
+            over_share_worth: self.over_share_worth,
             limits: Limits {
                 second_copies: self.second_copies,
                 max_attempts: self.max_attempts,
--- a/crates/model/src/tally.rs
+++ b/crates/model/src/tally.rs
@@ -1,5 +1,6 @@
 //! What a run brought.
 
+use crate::clients::Call;
 use crate::retry::End;
 use hdrhistogram::Histogram;
 use serde::Serialize;
@@ -60,6 +61,33 @@
     pub choked: u32,
 }
 
+/// One tenant.
+#[derive(Clone, Debug, Default, PartialEq, Serialize)]
+pub struct TenantOutcome {
+    /// Its name.
+    pub name: String,
+    /// Its requests.
+    pub offered: u64,
+    /// Of these, above its allowance.
+    pub over: u64,
+    /// Served within it, in time or late.
+    pub served: u64,
+    /// Served above it.
+    pub served_over: u64,
+}
+
+impl TenantOutcome {
+    /// Part of what it asked within its allowance that was served, 0 to 1.
+    pub fn within(&self) -> f64 {
+        share(self.served as f64, (self.offered - self.over) as f64)
+    }
+
+    /// Part of what it asked above it that was served, 0 to 1.
+    pub fn above(&self) -> f64 {
+        share(self.served_over as f64, self.over as f64)
+    }
+}
+
 /// What a run brought.
 #[derive(Clone, Debug, PartialEq, Serialize)]
 pub struct Outcome {
@@ -71,6 +99,8 @@
     pub p99_ms: f64,
     /// By second.
     pub seconds: Vec<Second>,
+    /// By tenant, where there are some.
+    pub tenants: Vec<TenantOutcome>,
     /// Events played.
     pub events: u64,
 }
@@ -117,14 +147,25 @@
 pub(crate) struct Tally {
     seconds: Vec<Bucket>,
     latency: Histogram<u64>,
+    tenants: Vec<TenantOutcome>,
+    over_share_worth: f64,
 }
 
 impl Tally {
-    pub(crate) fn new(lasts: Duration) -> Self {
-        let seconds = lasts.as_secs_f64().ceil() as usize;
+    pub(crate) fn new(scenario: &crate::Scenario) -> Self {
+        let seconds = scenario.lasts.0.as_secs_f64().ceil() as usize;
+        let tenant = |spec: &crate::TenantSpec| TenantOutcome {
+            name: spec.name.clone(),
+            ..TenantOutcome::default()
+        };
         let bucket =
             || Bucket { totals: Totals::default(), latency: histogram(), held_per_core: 0.0, choked: 0 };
-        Tally { seconds: (0..seconds.max(1)).map(|_| bucket()).collect(), latency: histogram() }
+        Tally {
+            seconds: (0..seconds.max(1)).map(|_| bucket()).collect(),
+            latency: histogram(),
+            tenants: scenario.tenants.iter().map(tenant).collect(),
+            over_share_worth: scenario.over_share_worth,
+        }
     }
 
     /// The counts of the second in which a request was born.
@@ -134,19 +175,27 @@
     }
 
     /// A request has ended for good.
-    pub(crate) fn ended(&mut self, born: Duration, took: Duration, end: End, class: &crate::ClassSpec) {
+    pub(crate) fn ended(&mut self, call: &Call, took: Duration, end: End, class: &crate::ClassSpec) {
+        let born = call.born;
+        if let Some(tenant) = self.tenants.get_mut(call.tenant) {
+            tenant.offered += 1;
+            tenant.over += u64::from(call.over);
+            tenant.served += u64::from(end == End::Served && !call.over);
+            tenant.served_over += u64::from(end == End::Served && call.over);
+        }
+        let worth = class.worth * if call.over { self.over_share_worth } else { 1.0 };
         let last = self.seconds.len() - 1;
         let bucket = &mut self.seconds[(born.as_secs() as usize).min(last)];
         let totals = &mut bucket.totals;
-        totals.worth_offered += class.worth;
+        totals.worth_offered += worth;
         match end {
             End::Served if took <= class.objective.0 => {
                 totals.in_time += 1;
-                totals.worth_served += class.worth;
+                totals.worth_served += worth;
             }
             End::Served => {
                 totals.late += 1;
-                totals.worth_served += class.worth * class.late_value;
+                totals.worth_served += worth * class.late_value;
             }
             End::Refused => totals.refused += 1,
             End::Failed => totals.failed += 1,
@@ -181,7 +230,7 @@
         let seconds: Vec<Second> = self.seconds.iter().map(second).collect();
         let totals = seconds.iter().fold(Totals::default(), |sum, second| sum.plus(&second.totals));
         let (p50_ms, p99_ms) = (ms(&self.latency, 0.5), ms(&self.latency, 0.99));
-        Outcome { totals, p50_ms, p99_ms, seconds, events }
+        Outcome { totals, p50_ms, p99_ms, seconds, tenants: self.tenants, events }
     }
 }
 
--- a/crates/model/src/world.rs
+++ b/crates/model/src/world.rs
@@ -1,6 +1,6 @@
 //! The run: takes what is to come in its order, and lets it happen.
 
-use crate::clients::{Arrivals, Call, draw, stream};
+use crate::clients::{Allowance, Arrivals, Call, draw, stream};
 use crate::decider::Decider;
 use crate::process::{Flight, Open, Process};
 use crate::queue::Queue;
@@ -75,6 +75,8 @@
     now: Duration,
     queue: Queue<Ev>,
     arrivals: Arrivals,
+    /// By tenant.
+    allowances: Vec<Allowance>,
     network: Pcg32,
     endpoints: Vec<Endpoint>,
     processes: Vec<Process>,
@@ -96,6 +98,7 @@
             now: EPOCH,
             queue: Queue::new(),
             arrivals: Arrivals::new(scenario, seed),
+            allowances: scenario.tenants.iter().map(|tenant| Allowance::new(tenant.allowance)).collect(),
             network: stream(seed, "network", 0),
             endpoints: Vec::new(),
             processes: Vec::new(),
@@ -104,7 +107,7 @@
             calls: HashMap::new(),
             flights: HashMap::new(),
             next_flight: 0,
-            tally: Tally::new(scenario.lasts.0),
+            tally: Tally::new(scenario),
         };
         world.furnish();
         world
@@ -236,7 +239,9 @@
 
     fn arrives(&mut self, number: u64) {
         let born = self.now - EPOCH;
-        self.calls.insert(number, draw(self.scenario, self.seed, number, born));
+        let mut call = draw(self.scenario, self.seed, number, born);
+        call.over = self.allowances.get_mut(call.tenant).is_some_and(|allowance| allowance.over(born));
+        self.calls.insert(number, call);
         self.tally.at(born).offered += 1;
         self.ask(number);
         self.plan_arrival(number + 1);
@@ -246,7 +251,7 @@
         let since = self.now - EPOCH;
         let Some(call) = self.calls.get_mut(&id) else { return };
         call.tries += 1;
-        let (tries, class, born) = (call.tries, call.class, call.born);
+        let (tries, class, tenant, born) = (call.tries, call.class, call.tenant, call.born);
         self.tally.at(born).tries += 1;
         let deadline = self.scenario.classes[class].deadline.0;
         let time = self.scenario.clients.time(deadline, (born + deadline).saturating_sub(since));
@@ -280,7 +285,7 @@
         let request = Request {
             id: RequestId(request),
             class: ClassId(class),
-            tenant: TenantId(0),
+            tenant: TenantId(tenant),
             time_left: within,
             work_hint: None,
             key: None,
@@ -319,7 +324,7 @@
     fn close(&mut self, id: u64, end: End) {
         let Some(call) = self.calls.remove(&id) else { return };
         let (took, class) = (self.now - EPOCH - call.born, &self.scenario.classes[call.class]);
-        self.tally.ended(call.born, took, end, class);
+        self.tally.ended(&call, took, end, class);
     }
 
     // ---- sidecars ----
--- a/crates/model/tests/model.rs
+++ b/crates/model/tests/model.rs
@@ -74,6 +74,27 @@
     assert!(module > oracle + 0.1, "{module} and {oracle}: it refuses in time what can't be served");
 }
 
+/// One that asks five times its allowance, where the fleet bears all allowances and not all that is asked.
+#[test]
+fn a_greedy_tenant_is_refused_what_is_above_its_allowance_and_the_others_are_served() {
+    let play = |decisions, worth| {
+        let mut scenario = Scenario::parse(include_str!("../../../scenarios/tenants.toml")).unwrap();
+        (scenario.decisions, scenario.over_share_worth) = (decisions, worth);
+        run(&scenario, 5)
+    };
+    let modest = |outcome: &Outcome| outcome.tenants[..3].iter().map(|t| t.within()).fold(1.0, f64::min);
+    let (module, alike) = (play(Decisions::Module, 0.2), play(Decisions::Module, 1.0));
+    assert_eq!(module.tenants.iter().map(|t| t.offered).sum::<u64>(), module.totals.offered);
+    assert_eq!(
+        module.tenants[3].offered, alike.tenants[3].offered,
+        "the same requests of the same tenants"
+    );
+    assert!(module.tenants[3].over > module.tenants[3].offered / 2);
+    assert!(modest(&module) > 0.9, "{:?}", module.tenants);
+    assert!(module.tenants[3].above() < 0.6, "{:?}", module.tenants);
+    assert!(modest(&alike) < modest(&module) - 0.1, "{:?}", alike.tenants);
+}
+
 /// The jam after an upgrade: a successor that has learnt nothing takes crowded endpoints' latency for the usual one.
 #[test]
 fn a_successor_that_knows_the_usual_latency_ends_the_jam_after_an_upgrade() {
