Let work in a scenario be heavy-tailed

Need: all work was log-normal, whose tail is lighter than what the paper's insensitivity and real jobs ask for.

Change: a class's `spread` is lognormal or pareto, with the same mean and coefficient of variation (the shape follows from it); a test holds mean, least and tail.

--- a/crates/model/src/clients.rs
+++ b/crates/model/src/clients.rs
@@ -1,9 +1,9 @@
 //! Clients: when requests arrive, what they are, and whether they are asked again.
 
 use crate::retry::{End, RetrySpec, pick};
-use crate::scenario::{ClassSpec, Point, Scenario};
+use crate::scenario::{ClassSpec, Point, Scenario, Spread};
 use rand::{Rng, SeedableRng};
-use rand_distr::{Distribution, Exp1, LogNormal};
+use rand_distr::{Distribution, Exp1, LogNormal, Pareto};
 use rand_pcg::Pcg32;
 use std::time::Duration;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
@@ -122,13 +122,24 @@
     Call { class, work, tenant, over, home, born, tries: 0, draws, runs, ran_twice: false, waits_at: None }
 }
 
-/// Log-normal with the class's mean and coefficient of variation.
+/// As the class is spread, with its mean and coefficient of variation.
 fn work(class: &ClassSpec, draws: &mut Pcg32) -> f64 {
     let mean = class.work.0.as_secs_f64();
-    match LogNormal::from_mean_cv(mean, class.cv) {
-        Ok(distribution) if mean > 0.0 => distribution.sample(draws),
-        _ => mean,
+    if mean <= 0.0 || class.cv <= 0.0 {
+        return mean;
     }
+    let work = match class.spread {
+        Spread::LogNormal => {
+            LogNormal::from_mean_cv(mean, class.cv).map(|spread| spread.sample(draws)).ok()
+        }
+        Spread::Pareto => {
+            // A Pareto's squared coefficient of variation is 1 / (shape (shape - 2)), its mean
+            // scale shape / (shape - 1).
+            let shape = 1.0 + (1.0 + class.cv.powi(-2)).sqrt();
+            Pareto::new(mean * (shape - 1.0) / shape, shape).map(|spread| spread.sample(draws)).ok()
+        }
+    };
+    work.unwrap_or(mean)
 }
 
 impl Call {
@@ -193,6 +204,25 @@
         assert!(works.iter().any(|work| *work > 0.15), "it spreads");
     }
 
+    #[test]
+    fn a_pareto_has_the_same_mean_a_least_and_a_longer_tail() {
+        let mut scenario = scenario("");
+        let works = |scenario: &Scenario| -> Vec<f64> {
+            let mut works: Vec<f64> =
+                (0..40_000).map(|n| draw(scenario, 3, n, Duration::ZERO).work).collect();
+            works.sort_by(f64::total_cmp);
+            works
+        };
+        let log_normal = works(&scenario);
+        scenario.classes[0].spread = Spread::Pareto;
+        let pareto = works(&scenario);
+        let mean = pareto.iter().sum::<f64>() / pareto.len() as f64;
+        assert!((mean / 0.05 - 1.0).abs() < 0.05, "{mean}");
+        // With a coefficient of one the shape is 1 + sqrt(2), and the least 0.586 of the mean.
+        assert!((pareto[0] / 0.05 - 0.586).abs() < 0.01, "{}", pareto[0]);
+        assert!(log_normal[0] < pareto[0] / 2.0 && pareto[39_990] > log_normal[39_990]);
+    }
+
     #[test]
     fn a_request_is_not_asked_again_where_its_time_is_over_by_then() {
         let scenario = scenario("");
--- a/crates/model/src/scenario.rs
+++ b/crates/model/src/scenario.rs
@@ -127,9 +127,12 @@
     pub share: f64,
     /// Mean work on one core of the yardstick speed.
     pub work: Span,
-    /// Its coefficient of variation; log-normal.
+    /// Its coefficient of variation.
     #[serde(default)]
     pub cv: f64,
+    /// How it is spread.
+    #[serde(default)]
+    pub spread: Spread,
     /// Whether a request may run again.
     #[serde(default)]
     pub repeat: Repeat,
@@ -150,6 +153,17 @@
     pub late_value: f64,
 }
 
+/// How work is spread around its mean, with the same coefficient of variation.
+#[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Spread {
+    /// Log-normal.
+    #[default]
+    LogNormal,
+    /// Pareto: few take very long, and none less than a stated part of the mean.
+    Pareto,
+}
+
 /// A tenant.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 #[serde(deny_unknown_fields)]
