Say what a class permits in one place, split the model's world, draw charts once

Tenants were ranked from the year 1970, where the sidecar's clock begins, and so only to parts in ten million, though the text said ten billion; the test's clock was too small to show it. The report drew each chart twice, and four tables worked out a mean of their own. Names of rules were written beside serde's. Each event divided 128 bits to find its slice.

A grid that names a key twice is refused. No endpoints under every rule, and tenants' figures that make no sense, are tested.

--- a/crates/balance/src/balance.rs
+++ b/crates/balance/src/balance.rs
@@ -190,7 +190,8 @@
     pub fn new(settings: Settings, seed: u64, now: Duration) -> Result<Self, SettingsError> {
         settings.validate()?;
         let classes = settings.classes.len();
-        let tenants = Uses::new(settings.tenants.iter().map(|t| t.allowance_per_s), RATE_SECONDS);
+        let allowances = settings.tenants.iter().map(|tenant| tenant.allowance_per_s);
+        let tenants = Uses::new(allowances, RATE_SECONDS, now);
         Ok(Balancer {
             settings,
             born: now,
--- a/crates/balance/src/balance/attempts.rs
+++ b/crates/balance/src/balance/attempts.rs
@@ -236,12 +236,8 @@
         if pending.once && !pending.attempts.is_empty() {
             return false;
         }
-        let ran = pending.may_have_run().next();
-        match (self.settings.classes[pending.class].semantics, ran) {
-            (_, None) | (Semantics::Safe, _) => true,
-            (Semantics::Unsafe, Some(_)) => false,
-            (Semantics::Keyed { window, .. }, Some(first)) => now < first.sent + window,
-        }
+        let first = pending.may_have_run().next().map(|ran| ran.sent);
+        self.settings.classes[pending.class].semantics.may_repeat(now, first)
     }
 
     /// The last word on a request that can't be served: a refusal where that is true, else a failure.
@@ -251,11 +247,7 @@
             return;
         }
         let may_have_run = pending.may_have_run().next().is_some();
-        let harmless = match self.settings.classes[pending.class].semantics {
-            Semantics::Safe => true,
-            Semantics::Keyed { group, .. } => group == Group::All || !may_have_run,
-            Semantics::Unsafe => !may_have_run,
-        };
+        let harmless = self.settings.classes[pending.class].semantics.is_harmless(may_have_run);
         // The time in which a place comes free.
         let usual = Duration::from_secs_f64(self.latency[pending.class].mean).max(HOLD_RECHECK);
         let limits = &self.settings.limits;
--- a/crates/balance/src/balance/choice.rs
+++ b/crates/balance/src/balance/choice.rs
@@ -120,14 +120,8 @@
         if !endpoint.is_ready() || self.load(now, i) + 1.0 > self.room(now, i) || overspent {
             return false;
         }
-        let Semantics::Keyed { group, .. } = self.settings.classes[pending.class].semantics else {
-            return true;
-        };
-        pending.may_have_run().all(|a| match group {
-            Group::All => true,
-            Group::Zone => a.zone == endpoint.info.zone,
-            Group::Cell => a.cell == endpoint.info.cell,
-        })
+        let (semantics, info) = (self.settings.classes[pending.class].semantics, &endpoint.info);
+        pending.may_have_run().all(|ran| semantics.may_follow((ran.zone, ran.cell), (info.zone, info.cell)))
     }
 
     /// Own calls that an endpoint may hold now.
--- a/crates/balance/src/types.rs
+++ b/crates/balance/src/types.rs
@@ -115,6 +115,34 @@
     Unsafe,
 }
 
+impl Semantics {
+    /// Whether a job may be sent again now; `first` is when it was first sent, if that may have run.
+    pub fn may_repeat(self, now: Duration, first: Option<Duration>) -> bool {
+        match (self, first) {
+            (_, None) | (Semantics::Safe, _) => true,
+            (Semantics::Unsafe, Some(_)) => false,
+            (Semantics::Keyed { window, .. }, Some(first)) => now < first + window,
+        }
+    }
+
+    /// Whether a job that may have run at one place may be sent to another.
+    pub fn may_follow(self, ran: (ZoneId, CellId), to: (ZoneId, CellId)) -> bool {
+        match self {
+            Semantics::Keyed { group: Group::Zone, .. } => ran.0 == to.0,
+            Semantics::Keyed { group: Group::Cell, .. } => ran.1 == to.1,
+            Semantics::Keyed { group: Group::All, .. } | Semantics::Safe | Semantics::Unsafe => true,
+        }
+    }
+
+    /// Whether a client may try again wherever it likes.
+    pub fn is_harmless(self, may_have_run: bool) -> bool {
+        match self {
+            Semantics::Safe | Semantics::Keyed { group: Group::All, .. } => true,
+            Semantics::Keyed { .. } | Semantics::Unsafe => !may_have_run,
+        }
+    }
+}
+
 /// The endpoints among which a keyed repeat is dropped.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Group {
--- a/crates/balance/src/uses.rs
+++ b/crates/balance/src/uses.rs
@@ -1,8 +1,9 @@
 //! What each tenant uses of its allowance, with the median at hand. Decides nothing.
 //!
 //! Rates fade by the same factor at any time, so their order changes only where one is counted. The order is that
-//! of `ln(rate / allowance) + at / third`: the logarithm of what the rate would have been at time zero. It does
-//! not overflow, and after a day of counting still tells rates apart that differ by a part in ten billion.
+//! of `ln(rate / allowance) + (at - origin) / third`: the logarithm of what the rate would have been at the origin. It
+//! does not overflow. Ten days from the origin it still tells rates apart that differ by a part in ten billion; from
+//! the year 1970, where the sidecar's clock begins, it would not tell parts in ten million.
 
 use crate::stats::Fading;
 use ordered_float::OrderedFloat;
@@ -19,6 +20,8 @@
 pub(crate) struct Uses {
     /// Seconds in which a rate falls to a third.
     third: f64,
+    /// When counting began.
+    origin: Duration,
     allowances: Vec<f64>,
     rates: Vec<Fading>,
     /// The lower half, the median its greatest.
@@ -27,11 +30,12 @@
 }
 
 impl Uses {
-    /// Tenants of these allowances a second that have used nothing.
-    pub(crate) fn new(allowances: impl Iterator<Item = f64>, third: f64) -> Self {
+    /// Tenants of these allowances a second that have used nothing yet.
+    pub(crate) fn new(allowances: impl Iterator<Item = f64>, third: f64, origin: Duration) -> Self {
         let allowances: Vec<f64> = allowances.map(|allowance| allowance.max(ALLOWANCE_LEAST)).collect();
         let rates = vec![Fading::default(); allowances.len()];
-        let mut uses = Uses { third, allowances, rates, low: BTreeSet::new(), high: BTreeSet::new() };
+        let mut uses =
+            Uses { third, origin, allowances, rates, low: BTreeSet::new(), high: BTreeSet::new() };
         uses.rank_all();
         uses
     }
@@ -81,7 +85,10 @@
 
     fn ranked(&self, tenant: usize) -> Ranked {
         let rate = &self.rates[tenant];
-        let rank = (rate.value / self.allowances[tenant]).ln() + rate.at().as_secs_f64() / self.third;
+        // What was taken over from another process may have been counted before the origin.
+        let since = rate.at().saturating_sub(self.origin).as_secs_f64();
+        let before = self.origin.saturating_sub(rate.at()).as_secs_f64();
+        let rank = (rate.value / self.allowances[tenant]).ln() + (since - before) / self.third;
         (OrderedFloat(rank), tenant)
     }
 
@@ -122,13 +129,16 @@
             counts in proptest::collection::vec((0..30usize, 0..3_000u64), 1..200),
             taken_over in 0..200usize,
         ) {
-            let mut uses = Uses::new(allowances.iter().copied(), 5.0);
-            let mut now = Duration::from_secs(100_000);
+            // As the sidecar's clock has it.
+            let mut now = Duration::from_secs(1_796_000_000);
+            let mut uses = Uses::new(allowances.iter().copied(), 5.0, now);
             for (n, (tenant, wait)) in counts.into_iter().enumerate() {
                 now += Duration::from_millis(wait);
                 prop_assert_eq!(uses.count(now, tenant), tenant < allowances.len());
                 if n == taken_over {
-                    uses.set(uses.rates().to_vec());
+                    let rates = uses.rates().to_vec();
+                    uses = Uses::new(allowances.iter().copied(), 5.0, now);
+                    uses.set(rates);
                 }
                 let (found, want) = (uses.median(now), sorted_median(&uses, now));
                 prop_assert!((found - want).abs() <= want * 1e-9, "{found} for {want}");
--- a/crates/lab/src/chart.rs
+++ b/crates/lab/src/chart.rs
@@ -42,16 +42,35 @@
     pub lines: Vec<Line>,
 }
 
+/// A chart that has been drawn.
+pub struct Drawn {
+    /// Its file's name, without its ending.
+    pub name: &'static str,
+    /// Its text.
+    pub svg: String,
+}
+
+/// Draws charts.
+///
+/// # Errors
+/// One can't be drawn; it is named.
+pub fn draw(charts: &[Chart]) -> Result<Vec<Drawn>, String> {
+    let draw = |chart: &Chart| match svg(chart) {
+        Ok(svg) => Ok(Drawn { name: chart.name, svg }),
+        Err(problem) => Err(format!("{}: {problem}", chart.name)),
+    };
+    charts.iter().map(draw).collect()
+}
+
 /// Writes charts into a folder; their paths.
 ///
 /// # Errors
 /// A file can't be written.
-pub fn write(charts: &[Chart], folder: &Path) -> Result<Vec<String>, String> {
+pub fn write(charts: &[Drawn], folder: &Path) -> Result<Vec<String>, String> {
     std::fs::create_dir_all(folder).map_err(|e| format!("{}: {e}", folder.display()))?;
-    let write = |chart: &Chart| {
+    let write = |chart: &Drawn| {
         let path = folder.join(format!("{}.svg", chart.name));
-        let svg = svg(chart).map_err(|e| format!("{}: {e}", chart.name))?;
-        std::fs::write(&path, svg).map_err(|e| format!("{}: {e}", path.display()))?;
+        std::fs::write(&path, &chart.svg).map_err(|e| format!("{}: {e}", path.display()))?;
         Ok(path.display().to_string())
     };
     charts.iter().map(write).collect()
@@ -63,11 +82,7 @@
     if low > high { 0.0..1.0 } else { low..if high > low { high } else { low + 1.0 } }
 }
 
-/// A chart as the text of an SVG file.
-///
-/// # Errors
-/// It can't be drawn.
-pub fn svg(chart: &Chart) -> Result<String, Box<dyn std::error::Error>> {
+fn svg(chart: &Chart) -> Result<String, Box<dyn std::error::Error>> {
     let points = || chart.lines.iter().flat_map(|line| &line.points);
     let bands = || chart.lines.iter().flat_map(|line| &line.band);
     let heights = points().map(|(_, y)| *y).chain(bands().flat_map(|(_, low, high)| [*low, *high]));
--- a/crates/lab/src/paper.rs
+++ b/crates/lab/src/paper.rs
@@ -202,5 +202,5 @@
         chart("figure-2", "part of the jobs lost", "arrivals a server, lambda", paper.blocking.clone()),
         chart("own-counts", "part of the jobs lost, lambda = 4.5", "dispatchers, log10", logs(&own, true)),
     ];
-    chart::write(&charts, folder)
+    chart::write(&chart::draw(&charts)?, folder)
 }
--- a/crates/lab/src/sim/baselines.rs
+++ b/crates/lab/src/sim/baselines.rs
@@ -1,11 +1,13 @@
 //! The decision module beside the textbook's rules, on the same events.
 
-use super::compare::{Comparison, Verdict, compare, half};
+use super::compare::{Comparison, Verdict, compare, mean_and_half};
+use super::report::text;
 use super::{Runs, play};
 use comfy_table::{Table, presets};
 use curlewhub_model::{Decisions, Outcome, Scenario};
 use serde::Serialize;
 use std::sync::atomic::{AtomicBool, Ordering};
+use strum::IntoEnumIterator;
 
 /// All of them on one scenario.
 #[derive(Debug, Serialize)]
@@ -21,8 +23,8 @@
 /// Plays a scenario with each rule, on the same seeds; those that were done when `stop` was set.
 pub fn baselines(scenario: &Scenario, first_seed: u64, seeds: u64, stop: &AtomicBool) -> Baselines {
     let mut runs: Vec<Runs> = Vec::new();
-    for decisions in Decisions::ALL {
-        let scenario = Scenario { decisions, name: decisions.word().to_owned(), ..scenario.clone() };
+    for decisions in Decisions::iter() {
+        let scenario = Scenario { decisions, name: <&str>::from(decisions).to_owned(), ..scenario.clone() };
         runs.push(play(scenario, first_seed, seeds, stop));
         if stop.load(Ordering::Relaxed) {
             break;
@@ -47,18 +49,12 @@
         "twice",
     ]);
     for (n, runs) in baselines.runs.iter().enumerate() {
-        let mean = |read: &dyn Fn(&Outcome) -> f64| {
-            runs.outcomes.iter().map(read).sum::<f64>() / (runs.outcomes.len() as f64).max(1.0)
-        };
-        let worths: Vec<f64> = runs.outcomes.iter().map(Outcome::worth).collect();
+        let all = |read: &dyn Fn(&Outcome) -> f64| runs.outcomes.iter().map(read).collect::<Vec<f64>>();
+        let mean = |read: &dyn Fn(&Outcome) -> f64| mean_and_half(&all(read)).0;
         let offered = |o: &Outcome| (o.totals.offered as f64).max(1.0);
         table.add_row([
             runs.name.clone(),
-            format!(
-                "{:.3} +- {}",
-                mean(&Outcome::worth),
-                half(&worths).map_or("-".into(), |h| format!("{h:.3}"))
-            ),
+            text(&all(&Outcome::worth)),
             n.checked_sub(1)
                 .and_then(|n| baselines.against_module.get(n))
                 .map_or(String::new(), difference),
--- a/crates/lab/src/sim/compare.rs
+++ b/crates/lab/src/sim/compare.rs
@@ -83,16 +83,16 @@
 pub fn compare(first: &Runs, second: &Runs) -> Comparison {
     let pairs: Vec<(&Outcome, &Outcome)> = first.outcomes.iter().zip(&second.outcomes).collect();
     let difference = |(figure, more_is_better, read): &Figure| {
-        let mean = |values: &[f64]| values.iter().sum::<f64>() / (values.len() as f64).max(1.0);
         let (a, b): (Vec<f64>, Vec<f64>) = pairs.iter().map(|(a, b)| (read(a), read(b))).unzip();
         let differences: Vec<f64> = a.iter().zip(&b).map(|(a, b)| b - a).collect();
-        let (center, half) = (mean(&differences), half(&differences));
+        let (center, half) = mean_and_half(&differences);
         let verdict = match half {
             Some(half) if center - half > 0.0 => better(*more_is_better),
             Some(half) if center + half < 0.0 => better(!more_is_better),
             _ => Verdict::CantTell,
         };
-        Difference { figure, first: mean(&a), second: mean(&b), mean: center, half, verdict }
+        let (first, second) = (mean_and_half(&a).0, mean_and_half(&b).0);
+        Difference { figure, first, second, mean: center, half, verdict }
     };
     Comparison {
         first: first.name.clone(),
@@ -112,7 +112,7 @@
 }
 
 /// Half the 95% confidence interval of the mean of these values.
-pub(super) fn half(values: &[f64]) -> Option<f64> {
+fn half(values: &[f64]) -> Option<f64> {
     let n = values.len() as f64;
     let t = StudentsT::new(0.0, 1.0, n - 1.0).ok().filter(|_| n >= 2.0)?.inverse_cdf(0.975);
     let mean = values.iter().sum::<f64>() / n;
--- a/crates/lab/src/sim/report.rs
+++ b/crates/lab/src/sim/report.rs
@@ -1,17 +1,17 @@
 //! What was played as files: a page that holds everything and needs no network, its charts, and its figures as CSV.
 
-use super::compare::{Comparison, half};
+use super::compare::Comparison;
 use super::plot::charts;
 use super::table::FIGURES;
 use super::{Runs, mean_and_half};
-use crate::chart::{self, Chart};
+use crate::chart::{self, Chart, Drawn};
 use curlewhub_model::Outcome;
 use maud::{DOCTYPE, Markup, PreEscaped, html};
 use std::path::Path;
 
 const STYLE: &str = "body{font:15px sans-serif;max-width:960px;margin:2em auto;padding:0 1em;color:#222}\
     table{border-collapse:collapse;margin:1em 0}th,td{padding:.25em .7em;border-bottom:1px solid #ccc;\
-    text-align:right}th:first-child,td:first-child{text-align:left}svg{max-width:100%;height:auto}\
+    text-align:right}div{overflow-x:auto}th:first-child,td:first-child{text-align:left}svg{max-width:100%;height:auto}\
     pre{background:#f4f4f4;padding:.8em;overflow:auto}";
 
 /// Writes `report.html`, `runs.csv` (a row for each run) and `seconds.csv` (a row for each second of each run), and
@@ -29,10 +29,9 @@
     // Of many variants the lines over time can't be told apart: what is over something else shows them.
     let over_time = if more.is_empty() { charts(variants) } else { Vec::new() };
     let charts: Vec<Chart> = more.into_iter().chain(over_time).collect();
-    let mut paths = chart::write(&charts, folder)?;
-    let svgs: Result<Vec<String>, String> =
-        charts.iter().map(|chart| chart::svg(chart).map_err(|e| format!("{}: {e}", chart.name))).collect();
-    let page = page(title, variants, comparisons, &svgs?).into_string();
+    let drawn = chart::draw(&charts)?;
+    let mut paths = chart::write(&drawn, folder)?;
+    let page = page(title, variants, comparisons, &drawn).into_string();
     let put = |name: &str, text: &[u8]| {
         let path = folder.join(name);
         std::fs::write(&path, text).map_err(|e| format!("{}: {e}", path.display()))?;
@@ -45,7 +44,7 @@
     Ok(paths)
 }
 
-fn page(title: &str, variants: &[&Runs], comparisons: &[Comparison], svgs: &[String]) -> Markup {
+fn page(title: &str, variants: &[&Runs], comparisons: &[Comparison], drawn: &[Drawn]) -> Markup {
     html! {
         (DOCTYPE)
         html lang="en" {
@@ -56,7 +55,7 @@
                      reach from the least to the most of all runs." }
                 (summary(variants))
                 @for comparison in comparisons { (difference(comparison)) }
-                @for svg in svgs { (PreEscaped(svg)) }
+                @for chart in drawn { (PreEscaped(&chart.svg)) }
                 h2 { "As played" }
                 @for runs in variants {
                     details {
@@ -76,10 +75,12 @@
         half.map_or(format!("{mean:.3}"), |half| format!("{mean:.3} ± {half:.3}"))
     };
     html! {
-        table {
-            tr { th { "figure" } @for runs in variants { th { (runs.name) } } }
-            @for (name, read) in FIGURES {
-                tr { td { (name) } @for runs in variants { td { (cell(runs, read)) } } }
+        div {
+            table {
+                tr { th { "variant" } @for (name, _) in FIGURES { th { (name) } } }
+                @for runs in variants {
+                    tr { td { (runs.name) } @for (_, read) in FIGURES { td { (cell(runs, read)) } } }
+                }
             }
         }
     }
@@ -160,6 +161,6 @@
 
 /// A mean with half its interval, for tables of text.
 pub(super) fn text(values: &[f64]) -> String {
-    let mean = values.iter().sum::<f64>() / (values.len() as f64).max(1.0);
-    format!("{mean:.3} +- {}", half(values).map_or("-".into(), |half| format!("{half:.3}")))
+    let (mean, half) = mean_and_half(values);
+    format!("{mean:.3} +- {}", half.map_or("-".into(), |half| format!("{half:.3}")))
 }
--- a/crates/lab/src/sim/sweep.rs
+++ b/crates/lab/src/sim/sweep.rs
@@ -59,6 +59,9 @@
     if cells.is_none_or(|cells| cells > CELLS_MOST) {
         return Err(format!("the grid has more than {CELLS_MOST} cells"));
     }
+    if let Some(twice) = (1..axes.len()).find(|n| axes[..*n].iter().any(|axis| axis.key == axes[*n].key)) {
+        return Err(format!("--grid {}: stands twice", axes[twice].key));
+    }
     let mut scenarios = Vec::new();
     for places in places(axes) {
         let own =
@@ -161,6 +164,9 @@
             assert!(wrong.parse::<Axis>().is_err(), "{wrong}");
         }
         let large = Axis { key: "a".into(), values: vec!["1".into(); 60] };
+        let twice = [axes[0].clone(), axes[0].clone()];
+        let refused = sweep(Path::new("none"), &[], &twice, (1, 1), &AtomicBool::new(false));
+        assert_eq!(refused.unwrap_err(), "--grid a: stands twice");
         let refused =
             sweep(Path::new("none"), &[], &[large.clone(), large], (1, 1), &AtomicBool::new(false));
         assert_eq!(refused.unwrap_err(), "the grid has more than 2000 cells");
--- a/crates/lab/src/sim/table.rs
+++ b/crates/lab/src/sim/table.rs
@@ -1,7 +1,7 @@
 //! Tables of runs, for people.
 
 use super::Runs;
-use super::compare::{Comparison, half, mean_and_half};
+use super::compare::{Comparison, mean_and_half};
 use super::report::text;
 use comfy_table::{Table, presets};
 use curlewhub_model::{Outcome, TenantOutcome};
@@ -35,10 +35,10 @@
     table.set_header(["figure", "mean", "+-", "least", "most"]);
     for (name, read) in FIGURES {
         let values: Vec<f64> = runs.outcomes.iter().map(read).collect();
-        let mean = values.iter().sum::<f64>() / (values.len() as f64).max(1.0);
+        let (mean, half) = mean_and_half(&values);
         let (least, most) = values.iter().fold((f64::MAX, f64::MIN), |(a, b), v| (a.min(*v), b.max(*v)));
         let text = |value: f64| format!("{value:.4}");
-        let half = half(&values).map_or("-".to_owned(), text);
+        let half = half.map_or("-".to_owned(), text);
         table.add_row([name.to_owned(), text(mean), half, text(least), text(most)]);
     }
     let head = format!("{}: {} runs from seed {}", runs.name, runs.outcomes.len(), runs.first_seed);
--- a/crates/model/src/baselines.rs
+++ b/crates/model/src/baselines.rs
@@ -1,10 +1,10 @@
 //! Choices to measure the decision module against, on the same events: the textbook's rules without anything else.
 //! None of them holds, refuses, limits, warms up or prefers a hall. A failed attempt goes to another endpoint at
-//! once, as often as the class and the scenario allow: the rules on resends are the module's.
+//! once, as often as the class and the scenario allow: what a class permits is said by [`Semantics`] alone.
 
 use curlewhub_balance::{
-    Action, AttemptEnded, Class, EndpointId, EndpointInfo, EndpointState, Event, Group, Membership,
-    Outcome, Request, RequestId, Semantics, Settings, TimerToken, ZoneId,
+    Action, AttemptEnded, Class, Earlier, EndpointId, EndpointInfo, EndpointState, Event, Membership,
+    Outcome, Request, RequestId, Semantics, Settings, TimerToken,
 };
 use rand::Rng;
 use rand::seq::index::sample;
@@ -12,6 +12,7 @@
 use serde::{Deserialize, Serialize};
 use std::collections::HashMap;
 use std::time::Duration;
+use strum::{EnumIter, IntoStaticStr};
 
 /// What is taken for an endpoint's latency before its first answer: the default of linkerd2-proxy, which balances
 /// with tower's p2c and peak EWMA.
@@ -20,8 +21,9 @@
 const RTT_DECAY: Duration = Duration::from_secs(10);
 
 /// Who decides.
-#[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq, Eq, Serialize)]
+#[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq, Eq, Serialize, EnumIter, IntoStaticStr)]
 #[serde(rename_all = "snake_case")]
+#[strum(serialize_all = "snake_case")]
 pub enum Decisions {
     /// The decision module.
     #[default]
@@ -46,38 +48,6 @@
     P2c,
 }
 
-impl Decisions {
-    /// All of them, the module first.
-    pub const ALL: [Decisions; 10] = [
-        Decisions::Module,
-        Decisions::Random,
-        Decisions::RoundRobin,
-        Decisions::LeastOwn,
-        Decisions::Shortest,
-        Decisions::Sq1,
-        Decisions::Sq2,
-        Decisions::Sq3,
-        Decisions::Sq5,
-        Decisions::P2c,
-    ];
-
-    /// As it is written in a scenario.
-    pub fn word(self) -> &'static str {
-        match self {
-            Decisions::Module => "module",
-            Decisions::Random => "random",
-            Decisions::RoundRobin => "round_robin",
-            Decisions::LeastOwn => "least_own",
-            Decisions::Shortest => "shortest",
-            Decisions::Sq1 => "sq1",
-            Decisions::Sq2 => "sq2",
-            Decisions::Sq3 => "sq3",
-            Decisions::Sq5 => "sq5",
-            Decisions::P2c => "p2c",
-        }
-    }
-}
-
 /// Latency that follows a rise at once and a fall slowly.
 #[derive(Clone, Copy)]
 struct PeakEwma {
@@ -109,18 +79,27 @@
 #[derive(Clone, Copy)]
 struct Tried {
     endpoint: EndpointId,
-    zone: ZoneId,
-    sent: Duration,
+    sent: Earlier,
     out: bool,
     may_have_run: bool,
 }
 
 struct Asked {
-    class: usize,
+    semantics: Semantics,
     deadline: Duration,
+    /// Where its job may have run before it came here.
+    earlier: Option<Earlier>,
     tried: Vec<Tried>,
 }
 
+impl Asked {
+    /// The sends that may have run, the first in front.
+    fn may_have_run(&self) -> impl Iterator<Item = Earlier> {
+        let own = self.tried.iter().filter(|tried| tried.may_have_run).map(|tried| tried.sent);
+        self.earlier.into_iter().chain(own)
+    }
+}
+
 /// One sidecar that decides by a textbook's rule.
 pub(crate) struct Plain {
     rule: Decisions,
@@ -195,16 +174,9 @@
 
     fn asked(&mut self, now: Duration, request: &Request, truth: Truth<'_>, out: &mut Vec<Action>) {
         let (id, after) = (request.id, request.time_left);
-        // A job that may have run elsewhere before is kept to its hall like one of its own.
-        let earlier = request.earlier.map(|earlier| Tried {
-            endpoint: EndpointId(u64::MAX),
-            zone: earlier.zone,
-            sent: earlier.sent,
-            out: false,
-            may_have_run: true,
-        });
-        let (class, deadline) = (request.class.0, now + after);
-        self.requests.insert(id, Asked { class, deadline, tried: earlier.into_iter().collect() });
+        let (semantics, deadline) = (self.classes[request.class.0].semantics, now + after);
+        self.requests
+            .insert(id, Asked { semantics, deadline, earlier: request.earlier, tried: Vec::new() });
         out.push(Action::SetTimer { token: TimerToken(id.0), after });
         self.send(now, id, truth, out);
     }
@@ -213,9 +185,10 @@
         let Some(chosen) = self.choose(now, id, truth) else { return self.give_up(id, out) };
         let known = &mut self.endpoints[chosen];
         known.in_flight += 1;
-        let (endpoint, zone) = (known.info.id, known.info.zone);
+        let (endpoint, zone, cell) = (known.info.id, known.info.zone, known.info.cell);
         let Some(asked) = self.requests.get_mut(&id) else { return };
-        asked.tried.push(Tried { endpoint, zone, sent: now, out: true, may_have_run: true });
+        let sent = Earlier { zone, cell, sent: now };
+        asked.tried.push(Tried { endpoint, sent, out: true, may_have_run: true });
         let timeout = asked.deadline.saturating_sub(now);
         out.push(Action::Send { request: id, endpoint, timeout });
     }
@@ -236,34 +209,23 @@
         if let Some(tried) = asked.tried.iter_mut().find(|t| t.out && t.endpoint == ended.endpoint) {
             (tried.out, tried.may_have_run) = (false, !ended.outcome.never_ran());
         }
-        let sends = asked.tried.iter().filter(|tried| tried.endpoint.0 != u64::MAX).count();
-        if sends < self.max_attempts && asked.deadline > now && self.may_repeat(now, ended.request) {
+        let first = asked.may_have_run().next().map(|ran| ran.sent);
+        let more = asked.tried.len() < self.max_attempts && asked.deadline > now;
+        if more && asked.semantics.may_repeat(now, first) {
             self.send(now, ended.request, truth, out);
         } else {
             self.give_up(ended.request, out);
         }
     }
 
-    /// Rule 2, as the module keeps it.
-    fn may_repeat(&self, now: Duration, id: RequestId) -> bool {
-        let Some(asked) = self.requests.get(&id) else { return false };
-        let first = asked.tried.iter().find(|tried| tried.may_have_run);
-        match (self.classes[asked.class].semantics, first) {
-            (_, None) | (Semantics::Safe, _) => true,
-            (Semantics::Unsafe, Some(_)) => false,
-            (Semantics::Keyed { window, .. }, Some(first)) => now < first.sent + window,
-        }
-    }
-
     fn give_up(&mut self, id: RequestId, out: &mut Vec<Action>) {
         let Some(asked) = self.requests.get(&id) else { return };
-        let ran = asked.tried.iter().any(|tried| tried.may_have_run);
-        let safe = self.classes[asked.class].semantics == Semantics::Safe;
+        let harmless = asked.semantics.is_harmless(asked.may_have_run().next().is_some());
         self.forget(id, out);
-        out.push(if ran && !safe {
-            Action::Fail { request: id }
-        } else {
+        out.push(if harmless {
             Action::Refuse { request: id, retry_after: None }
+        } else {
+            Action::Fail { request: id }
         });
     }
 
@@ -276,17 +238,17 @@
     /// The rule, over the endpoints not tried yet where there are any, and in the hall where a keyed job may run.
     fn choose(&mut self, now: Duration, id: RequestId, truth: Truth<'_>) -> Option<usize> {
         let asked = self.requests.get(&id)?;
-        let bound = match self.classes[asked.class].semantics {
-            Semantics::Keyed { group: Group::All, .. } | Semantics::Safe | Semantics::Unsafe => None,
-            Semantics::Keyed { .. } => asked.tried.iter().find(|t| t.may_have_run).map(|t| t.zone),
-        };
-        if asked.tried.is_empty() {
+        if asked.tried.is_empty() && asked.earlier.is_none() {
             let all = std::mem::take(&mut self.ready);
             let chosen = self.among(now, &all, truth);
             self.ready = all;
             return chosen;
         }
-        let fits = |i: &&usize| bound.is_none_or(|zone| self.endpoints[**i].info.zone == zone);
+        let fits = |i: &&usize| {
+            let info = &self.endpoints[**i].info;
+            let to = (info.zone, info.cell);
+            asked.may_have_run().all(|ran| asked.semantics.may_follow((ran.zone, ran.cell), to))
+        };
         let fresh = |i: &&usize| asked.tried.iter().all(|t| t.endpoint != self.endpoints[**i].info.id);
         let mut left: Vec<usize> = self.ready.iter().filter(fits).filter(fresh).copied().collect();
         if left.is_empty() {
--- a/crates/model/src/clients.rs
+++ b/crates/model/src/clients.rs
@@ -101,7 +101,7 @@
 
     /// One more is asked; whether that is above the allowance.
     pub(crate) fn over(&mut self, at: Duration) -> bool {
-        let earned = self.rate * (at - self.at).as_secs_f64();
+        let earned = self.rate * at.saturating_sub(self.at).as_secs_f64();
         (self.tokens, self.at) = ((self.tokens + earned).min(self.rate.max(1.0)), at);
         let over = self.tokens < 1.0;
         self.tokens -= if over { 0.0 } else { 1.0 };
--- a/crates/model/src/queue.rs
+++ b/crates/model/src/queue.rs
@@ -8,10 +8,6 @@
 use std::collections::{BTreeMap, BinaryHeap};
 use std::time::Duration;
 
-/// The length of a slice: of a large fleet some hundreds of events, which fit the cache, and of a small one few
-/// enough slices that the map of them does too.
-const SLICE: Duration = Duration::from_millis(1);
-
 struct Planned<E> {
     at: Duration,
     number: u64,
@@ -42,13 +38,15 @@
 pub(crate) struct Queue<E> {
     /// The slice that is being played, and whatever was planned before its end.
     heap: BinaryHeap<Planned<E>>,
-    slice: u128,
-    later: BTreeMap<u128, Vec<Planned<E>>>,
+    slice: u64,
+    later: BTreeMap<u64, Vec<Planned<E>>>,
     number: u64,
 }
 
-fn slice(at: Duration) -> u128 {
-    at.as_nanos() / SLICE.as_nanos()
+/// Its millisecond: of a large fleet some hundreds of events, which fit the cache, and of a small one few enough
+/// slices that the map of them does too.
+fn slice(at: Duration) -> u64 {
+    at.as_secs() * 1_000 + u64::from(at.subsec_millis())
 }
 
 impl<E> Queue<E> {
--- /dev/null
+++ b/crates/model/src/world/fleet.rs
@@ -0,0 +1,161 @@
+//! Endpoints: what they do with attempts, and what goes wrong with them.
+
+use super::*;
+
+impl World<'_> {
+    pub(super) fn comes(&mut self, id: u64) {
+        let Some(flight) = self.flights.get_mut(&id) else { return };
+        if flight.over {
+            self.flights.remove(&id); // cancelled on its way
+            return;
+        }
+        let (place, call_id, until) = (flight.endpoint, flight.call, flight.until);
+        if !self.endpoints[place].up {
+            return self.reply(id, Outcome::ConnectFailed);
+        }
+        self.endpoints[place].here.insert(id);
+        if self.endpoints[place].hangs {
+            return;
+        }
+        let hall = self.endpoints[place].hall;
+        let Some(call) = self.calls.get(&call_id) else {
+            return self.reply(id, Outcome::Ok); // its client has gone; the work is left out
+        };
+        let class = &self.scenario.classes[call.class];
+        let keyed = class.repeat == Repeat::Keyed;
+        if keyed && call.runs.iter().any(|(at, began)| *at == hall && self.now < *began + class.window.0) {
+            return self.reply(id, Outcome::Ok);
+        }
+        let work = call.work;
+        if self.endpoints[place].machine.offer(self.now, id, work, until) == Offered::Full {
+            let born = call.born;
+            self.tally.at(born).turned_away += 1;
+            return self.reply(id, Outcome::Full);
+        }
+        self.look(place);
+    }
+
+    /// Lets a machine tell what has happened, and plans the next look.
+    pub(super) fn look(&mut self, place: usize) {
+        let endpoint = &mut self.endpoints[place];
+        let happened = endpoint.machine.poll(self.now);
+        endpoint.look += 1;
+        let (look, hall) = (endpoint.look, endpoint.hall);
+        if let Some(at) = endpoint.machine.next() {
+            self.queue.plan(at.max(self.now), Ev::Look { endpoint: place, look });
+        }
+        for what in happened {
+            match what {
+                Happened::Began(id) => self.began(id, hall),
+                Happened::Done(id) => self.reply(id, Outcome::Ok),
+                Happened::Expired(id) => self.leaves(id),
+            }
+        }
+    }
+
+    /// A job's work begins: into the books.
+    fn began(&mut self, id: u64, hall: u32) {
+        let Some(call) = self.flights.get(&id).and_then(|flight| self.calls.get_mut(&flight.call)) else {
+            return;
+        };
+        let class = &self.scenario.classes[call.class];
+        let again = match class.repeat {
+            Repeat::Safe => false,
+            Repeat::Keyed => call.runs.iter().any(|(_, began)| self.now < *began + class.window.0),
+            Repeat::Never => !call.runs.is_empty(),
+        };
+        call.runs.push((hall, self.now));
+        self.tally.at(call.born).runs += 1;
+        if again && !std::mem::replace(&mut call.ran_twice, true) {
+            let born = call.born;
+            self.tally.at(born).ran_twice += 1;
+        }
+    }
+
+    /// An endpoint is done with an attempt and says so.
+    fn reply(&mut self, id: u64, outcome: Outcome) {
+        let Some(flight) = self.flights.get_mut(&id) else { return };
+        let (process, endpoint, over) = (flight.process, flight.endpoint, flight.over);
+        flight.left = true;
+        self.endpoints[endpoint].here.remove(&id);
+        if over {
+            self.flights.remove(&id);
+            return;
+        }
+        let hall = self.processes[process].hall;
+        let back = self.now + self.delay(hall, endpoint);
+        self.queue.plan(back, Ev::Answers(id, outcome));
+    }
+
+    /// An endpoint has dropped an attempt without a word.
+    fn leaves(&mut self, id: u64) {
+        let Some(flight) = self.flights.get_mut(&id) else { return };
+        flight.left = true;
+        let (endpoint, over) = (flight.endpoint, flight.over);
+        self.endpoints[endpoint].here.remove(&id);
+        if over {
+            self.flights.remove(&id);
+        }
+    }
+
+    /// An endpoint hears that an attempt is not wanted any more.
+    pub(super) fn cancelled(&mut self, id: u64) {
+        let Some(flight) = self.flights.get(&id) else { return };
+        let place = flight.endpoint;
+        let endpoint = &mut self.endpoints[place];
+        if !endpoint.here.contains(&id) {
+            return; // on its way still: it is dropped when it comes
+        }
+        if endpoint.hangs || endpoint.machine.cancel(self.now, id) {
+            endpoint.here.remove(&id);
+            self.flights.remove(&id);
+        }
+        self.look(place);
+    }
+
+    pub(super) fn fault(&mut self, n: usize, begins: bool) {
+        let FaultSpec { what, endpoints, hall, .. } = &self.scenario.faults[n];
+        let halls = &self.scenario.halls;
+        let hall = hall.as_ref().and_then(|hall| halls.iter().position(|h| h == hall));
+        let there =
+            |endpoint: &&usize| hall.is_none_or(|hall| self.endpoints[**endpoint].hall as usize == hall);
+        let all: Vec<usize> = (0..self.endpoints.len()).collect();
+        let struck: Vec<usize> =
+            all.iter().filter(there).take(endpoints.unwrap_or(u32::MAX) as usize).copied().collect();
+        for place in struck {
+            let endpoint = &mut self.endpoints[place];
+            match what {
+                Trouble::Slow(part) => {
+                    endpoint.machine.set_factor(self.now, if begins { *part } else { 1.0 })
+                }
+                Trouble::Hang => {
+                    endpoint.hangs = begins;
+                    if !begins {
+                        self.drop_all(place); // its process is replaced by a sound one
+                    }
+                }
+                Trouble::Crash => {
+                    endpoint.up = !begins;
+                    if begins {
+                        self.drop_all(place);
+                    } else {
+                        endpoint.machine.restart(self.now);
+                        endpoint.started = Some(self.now);
+                        self.queue.plan(self.now + LIST_LAG, Ev::Listed(place));
+                    }
+                }
+            }
+            self.look(place);
+        }
+    }
+
+    /// Connections to an endpoint break.
+    fn drop_all(&mut self, place: usize) {
+        let now = self.now;
+        self.endpoints[place].machine.restart(now);
+        for id in std::mem::take(&mut self.endpoints[place].here) {
+            self.reply(id, Outcome::Reset);
+        }
+        self.processes.iter_mut().for_each(|process| process.close_idle(place));
+    }
+}
--- a/crates/model/tests/model.rs
+++ b/crates/model/tests/model.rs
@@ -2,6 +2,7 @@
 
 use curlewhub_model::{Carry, Decisions, Outcome, Scenario, run};
 use proptest::prelude::*;
+use strum::IntoEnumIterator;
 
 fn upgrade(rate: f64) -> Scenario {
     let mut scenario = Scenario::parse(include_str!("../../../scenarios/upgrade.toml")).unwrap();
@@ -50,7 +51,7 @@
 fn every_rule_keeps_the_rules_on_the_same_arrivals_through_all_faults() {
     let offered = |outcome: &Outcome| outcome.seconds.iter().map(|s| s.totals.offered).collect::<Vec<_>>();
     let module = run(&fleet(Decisions::Module, 420.0), 3);
-    for decisions in Decisions::ALL {
+    for decisions in Decisions::iter() {
         let outcome = run(&fleet(decisions, 420.0), 3);
         let t = &outcome.totals;
         assert!(all_end(&outcome), "{decisions:?}");
@@ -135,6 +136,16 @@
     let one = "[[endpoints]]\ncount = 1\n";
     let one_up = run(&small("sidecars = 1\narrivals = { rate = 20.0 }", one), 1);
     assert!(all_end(&one_up) && one_up.totals.in_time > 0);
+    for decisions in Decisions::iter() {
+        let nowhere =
+            Scenario { decisions, ..small("sidecars = 1\nendpoints = []\narrivals = { rate = 20.0 }", "") };
+        let none = run(&nowhere, 1).totals;
+        assert_eq!(
+            (none.in_time, none.refused),
+            (0, none.offered),
+            "{decisions:?}: refused, not left alone"
+        );
+    }
     // Twenty times what it can serve, for good.
     let over = run(&small("sidecars = 2\narrivals = { rate = 2000.0 }", one), 1);
     assert!(all_end(&over) && over.totals.refused > over.totals.in_time, "{:?}", over.totals);
@@ -163,7 +174,16 @@
 
 #[test]
 fn figures_that_make_no_sense_are_named() {
-    let text = include_str!("../../../scenarios/upgrade.toml");
+    let [text, tenants] =
+        [include_str!("../../../scenarios/upgrade.toml"), include_str!("../../../scenarios/tenants.toml")];
+    for (good, bad, problem) in [
+        ("allowance = 50.0", "allowance = nan", "tenants.giza.allowance: NaN is out of range"),
+        ("share = 5.0", "share = -5.0", "tenants.greedy.share: -5 is out of range"),
+        ("worth = 0.2", "worth = 2.0", "over_share_worth: 2 is out of range"),
+    ] {
+        let said = Scenario::parse(&tenants.replacen(good, bad, 1)).unwrap_err();
+        assert!(said.contains(problem), "{said}");
+    }
     let cases = [
         ("rate = 84.0", "rate = nan", "arrivals.rate: NaN is out of range"),
         ("cv = 0.5", "cv = -1.0", "classes.proof-view.cv: -1 is out of range"),
