Act on drains in lists that break off, and ask again within seconds

At fault: discovery.rs, follow and fetch, which read whole lines or nothing, waited 4 s for a dead watch, and left discovery's queue after 3.0 s, just when it answers; members.rs, waits of up to 12 s.

Change: whole entries of a line that pauses for 100 ms or breaks are read, and those that leave leave at once; a line that pauses for 0.8 s is given up; an empty line tells the module that the watch works; asks wait 3 s at most, with jitter; silence is 2.6 s, an answer 3.2 s.

Waiting 5 s for an answer was tried: the tail was no shorter (calls that are never answered cost 5 s).

--- a/crates/balance/src/balance/members.rs
+++ b/crates/balance/src/balance/members.rs
@@ -9,7 +9,8 @@
 const PART_LEAST: f64 = 4.0;
 /// Step from one balancer's place on the ring to the next one's: the golden ratio spaces any run evenly.
 const PLACE_STEP: f64 = 0.618_033_988_75;
-/// First wait before discovery is asked again after a failure; doubles up to a fifth of a minute.
+/// First wait before discovery is asked again after a failure, in seconds; doubles twice at most, as a drain has to
+/// be known within seconds.
 const ASK_BACKOFF: f64 = 0.5;
 
 impl Balancer {
@@ -19,7 +20,7 @@
             Membership::Failed => {
                 if ask {
                     // Jittered and doubling, so that instances refused together do not return together.
-                    let doubled = ASK_BACKOFF * f64::from(1u32 << self.ask_failures.min(4));
+                    let doubled = ASK_BACKOFF * f64::from(1u32 << self.ask_failures.min(2));
                     let wait = doubled * (0.5 + self.draws.uniform());
                     self.ask_failures += 1;
                     self.set_timer(Duration::from_secs_f64(wait), Timer::Ask, out);
@@ -72,7 +73,8 @@
                         in_flight: 0,
                         heat: Fading::default(),
                         drag: Fading::default(),
-                        limit: LIMIT_START,
+                        limit: (LIMIT_START * (PART_CALLERS / f64::from(self.settings.balancers)).min(1.0))
+                            .max(1.0),
                         opening,
                         limit_cut_at: now,
                         heard: None,
--- a/crates/balance/tests/failures.rs
+++ b/crates/balance/tests/failures.rs
@@ -3,6 +3,7 @@
 mod support;
 use curlewhub_balance::*;
 use std::collections::HashMap;
+use std::time::Duration;
 use support::*;
 
 /// An outcome and its time for endpoints of which `bad` is true; the others answer in 20 ms.
@@ -678,3 +679,24 @@
     });
     assert!(advice.is_some_and(|wait| (ms(20)..=ms(1000)).contains(&wait)), "{advice:?}");
 }
+
+#[test]
+fn asks_back_off_apart_and_never_for_long() {
+    let waits = |seed: u64| {
+        let settings = Settings { discovery: Discovery::Ask, ..Settings::default() };
+        let mut d = Driver::seeded(settings, endpoints(3), seed);
+        let wait = |actions: Vec<Action>| match actions[..] {
+            [Action::SetTimer { after, .. }] => after,
+            _ => panic!("a failure is followed by a wait"),
+        };
+        (0..8).map(|_| wait(d.list(Membership::Failed))).collect::<Vec<_>>()
+    };
+    let all: Vec<Vec<Duration>> = (0..100).map(waits).collect();
+    for n in 0..8 {
+        let mut nth: Vec<Duration> = all.iter().map(|waits| waits[n]).collect();
+        nth.sort();
+        let middle = ms(500 << n.min(2));
+        assert!(nth[0] >= middle / 2 && nth[99] <= middle * 3 / 2, "failure {n}: {nth:?}");
+        assert!(nth[75] - nth[25] > middle / 4, "failure {n}: a hundred come back together: {nth:?}");
+    }
+}
--- a/crates/config/src/list.rs
+++ b/crates/config/src/list.rs
@@ -1,6 +1,8 @@
 //! The endpoint list as discovery words it.
 
+use serde::de::{DeserializeSeed, Deserializer, IgnoredAny, MapAccess, SeqAccess, Visitor};
 use serde::{Deserialize, Serialize};
+use std::fmt;
 use std::net::SocketAddr;
 
 /// A list, whole or of changes.
@@ -14,6 +16,72 @@
     pub targets: Vec<Target>,
 }
 
+impl List {
+    /// What can be read of a list that broke off: its whole entries up to the first that is not, as changes.
+    pub fn torn(text: &[u8]) -> List {
+        let mut list = List::default();
+        // Its end is missing: that it fails is expected, and what it had told by then is kept.
+        let _ = Torn(&mut list).deserialize(&mut serde_json::Deserializer::from_slice(text));
+        list
+    }
+}
+
+/// Reads into a list as far as it comes.
+struct Torn<'a>(&'a mut List);
+
+/// Reads into entries as far as it comes.
+struct TornTargets<'a>(&'a mut Vec<Target>);
+
+impl<'de> DeserializeSeed<'de> for Torn<'_> {
+    type Value = ();
+
+    fn deserialize<D: Deserializer<'de>>(self, from: D) -> Result<(), D::Error> {
+        from.deserialize_map(self)
+    }
+}
+
+impl<'de> Visitor<'de> for Torn<'_> {
+    type Value = ();
+
+    fn expecting(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("a list")
+    }
+
+    fn visit_map<A: MapAccess<'de>>(self, mut map: A) -> Result<(), A::Error> {
+        while let Some(key) = map.next_key::<String>()? {
+            match key.as_str() {
+                "rev" => self.0.rev = map.next_value()?,
+                "targets" => map.next_value_seed(TornTargets(&mut self.0.targets))?,
+                _ => drop(map.next_value::<IgnoredAny>()?),
+            }
+        }
+        Ok(())
+    }
+}
+
+impl<'de> DeserializeSeed<'de> for TornTargets<'_> {
+    type Value = ();
+
+    fn deserialize<D: Deserializer<'de>>(self, from: D) -> Result<(), D::Error> {
+        from.deserialize_seq(self)
+    }
+}
+
+impl<'de> Visitor<'de> for TornTargets<'_> {
+    type Value = ();
+
+    fn expecting(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("entries of a list")
+    }
+
+    fn visit_seq<A: SeqAccess<'de>>(self, mut entries: A) -> Result<(), A::Error> {
+        while let Some(target) = entries.next_element()? {
+            self.0.push(target);
+        }
+        Ok(())
+    }
+}
+
 /// One endpoint of a list.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct Target {
@@ -55,3 +123,26 @@
     /// Gone; only among changes.
     Removed,
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn of_a_list_that_broke_off_whole_entries_are_read() {
+        let entry = |n: u32| {
+            format!("{{\"uid\":\"s-{n}\",\"endpoint\":\"127.0.0.1:7{n}\",\"state\":\"draining\"}}")
+        };
+        let text = format!("{{\"rev\":41,\"all\":true,\"targets\":[{},{}]}}", entry(1), entry(2));
+        let whole: List = serde_json::from_str(&text).unwrap();
+        let ends: Vec<usize> =
+            whole.targets.iter().map(|t| text.find(&t.uid).unwrap() - 8 + entry(1).len()).collect();
+        for end in 0..text.len() {
+            let torn = List::torn(&text.as_bytes()[..end]);
+            assert!(!torn.all, "what is missing may stand behind the break");
+            let read = ends.iter().filter(|at| end >= **at).count();
+            assert_eq!(torn.targets, whole.targets[..read], "{}", &text[..end]);
+            assert!(read == 0 || torn.rev == 41);
+        }
+    }
+}
--- a/crates/curlewhub/tests/list.rs
+++ b/crates/curlewhub/tests/list.rs
@@ -42,6 +42,31 @@
     }
 }
 
+#[test]
+fn a_drain_told_in_a_line_that_breaks_off_counts_at_once() {
+    let (old, new) = (Peer::serving("old"), Peer::serving("new"));
+    let discovery = Discovery::new(list(8, false, &[]));
+    let sidecar = following(&old, &discovery, "subscribe");
+    assert_eq!(sidecar.ask("book", "r1").body, b"old");
+    discovery.say(&list(9, false, &[target("s-new", new.address, "up")]).to_string());
+    wait_for("the new one", || sidecar.ask("book", "r2").body == b"new");
+    let leaves = target("s-0", old.address, "draining");
+    let torn = list(11, false, &[leaves, target("s-new", new.address, "removed")]).to_string();
+    discovery.say_part(&torn[..torn.len() - 5]);
+    wait_for("the idle connection's end", || old.closed() == 1);
+    let before = old.count();
+    for n in 0..20 {
+        assert_eq!(
+            sidecar.ask("book", &format!("s{n}")).body,
+            b"new",
+            "what was not told whole is not told"
+        );
+    }
+    assert_eq!(old.count(), before, "nothing new went there");
+    wait_for("a second watch", || discovery.calls().len() == 2);
+    assert_eq!(discovery.calls()[1], "/api/targets?watch=1&after=9", "the rest is asked for");
+}
+
 #[test]
 fn an_endpoint_at_a_new_address_is_found_there() {
     let (old, new) = (Peer::serving("old"), Peer::serving("new"));
--- a/crates/curlewhub/tests/support/mod.rs
+++ b/crates/curlewhub/tests/support/mod.rs
@@ -258,6 +258,13 @@
         write_line(self.newest.lock().unwrap().as_mut().unwrap(), line);
     }
 
+    /// Writes a piece of a line to the newest watch.
+    pub fn say_part(&self, part: &str) {
+        wait_for("a watch", || self.newest.lock().unwrap().is_some());
+        let chunk = format!("{:x}\r\n{part}\r\n", part.len());
+        let _ = self.newest.lock().unwrap().as_mut().unwrap().write_all(chunk.as_bytes());
+    }
+
     pub fn calls(&self) -> Vec<String> {
         self.calls.lock().unwrap().clone()
     }
--- a/crates/runtime/src/discovery.rs
+++ b/crates/runtime/src/discovery.rs
@@ -4,14 +4,15 @@
 use super::guard::Guard;
 use super::listing::Listing;
 use curlewhub_balance::{Discovery as Mode, Membership};
-use curlewhub_config::list::List;
+use curlewhub_config::list::{List, State};
 use http_body_util::{BodyExt, Empty, Limited};
-use hyper::body::{Bytes, Incoming};
+use hyper::body::{Body, Bytes, Incoming};
 use hyper::{Request, Response, StatusCode, header};
 use hyper_util::rt::TokioIo;
 use rand_core::{RngCore, SeedableRng};
 use rand_pcg::Pcg32;
 use std::cell::{Cell, RefCell};
+use std::fmt::Display;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -23,11 +24,17 @@
 
 /// A connection to discovery that is not up after this long has failed.
 const CONNECT: Duration = Duration::from_secs(1);
-/// A call not answered after this long has failed: discovery itself gives up well before.
-const ANSWER: Duration = Duration::from_secs(3);
+/// A call not answered after this long has failed. A little more than discovery itself lets calls wait: to leave
+/// just before the turn comes gives up a place in its queue.
+const ANSWER: Duration = Duration::from_millis(3200);
 /// A watch brings at least an empty line every 2 s: one silent for this long is dead, as that of a
 /// machine cut off is, which nothing else would ever tell.
-const SILENCE: Duration = Duration::from_secs(4);
+const SILENCE: Duration = Duration::from_millis(2600);
+/// A list that has begun and pauses for this long may have broken off: what it told by then of endpoints that
+/// leave counts now, as they must get nothing new within a quarter of a second ...
+const TORN: Duration = Duration::from_millis(100);
+/// ... and after this long it has, and is asked for again.
+const PAUSE: Duration = Duration::from_millis(700);
 /// No list, and no line of a watch, is longer than this.
 const LIST_MOST: usize = 4 << 20;
 /// First wait before a watch that the node keeps up itself is tried again; doubles with each failure.
@@ -166,24 +173,33 @@
         };
         let mut body = response.into_body();
         let mut text = Vec::new();
+        let mut up = false;
         loop {
-            match timeout(SILENCE, body.frame()).await {
-                Err(_) => return "the watch fell silent".to_owned(),
-                Ok(None) => return "the watch ended".to_owned(),
-                Ok(Some(Err(e))) => return format!("the watch broke: {e}"),
-                Ok(Some(Ok(frame))) => text.extend_from_slice(frame.data_ref().map_or(&[][..], |d| d)),
+            match self.more(&mut body, &mut text, SILENCE).await {
+                Ok(true) => {}
+                Ok(false) => {
+                    self.take_torn(&text);
+                    return "the watch ended".to_owned();
+                }
+                Err(reason) => return format!("the watch {reason}"),
             }
             while let Some(end) = text.iter().position(|&b| b == b'\n') {
                 let line: Vec<u8> = text.drain(..=end).collect();
                 let line = line.trim_ascii();
                 if line.is_empty() {
                     self.heard.set(true); // nothing has changed
+                    if !std::mem::replace(&mut up, true) {
+                        self.tell(unchanged()); // it works again: the next failure is a first one
+                    }
                     continue;
                 }
                 // To skip a change would leave the list wrong for good: the watch begins again instead.
                 match serde_json::from_slice(line) {
                     Ok(list) => self.take(list),
-                    Err(e) => return format!("the watch brought what is no list: {e}"),
+                    Err(e) => {
+                        self.take_torn(line);
+                        return format!("the watch brought what is no list: {e}");
+                    }
                 }
             }
             if text.len() > LIST_MOST {
@@ -194,9 +210,57 @@
 
     async fn fetch(&self) -> Result<List, String> {
         let (response, _connection) = self.call("/api/targets").await?;
-        let body = timeout(ANSWER, Limited::new(response.into_body(), LIST_MOST).collect()).await;
-        let body = body.map_err(|_| "the list never came".to_owned())?.map_err(|e| e.to_string())?;
-        serde_json::from_slice(&body.to_bytes()).map_err(|e| format!("no list: {e}"))
+        let mut body = Limited::new(response.into_body(), LIST_MOST);
+        let mut text = Vec::new();
+        let read = loop {
+            match self.more(&mut body, &mut text, ANSWER).await {
+                Ok(true) => {}
+                Ok(false) => break Ok(()),
+                Err(reason) => break Err(format!("the list {reason}")),
+            }
+        };
+        let list = read.and_then(|()| serde_json::from_slice(&text).map_err(|e| format!("no list: {e}")));
+        list.inspect_err(|_| self.take_torn(&text))
+    }
+
+    /// Reads on, false at the end; no longer than the silence where nothing has begun. Where it
+    /// fails, what came of endpoints that leave is taken.
+    async fn more<B>(&self, body: &mut B, text: &mut Vec<u8>, silence: Duration) -> Result<bool, String>
+    where
+        B: Body<Data = Bytes> + Unpin,
+        B::Error: Display,
+    {
+        let begun = !text.is_empty();
+        let mut next = timeout(if begun { TORN } else { silence }, body.frame()).await;
+        if begun && next.is_err() {
+            self.take_torn(text);
+            next = timeout(PAUSE, body.frame()).await;
+        }
+        let reason = match next {
+            Ok(Some(Ok(frame))) => {
+                text.extend_from_slice(frame.data_ref().map_or(&[][..], |data| data));
+                return Ok(true);
+            }
+            Ok(None) => return Ok(false),
+            Ok(Some(Err(e))) => format!("broke: {e}"),
+            Err(_) if begun => "broke off".to_owned(),
+            Err(_) => "fell silent".to_owned(),
+        };
+        self.take_torn(text);
+        Err(reason)
+    }
+
+    /// Takes from a list that broke off what it told of endpoints that leave: a drain told is told, whatever
+    /// came of the rest. What is up or missing may be told otherwise behind the break, and waits for a list.
+    fn take_torn(&self, text: &[u8]) {
+        let mut list = List::torn(text);
+        list.targets.retain(|target| target.state != State::Up);
+        let old = list.rev < self.rev.get() && !self.moved.get();
+        if !old && !list.targets.is_empty() {
+            info!(rev = list.rev, entries = list.targets.len(), "list that broke off");
+            let news = self.listing.news(list);
+            self.tell(news);
+        }
     }
 
     async fn call(&self, path: &str) -> Result<(Response<Incoming>, Guard), String> {
