Let each of many sidecars open an endpoint with one call and learn its limit sooner

Each sidecar hears of an endpoint once in one or two seconds.

Change: start, gain and cut go by how many balancers share the endpoints (of_few); up to four it is as before.

--- a/crates/balance/src/balance.rs
+++ b/crates/balance/src/balance.rs
@@ -37,7 +37,7 @@
 const RATE_SECONDS: f64 = 5.0;
 /// Above this share of late answers silence is taken for a jam.
 const LATE_SHARE: f64 = 0.3;
-/// Own calls in flight at an endpoint that is not known yet: the paper's C before any measurement.
+/// Own calls in flight at an endpoint not known yet, of few balancers: the paper's C before any measurement.
 const LIMIT_START: f64 = 3.0;
 /// An answer is also late beyond this multiple of its class's unhurried mean: work times spread.
 const LATE_MULTIPLE: f64 = 2.5;
--- a/crates/balance/src/balance/attempts.rs
+++ b/crates/balance/src/balance/attempts.rs
@@ -33,7 +33,6 @@
             part *= self.settings.classes[class].late_value.max(REPEAT_LEAST);
         }
         let (arrived, deadline, attempts) = (now, now + request.time_left, Vec::new());
-        let coming = request.body_coming;
         let pending = Pending {
             class,
             arrived,
@@ -44,7 +43,7 @@
             earlier: request.earlier,
             finished: false,
             streaming: false,
-            coming,
+            coming: request.body_coming,
             once: false,
         };
         self.requests.insert(id, pending);
--- a/crates/balance/src/balance/learning.rs
+++ b/crates/balance/src/balance/learning.rs
@@ -14,11 +14,12 @@
 const SILENCE_SECONDS: f64 = 15.0;
 /// Until its first late answer each timely one adds a call, up to so many: or few endpoints would hold a
 /// first surge up for seconds. Not where they are newly started: through a release those would be crowded.
-/// Of many balancers each adds less, or they add up to a jam. It could hurt where answers stay timely until
-/// a queue overflows.
+/// It could hurt where answers stay timely until a queue overflows.
 const LIMIT_OPEN: f64 = 8.0;
-/// One late answer takes this share of the limit; each round of timely ones adds one call.
+/// One late answer takes this share of the limit; each round of timely ones adds one call. Each of many
+/// balancers adds less and takes more, up to the most, as it hears but few of an endpoint's answers.
 const LIMIT_CUT: f64 = 0.07;
+const LIMIT_CUT_MOST: f64 = 0.5;
 /// Part of the objective that an answer may take before the endpoint counts as overfull.
 const LATE_PART: f64 = 0.8;
 /// A timely answer adds this many parts over the window, a late one takes the cut. So where each endpoint
@@ -61,7 +62,6 @@
         ended: &AttemptEnded,
     ) {
         let Some(&i) = self.index.get(&id) else { return };
-        let warm = self.warmth(now, i) >= 1.0;
         let (elapsed, silent) = (ended.elapsed.as_secs_f64(), self.silent(now));
         let slow = elapsed > self.late_after(class);
         let late = match ended.outcome {
@@ -71,8 +71,7 @@
             Outcome::TimedOut => !silent,
             outcome => outcome == Outcome::Full,
         };
-        let (part, side, balancers) =
-            (self.part(), self.side(i), f64::from(self.settings.balancers.max(1)));
+        let (part, side, of_few) = (self.part(), self.side(i), self.of_few());
         // One call an endpoint, parted among all balancers. It is the least a window falls to, and the
         // larger a window the less it gains: else what starts first measures idle servers, yields to
         // what starts last and measured crowded ones, and is starved for good.
@@ -89,13 +88,13 @@
         let endpoint = &mut self.endpoints[i];
         endpoint.opening &= !late && endpoint.limit < LIMIT_OPEN;
         if late && now >= endpoint.limit_cut_at + usual {
-            (endpoint.limit, endpoint.limit_cut_at) = ((endpoint.limit * (1.0 - LIMIT_CUT)).max(1.0), now);
+            let cut = (LIMIT_CUT / of_few).min(LIMIT_CUT_MOST);
+            (endpoint.limit, endpoint.limit_cut_at) = ((endpoint.limit * (1.0 - cut)).max(1.0), now);
         } else if ended.outcome == Outcome::Ok
             && !late
             && f64::from(endpoint.in_flight) * 2.0 > endpoint.limit * self.share
         {
-            let opening = if endpoint.opening { (PART_CALLERS / balancers).min(1.0) } else { 0.0 };
-            endpoint.limit += opening.max(1.0 / endpoint.limit);
+            endpoint.limit += of_few / if endpoint.opening { 1.0 } else { endpoint.limit };
         }
         endpoint.in_flight = endpoint.in_flight.saturating_sub(1);
         match ended.outcome {
@@ -109,7 +108,7 @@
                 let endpoint = &mut self.endpoints[i];
                 let drag = endpoint.drag.read(now, DRAG_SECONDS);
                 endpoint.drag.set(now, drag + DRAG_WEIGHT * (multiple - 1.0 - drag));
-                if warm {
+                if self.warmth(now, i) >= 1.0 {
                     self.prove(now);
                 }
             }
--- a/crates/balance/src/balance/members.rs
+++ b/crates/balance/src/balance/members.rs
@@ -9,9 +9,10 @@
 const PART_LEAST: f64 = 4.0;
 /// Step from one balancer's place on the ring to the next one's: the golden ratio spaces any run evenly.
 const PLACE_STEP: f64 = 0.618_033_988_75;
-/// First wait before discovery is asked again after a failure, in seconds; doubles twice at most, as a drain has to
-/// be known within seconds.
+/// First wait before discovery is asked again after a failure, in seconds; doubles so often at most, as a
+/// drain has to be known within seconds.
 const ASK_BACKOFF: f64 = 0.5;
+const ASK_DOUBLES: u32 = 2;
 
 impl Balancer {
     pub(super) fn on_membership(&mut self, now: Duration, news: Membership, out: &mut Vec<Action>) {
@@ -20,7 +21,7 @@
             Membership::Failed => {
                 if ask {
                     // Jittered and doubling, so that instances refused together do not return together.
-                    let doubled = ASK_BACKOFF * f64::from(1u32 << self.ask_failures.min(2));
+                    let doubled = ASK_BACKOFF * f64::from(1u32 << self.ask_failures.min(ASK_DOUBLES));
                     let wait = doubled * (0.5 + self.draws.uniform());
                     self.ask_failures += 1;
                     self.set_timer(Duration::from_secs_f64(wait), Timer::Ask, out);
@@ -51,6 +52,7 @@
     }
 
     fn update_endpoints(&mut self, now: Duration, entries: Vec<EndpointInfo>) {
+        let limit = (LIMIT_START * self.of_few()).max(1.0);
         for info in entries {
             match self.index.get(&info.id) {
                 Some(&i) => {
@@ -73,8 +75,7 @@
                         in_flight: 0,
                         heat: Fading::default(),
                         drag: Fading::default(),
-                        limit: (LIMIT_START * (PART_CALLERS / f64::from(self.settings.balancers)).min(1.0))
-                            .max(1.0),
+                        limit,
                         opening,
                         limit_cut_at: now,
                         heard: None,
@@ -107,6 +108,12 @@
         }
     }
 
+    /// What this balancer may do of what each of a few could at an endpoint that all share: many meet it
+    /// seldom, and would each learn too late that all of them together have filled it.
+    pub(super) fn of_few(&self) -> f64 {
+        (PART_CALLERS / f64::from(self.settings.balancers)).min(1.0)
+    }
+
     /// How many listed endpoints it avoids now: out of use by hand, leaving, or barred by failures alone.
     pub fn avoided(&self, now: Duration) -> usize {
         let avoided = |i: usize| {
