Give up at its aim what is worth nothing late, and let windows gain half as fast

At fault: attempts.rs, which waits for the deadline whatever late_value says; learning.rs, WINDOW_GAIN, and a turn-away that counts one call whatever is known of the list.

WINDOW_GAIN 0.75, now 0.4.

--- a/crates/balance/src/balance.rs
+++ b/crates/balance/src/balance.rs
@@ -41,8 +41,8 @@
 const LIMIT_START: f64 = 3.0;
 /// An answer is also late beyond this multiple of its class's unhurried mean: work times spread.
 const LATE_MULTIPLE: f64 = 2.5;
-/// Balancers that share each endpoint. One that uses many learns too little of each (i44da9d); its idle
-/// connections fill their tables, which takes capacity; so many that balancers of unlike load even out.
+/// Balancers that share each endpoint: one that uses many learns too little of each, and its idle connections
+/// fill their tables, which takes capacity; so many that balancers of unlike load even out.
 const PART_CALLERS: f64 = 4.0;
 /// Seconds in which the value of a refused request fades to a third.
 const MISSED_SECONDS: f64 = 2.0;
@@ -165,6 +165,8 @@
     stale: f64,
     reaped_after: Duration,
     ask_failures: u32,
+    /// The list is as of the start, or discovery has failed since.
+    list_old: bool,
     started: bool,
 }
 
@@ -220,6 +222,7 @@
             stale: 0.0,
             reaped_after: Duration::MAX,
             ask_failures: 0,
+            list_old: true,
             started: false,
         })
     }
@@ -286,8 +289,8 @@
         self.info.state == EndpointState::Ready && !self.banned
     }
 
-    fn add_heat(&mut self, now: Duration) {
-        self.heat.set(now, (self.heat(now) + FAILURE_HEAT).min(HEAT_MOST));
+    fn add_heat(&mut self, now: Duration, heat: f64) {
+        self.heat.set(now, (self.heat(now) + heat).min(HEAT_MOST));
     }
 
     fn heat(&self, now: Duration) -> f64 {
--- a/crates/balance/src/balance/attempts.rs
+++ b/crates/balance/src/balance/attempts.rs
@@ -4,10 +4,9 @@
 
 /// Retries that each new request earns; all tiers retry, so the product must stay near one.
 const RETRY_EARN: f64 = 0.2;
-/// An attempt's answer may never come once it is out for the mean and so many mean distances from it: few
-/// answers take as long even where work is heavy-tailed ...
+/// An attempt's answer may never come once it is out for the mean and so many mean distances from it ...
 const SILENT_SPREADS: f64 = 8.0;
-/// ... or already after so many, while endpoints are known to be silent.
+/// ... or already after so many, while endpoints are known to be silent: few answers take as long.
 const OVERDUE_SPREADS: f64 = 2.0;
 /// What an answer on an old connection says against its kind being dropped unseen.
 const STALE_REFUTED: f64 = 0.25;
@@ -15,6 +14,9 @@
 const REPEAT_LEAST: f64 = 0.1;
 /// Held requests are looked at again this often, besides whenever a call ends.
 const HOLD_RECHECK: Duration = Duration::from_millis(20);
+/// Part of the objective after which what is worth nothing late is given up: until its deadline it would
+/// hold servers that are short. The rest is the answer's way back.
+const AIM_PART: f64 = 0.98;
 /// A tenant is over its share beyond this multiple of what the median tenant uses of its own.
 const SHARE_SLACK: f64 = 1.5;
 
@@ -32,7 +34,8 @@
         if request.client_retry {
             part *= self.settings.classes[class].late_value.max(REPEAT_LEAST);
         }
-        let (arrived, deadline, attempts) = (now, now + request.time_left, Vec::new());
+        let time_left = self.useful(class, request.time_left);
+        let (arrived, deadline, attempts) = (now, now + time_left, Vec::new());
         let pending = Pending {
             class,
             arrived,
@@ -47,10 +50,17 @@
             once: false,
         };
         self.requests.insert(id, pending);
-        self.set_timer(request.time_left, Timer::Deadline(id), out);
+        self.set_timer(time_left, Timer::Deadline(id), out);
         self.advance(now, id, out);
     }
 
+    /// The time in which an answer is worth something; below the first tier the caller has seen to it.
+    fn useful(&self, class: usize, left: Duration) -> Duration {
+        let class = &self.settings.classes[class];
+        let only_in_time = class.late_value <= 0.0 && self.settings.tier == 0;
+        if only_in_time { left.min(class.objective.mul_f64(AIM_PART)) } else { left }
+    }
+
     /// A long body's last byte has come: endpoints begin only now, and so does all that is timed.
     pub(super) fn on_body_whole(
         &mut self,
@@ -59,6 +69,7 @@
         left: Duration,
         out: &mut Vec<Action>,
     ) {
+        let left = self.useful(self.requests.get(&id).map_or(0, |p| p.class), left);
         let Some(pending) = self.requests.get_mut(&id).filter(|p| p.coming && !p.settled()) else { return };
         (pending.coming, pending.arrived, pending.deadline) = (false, now, now + left);
         if self.held.contains(id) {
@@ -91,19 +102,20 @@
         if spent || !self.may_repeat(now, id) {
             return self.give_up(id, out);
         }
+        let (kind, arrived) = (Kind::new(pending.class, pending.part), pending.arrived);
         let Some(i) = self.pick(now, id) else {
-            self.hold(id);
+            self.held.put(id, kind, arrived);
             return self.set_recheck(out);
         };
         self.send(now, id, i, out);
     }
 
-    /// Whether the answer to a request that has waited untried would come after the objective or the
-    /// deadline, were it sent now.
+    /// Whether the answer to a request that has waited, untried or worth nothing late, would come after the
+    /// objective or the deadline, were it sent now.
     fn too_late(&self, now: Duration, pending: &Pending) -> bool {
         let usual = Duration::from_secs_f64(self.latency[pending.class].mean);
         let objective = pending.arrived + self.settings.classes[pending.class].objective;
-        pending.attempts.is_empty()
+        (pending.attempts.is_empty() || pending.deadline <= objective)
             && now > pending.arrived
             && now + usual > objective.min(pending.deadline)
     }
@@ -164,8 +176,7 @@
             return;
         }
         let long = self.latency[pending.class].overdue(SILENT_SPREADS);
-        // One alone, too: answers may be swallowed here and there, whatever the endpoint. Retries' tokens
-        // bound the copies; they would hurt where work is so uneven that answers often take as long.
+        // One alone, too: answers may be swallowed here and there. Retries' tokens bound the copies.
         let lone = now + self.settings.tick >= attempt.sent + long && self.late_share < LATE_SHARE;
         if lone {
             self.note_silence(now, attempt);
@@ -196,8 +207,7 @@
         }
         let idle = attempt.idle;
         attempt.fate = if ended.outcome.never_ran() { Fate::NeverRan } else { Fate::MayHaveRun };
-        let (class, coming) = (pending.class, pending.coming);
-        let endpoint = attempt.endpoint;
+        let (class, coming, endpoint) = (pending.class, pending.coming, attempt.endpoint);
         if ended.outcome == Outcome::Ok && idle >= self.reaped_after {
             self.stale -= STALE_REFUTED;
         }
@@ -217,13 +227,11 @@
             self.finish(id, out);
         }
         let idle = self.requests.get(&id).is_some_and(|p| !p.settled() && p.none_out());
-        if idle {
-            if self.retry_tokens >= 1.0 && self.may_repeat(now, id) {
-                self.retry_tokens -= 1.0;
-                self.advance(now, id, out);
-            } else {
-                self.give_up(id, out);
-            }
+        if idle && self.retry_tokens >= 1.0 && self.may_repeat(now, id) {
+            self.retry_tokens -= 1.0;
+            self.advance(now, id, out);
+        } else if idle {
+            self.give_up(id, out);
         }
         self.forget(id);
         self.release_held(now, out);
@@ -251,11 +259,8 @@
         let usual = Duration::from_secs_f64(self.latency[pending.class].mean).max(HOLD_RECHECK);
         let limits = &self.settings.limits;
         let retry_after = limits.retry_after.then(|| usual.min(limits.max_retry_after));
-        out.push(if harmless {
-            Action::Refuse { request: id, retry_after }
-        } else {
-            Action::Fail { request: id }
-        });
+        let refusal = Action::Refuse { request: id, retry_after };
+        out.push(if harmless { refusal } else { Action::Fail { request: id } });
         self.finish(id, out);
     }
 
@@ -279,26 +284,18 @@
         self.forget(id);
     }
 
-    fn hold(&mut self, id: RequestId) {
-        if let Some(p) = self.requests.get(&id) {
-            self.held.put(id, Kind::new(p.class, p.part), p.arrived);
-        }
-    }
-
     fn forget(&mut self, id: RequestId) {
         if self.requests.get(&id).is_some_and(|p| p.finished && p.none_out()) {
             self.requests.remove(&id);
         }
     }
 
-    /// Sends what is held, as far as there is room. Looks at no endpoint where there is none: with
-    /// hundreds held that took more time than the answers themselves.
+    /// Sends what is held, as far as there is room; with hundreds held, looking further would cost too much.
     pub(super) fn release_held(&mut self, now: Duration, out: &mut Vec<Action>) {
         if self.held.is_empty() || !self.any_room(now) {
             return;
         }
-        // The worthiest first, and of equals the one that came last: in a jam the oldest would only
-        // be answered after its objective, and so would all behind it.
+        // The worthiest first, and of equals the last: in a jam the oldest, and all behind it, would be late.
         let mut walk = Walk::default();
         while let Some(id) = self.held.next(&mut walk, |kind| self.worth(kind.class(), kind.part())) {
             let untried = self.requests.get(&id).is_some_and(|p| p.attempts.is_empty());
--- a/crates/balance/src/balance/choice.rs
+++ b/crates/balance/src/balance/choice.rs
@@ -18,7 +18,7 @@
 
 impl Balancer {
     /// Own calls in flight leave room for one more of such value: while worthier ones are refused, a part is
-    /// theirs alone. A caller inside a tier holds a slot while it waits: what got so far is not held up.
+    /// theirs alone. What got as far as an inner tier holds a slot there, and is not held up.
     fn has_room(&self, now: Duration, value: f64, side: usize) -> bool {
         let part = (value / self.missed.read(now, MISSED_SECONDS).max(1e-9)).sqrt().min(1.0);
         let (window, out) = (self.windows[side], self.windows[0].out + self.windows[1].out);
--- a/crates/balance/src/balance/learning.rs
+++ b/crates/balance/src/balance/learning.rs
@@ -23,12 +23,11 @@
 /// Part of the objective that an answer may take before the endpoint counts as overfull.
 const LATE_PART: f64 = 0.8;
 /// A timely answer adds this many parts over the window, a late one takes the cut. So where each endpoint
-/// holds 1.5 calls of all balancers, one answer in two may be late; where twice as many, one in three.
-const WINDOW_GAIN: f64 = 0.75;
+/// holds 0.8 calls of all balancers, one answer in two may be late; where four times as many, one in five.
+const WINDOW_GAIN: f64 = 0.4;
 /// Less than a call: where a balancer has one or two out, single slow answers are mostly chance.
 const WINDOW_CUT: f64 = 0.5;
-/// Beside another process of this sidecar answers come to each in proportion to its share, so each counts for
-/// more; but from less than this share on single ones would throw a window about.
+/// Beside another process of this sidecar answers come by share, so each counts for more; down to this one.
 const SHARE_LEARNS: f64 = 0.25;
 
 impl Balancer {
@@ -48,7 +47,7 @@
             self.reaped_after = self.reaped_after.min(attempt.idle);
         }
         if let Some(&i) = self.index.get(&attempt.endpoint) {
-            self.endpoints[i].add_heat(now);
+            self.endpoints[i].add_heat(now, FAILURE_HEAT);
         }
     }
 
@@ -72,9 +71,8 @@
             outcome => outcome == Outcome::Full,
         };
         let (part, side, of_few) = (self.part(), self.side(i), self.of_few());
-        // One call an endpoint, parted among all balancers. It is the least a window falls to, and the
-        // larger a window the less it gains: else what starts first measures idle servers, yields to
-        // what starts last and measured crowded ones, and is starved for good.
+        // One call an endpoint, parted among all, is the least a window falls to; and the larger the less it
+        // gains: else what starts first measures idle servers, and is starved by what starts last.
         let (window, weight) = (&mut self.windows[side], 1.0 / self.share.max(SHARE_LEARNS));
         if late {
             window.size = (window.size - WINDOW_CUT * weight).max(part.max(1.0));
@@ -113,7 +111,9 @@
                 }
             }
             Outcome::Cancelled | Outcome::Moot => {}
-            _ => endpoint.add_heat(now),
+            // It may drain, and the notice be on its way: nothing goes there until the list is heard again.
+            Outcome::Full if self.list_old => endpoint.add_heat(now, HEAT_MOST),
+            _ => endpoint.add_heat(now, FAILURE_HEAT),
         }
     }
 
--- a/crates/balance/src/balance/members.rs
+++ b/crates/balance/src/balance/members.rs
@@ -2,8 +2,8 @@
 
 use super::*;
 
-/// Calls of all balancers at each endpoint before any measurement; own windows start at their part of that,
-/// or a hundred balancers would open with a jam. Until the first late answer each timely one adds a part.
+/// Calls of all balancers at each endpoint before any measurement: own windows start with their part, and
+/// until the first late answer each timely one adds a part.
 const WINDOW_START: f64 = 4.0;
 /// Endpoints of a zone that a caller uses at least, so that d samples still find a choice among failing ones.
 const PART_LEAST: f64 = 4.0;
@@ -17,6 +17,7 @@
 impl Balancer {
     pub(super) fn on_membership(&mut self, now: Duration, news: Membership, out: &mut Vec<Action>) {
         let ask = self.settings.discovery == Discovery::Ask;
+        self.list_old = matches!(news, Membership::Failed | Membership::Cached(_));
         match news {
             Membership::Failed => {
                 if ask {
