Count drag by the callers of a zone, and let the margin of a crossing be whole again

At fault: choice.rs, the margin parted by callers: with three callers in a zone a single own call sends the next one away, whether the zone is busy or not.

Change: the margin is one call again; drag, the slowness that calls of all callers bring about, counts by the callers of a zone. So a zone that answers in time keeps its calls, and one that is slow sheds them.

--- a/crates/balance/src/balance/choice.rs
+++ b/crates/balance/src/balance/choice.rs
@@ -8,8 +8,7 @@
 const DRAWS: usize = 16;
 /// An endpoint's answers may take longer than the unhurried mean by this multiple of it before that counts.
 const DRAG_FREE: f64 = 0.5;
-/// Occupancy by which an endpoint of another zone must be better: a crossing costs time and money. Of all
-/// callers of a zone together, as each sees its own calls alone.
+/// Occupancy by which an endpoint of another zone must be better: a crossing costs time and money.
 const CROSS_MARGIN: f64 = 1.0;
 /// Share of the multiple at which a cold endpoint falls that all balancers together may use.
 const COLD_CAUTION: f64 = 0.5;
@@ -59,7 +58,7 @@
             }
             // Own zone first: another one's best sample must be better by a clear margin.
             match (near.0, far.0) {
-                (Some((_, a)), Some((j, b))) if b + self.cross_margin() < a => return Some(j),
+                (Some((_, a)), Some((j, b))) if b + CROSS_MARGIN < a => return Some(j),
                 (Some((i, _)), _) | (None, Some((i, _))) => return Some(i),
                 (None, None) => {}
             }
@@ -67,11 +66,10 @@
         None
     }
 
-    /// This balancer's part of the margin: were it whole for each, a zone's endpoints would be filled to the
-    /// brim by many, and slow for seconds, while those of others idle.
-    fn cross_margin(&self) -> f64 {
-        let callers = f64::from(self.settings.balancers) / f64::from(self.settings.zones.max(1));
-        CROSS_MARGIN / callers.max(1.0)
+    /// Balancers of a zone. Drag is what all of them do to an endpoint, and counts so often beside own
+    /// calls: else a zone's endpoints would be filled by many, and slow, while those of others idle.
+    fn callers(&self) -> f64 {
+        (f64::from(self.settings.balancers) / f64::from(self.settings.zones.max(1))).max(1.0)
     }
 
     /// Draws d eligible endpoints of a pool without replacement: the least occupied and how many there
@@ -118,7 +116,7 @@
         let endpoint = &self.endpoints[i];
         let drag = (endpoint.drag.read(now, DRAG_SECONDS) - DRAG_FREE).max(0.0);
         let tried = pending.attempts.iter().any(|a| a.endpoint == endpoint.info.id);
-        self.load(now, i) + drag + if tried { HEAT_MOST } else { 0.0 }
+        self.load(now, i) + drag * self.callers() + if tried { HEAT_MOST } else { 0.0 }
     }
 
     /// Hard limits: the list, the cold budget, and rule 2 for a keyed request that may have run.
--- a/crates/balance/tests/choice.rs
+++ b/crates/balance/tests/choice.rs
@@ -93,7 +93,7 @@
 }
 
 #[test]
-fn the_margin_of_a_crossing_is_parted_among_a_zones_callers() {
+fn what_all_callers_do_to_a_zone_counts_against_the_margin_of_a_crossing() {
     // Alone in its zone a balancer keeps to it; one of four there reckons with the calls of the others.
     assert_eq!(leave_a_slowed_zone(3), 0);
     let left = leave_a_slowed_zone(12);
