Let windows that lie half idle shrink to two calls an endpoint

Ruled out: connects to the lost zone (5 to 9 each second, 120 ms each), the second tier, limits (at one call).

At fault: learning.rs. A window grows in calm times and keeps its size unused, so that when load moves it lets all of it through at once; late answers tell seconds later.

Change: with each answer a window that lies half idle loses a twentieth, down to two calls an endpoint.

--- a/crates/balance/src/balance/attempts.rs
+++ b/crates/balance/src/balance/attempts.rs
@@ -61,7 +61,7 @@
         if only_in_time { left.min(class.objective.mul_f64(AIM_PART)) } else { left }
     }
 
-    /// A long body's last byte has come: endpoints begin only now, and so does all that is timed.
+    /// A long body's last byte has come: what is timed begins only now.
     pub(super) fn on_body_whole(
         &mut self,
         now: Duration,
@@ -214,9 +214,8 @@
         if self.stale < 1.0 {
             (self.reaped_after, self.stale) = (Duration::MAX, self.stale.max(0.0));
         }
-        let overtaken = |p: &Pending| {
-            p.attempts[..ended.attempt.0 as usize].iter().copied().find(|a| a.fate == Fate::Out)
-        };
+        let before = ended.attempt.0 as usize;
+        let overtaken = |p: &Pending| p.attempts[..before].iter().copied().find(|a| a.fate == Fate::Out);
         if ended.outcome == Outcome::Ok
             && let Some(silent) = self.requests.get(&id).and_then(overtaken)
         {
--- a/crates/balance/src/balance/choice.rs
+++ b/crates/balance/src/balance/choice.rs
@@ -72,8 +72,7 @@
         (f64::from(self.settings.balancers) / f64::from(self.settings.zones.max(1))).max(1.0)
     }
 
-    /// Draws d eligible endpoints of a pool without replacement: the least occupied and how many there
-    /// were. The first drawn wins ties.
+    /// Draws d eligible endpoints of a pool: the least occupied, of equals the first; and how many.
     fn sample(&mut self, now: Duration, id: RequestId, pool: usize) -> (Option<(usize, f64)>, usize) {
         let (mut best, mut found): (Option<(usize, f64)>, usize) = (None, 0);
         let room = self.has_room(now, self.value(id), pool % 2);
--- a/crates/balance/src/balance/learning.rs
+++ b/crates/balance/src/balance/learning.rs
@@ -25,14 +25,16 @@
 /// A timely answer adds this many parts over the window, a late one takes the cut. So where each endpoint
 /// holds 0.8 calls of all balancers, one answer in two may be late; where four times as many, one in five.
 const WINDOW_GAIN: f64 = 0.4;
+/// A window that lies half idle loses this part with each answer, down to so many calls an endpoint.
+const WINDOW_IDLE: f64 = 0.05;
+const WINDOW_KEPT: f64 = 2.0;
 /// Less than a call: where a balancer has one or two out, single slow answers are mostly chance.
 const WINDOW_CUT: f64 = 0.5;
 /// Beside another process of this sidecar answers come by share, so each counts for more; down to this one.
 const SHARE_LEARNS: f64 = 0.25;
 
 impl Balancer {
-    /// Whether answers fail to come while those that come are timely: dead machines, connections dropped
-    /// unseen, a class swallowed. In a jam answers come late, and copies would only feed it.
+    /// Whether answers fail to come while others are timely: in a jam all are late, and copies feed it.
     pub(super) fn silent(&self, now: Duration) -> bool {
         self.late_share < LATE_SHARE && self.silence.read(now, SILENCE_SECONDS) >= SILENCE_ACTS
     }
@@ -82,6 +84,10 @@
             window.size += gain * weight;
         }
         window.out = window.out.saturating_sub(u32::from(!coming));
+        // What lies idle says nothing of what servers bear, and would let load that moves through at once.
+        for window in self.windows.iter_mut().filter(|w| f64::from(w.out) * 2.0 < w.size * self.share) {
+            window.size = window.size.min((window.size * (1.0 - WINDOW_IDLE)).max(WINDOW_KEPT * part));
+        }
         let usual = Duration::from_secs_f64(self.latency[class].mean);
         let endpoint = &mut self.endpoints[i];
         endpoint.opening &= !late && endpoint.limit < LIMIT_OPEN;
--- a/crates/balance/tests/failures.rs
+++ b/crates/balance/tests/failures.rs
@@ -735,3 +735,20 @@
         }
     }
 }
+
+#[test]
+fn a_window_that_lies_idle_is_no_leave_for_all_load_at_once() {
+    let burst = |answers: usize| {
+        let settings = Settings { balancers: 10, ..Settings::default() };
+        let mut d = Driver::new(settings, endpoints(40));
+        out_after(&mut d, 400, 10); // grown while all was well
+        while let Some(&(id, ..)) = d.out.first() {
+            d.end(id, Outcome::Ok, ms(10));
+        }
+        rounds(&mut d, answers, |_| (Outcome::Ok, 10));
+        (0..200).map(|_| sends(&d.request(ms(60_000)).1).len()).sum::<usize>()
+    };
+    let (after_use, after_rest) = (burst(0), burst(200));
+    assert!(after_use > 12, "{after_use} calls at once after a crowd that all endpoints bore");
+    assert_eq!(after_rest, 8, "four endpoints a balancer, two calls at each");
+}
