Await a stopped sidecar's answers before its figures are read in a test

Seen once in ten runs beside other tests: the stopped process, once it goes on, drops a caller who has waited longer than a call may.

--- a/crates/curlewhub/tests/sharing.rs
+++ b/crates/curlewhub/tests/sharing.rs
@@ -84,6 +84,9 @@
     wait_for("all", || new.figure("share_parts") == 64);
     new.says("does not share, or not any more");
     old.signal("-CONT");
+    wait_for("the old one to answer again", || {
+        old.try_call("PING\n").is_ok_and(|said| said.starts_with("YES"))
+    });
     wait_for("the old one to go on too", || old.figure("share_parts") == 64);
 }
 
--- a/crates/curlewhub/tests/support/mod.rs
+++ b/crates/curlewhub/tests/support/mod.rs
@@ -438,13 +438,18 @@
 
     /// These bytes on a connection of their own to the second address, and the whole answer.
     pub fn call_raw(&self, bytes: &str) -> String {
-        let mut stream = TcpStream::connect(self.operator.expect("a second address")).unwrap();
-        stream.set_read_timeout(Some(PATIENCE)).unwrap();
-        stream.write_all(bytes.as_bytes()).unwrap();
-        stream.shutdown(Shutdown::Write).unwrap();
+        self.try_call(bytes).unwrap()
+    }
+
+    /// As `call_raw`, for one that may have been stopped: it drops who has waited for longer than it may.
+    pub fn try_call(&self, bytes: &str) -> std::io::Result<String> {
+        let mut stream = TcpStream::connect(self.operator.expect("a second address"))?;
+        stream.set_read_timeout(Some(PATIENCE))?;
+        stream.write_all(bytes.as_bytes())?;
+        stream.shutdown(Shutdown::Write)?;
         let mut answer = String::new();
-        stream.read_to_string(&mut answer).unwrap();
-        answer
+        stream.read_to_string(&mut answer)?;
+        Ok(answer)
     }
 
     /// A figure's value, as operators read it.
