Send first to what answered lately while discovery has failed

At fault: choice.rs, for which each listed endpoint is as good as another however old the list.

Change: from 2 to 15 s after discovery has failed, endpoints that answered within 5 s go first, and others only where those have no room: what took a call so lately has not been draining for as long as a drain may stay untold. That an endpoint turns calls away weighs more only once discovery has failed, not at a start: an install without discovery would be cautious for ever.

--- a/crates/balance/src/balance.rs
+++ b/crates/balance/src/balance.rs
@@ -29,8 +29,10 @@
 const HEAT_LEAST: f64 = 0.5;
 /// Seconds in which the weight of failures falls to a third: long enough for a streak to add up.
 const HEAT_SECONDS: f64 = 4.0;
-/// Seconds in which drag is forgotten to a third, so that a slow endpoint is tried again.
+/// Seconds in which drag is forgotten to a third: a slow endpoint is tried again.
 const DRAG_SECONDS: f64 = 6.0;
+/// An answer so long ago at most shows that no drain is due yet: they count as told six seconds later.
+const DRAIN_UNTOLD: Duration = Duration::from_secs(5);
 /// Retries that can be saved up, for a fault that strikes many calls at once.
 const RETRY_SAVED: f64 = 10.0;
 /// Seconds over which rates are averaged.
@@ -95,8 +97,7 @@
     in_flight: u32,
     /// Recent failures as calls in flight.
     heat: Fading,
-    /// Its latency as a multiple of the class's unhurried mean, beyond one: what calls of
-    /// others, unseen here, do to it. Own counts say little where a caller has one call out or none.
+    /// Its latency as a multiple of the class's unhurried mean, beyond one: what calls of others do to it.
     drag: Fading,
     /// Own calls it may hold: the paper's C, learned from late and timely answers.
     limit: f64,
@@ -137,8 +138,7 @@
     pools: [Vec<usize>; 4],
     requests: HashMap<RequestId, Pending>,
     held: Held,
-    /// Heat that three quarters of the endpoints share: it comes from below and is nobody's fault here.
-    /// Not the median's, or a zone lost would pass for it.
+    /// Heat that three quarters of the endpoints share, and not half, or a zone lost would pass for it.
     common_heat: f64,
     /// Of the own zone and of all others together: a crowded zone must not shut the others.
     windows: [Window; 2],
@@ -165,8 +165,10 @@
     stale: f64,
     reaped_after: Duration,
     ask_failures: u32,
-    /// The list is as of the start, or discovery has failed since.
-    list_old: bool,
+    /// Since when discovery has failed.
+    list_old: Option<Duration>,
+    /// Only endpoints that have answered of late are chosen: others may drain unheard.
+    blind: bool,
     started: bool,
 }
 
@@ -222,7 +224,8 @@
             stale: 0.0,
             reaped_after: Duration::MAX,
             ask_failures: 0,
-            list_old: true,
+            list_old: None,
+            blind: false,
             started: false,
         })
     }
@@ -233,15 +236,9 @@
             Event::Membership(news) => self.on_membership(now, news, out),
             Event::Request(request) => self.on_request(now, request, out),
             Event::StreamStarted { request, .. } => {
-                if let Some(pending) = self.requests.get_mut(&request) {
-                    pending.streaming = true;
-                }
-            }
-            Event::BodyFlows(id) => {
-                if let Some(pending) = self.requests.get_mut(&id) {
-                    pending.once = true;
-                }
+                self.requests.get_mut(&request).into_iter().for_each(|p| p.streaming = true)
             }
+            Event::BodyFlows(id) => self.requests.get_mut(&id).into_iter().for_each(|p| p.once = true),
             Event::BodyWhole { request, time_left } => self.on_body_whole(now, request, time_left, out),
             Event::AttemptEnded(ended) => self.on_attempt_ended(now, ended, out),
             Event::RequestGone(id) => self.finish(id, out),
@@ -293,6 +290,11 @@
         self.heat.set(now, (self.heat(now) + heat).min(HEAT_MOST));
     }
 
+    /// It took a call so lately that it can't have begun to drain for longer than drains stay untold.
+    fn answered_lately(&self, now: Duration) -> bool {
+        self.heard.is_some_and(|at| now <= at + DRAIN_UNTOLD)
+    }
+
     fn heat(&self, now: Duration) -> f64 {
         let heat = self.heat.read(now, HEAT_SECONDS);
         if heat < HEAT_LEAST { 0.0 } else { heat }
--- a/crates/balance/src/balance/attempts.rs
+++ b/crates/balance/src/balance/attempts.rs
@@ -14,8 +14,7 @@
 const REPEAT_LEAST: f64 = 0.1;
 /// Held requests are looked at again this often, besides whenever a call ends.
 const HOLD_RECHECK: Duration = Duration::from_millis(20);
-/// Part of the objective after which what is worth nothing late is given up: until its deadline it would
-/// hold servers that are short. The rest is the answer's way back.
+/// Part of the objective, less the way back, after which what is worth nothing late holds servers in vain.
 const AIM_PART: f64 = 0.98;
 /// A tenant is over its share beyond this multiple of what the median tenant uses of its own.
 const SHARE_SLACK: f64 = 1.5;
@@ -35,13 +34,12 @@
             part *= self.settings.classes[class].late_value.max(REPEAT_LEAST);
         }
         let time_left = self.useful(class, request.time_left);
-        let (arrived, deadline, attempts) = (now, now + time_left, Vec::new());
         let pending = Pending {
             class,
-            arrived,
-            deadline,
+            arrived: now,
+            deadline: now + time_left,
             part,
-            attempts,
+            attempts: Vec::new(),
             timers: Vec::new(),
             earlier: request.earlier,
             finished: false,
@@ -182,12 +180,8 @@
             self.note_silence(now, attempt);
         }
         let (limits, copies) = (&self.settings.limits, self.settings.limits.second_copies);
-        let more = tries < limits.max_attempts as usize;
-        if !more
-            || !(lone && copies || self.silent(now))
-            || self.retry_tokens < 1.0
-            || !self.may_repeat(now, id)
-        {
+        let more = tries < limits.max_attempts as usize && self.retry_tokens >= 1.0;
+        if !more || !(lone && copies || self.silent(now)) || !self.may_repeat(now, id) {
             return;
         }
         if !copies && limits.cancelling {
@@ -307,7 +301,7 @@
         }
     }
 
-    /// Refuses what is held and can't be served in time any more.
+    /// Refuses what is held too long.
     pub(super) fn drop_late(&mut self, now: Duration, out: &mut Vec<Action>) {
         let late = |id: RequestId| self.requests.get(&id).is_some_and(|p| self.too_late(now, p));
         for id in self.held.which(late) {
--- a/crates/balance/src/balance/choice.rs
+++ b/crates/balance/src/balance/choice.rs
@@ -12,6 +12,9 @@
 const CROSS_MARGIN: f64 = 1.0;
 /// Share of the multiple at which a cold endpoint falls that all balancers together may use.
 const COLD_CAUTION: f64 = 0.5;
+/// Discovery is mostly heard again within the first; after the second it is down, and the old list serves.
+const BLIND_AFTER: Duration = Duration::from_secs(2);
+const BLIND_MOST: Duration = Duration::from_secs(15);
 /// Calls of all balancers at each endpoint beyond which floors of one call are too many.
 const FLOOR_CALLS: f64 = 8.0;
 
@@ -49,8 +52,10 @@
     /// The eligible set, then d samples, then the least occupied, ties at random.
     pub(super) fn pick(&mut self, now: Duration, id: RequestId) -> Option<usize> {
         self.common_heat = self.shared_heat(now);
+        let old = self.list_old.is_some_and(|at| (at + BLIND_AFTER..at + BLIND_MOST).contains(&now));
         // Of this balancer's part, or of all where too few of it can take the call.
-        for pool in [0, 2] {
+        for (pool, blind) in [(0, old), (2, old), (2, false)].into_iter().take(if old { 3 } else { 2 }) {
+            self.blind = blind;
             let near = self.sample(now, id, pool);
             let far = self.sample(now, id, pool + 1);
             if pool == 0 && near.1 + far.1 < CHOICES {
@@ -122,7 +127,8 @@
     fn allowed(&self, now: Duration, i: usize, pending: &Pending) -> bool {
         let endpoint = &self.endpoints[i];
         let overspent = self.warmth(now, i) < 1.0 && self.cold_tokens(now, i) < 1.0;
-        if !endpoint.is_ready() || self.load(now, i) + 1.0 > self.room(now, i) || overspent {
+        let unknown = self.blind && !endpoint.answered_lately(now);
+        if unknown || !endpoint.is_ready() || self.load(now, i) + 1.0 > self.room(now, i) || overspent {
             return false;
         }
         let (semantics, info) = (self.settings.classes[pending.class].semantics, &endpoint.info);
--- a/crates/balance/src/balance/learning.rs
+++ b/crates/balance/src/balance/learning.rs
@@ -28,7 +28,7 @@
 /// A window that lies half idle loses this part with each answer, down to so many calls an endpoint.
 const WINDOW_IDLE: f64 = 0.05;
 const WINDOW_KEPT: f64 = 2.0;
-/// Less than a call: where a balancer has one or two out, single slow answers are mostly chance.
+/// Less than a call: of one or two out, single slow answers are mostly chance.
 const WINDOW_CUT: f64 = 0.5;
 /// Beside another process of this sidecar answers come by share, so each counts for more; down to this one.
 const SHARE_LEARNS: f64 = 0.25;
@@ -118,7 +118,7 @@
             }
             Outcome::Cancelled | Outcome::Moot => {}
             // It may drain, and the notice be on its way: nothing goes there until the list is heard again.
-            Outcome::Full if self.list_old => endpoint.add_heat(now, HEAT_MOST),
+            Outcome::Full if self.list_old.is_some() => endpoint.add_heat(now, HEAT_MOST),
             _ => endpoint.add_heat(now, FAILURE_HEAT),
         }
     }
--- a/crates/balance/src/balance/members.rs
+++ b/crates/balance/src/balance/members.rs
@@ -17,7 +17,8 @@
 impl Balancer {
     pub(super) fn on_membership(&mut self, now: Duration, news: Membership, out: &mut Vec<Action>) {
         let ask = self.settings.discovery == Discovery::Ask;
-        self.list_old = matches!(news, Membership::Failed | Membership::Cached(_));
+        let failed = matches!(news, Membership::Failed);
+        self.list_old = failed.then(|| self.list_old.unwrap_or(now));
         match news {
             Membership::Failed => {
                 if ask {
@@ -38,8 +39,8 @@
             }
         }
         if ask && !self.started {
-            // All instances may start at once; discovery answers them one after another.
             let most = self.settings.rules.ask_within.as_secs_f64() / 8.0;
+            // All may start at once, and discovery answers them one after another.
             let wait = Duration::from_secs_f64(self.draws.uniform() * most);
             self.set_timer(wait, Timer::Ask, out);
         } else {
@@ -67,20 +68,18 @@
                 }
                 None => {
                     self.index.insert(info.id, self.endpoints.len());
-                    let (cold_tokens, opening) = (self.draws.uniform(), info.started.is_none());
-                    let banned = self.banned.contains(&info.id);
                     self.endpoints.push(Endpoint {
+                        banned: self.banned.contains(&info.id),
+                        opening: info.started.is_none(),
                         info,
-                        banned,
                         back: None,
                         in_flight: 0,
                         heat: Fading::default(),
                         drag: Fading::default(),
                         limit,
-                        opening,
                         limit_cut_at: now,
                         heard: None,
-                        cold_tokens,
+                        cold_tokens: self.draws.uniform(),
                         cold_at: now,
                     });
                 }
--- a/crates/balance/src/balance/share.rs
+++ b/crates/balance/src/balance/share.rs
@@ -2,8 +2,7 @@
 //!
 //! Windows move with the share: each part that is given carries its giver's windows, and whoever gets it
 //! takes the mean of both by weight. So `share * window`, summed over both processes, stays what it was when
-//! parts move, and answers change it by what they would change one process's. Which process holds how much is
-//! decided elsewhere.
+//! parts move, and answers change it by what they would change one process's.
 
 use super::{Balancer, RETRY_SAVED};
 use crate::types::Action;
