Name list entries that start in the future or stand twice, and go on safely

Need: an entry whose boot_ms lies ahead counted as cold until then, be that for years, and nobody was told; of an endpoint that is there twice the last entry counted in silence.

Change: a start that lies ahead is taken for now, and from a second ahead on the log names endpoint and field; so it does for one that is there twice. A test gives both, an empty list and a good one again, and loses no request.

--- a/crates/curlewhub/tests/list.rs
+++ b/crates/curlewhub/tests/list.rs
@@ -204,3 +204,25 @@
     assert_eq!(sidecar.figure("hosts_listed"), 2, "the list as it was goes on");
     assert_eq!(sidecar.ask("book", "r1").status(), 200);
 }
+
+#[test]
+fn absurd_entries_are_named_in_the_log_and_lose_no_request() {
+    let (peer, other) = (Peer::serving("ok"), Peer::serving("ok"));
+    let discovery = Discovery::new(list(8, false, &[]));
+    let sidecar = following(&peer, &discovery, "subscribe");
+    let mut future = target("s-future", other.address, "up");
+    future["boot_ms"] = json!(4e15);
+    let [first, last] = ["draining", "up"].map(|state| target("s-0", peer.address, state));
+    discovery.say(&list(9, false, &[future, first, last]).to_string());
+    let line = sidecar.says("it lies in the future");
+    assert!(line.contains("s-future") && line.contains("boot_ms"), "{line}");
+    let line = sidecar.says("it is there twice");
+    assert!(line.contains("s-0") && line.contains("uid"), "{line}");
+    for n in 0..20 {
+        assert_eq!(sidecar.ask("book", &format!("r{n}")).status(), 200);
+    }
+    discovery.say(&list(10, true, &[]).to_string());
+    wait_for("an empty list", || sidecar.ask("book", "e").status() == 503);
+    discovery.say(&list(11, true, &[target("s-0", peer.address, "up")]).to_string());
+    wait_for("the endpoint again", || sidecar.ask("book", "f").status() == 200);
+}
--- a/crates/runtime/src/driver.rs
+++ b/crates/runtime/src/driver.rs
@@ -13,8 +13,8 @@
 use super::sharing::{Module, Sharing};
 use super::timers::Timers;
 use curlewhub_balance::{
-    Action, AttemptEnded, AttemptNo, Balancer, ClassId, EndpointId, EndpointState, Event, Membership,
-    Outcome, RequestId, TimerToken,
+    Action, AttemptEnded, AttemptNo, Balancer, ClassId, EndpointId, EndpointInfo, EndpointState, Event,
+    Membership, Outcome, RequestId, TimerToken,
 };
 use std::collections::{HashMap, HashSet, VecDeque};
 use std::net::SocketAddr;
@@ -26,6 +26,8 @@
 use tokio::time::{Instant, sleep_until};
 use tracing::{debug, error, info, warn};
 
+/// A start that lies ahead by less is put down to clocks that differ a little.
+const START_SLACK: Duration = Duration::from_secs(1);
 /// Unusual outcomes are summed up in the log this often.
 const SUMMARY: Duration = Duration::from_secs(10);
 
@@ -353,13 +355,31 @@
         self.tidy(id);
     }
 
-    fn list(&mut self, news: News) {
+    /// An endpoint can't start later than now: it would count as cold until then, be that for years.
+    fn no_future_starts(&self, entries: &mut [EndpointInfo]) {
+        let now = self.clock.now();
+        for entry in entries {
+            let ahead = entry.started.map_or(Duration::ZERO, |started| started.saturating_sub(now));
+            if ahead > START_SLACK {
+                let endpoint = self.listing.uid(entry.id);
+                warn!(endpoint, field = "boot_ms", ?ahead, "it lies in the future: taken for now");
+            }
+            entry.started = entry.started.map(|started| started.min(now));
+        }
+    }
+
+    fn list(&mut self, mut news: News) {
         for (id, address) in &news.addresses {
             let before = self.addresses.insert(*id, *address);
             if before.is_some_and(|before| before != *address) {
                 self.outbound.close_idle(*id);
             }
         }
+        if let Membership::Full(entries) | Membership::Cached(entries) | Membership::Delta(entries) =
+            &mut news.membership
+        {
+            self.no_future_starts(entries);
+        }
         let (whole, entries) = match &news.membership {
             Membership::Full(entries) | Membership::Cached(entries) => (true, entries),
             Membership::Delta(entries) => (false, entries),
--- a/crates/runtime/src/listing.rs
+++ b/crates/runtime/src/listing.rs
@@ -11,6 +11,7 @@
 use std::collections::HashSet;
 use std::rc::Rc;
 use std::time::Duration;
+use tracing::warn;
 
 /// The names of the endpoints, and of the zones and kinds that they may be of.
 pub struct Listing {
@@ -60,6 +61,11 @@
         for target in list.targets.into_iter().rev() {
             let id = ids.id(&target.uid);
             if !seen.insert(id) {
+                warn!(
+                    endpoint = target.uid,
+                    field = "uid",
+                    "it is there twice in one list: its last entry counts"
+                );
                 continue;
             }
             addresses.push((id, target.endpoint));
