Keep a test's discovery on the port it was given from the choice on

Seen once in eight runs of the tests beside other work: a stand-in discovery could not bind the port that had been chosen and given up a moment before. It now keeps the listener that chose the port.

--- a/crates/curlewhub/tests/support/mod.rs
+++ b/crates/curlewhub/tests/support/mod.rs
@@ -221,11 +221,14 @@
 impl Discovery {
     /// Answers each watch with this line first, and each other call with it alone.
     pub fn new(first: Value) -> Discovery {
-        Discovery::at(nowhere(), first)
+        Discovery::on(listener_of_its_own(), first)
     }
 
     pub fn at(address: SocketAddr, first: Value) -> Discovery {
-        let listener = TcpListener::bind(address).unwrap();
+        Discovery::on(TcpListener::bind(address).unwrap(), first)
+    }
+
+    fn on(listener: TcpListener, first: Value) -> Discovery {
         let (calls, newest) = (Arc::<Mutex<Vec<String>>>::default(), Arc::<Mutex<_>>::default());
         let discovery = Discovery {
             address: listener.local_addr().unwrap(),
@@ -287,11 +290,16 @@
 /// An address where nothing listens, nor will: each is on a loopback address of its own, so that no other
 /// test's sidecar, and no client's port, ever comes to be there.
 pub fn nowhere() -> SocketAddr {
+    listener_of_its_own().local_addr().unwrap()
+}
+
+/// One that is never given up between the choice of its port and its use.
+fn listener_of_its_own() -> TcpListener {
     static GIVEN: AtomicUsize = AtomicUsize::new(0);
     let (process, number) = (std::process::id() as usize, GIVEN.fetch_add(1, Ordering::SeqCst));
     let part = |number: usize| 1 + (number % 250) as u8;
     let ip = [127, part(process / 250), part(process), part(number)];
-    TcpListener::bind((std::net::IpAddr::from(ip), 0)).unwrap().local_addr().unwrap()
+    TcpListener::bind((std::net::IpAddr::from(ip), 0)).unwrap()
 }
 
 /// A configuration for these endpoints, with discovery out of reach.
