Read a list that breaks off once and by one reader, and put tests shorter

Found in a second reading: two readers of one shape for a list and its entries; what a torn list told was taken, and logged, at its pause, its break and again by the caller. One reader serves both now, and each is taken once.

Tests that said the same at length are shorter.

--- a/crates/balance/tests/choice.rs
+++ b/crates/balance/tests/choice.rs
@@ -83,21 +83,21 @@
 /// How many of 100 requests leave a zone whose endpoints have come to answer in four times their time.
 fn leave_a_slowed_zone(balancers: u32) -> usize {
     let zone = |id: u64| EndpointInfo { zone: ZoneId(id as u32 % 3), ..endpoint(id) };
-    let settings = Settings { balancers, zones: 3, ..Settings::default() };
-    let mut d = Driver::new(settings, (0..9).map(zone).collect());
-    let own = |id: EndpointId| id.0.is_multiple_of(3);
-    let calm = rounds(&mut d, 100, |_| (Outcome::Ok, 100));
-    assert!(calm.keys().all(|id| own(*id)), "{calm:?}");
-    let slowed = rounds(&mut d, 100, |id| (Outcome::Ok, if own(id) { 400 } else { 100 }));
-    slowed.iter().filter(|(id, _)| !own(**id)).map(|(_, count)| count).sum()
+    let mut d =
+        Driver::new(Settings { balancers, zones: 3, ..Settings::default() }, (0..9).map(zone).collect());
+    let mut leave = |time| {
+        let counts =
+            rounds(&mut d, 100, |id| (Outcome::Ok, if id.0.is_multiple_of(3) { time } else { 100 }));
+        counts.iter().filter(|(id, _)| !id.0.is_multiple_of(3)).map(|(_, count)| count).sum()
+    };
+    assert_eq!(leave(100), 0);
+    leave(400)
 }
 
 #[test]
 fn what_all_callers_do_to_a_zone_counts_against_the_margin_of_a_crossing() {
-    // Alone in its zone a balancer keeps to it; one of four there reckons with the calls of the others.
-    assert_eq!(leave_a_slowed_zone(3), 0);
-    let left = leave_a_slowed_zone(12);
-    assert!(left > 10, "{left} of 100 left");
+    assert_eq!(leave_a_slowed_zone(3), 0, "alone in its zone");
+    assert!(leave_a_slowed_zone(12) > 10, "one of four there");
 }
 
 #[test]
--- a/crates/balance/tests/failures.rs
+++ b/crates/balance/tests/failures.rs
@@ -3,7 +3,6 @@
 mod support;
 use curlewhub_balance::*;
 use std::collections::HashMap;
-use std::time::Duration;
 use support::*;
 
 /// An outcome and its time for endpoints of which `bad` is true; the others answer in 20 ms.
@@ -685,15 +684,14 @@
     let waits = |seed: u64| {
         let settings = Settings { discovery: Discovery::Ask, ..Settings::default() };
         let mut d = Driver::seeded(settings, endpoints(3), seed);
-        let wait = |actions: Vec<Action>| match actions[..] {
+        [(); 8].map(|()| match d.list(Membership::Failed)[..] {
             [Action::SetTimer { after, .. }] => after,
             _ => panic!("a failure is followed by a wait"),
-        };
-        (0..8).map(|_| wait(d.list(Membership::Failed))).collect::<Vec<_>>()
+        })
     };
-    let all: Vec<Vec<Duration>> = (0..100).map(waits).collect();
+    let all: Vec<_> = (0..100).map(waits).collect();
     for n in 0..8 {
-        let mut nth: Vec<Duration> = all.iter().map(|waits| waits[n]).collect();
+        let mut nth: Vec<_> = all.iter().map(|waits| waits[n]).collect();
         nth.sort();
         let middle = ms(500 << n.min(2));
         assert!(nth[0] >= middle / 2 && nth[99] <= middle * 3 / 2, "failure {n}: {nth:?}");
@@ -707,11 +705,9 @@
         let class = Class { objective: ms(1200), deadline: ms(3000), late_value, ..Class::default() };
         let mut d =
             Driver::new(Settings { tier, classes: vec![class], ..Settings::default() }, endpoints(3));
-        let (id, _) = d.request(ms(3000));
-        let told = |actions: &[Action]| {
-            actions.iter().any(|a| matches!(a, Action::Refuse { request, .. } | Action::Fail { request } if *request == id))
-        };
-        (0..300).find(|_| told(&d.advance(ms(10)))).map(|n| (n + 1) * 10)
+        d.request(ms(3000));
+        let last = |a: &Action| matches!(a, Action::Refuse { .. } | Action::Fail { .. });
+        (1..=300).find(|_| d.advance(ms(10)).iter().any(last)).map(|n| n * 10)
     };
     assert!(answered(0.0, 0).is_some_and(|at| (1100..1200).contains(&at)), "in time to be told by then");
     assert_eq!(answered(0.1, 0), Some(3000), "a late answer is worth something");
@@ -720,25 +716,20 @@
 
 #[test]
 fn an_endpoint_that_turns_away_is_left_alone_until_the_list_is_heard() {
-    for fresh in [false, true] {
+    let sent = |news: Membership| {
         let mut d = Driver::new(Settings::default(), endpoints(3));
-        d.list(if fresh { Membership::Delta(Vec::new()) } else { Membership::Failed });
-        let drains = EndpointId(2);
-        let counts = rounds(&mut d, 200, |id| (if id == drains { Outcome::Full } else { Outcome::Ok }, 40));
-        let sent = counts.get(&drains).copied().unwrap_or(0);
-        if fresh {
-            assert!(sent > 2, "{sent} sends: where the list is known it is no more than full");
-        } else {
-            assert!(sent <= 1, "{sent} sends in eight seconds to what may drain unheard");
-        }
-    }
+        d.list(news);
+        let full = |id| if id == EndpointId(2) { Outcome::Full } else { Outcome::Ok };
+        rounds(&mut d, 200, |id| (full(id), 40)).get(&EndpointId(2)).copied().unwrap_or(0)
+    };
+    assert!(sent(Membership::Delta(Vec::new())) > 2, "where the list is known it is no more than full");
+    assert!(sent(Membership::Failed) <= 1, "eight seconds of sends to what may drain unheard");
 }
 
 #[test]
 fn a_window_that_lies_idle_is_no_leave_for_all_load_at_once() {
     let burst = |answers: usize| {
-        let settings = Settings { balancers: 10, ..Settings::default() };
-        let mut d = Driver::new(settings, endpoints(40));
+        let mut d = Driver::new(Settings { balancers: 10, ..Settings::default() }, endpoints(40));
         out_after(&mut d, 400, 10); // grown while all was well
         while let Some(&(id, ..)) = d.out.first() {
             d.end(id, Outcome::Ok, ms(10));
@@ -746,9 +737,8 @@
         rounds(&mut d, answers, |_| (Outcome::Ok, 10));
         (0..200).map(|_| sends(&d.request(ms(60_000)).1).len()).sum::<usize>()
     };
-    let (after_use, after_rest) = (burst(0), burst(200));
-    assert!(after_use > 12, "{after_use} calls at once after a crowd that all endpoints bore");
-    assert_eq!(after_rest, 8, "four endpoints a balancer, two calls at each");
+    assert!(burst(0) > 12, "a crowd that all endpoints bore");
+    assert_eq!(burst(200), 8, "four endpoints a balancer, two calls at each");
 }
 
 #[test]
@@ -758,18 +748,13 @@
     d.advance(ms(6000));
     d.list(Membership::Failed);
     let known = rounds(&mut d, 1, |_| (Outcome::Ok, 2100));
-    assert_eq!(known.len(), 1, "discovery may be back at once");
     let used = rounds(&mut d, 50, |_| (Outcome::Ok, 20));
-    assert_eq!(
-        used.keys().collect::<Vec<_>>(),
-        known.keys().collect::<Vec<_>>(),
-        "the one that may not drain"
+    assert!(known.len() == 1 && used.keys().eq(known.keys()), "{used:?}: the one that may not drain");
+    let burst: Vec<_> = (0..8).flat_map(|_| sends(&d.request(ms(60_000)).1)).collect();
+    assert!(
+        burst.iter().any(|id| !known.contains_key(id)),
+        "what is known is full: others are better than none"
     );
-    let mut away = 0;
-    for _ in 0..8 {
-        away += sends(&d.request(ms(60_000)).1).iter().filter(|id| !known.contains_key(id)).count();
-    }
-    assert!(away > 0, "what is known is full: the others are better than none");
     d.list(Membership::Delta(Vec::new()));
     assert!(rounds(&mut d, 100, |_| (Outcome::Ok, 20)).len() > 3);
 }
--- a/crates/config/src/list.rs
+++ b/crates/config/src/list.rs
@@ -26,17 +26,14 @@
     }
 }
 
-/// Reads into a list as far as it comes.
+/// Reads a list, and within it its entries, as far as they come.
 struct Torn<'a>(&'a mut List);
 
-/// Reads into entries as far as it comes.
-struct TornTargets<'a>(&'a mut Vec<Target>);
-
 impl<'de> DeserializeSeed<'de> for Torn<'_> {
     type Value = ();
 
     fn deserialize<D: Deserializer<'de>>(self, from: D) -> Result<(), D::Error> {
-        from.deserialize_map(self)
+        from.deserialize_any(self)
     }
 }
 
@@ -51,32 +48,16 @@
         while let Some(key) = map.next_key::<String>()? {
             match key.as_str() {
                 "rev" => self.0.rev = map.next_value()?,
-                "targets" => map.next_value_seed(TornTargets(&mut self.0.targets))?,
+                "targets" => map.next_value_seed(Torn(self.0))?,
                 _ => drop(map.next_value::<IgnoredAny>()?),
             }
         }
         Ok(())
     }
-}
-
-impl<'de> DeserializeSeed<'de> for TornTargets<'_> {
-    type Value = ();
-
-    fn deserialize<D: Deserializer<'de>>(self, from: D) -> Result<(), D::Error> {
-        from.deserialize_seq(self)
-    }
-}
-
-impl<'de> Visitor<'de> for TornTargets<'_> {
-    type Value = ();
-
-    fn expecting(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str("entries of a list")
-    }
 
     fn visit_seq<A: SeqAccess<'de>>(self, mut entries: A) -> Result<(), A::Error> {
         while let Some(target) = entries.next_element()? {
-            self.0.push(target);
+            self.0.targets.push(target);
         }
         Ok(())
     }
--- a/crates/curlewhub/tests/support/mod.rs
+++ b/crates/curlewhub/tests/support/mod.rs
@@ -264,8 +264,7 @@
     /// Writes a piece of a line to the newest watch.
     pub fn say_part(&self, part: &str) {
         wait_for("a watch", || self.newest.lock().unwrap().is_some());
-        let chunk = format!("{:x}\r\n{part}\r\n", part.len());
-        let _ = self.newest.lock().unwrap().as_mut().unwrap().write_all(chunk.as_bytes());
+        write_chunk(self.newest.lock().unwrap().as_mut().unwrap(), part);
     }
 
     pub fn calls(&self) -> Vec<String> {
@@ -274,7 +273,11 @@
 }
 
 fn write_line(stream: &mut TcpStream, line: &str) {
-    let _ = stream.write_all(format!("{:x}\r\n{line}\n\r\n", line.len() + 1).as_bytes());
+    write_chunk(stream, &format!("{line}\n"));
+}
+
+fn write_chunk(stream: &mut TcpStream, text: &str) {
+    let _ = stream.write_all(format!("{:x}\r\n{text}\r\n", text.len()).as_bytes());
 }
 
 /// An entry of a list.
--- a/crates/model/tests/model.rs
+++ b/crates/model/tests/model.rs
@@ -110,8 +110,8 @@
     let never = (0..12).map(|seed| run(&never, seed).worth()).sum::<f64>() / 12.0;
     let (fresh, latency, all) =
         (worth(none), worth(Carry { latency: true, ..none }), worth(Carry::default()));
-    assert!(fresh < never - 0.03, "the jam: {fresh} against {never}");
-    assert!(latency > fresh + 0.02, "{latency} with the usual latency alone");
+    assert!(fresh < never - 0.05, "the jam: {fresh} against {never}");
+    assert!(latency > fresh + 0.04, "{latency} with the usual latency alone");
     assert!((all - never).abs() < 0.02, "{all} with all, {never} where nothing is replaced");
 }
 
@@ -231,13 +231,11 @@
     }
 }
 
-/// A hundred sidecars that each meet sixty endpoints seldom, and a hall that is lost and comes back cold.
+/// Each meets sixty endpoints seldom; a hall is lost and comes back cold.
 #[test]
 fn a_hundred_sidecars_lose_a_hall_and_keep_most_of_what_is_asked() {
-    let scenario = Scenario::parse(include_str!("../../../scenarios/vast.toml")).unwrap();
-    let outcome = run(&scenario, 1);
+    let outcome = run(&Scenario::parse(include_str!("../../../scenarios/vast.toml")).unwrap(), 1);
     let totals = &outcome.totals;
     assert_eq!((totals.unanswered, totals.answered_twice, totals.ran_twice), (0, 0, 0), "{totals:?}");
-    // 0.87 to 0.88 while windows kept their size unused, and calls held endpoints until their deadline.
     assert!(outcome.worth() > 0.89, "{} of the worth asked for", outcome.worth());
 }
--- a/crates/runtime/src/discovery.rs
+++ b/crates/runtime/src/discovery.rs
@@ -212,19 +212,17 @@
         let (response, _connection) = self.call("/api/targets").await?;
         let mut body = Limited::new(response.into_body(), LIST_MOST);
         let mut text = Vec::new();
-        let read = loop {
-            match self.more(&mut body, &mut text, ANSWER).await {
-                Ok(true) => {}
-                Ok(false) => break Ok(()),
-                Err(reason) => break Err(format!("the list {reason}")),
-            }
-        };
-        let list = read.and_then(|()| serde_json::from_slice(&text).map_err(|e| format!("no list: {e}")));
+        while self
+            .more(&mut body, &mut text, ANSWER)
+            .await
+            .map_err(|reason| format!("the list {reason}"))?
+        {}
+        let list = serde_json::from_slice(&text).map_err(|e| format!("no list: {e}"));
         list.inspect_err(|_| self.take_torn(&text))
     }
 
     /// Reads on, false at the end; no longer than the silence where nothing has begun. Where it
-    /// fails, what came of endpoints that leave is taken.
+    /// pauses or breaks, what came of endpoints that leave is taken.
     async fn more<B>(&self, body: &mut B, text: &mut Vec<u8>, silence: Duration) -> Result<bool, String>
     where
         B: Body<Data = Bytes> + Unpin,
@@ -232,22 +230,21 @@
     {
         let begun = !text.is_empty();
         let mut next = timeout(if begun { TORN } else { silence }, body.frame()).await;
-        if begun && next.is_err() {
+        if begun && matches!(next, Err(_) | Ok(Some(Err(_)))) {
             self.take_torn(text);
+        }
+        if begun && next.is_err() {
             next = timeout(PAUSE, body.frame()).await;
         }
-        let reason = match next {
+        match next {
+            Ok(None) => Ok(false),
             Ok(Some(Ok(frame))) => {
                 text.extend_from_slice(frame.data_ref().map_or(&[][..], |data| data));
-                return Ok(true);
+                Ok(true)
             }
-            Ok(None) => return Ok(false),
-            Ok(Some(Err(e))) => format!("broke: {e}"),
-            Err(_) if begun => "broke off".to_owned(),
-            Err(_) => "fell silent".to_owned(),
-        };
-        self.take_torn(text);
-        Err(reason)
+            Ok(Some(Err(e))) => Err(format!("broke: {e}")),
+            Err(_) => Err(if begun { "broke off" } else { "fell silent" }.to_owned()),
+        }
     }
 
     /// Takes from a list that broke off what it told of endpoints that leave: a drain told is told, whatever
