--- a/crates/adapter/tests/wire.rs
+++ b/crates/adapter/tests/wire.rs
@@ -103,6 +103,7 @@
 #[test]
 fn broken_settings_name_the_key() {
     for (old, new, key) in [
+        (r#""balancers":2"#, r#""balancers":0"#, "balancers"),
         (r#""balancers":2,"#, "", "balancers"),
         (r#""coldShare":0.4,"#, "", "coldShare"),
         (r#""maxAttempts":6"#, r#""maxAttempts":"six""#, "conf.limits.maxAttempts"),
