Part a zone's endpoints among the zone's own callers

Counted in a probe of the module: each of 46 callers used four of the 44 endpoints of its own zone, its part of the zone among all 46, each with a limit of one call; with the fifth call in flight the zone was full for it and the call crossed, though its zone's endpoints held one or two calls. Ruled out as causes: drag of slow kinds (crossings are as many in the first second, when nothing is learnt), windows (half empty then).

The own zone's part goes by the zone's own callers; other zones' as before. Small fleets, of up to four callers a zone, use all of a zone as before. Pools are filled in one pass.

--- a/crates/balance/src/balance/choice.rs
+++ b/crates/balance/src/balance/choice.rs
@@ -73,7 +73,7 @@
 
     /// Balancers of a zone. Drag is what all of them do to an endpoint, and counts so often beside own
     /// calls: else a zone's endpoints would be filled by many, and slow, while those of others idle.
-    fn callers(&self) -> f64 {
+    pub(super) fn callers(&self) -> f64 {
         (f64::from(self.settings.balancers) / f64::from(self.settings.zones.max(1))).max(1.0)
     }
 
--- a/crates/balance/src/balance/members.rs
+++ b/crates/balance/src/balance/members.rs
@@ -116,43 +116,40 @@
 
     /// How many listed endpoints it avoids now: out of use by hand, leaving, or barred by failures alone.
     pub fn avoided(&self, now: Duration) -> usize {
-        let avoided = |i: usize| {
+        let avoided = |&i: &usize| {
             let endpoint = &self.endpoints[i];
             let heat = (endpoint.heat(now) - self.common_heat).max(0.0);
-            !endpoint.is_ready() || heat + 1.0 > self.room(now, i)
+            let listed = endpoint.info.state != EndpointState::Gone;
+            listed && (!endpoint.is_ready() || heat + 1.0 > self.room(now, i))
         };
-        let listed = |i: &usize| self.endpoints[*i].info.state != EndpointState::Gone;
-        (0..self.endpoints.len()).filter(listed).filter(|&i| avoided(i)).count()
+        (0..self.endpoints.len()).filter(avoided).count()
     }
 
     /// All balancers see the endpoints of a zone on the same ring; each begins at a place of its own, by the
-    /// golden ratio: so parts cover it evenly, also for those of one zone, however they are numbered.
+    /// golden ratio: so parts cover it evenly, also for those of one zone, however they are numbered. The own
+    /// zone's endpoints are parted among its own callers: what all balancers would leave of it is soon full.
     pub(super) fn choose_part(&mut self, now: Duration) {
         let ready = self.endpoints.iter().enumerate().filter(|(_, e)| e.is_ready());
         let mut ring: Vec<_> = ready.map(|(i, e)| (e.info.zone, e.info.id, i)).collect();
         ring.sort();
-        let callers = f64::from(self.settings.balancers.max(1));
-        let mut in_part = vec![false; self.endpoints.len()];
+        self.pools = Default::default();
         for zone in ring.chunk_by(|a, b| a.0 == b.0) {
-            let size = zone.len() as f64;
+            let (size, side) = (zone.len() as f64, self.side(zone[0].2));
             let start = (size * (f64::from(self.settings.me) * PLACE_STEP).fract()) as usize;
+            let callers =
+                if side == 0 { self.callers() } else { f64::from(self.settings.balancers.max(1)) };
             // Cold endpoints come on top: through a release a part of them alone would be crowded.
             let mut wanted = (size * PART_CALLERS / callers).max(PART_LEAST);
             for place in start..start + zone.len() {
                 let i = zone[place % zone.len()].2;
-                in_part[i] = wanted > 0.0;
-                if self.warmth(now, i) >= 1.0 {
-                    wanted -= 1.0;
+                self.pools[2 + side].push(i);
+                if wanted > 0.0 {
+                    self.pools[side].push(i);
                 }
+                wanted -= f64::from(u8::from(self.warmth(now, i) >= 1.0));
             }
         }
-        self.pools = Default::default();
-        for (i, part) in in_part.into_iter().enumerate().filter(|&(i, _)| self.endpoints[i].is_ready()) {
-            let side = self.side(i);
-            self.pools[2 + side].push(i);
-            if part {
-                self.pools[side].push(i);
-            }
-        }
+        // In the order of the list: what endpoints are called means nothing.
+        self.pools.iter_mut().for_each(|pool| pool.sort_unstable());
     }
 }
--- a/crates/balance/tests/choice.rs
+++ b/crates/balance/tests/choice.rs
@@ -80,6 +80,18 @@
     assert!(away > 0, "nothing left a zone whose two endpoints hold all the calls");
 }
 
+#[test]
+fn a_caller_of_a_large_fleet_has_room_in_its_own_zone() {
+    // Of 44 endpoints there it used four, what all 46 callers would leave it, and crossed with its fifth call.
+    let zone = |id: u64| EndpointInfo { zone: ZoneId(id as u32 % 5), ..endpoint(id) };
+    for me in 0..46 {
+        let settings = Settings { balancers: 46, zones: 5, me, ..Settings::default() };
+        let mut d = Driver::seeded(settings, (0..220).map(zone).collect(), me.into());
+        let sent: Vec<_> = (0..8).flat_map(|_| sends(&d.request(ms(60_000)).1)).collect();
+        assert!(sent.iter().all(|id| id.0.is_multiple_of(5)), "caller {me} left its zone: {sent:?}");
+    }
+}
+
 /// How many of 100 requests leave a zone whose endpoints have come to answer in four times their time.
 fn leave_a_slowed_zone(balancers: u32) -> usize {
     let zone = |id: u64| EndpointInfo { zone: ZoneId(id as u32 % 3), ..endpoint(id) };
