Send cold endpoints their part of what each warm one bears now

Answers counted by kind and warmth over all sidecars: from 18 to 21 s 83 cold endpoints served 2 to 5 calls a second each, at the latency of idle ones (fast kind 0.27 s), while the warm ones of that kind served 20 to 30 at 0.35 s and more and a fifth of all warm ones had turned slow. The cold budget goes by what a warm endpoint has been seen to serve, and that was reckoned over all ready endpoints, cold ones among them: with half of the fleet cold it came out at half. Ruled out: second tier (50 to 60 ms for its fast kind throughout), the list (all 220 known by 21 s), processor time.

Requests served by warm endpoints are divided by how many are warm, seen in the sample that each choice takes anyway.

--- a/crates/balance/src/balance.rs
+++ b/crates/balance/src/balance.rs
@@ -154,6 +154,8 @@
     /// Requests by tenant.
     tenants: Uses,
     arrivals: Fading,
+    /// The share of ready endpoints that are warm, as seen of late.
+    warm: f64,
     /// Requests served by warm endpoints.
     served: Fading,
     /// The most a warm endpoint has lately been seen to serve for this balancer, a second.
@@ -217,6 +219,7 @@
             retry_tokens: RETRY_SAVED,
             tenants,
             arrivals: Fading::default(),
+            warm: 1.0,
             served: Fading::default(),
             proven: Fading::default(),
             silence: Fading::default(),
--- a/crates/balance/src/balance/attempts.rs
+++ b/crates/balance/src/balance/attempts.rs
@@ -201,7 +201,7 @@
         }
         let idle = attempt.idle;
         attempt.fate = if ended.outcome.never_ran() { Fate::NeverRan } else { Fate::MayHaveRun };
-        let (class, coming, endpoint) = (pending.class, pending.coming, attempt.endpoint);
+        let (class, coming) = (pending.class, pending.coming);
         if ended.outcome == Outcome::Ok && idle >= self.reaped_after {
             self.stale -= STALE_REFUTED;
         }
@@ -215,7 +215,7 @@
         {
             self.note_silence(now, silent);
         }
-        self.learn(now, endpoint, class, coming, &ended);
+        self.learn(now, class, coming, &ended);
         if ended.finished {
             self.finish(id, out);
         }
--- a/crates/balance/src/balance/choice.rs
+++ b/crates/balance/src/balance/choice.rs
@@ -15,6 +15,8 @@
 /// Discovery is mostly heard again within the first; after the second it is down, and the old list serves.
 const BLIND_AFTER: Duration = Duration::from_secs(2);
 const BLIND_MOST: Duration = Duration::from_secs(15);
+/// Weight of one look in the share of endpoints that are warm: some are looked at for each choice.
+const WARM_WEIGHT: f64 = 0.05;
 /// Calls of all balancers at each endpoint beyond which floors of one call are too many.
 const FLOOR_CALLS: f64 = 8.0;
 
@@ -99,12 +101,15 @@
         (best, found)
     }
 
-    /// The heat of the best quarter, of all endpoints or of every so many.
+    /// The heat of the best quarter, of all endpoints or of every so many; and notes how many are warm.
     fn shared_heat(&mut self, now: Duration) -> f64 {
         let step = self.endpoints.len().div_ceil(DRAWS).max(1);
         let skipped = self.draws.below(step);
-        let ready = self.endpoints.iter().skip(skipped).step_by(step).filter(|e| e.is_ready());
-        let mut heats: Vec<f64> = ready.map(|e| e.heat(now)).collect();
+        let looked = (skipped..self.endpoints.len()).step_by(step);
+        let ready: Vec<usize> = looked.filter(|&i| self.endpoints[i].is_ready()).collect();
+        let warm = ready.iter().filter(|&&i| self.warmth(now, i) >= 1.0).count();
+        self.warm += WARM_WEIGHT * (warm as f64 / ready.len().max(1) as f64 - self.warm);
+        let mut heats: Vec<f64> = ready.iter().map(|&i| self.endpoints[i].heat(now)).collect();
         heats.sort_by(f64::total_cmp);
         heats.get(heats.len() / 4).copied().unwrap_or(0.0)
     }
--- a/crates/balance/src/balance/learning.rs
+++ b/crates/balance/src/balance/learning.rs
@@ -54,15 +54,8 @@
     }
 
     /// Lets an outcome speak for or against its endpoint.
-    pub(super) fn learn(
-        &mut self,
-        now: Duration,
-        id: EndpointId,
-        class: usize,
-        coming: bool,
-        ended: &AttemptEnded,
-    ) {
-        let Some(&i) = self.index.get(&id) else { return };
+    pub(super) fn learn(&mut self, now: Duration, class: usize, coming: bool, ended: &AttemptEnded) {
+        let Some(&i) = self.index.get(&ended.endpoint) else { return };
         let (elapsed, silent) = (ended.elapsed.as_secs_f64(), self.silent(now));
         let slow = elapsed > self.late_after(class);
         let late = match ended.outcome {
@@ -134,8 +127,7 @@
 
     fn prove(&mut self, now: Duration) {
         self.served.count(now, RATE_SECONDS);
-        // Over all that are ready, warm or not: too low a rate for the warm ones errs on the safe side.
-        let rate = self.served.read(now, RATE_SECONDS) / self.ready().max(1.0);
+        let rate = self.served.read(now, RATE_SECONDS) / (self.ready() * self.warm).max(1.0);
         if rate > self.proven_rate(now) || self.proven.value == 0.0 {
             self.proven.set(now, rate);
         }
--- a/crates/balance/tests/rules.rs
+++ b/crates/balance/tests/rules.rs
@@ -109,20 +109,22 @@
     assert!(refused(&d.advance(ms(210)), id));
 }
 
-/// Serves 60 requests a second for a while and gives the sends to the cold endpoint in its first second.
+/// Serves 60 requests a second, one at a time.
+fn pace(d: &mut Driver, requests: usize) {
+    for _ in 0..requests {
+        let (id, _) = d.request(ms(900));
+        d.advance(ms(15));
+        if d.out.iter().any(|o| o.0 == id) {
+            d.end(id, Outcome::Ok, ms(15));
+        }
+    }
+}
+
+/// The sends to the cold endpoint in its first seconds, beside three warm ones that serve 60 requests a second.
 fn cold_sends_in_first_second(balancers: u32) -> usize {
     let settings = Settings { balancers, ..Settings::default() };
     let window = settings.rules.fall_after;
     let mut d = Driver::new(settings, endpoints(3));
-    let pace = |d: &mut Driver, rounds: usize| {
-        for _ in 0..rounds {
-            let (id, _) = d.request(ms(900));
-            d.advance(ms(15));
-            if d.out.iter().any(|o| o.0 == id) {
-                d.end(id, Outcome::Ok, ms(15));
-            }
-        }
-    };
     pace(&mut d, 600);
     let started = d.now;
     d.list(Membership::Delta(vec![EndpointInfo { started: Some(started), ..endpoint(4) }]));
@@ -139,6 +141,20 @@
     assert!(sent < 11, "{sent} sends in the first second");
 }
 
+#[test]
+fn cold_endpoints_get_their_part_of_what_the_warm_ones_bear_now() {
+    // Of twelve that served 5 a second each, nine start again: the three left bear four times as much, and what
+    // each cold one may get goes by that, and not by what all twelve would make of it.
+    let settings = Settings { balancers: 4, ..Settings::default() };
+    let mut d = Driver::new(settings, endpoints(12));
+    pace(&mut d, 600);
+    let started = Some(d.now);
+    d.list(Membership::Delta((4..=12).map(|id| EndpointInfo { started, ..endpoint(id) }).collect()));
+    pace(&mut d, 200);
+    let cold: usize = d.checker.cold_sends.values().map(Vec::len).sum();
+    assert!(cold > 70, "{cold} of 200");
+}
+
 #[test]
 fn rule_4_holds_when_the_whole_fleet_is_cold() {
     let mut d = Driver::new(Settings::default(), vec![]);
