--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -41,7 +41,7 @@
 pub use retry::{End, RetrySpec, pick};
 pub use scenario::{
     ArrivalSpec, Carry, ClassSpec, EndpointsSpec, FaultSpec, NetworkSpec, Point, ReplacementSpec, Scenario,
-    Spread, TenantSpec, Trouble,
+    Spread, TenantSpec, Trouble, Way,
 };
 pub use tally::{Outcome, Second, TenantOutcome, Totals};
 
--- a/crates/model/src/scenario.rs
+++ b/crates/model/src/scenario.rs
@@ -224,6 +224,20 @@
     Hang,
     /// All but this part of its capacity is lost, over 0 and up to 1.
     Slow(f64),
+    /// The hall is cut off from all others: what crosses its border is lost without a word.
+    Cut(Way),
+}
+
+/// Which way a cut loses what crosses a hall's border.
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Way {
+    /// Both ways.
+    Both,
+    /// Into the hall.
+    In,
+    /// Out of it.
+    Out,
 }
 
 /// A fault.
@@ -368,6 +382,13 @@
                 number(format!("faults[{n}].what.slow"), part, 0.001, 1.0);
             }
         }
+        for (n, fault) in self.faults.iter().enumerate() {
+            if matches!(fault.what, Trouble::Cut(_)) && (fault.hall.is_none() || fault.endpoints.is_some())
+            {
+                problems
+                    .push(format!("faults[{n}].what.cut: it is of a whole `hall`, which must be named"));
+            }
+        }
         let halls =
             self.endpoints.iter().map(|kind| &kind.hall).chain(self.faults.iter().map(|fault| &fault.hall));
         for hall in halls.flatten().filter(|hall| !self.halls.contains(hall)) {
--- a/crates/model/src/world.rs
+++ b/crates/model/src/world.rs
@@ -10,7 +10,7 @@
 use crate::process::{Flight, Open, Process};
 use crate::queue::Queue;
 use crate::retry::End;
-use crate::scenario::{Carry, FaultSpec, Scenario, Trouble};
+use crate::scenario::{Carry, FaultSpec, Scenario, Trouble, Way};
 use crate::tally::{Outcome as Brought, Tally};
 use curlewhub_balance::{
     Action, AttemptEnded, AttemptNo, CellId, ClassId, Earlier, EndpointId, EndpointInfo, Event, Membership,
@@ -31,6 +31,8 @@
 const ANSWER_MARGIN: Duration = Duration::from_millis(10);
 /// The list says so long after that an endpoint has started again.
 const LIST_LAG: Duration = Duration::from_millis(100);
+/// A connection that is not up after this long has failed.
+const CONNECT_WITHIN: Duration = Duration::from_millis(120);
 /// A process that was told to end is killed after this: the longest deadline and a little.
 const END_WITHIN: Duration = Duration::from_millis(3700);
 
@@ -92,6 +94,8 @@
     calls: HashMap<u64, Call>,
     flights: HashMap<u64, Flight>,
     next_flight: u64,
+    /// By hall, how many cuts lose what goes in, and what goes out.
+    cuts: Vec<(u32, u32)>,
     tally: Tally,
 }
 
@@ -112,6 +116,7 @@
             calls: HashMap::new(),
             flights: HashMap::new(),
             next_flight: 0,
+            cuts: vec![(0, 0); scenario.halls.len()],
             tally: Tally::new(scenario),
         };
         world.furnish();
--- a/crates/model/src/world/fleet.rs
+++ b/crates/model/src/world/fleet.rs
@@ -9,7 +9,10 @@
             self.flights.remove(&id); // cancelled on its way
             return;
         }
-        let (place, call_id, until) = (flight.endpoint, flight.call, flight.until);
+        let (place, call_id, until, process) = (flight.endpoint, flight.call, flight.until, flight.process);
+        if self.lost(self.processes[process].hall, self.endpoints[place].hall) {
+            return self.leaves(id);
+        }
         if !self.endpoints[place].up {
             return self.reply(id, Outcome::ConnectFailed);
         }
@@ -83,6 +86,9 @@
             return;
         }
         let hall = self.processes[process].hall;
+        if self.lost(self.endpoints[endpoint].hall, hall) {
+            return;
+        }
         let back = self.now + self.delay(hall, endpoint);
         self.queue.plan(back, Ev::Answers(id, outcome));
     }
@@ -101,7 +107,10 @@
     /// An endpoint hears that an attempt is not wanted any more.
     pub(super) fn cancelled(&mut self, id: u64) {
         let Some(flight) = self.flights.get(&id) else { return };
-        let place = flight.endpoint;
+        let (place, process) = (flight.endpoint, flight.process);
+        if self.lost(self.processes[process].hall, self.endpoints[place].hall) {
+            return; // it works on for nobody
+        }
         let endpoint = &mut self.endpoints[place];
         if !endpoint.here.contains(&id) {
             return; // on its way still: it is dropped when it comes
@@ -117,6 +126,15 @@
         let FaultSpec { what, endpoints, hall, .. } = &self.scenario.faults[n];
         let halls = &self.scenario.halls;
         let hall = hall.as_ref().and_then(|hall| halls.iter().position(|h| h == hall));
+        if let (Trouble::Cut(way), Some(hall)) = (what, hall) {
+            let change = |count: &mut u32| *count = if begins { *count + 1 } else { *count - 1 };
+            let (into, out) = &mut self.cuts[hall];
+            [(into, Way::Out), (out, Way::In)]
+                .into_iter()
+                .filter(|(_, spared)| spared != way)
+                .for_each(|c| change(c.0));
+            return;
+        }
         let there =
             |endpoint: &&usize| hall.is_none_or(|hall| self.endpoints[**endpoint].hall as usize == hall);
         let all: Vec<usize> = (0..self.endpoints.len()).collect();
@@ -125,6 +143,7 @@
         for place in struck {
             let endpoint = &mut self.endpoints[place];
             match what {
+                Trouble::Cut(_) => {}
                 Trouble::Slow(part) => {
                     endpoint.machine.set_factor(self.now, if begins { *part } else { 1.0 })
                 }
@@ -149,6 +168,11 @@
         }
     }
 
+    /// Whether what goes from a hall to another is lost now.
+    pub(super) fn lost(&self, from: u32, to: u32) -> bool {
+        from != to && (self.cuts[from as usize].1 > 0 || self.cuts[to as usize].0 > 0)
+    }
+
     /// Connections to an endpoint break.
     fn drop_all(&mut self, place: usize) {
         let now = self.now;
--- a/crates/model/src/world/sidecars.rs
+++ b/crates/model/src/world/sidecars.rs
@@ -104,6 +104,15 @@
             totals.attempts += 1;
             totals.crossings += u64::from(crosses);
         }
+        let there = self.endpoints[place].hall;
+        if !kept && (self.lost(hall, there) || self.lost(there, hall)) {
+            // A new connection never comes up, and proves that nothing ran.
+            if let Some(flight) = self.flights.get_mut(&id) {
+                flight.left = true;
+            }
+            let fails = until.min(now + CONNECT_WITHIN);
+            return self.queue.plan(fails, Ev::Answers(id, Outcome::ConnectFailed));
+        }
         let handshake =
             if kept { Duration::ZERO } else { self.delay(hall, place) + self.delay(hall, place) };
         let there = now + handshake + self.delay(hall, place);
--- a/crates/model/tests/model.rs
+++ b/crates/model/tests/model.rs
@@ -172,6 +172,47 @@
     }
 }
 
+/// Of a hall cut off in the middle of five seconds, in time: before, during the cut, and after it.
+fn cut(way: &str) -> [f64; 3] {
+    let top = "halls = [\"a\", \"b\"]\nsidecars = 6\nmax_attempts = 3\n[arrivals]\nrate = 120.0";
+    let fault =
+        format!("[[faults]]\nat = \"2s\"\nlasts = \"1s\"\nhall = \"b\"\nwhat = {{ cut = \"{way}\" }}");
+    let outcome = run(&small(top, &format!("[[endpoints]]\ncount = 8\n{fault}")), 3);
+    assert!(all_end(&outcome), "{way}");
+    assert_eq!((outcome.totals.ran_twice, outcome.totals.answered_twice), (0, 0), "{way}");
+    let part = |seconds: std::ops::Range<usize>| {
+        let totals = || outcome.seconds[seconds.clone()].iter().map(|second| &second.totals);
+        let sum = |of: fn(&curlewhub_model::Totals) -> u64| totals().map(of).sum::<u64>() as f64;
+        sum(|t| t.in_time) / sum(|t| t.offered)
+    };
+    [part(0..2), part(2..3), part(3..5)]
+}
+
+#[test]
+fn a_hall_cut_off_either_way_goes_on_by_itself_and_the_others_without_it() {
+    for way in ["both", "in", "out"] {
+        let [before, during, after] = cut(way);
+        assert!(before > 0.95 && after > 0.95, "{way}: {before} {after}");
+        assert!(during > 0.8, "{way}: {during}");
+    }
+}
+
+#[test]
+fn what_crosses_the_border_of_a_hall_that_is_cut_off_is_lost() {
+    // All endpoints are in b: for the sidecars of a nothing is served while either way is cut.
+    let served = |way: &str| {
+        let top = "halls = [\"a\", \"b\"]\nsidecars = 2\n[arrivals]\nrate = 60.0";
+        let fault =
+            format!("[[faults]]\nat = \"0s\"\nlasts = \"9s\"\nhall = \"b\"\nwhat = {{ cut = \"{way}\" }}");
+        let outcome = run(&small(top, &format!("[[endpoints]]\ncount = 4\nhall = \"b\"\n{fault}")), 3);
+        assert!(all_end(&outcome));
+        outcome.totals.in_time as f64 / outcome.totals.offered as f64
+    };
+    for way in ["both", "in", "out"] {
+        assert!((0.3..0.7).contains(&served(way)), "{way}: {}", served(way));
+    }
+}
+
 #[test]
 fn figures_that_make_no_sense_are_named() {
     let [text, tenants] =
