Let endpoints in a slow state be, each sidecar for itself

Need: an endpoint that a backlog has turned slow needs seconds without work. A hundred sidecars each leave it the one call that its limit allows, and meet it too seldom to see that it is the sum that keeps it slow.

Change: after an answer of over three times the class's mean, where its limit is one call, an endpoint is let be for sixteen times as long, while more than half of the ready ones are warm and not let be.

--- a/crates/balance/src/balance.rs
+++ b/crates/balance/src/balance.rs
@@ -103,6 +103,8 @@
     limit: f64,
     opening: bool,
     limit_cut_at: Duration,
+    /// Let be until then, as it answered late though it holds one own call at most.
+    rests_until: Duration,
     /// When it last answered, and left a connection idle.
     heard: Option<Duration>,
     /// Sends the cold budget still allows, as of `cold_at`.
@@ -154,7 +156,7 @@
     /// Requests by tenant.
     tenants: Uses,
     arrivals: Fading,
-    /// The share of ready endpoints that are warm, as seen of late.
+    /// The share of ready endpoints that are warm and not let be, as seen of late.
     warm: f64,
     /// Requests served by warm endpoints.
     served: Fading,
@@ -238,8 +240,8 @@
         match event {
             Event::Membership(news) => self.on_membership(now, news, out),
             Event::Request(request) => self.on_request(now, request, out),
-            Event::StreamStarted { request, .. } => {
-                self.requests.get_mut(&request).into_iter().for_each(|p| p.streaming = true)
+            Event::StreamStarted { request: id, .. } => {
+                self.requests.get_mut(&id).into_iter().for_each(|p| p.streaming = true)
             }
             Event::BodyFlows(id) => self.requests.get_mut(&id).into_iter().for_each(|p| p.once = true),
             Event::BodyWhole { request, time_left } => self.on_body_whole(now, request, time_left, out),
--- a/crates/balance/src/balance/attempts.rs
+++ b/crates/balance/src/balance/attempts.rs
@@ -26,7 +26,7 @@
             return;
         }
         self.arrivals.count(now, RATE_SECONDS);
-        self.retry_tokens = (self.retry_tokens + RETRY_EARN).min(self.retries_most());
+        self.retry_tokens = (self.retry_tokens + RETRY_EARN).min(RETRY_SAVED * self.share);
         let class = request.class.0.min(self.settings.classes.len() - 1);
         let over_share = self.over_share(now, request.tenant.0);
         let mut part = if over_share { self.settings.over_share_worth } else { 1.0 };
@@ -90,10 +90,7 @@
 
     /// Sends a request that has no attempt out, or holds it, or gives it up.
     fn advance(&mut self, now: Duration, id: RequestId, out: &mut Vec<Action>) {
-        let Some(pending) = self.requests.get(&id) else { return };
-        if pending.settled() {
-            return;
-        }
+        let Some(pending) = self.requests.get(&id).filter(|p| !p.settled()) else { return };
         let spent = pending.attempts.len() as u32 >= self.settings.limits.max_attempts;
         // A held repeat may have outlived the time in which its key is remembered: ask again here.
         let spent = spent || pending.deadline <= now || self.too_late(now, pending);
@@ -195,10 +192,9 @@
     pub(super) fn on_attempt_ended(&mut self, now: Duration, ended: AttemptEnded, out: &mut Vec<Action>) {
         let id = ended.request;
         let Some(pending) = self.requests.get_mut(&id) else { return };
-        let Some(attempt) = pending.attempts.get_mut(ended.attempt.0 as usize) else { return };
-        if attempt.fate != Fate::Out {
-            return; // an outcome told twice
-        }
+        let n = ended.attempt.0 as usize;
+        // An outcome may be told twice.
+        let Some(attempt) = pending.attempts.get_mut(n).filter(|a| a.fate == Fate::Out) else { return };
         let idle = attempt.idle;
         attempt.fate = if ended.outcome.never_ran() { Fate::NeverRan } else { Fate::MayHaveRun };
         let (class, coming) = (pending.class, pending.coming);
@@ -208,8 +204,7 @@
         if self.stale < 1.0 {
             (self.reaped_after, self.stale) = (Duration::MAX, self.stale.max(0.0));
         }
-        let before = ended.attempt.0 as usize;
-        let overtaken = |p: &Pending| p.attempts[..before].iter().copied().find(|a| a.fate == Fate::Out);
+        let overtaken = |p: &Pending| p.attempts[..n].iter().copied().find(|a| a.fate == Fate::Out);
         if ended.outcome == Outcome::Ok
             && let Some(silent) = self.requests.get(&id).and_then(overtaken)
         {
@@ -242,10 +237,7 @@
 
     /// The last word on a request that can't be served: a refusal where that is true, else a failure.
     pub(super) fn give_up(&mut self, id: RequestId, out: &mut Vec<Action>) {
-        let Some(pending) = self.requests.get(&id) else { return };
-        if pending.settled() {
-            return;
-        }
+        let Some(pending) = self.requests.get(&id).filter(|p| !p.settled()) else { return };
         let may_have_run = pending.may_have_run().next().is_some();
         let harmless = self.settings.classes[pending.class].semantics.is_harmless(may_have_run);
         // The time in which a place comes free.
--- a/crates/balance/src/balance/choice.rs
+++ b/crates/balance/src/balance/choice.rs
@@ -17,6 +17,8 @@
 const BLIND_MOST: Duration = Duration::from_secs(15);
 /// Weight of one look in the share of endpoints that are warm: some are looked at for each choice.
 const WARM_WEIGHT: f64 = 0.05;
+/// Nobody is let be while no larger share than this is warm and not let be.
+const REST_MOST: f64 = 0.5;
 /// Calls of all balancers at each endpoint beyond which floors of one call are too many.
 const FLOOR_CALLS: f64 = 8.0;
 
@@ -107,7 +109,8 @@
         let skipped = self.draws.below(step);
         let looked = (skipped..self.endpoints.len()).step_by(step);
         let ready: Vec<usize> = looked.filter(|&i| self.endpoints[i].is_ready()).collect();
-        let warm = ready.iter().filter(|&&i| self.warmth(now, i) >= 1.0).count();
+        let fit = |&&i: &&usize| self.warmth(now, i) >= 1.0 && now >= self.endpoints[i].rests_until;
+        let warm = ready.iter().filter(fit).count();
         self.warm += WARM_WEIGHT * (warm as f64 / ready.len().max(1) as f64 - self.warm);
         let mut heats: Vec<f64> = ready.iter().map(|&i| self.endpoints[i].heat(now)).collect();
         heats.sort_by(f64::total_cmp);
@@ -133,7 +136,8 @@
         let endpoint = &self.endpoints[i];
         let overspent = self.warmth(now, i) < 1.0 && self.cold_tokens(now, i) < 1.0;
         let unknown = self.blind && !endpoint.answered_lately(now);
-        if unknown || !endpoint.is_ready() || self.load(now, i) + 1.0 > self.room(now, i) || overspent {
+        let barred = overspent || unknown || (now < endpoint.rests_until && self.warm > REST_MOST);
+        if barred || !endpoint.is_ready() || self.load(now, i) + 1.0 > self.room(now, i) {
             return false;
         }
         let (semantics, info) = (self.settings.classes[pending.class].semantics, &endpoint.info);
--- a/crates/balance/src/balance/learning.rs
+++ b/crates/balance/src/balance/learning.rs
@@ -14,12 +14,17 @@
 const SILENCE_SECONDS: f64 = 15.0;
 /// Until its first late answer each timely one adds a call, up to so many: or few endpoints would hold a
 /// first surge up for seconds. Not where they are newly started: through a release those would be crowded.
-/// It could hurt where answers stay timely until a queue overflows.
 const LIMIT_OPEN: f64 = 8.0;
 /// One late answer takes this share of the limit; each round of timely ones adds one call. Each of many
 /// balancers adds less and takes more, up to the most, as it hears but few of an endpoint's answers.
 const LIMIT_CUT: f64 = 0.07;
 const LIMIT_CUT_MOST: f64 = 0.5;
+/// An answer of so many times the mean, where one own call may be out, shows a slow state: slow kinds and
+/// full queues take up to two, and let be they would leave the others too much ...
+const REST_MULTIPLE: f64 = 3.0;
+/// ... which only rest ends. Each caller lets it be for so many times as long: so all callers of its zone,
+/// four to twenty, leave it less than one call at a time between them.
+const REST_PART: f64 = 16.0;
 /// Part of the objective that an answer may take before the endpoint counts as overfull.
 const LATE_PART: f64 = 0.8;
 /// A timely answer adds this many parts over the window, a late one takes the cut. So where each endpoint
@@ -93,6 +98,9 @@
         {
             endpoint.limit += of_few / if endpoint.opening { 1.0 } else { endpoint.limit };
         }
+        if late && endpoint.limit <= 1.0 && ended.elapsed > usual.mul_f64(REST_MULTIPLE) {
+            endpoint.rests_until = now + ended.elapsed.mul_f64(REST_PART);
+        }
         endpoint.in_flight = endpoint.in_flight.saturating_sub(1);
         match ended.outcome {
             Outcome::Ok => {
--- a/crates/balance/src/balance/members.rs
+++ b/crates/balance/src/balance/members.rs
@@ -60,8 +60,9 @@
                 Some(&i) => {
                     let endpoint = &mut self.endpoints[i];
                     if info.started != endpoint.info.started {
-                        endpoint.drag.value = 0.0;
-                        endpoint.heat.value = 0.0; // another process: its forerunner's failures say nothing
+                        // Another process: its forerunner's failures say nothing.
+                        (endpoint.drag.value, endpoint.heat.value, endpoint.rests_until) =
+                            (0.0, 0.0, Duration::ZERO);
                         (endpoint.cold_tokens, endpoint.cold_at) = (self.draws.uniform(), now);
                     }
                     endpoint.info = info;
@@ -78,6 +79,7 @@
                         drag: Fading::default(),
                         limit,
                         limit_cut_at: now,
+                        rests_until: Duration::ZERO,
                         heard: None,
                         cold_tokens: self.draws.uniform(),
                         cold_at: now,
@@ -99,7 +101,8 @@
             endpoint.banned = on;
             if !on {
                 (endpoint.back, endpoint.limit) = (Some(now), LIMIT_START);
-                (endpoint.drag.value, endpoint.heat.value) = (0.0, 0.0);
+                (endpoint.drag.value, endpoint.heat.value, endpoint.rests_until) =
+                    (0.0, 0.0, Duration::ZERO);
                 // One call at once: it shows that the endpoint serves again.
                 (endpoint.cold_tokens, endpoint.cold_at) = (1.0, now);
             }
@@ -136,8 +139,7 @@
         for zone in ring.chunk_by(|a, b| a.0 == b.0) {
             let (size, side) = (zone.len() as f64, self.side(zone[0].2));
             let start = (size * (f64::from(self.settings.me) * PLACE_STEP).fract()) as usize;
-            let callers =
-                if side == 0 { self.callers() } else { f64::from(self.settings.balancers.max(1)) };
+            let callers = if side == 0 { self.callers() } else { f64::from(self.settings.balancers) };
             // Cold endpoints come on top: through a release a part of them alone would be crowded.
             let mut wanted = (size * PART_CALLERS / callers).max(PART_LEAST);
             for place in start..start + zone.len() {
--- a/crates/balance/src/balance/share.rs
+++ b/crates/balance/src/balance/share.rs
@@ -59,15 +59,10 @@
             self.retry_tokens += portion.retries;
         }
         self.set_share(now, share);
-        self.retry_tokens = self.retry_tokens.min(self.retries_most());
+        self.retry_tokens = self.retry_tokens.min(RETRY_SAVED * self.share);
         self.release_held(now, out);
     }
 
-    /// What can be saved up of retries.
-    pub(super) fn retries_most(&self) -> f64 {
-        RETRY_SAVED * self.share
-    }
-
     fn set_share(&mut self, now: Duration, share: f64) {
         // What cold endpoints may be sent has grown by the old share until now.
         for i in 0..self.endpoints.len() {
