Bound connections to an endpoint by the number of sidecars, and tell full tables apart

Need: an endpoint accepts so many connections, which hundreds of sidecars share without talk. None was bounded by their number; a refused connect heated an endpoint as if it were sick; those refused together came back together.

--- a/crates/config/src/config.rs
+++ b/crates/config/src/config.rs
@@ -1,6 +1,7 @@
 //! The structure that both file formats are turned into.
 
 use crate::list::List;
+use crate::problem::Problem;
 use curlewhub_balance::Settings;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
@@ -11,6 +12,8 @@
 pub const LEAST_SOCKETS: usize = 64;
 /// Less memory than this, in MiB, leaves no room for a client.
 pub const LEAST_MEMORY_MB: usize = 8;
+/// An endpoint that accepts more connections needs no bound.
+pub const ENDPOINT_CONNECTIONS_MOST: u32 = 1_000_000;
 /// Repeated log lines from one place, a second, where nothing is said.
 pub const LOG_PER_SECOND: u32 = 20;
 
@@ -29,6 +32,8 @@
     pub seed: u64,
     /// Descriptors it may hold.
     pub sockets: usize,
+    /// Connections that each endpoint accepts from all sidecars together; none where nobody says.
+    pub endpoint_connections: Option<u32>,
     /// Memory it may use, in MiB.
     pub memory_mb: usize,
     /// Where it keeps bans and the handover's socket.
@@ -41,6 +46,8 @@
     pub log: Log,
     /// The module's settings.
     pub settings: Settings,
+    /// What made no sense and was taken otherwise, for the log.
+    pub notes: Vec<Problem>,
     /// Names on the wire of what the module knows by number.
     pub names: Names,
 }
--- a/crates/config/src/file.rs
+++ b/crates/config/src/file.rs
@@ -1,6 +1,8 @@
 //! The operators' form of the configuration: a TOML file.
 
-use crate::config::{Config, LEAST_MEMORY_MB, LEAST_SOCKETS, LOG_PER_SECOND, Log, Named, Names};
+use crate::config::{
+    Config, ENDPOINT_CONNECTIONS_MOST, LEAST_MEMORY_MB, LEAST_SOCKETS, LOG_PER_SECOND, Log, Named, Names,
+};
 use crate::list::{List, State, Target};
 use crate::problem::{Problem, Problems};
 use crate::reader::{Effective, Override, Reader, Section, any, only};
@@ -100,6 +102,11 @@
         1024,
         &only("64 to 1000000 descriptors", |n: &usize| (LEAST_SOCKETS..=1_000_000).contains(n)),
     );
+    let endpoint_connections = limits.optional(
+        r,
+        "endpoint_connections",
+        &only("1 to 1000000", |n: &u32| (1..=ENDPOINT_CONNECTIONS_MOST).contains(n)),
+    );
     let attempts = attempts(r, &mut limits);
     limits.finish(r);
     let (classes, class_names) = classes(r, root);
@@ -148,12 +155,14 @@
         operator,
         seed,
         sockets,
+        endpoint_connections,
         memory_mb: (memory.0 / MIB) as usize,
         state_dir,
         replaces: false,
         known: List { rev: 0, all: true, targets },
         log,
         settings,
+        notes: Vec::new(),
         names: Names { classes: class_names, tenants: tenant_names, areas: zones, kinds },
     }
 }
--- a/crates/config/src/platform.rs
+++ b/crates/config/src/platform.rs
@@ -1,6 +1,6 @@
 //! The platform's form of the configuration: `ROUTER_*` and the JSON file that `ROUTER_CONFIG` names.
 
-use crate::config::{Config, LEAST_SOCKETS, Log, Names};
+use crate::config::{Config, ENDPOINT_CONNECTIONS_MOST, LEAST_SOCKETS, Log, Names};
 use crate::list::List;
 use crate::problem::{Problem, Problems};
 use crate::settings::parse_settings;
@@ -8,6 +8,8 @@
 use serde_json::Value;
 use std::net::SocketAddr;
 
+/// More sidecars than this are a mistake.
+const SIDECARS_MOST: u32 = 1_000_000;
 /// The variable that names the platform's file.
 pub const CONFIG_VAR: &str = "ROUTER_CONFIG";
 
@@ -39,6 +41,8 @@
 struct Limits {
     memory_mb: f64,
     sockets: usize,
+    /// No platform says it yet.
+    endpoint_connections: Option<Value>,
 }
 
 /// Reads the file that `ROUTER_CONFIG` names; the other variables win over what the file says. The file
@@ -71,7 +75,9 @@
     let raw: Value = serde_json::from_str(text).map_err(|e| error(CONFIG_VAR, e))?;
     let file: File =
         serde_path_to_error::deserialize(&raw).map_err(|e| error(&e.path().to_string(), e.inner()))?;
-    let settings = parse_settings(&file.settings.to_string())
+    let mut notes = Vec::new();
+    let shared = with_a_count(&file.settings, &mut notes);
+    let settings = parse_settings(&shared.to_string())
         .map_err(|e| error(&e.field.replacen("conf", "settings", 1), e.problem))?;
     let names: Names = serde_path_to_error::deserialize(&file.settings)
         .map_err(|e| error(&format!("settings.{}", e.path()), e.inner()))?;
@@ -90,17 +96,54 @@
         seed: u64::from_str_radix(&file.seed, 16)
             .map_err(|_| error("seed", format!("`{}` is not hex", file.seed)))?,
         sockets: file.limits.sockets,
+        endpoint_connections: connections(file.limits.endpoint_connections.as_ref(), &mut notes),
         memory_mb: file.limits.memory_mb as usize,
         state_dir: std::env::temp_dir(),
         replaces: true,
         known: file.known,
         log: Log { level, ..Log::default() },
         settings,
+        notes,
         names,
     };
     Ok((config, raw))
 }
 
+/// Why a number is not used.
+fn note(field: &str, value: &Value, allowed: &str) -> Problem {
+    let (source, field, allowed) = (CONFIG_VAR.to_owned(), field.to_owned(), allowed.to_owned());
+    Problem { source, line: None, field, problem: format!("{value} is out of range"), allowed }
+}
+
+fn count(value: &Value, most: u32) -> Option<u32> {
+    value.as_u64().and_then(|n| u32::try_from(n).ok()).filter(|n| (1..=most).contains(n))
+}
+
+/// The settings, where a count of sidecars that makes no sense is the least that this one's number allows: a
+/// sidecar that does not start loses all its requests, one that counts too few only takes too large a part.
+fn with_a_count(settings: &Value, notes: &mut Vec<Problem>) -> Value {
+    let mut settings = settings.clone();
+    let said = settings["balancers"].clone();
+    let me = settings["me"].as_u64().unwrap_or_default().min(u64::from(SIDECARS_MOST) - 1);
+    if count(&said, SIDECARS_MOST).is_none()
+        && let Some(fields) = settings.as_object_mut()
+    {
+        notes.push(note("settings.balancers", &said, "1 to 1000000"));
+        fields.insert("balancers".to_owned(), Value::from(me + 1));
+    }
+    settings
+}
+
+/// Connections that an endpoint accepts; what makes no sense is as good as unsaid.
+fn connections(said: Option<&Value>, notes: &mut Vec<Problem>) -> Option<u32> {
+    let said = said.filter(|value| !value.is_null())?;
+    let known = count(said, ENDPOINT_CONNECTIONS_MOST);
+    if known.is_none() {
+        notes.push(note("limits.endpoint_connections", said, "1 to 1000000"));
+    }
+    known
+}
+
 fn address(field: &str, text: Option<String>) -> Result<SocketAddr, Problems> {
     let text = text.ok_or_else(|| error(field, "missing"))?;
     text.parse().map_err(|_| error(field, format!("`{text}` is not an address and port")))
--- a/crates/curlewhub/src/serve.rs
+++ b/crates/curlewhub/src/serve.rs
@@ -3,6 +3,7 @@
 use crate::logs::Counts;
 use curlewhub_balance::Balancer;
 use curlewhub_config::{Change, Config, Loaded};
+use curlewhub_links::Terms;
 use curlewhub_runtime::bans::Bans;
 use curlewhub_runtime::budget::Budget;
 use curlewhub_runtime::clock::Clock;
@@ -18,6 +19,7 @@
 use curlewhub_runtime::listing::Listing;
 use curlewhub_runtime::operator::Operator;
 use curlewhub_runtime::outbound::Outbound;
+use curlewhub_runtime::slots::Slots;
 use curlewhub_runtime::static_list;
 use curlewhub_snapshot::{Store, fingerprint};
 use std::io;
@@ -85,7 +87,12 @@
     let Doors { listener, before, bans } = open(&config, &handover).await?;
     let (inbox, inputs) = mpsc::unbounded_channel();
     let (calls, asked) = mpsc::unbounded_channel();
-    let outbound = Outbound::new(&config.settings, budget.clone(), figures.clone());
+    let terms = Terms { sidecars: config.settings.balancers, accepts: config.endpoint_connections };
+    let slots = Slots::new(terms, config.seed);
+    let outbound = Outbound::new(&config.settings, budget.clone(), slots, figures.clone());
+    for note in &config.notes {
+        warn!(field = note.field, problem = note.problem, "configuration: taken as if it were otherwise");
+    }
     let inbound = Inbound::new(
         config.settings.clone(),
         &config.names,
--- a/crates/runtime/src/driver.rs
+++ b/crates/runtime/src/driver.rs
@@ -182,6 +182,7 @@
                 listed,
                 names,
                 idle = links,
+                full = self.outbound.full(),
                 "summary"
             );
         }
--- a/crates/runtime/src/outbound.rs
+++ b/crates/runtime/src/outbound.rs
@@ -4,9 +4,11 @@
 use super::events::Ended;
 use super::figures::Figures;
 use super::guard::Guard;
+use super::slots::{Slot, Slots};
 use super::socket::{BUFFER_MOST, Heard, Socket};
 use super::streaming::{AnswerBody, BODY_MOST, FLOW_KIB, Flow, Payload, Sending, WHOLE_MOST};
 use curlewhub_balance::{EndpointId, LoadField, Outcome, Settings};
+use curlewhub_links::{Leave, Refusal};
 use http_body_util::BodyExt;
 use hyper::body::{Body, Bytes, Incoming};
 use hyper::client::conn::http1::{self, SendRequest};
@@ -14,6 +16,7 @@
 use hyper_util::rt::TokioIo;
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, HashSet};
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::pin::pin;
 use std::rc::Rc;
@@ -82,9 +85,18 @@
     idle_since: Instant,
     /// Dropping a link closes its connection, also with an answer still to come.
     _connection: Guard,
+    _slot: Slot,
     _permit: Permit,
 }
 
+/// Why there is no new connection.
+enum NoLink {
+    /// Another one came up, failed or came free meanwhile: an idle one may be there now.
+    LookAgain,
+    /// None is to be had.
+    Ends(Outcome),
+}
+
 /// What an answer has come to.
 enum Read {
     Whole(Outcome, Bytes),
@@ -95,6 +107,7 @@
 /// The connections to all endpoints.
 pub struct Outbound {
     budget: Rc<Budget>,
+    slots: Rc<Slots>,
     figures: Rc<Figures>,
     /// Nothing new is written to these.
     barred: RefCell<HashSet<EndpointId>>,
@@ -110,18 +123,25 @@
 
 impl Outbound {
     /// No connections yet.
-    pub fn new(settings: &Settings, budget: Rc<Budget>, figures: Rc<Figures>) -> Rc<Self> {
+    pub fn new(
+        settings: &Settings,
+        budget: Rc<Budget>,
+        slots: Rc<Slots>,
+        figures: Rc<Figures>,
+    ) -> Rc<Self> {
         let (connect, idle) = (settings.limits.connect_timeout, settings.limits.idle_close);
         let or = |time: Duration, unstated| if time.is_zero() { unstated } else { time };
+        let idle_most = slots.kept(or(idle.mul_f64(IDLE_PART), IDLE_UNSTATED));
         Rc::new(Outbound {
             budget,
+            slots,
             figures,
             barred: RefCell::default(),
             idle: RefCell::default(),
             aged_resets: Cell::default(),
             aged_until: Cell::default(),
             connect_timeout: or(connect, CONNECT_UNSTATED),
-            idle_most: or(idle.mul_f64(IDLE_PART), IDLE_UNSTATED),
+            idle_most,
             fields: settings.load_reports.fields.clone(),
         })
     }
@@ -142,9 +162,10 @@
         loop {
             let (mut link, fresh) = match self.take_idle(endpoint, address).await {
                 Some(link) => (link, false),
-                None => match self.connect(address).await {
-                    Some(link) => (link, true),
-                    None => return Ended::bare(Outcome::ConnectFailed),
+                None => match self.connect(endpoint, address).await {
+                    Ok(link) => (link, true),
+                    Err(NoLink::LookAgain) => continue,
+                    Err(NoLink::Ends(outcome)) => return Ended::bare(outcome),
                 },
             };
             // An idle connection may be found closed only now.
@@ -259,6 +280,7 @@
     fn park(&self, endpoint: EndpointId, mut link: Link) {
         link.idle_since = Instant::now();
         self.idle.borrow_mut().entry(endpoint).or_default().push(link);
+        self.slots.freed();
     }
 
     /// Asks an endpoint for its load.
@@ -277,6 +299,11 @@
         }
     }
 
+    /// Connects that endpoints with full tables have refused.
+    pub fn full(&self) -> u64 {
+        self.slots.full()
+    }
+
     /// How many connections are idle.
     pub fn idle(&self) -> usize {
         self.idle.borrow().values().map(Vec::len).sum()
@@ -367,27 +394,43 @@
         }
     }
 
-    async fn connect(&self, address: SocketAddr) -> Option<Link> {
+    async fn connect(&self, endpoint: EndpointId, address: SocketAddr) -> Result<Link, NoLink> {
+        const FAILED: NoLink = NoLink::Ends(Outcome::ConnectFailed);
+        let slot = self.slots.take(endpoint).await.map_err(|leave| match leave {
+            Leave::Full => NoLink::Ends(Outcome::Full),
+            Leave::Open | Leave::Wait => NoLink::LookAgain,
+        })?;
         let permit = loop {
             match self.budget.take(Holder::Endpoint) {
                 Some(permit) => break permit,
                 None if self.close_oldest_idle() => {}
-                None => return None,
+                None => return Err(FAILED),
             }
         };
         // A machine that is cut off never answers: without a limit of ours the attempt would hang.
-        let stream = timeout(self.connect_timeout, TcpStream::connect(address)).await.ok()?.ok()?;
-        stream.set_nodelay(true).ok()?;
+        let stream = match timeout(self.connect_timeout, TcpStream::connect(address)).await {
+            Ok(Ok(stream)) => stream,
+            Ok(Err(e)) if e.kind() == ErrorKind::ConnectionRefused => {
+                return Err(match slot.refused() {
+                    Refusal::Full => NoLink::Ends(Outcome::Full),
+                    Refusal::Unknown => FAILED,
+                });
+            }
+            Ok(Err(_)) | Err(_) => return Err(FAILED),
+        };
+        stream.set_nodelay(true).map_err(|_| FAILED)?;
         let (socket, heard) = Socket::new(stream);
         let handshake = http1::Builder::new().max_buf_size(BUFFER_MOST).handshake(TokioIo::new(socket));
-        let (sender, connection) = handshake.await.ok()?;
+        let (sender, connection) = handshake.await.map_err(|_| FAILED)?;
         let task = spawn_local(connection);
-        Some(Link {
+        slot.up();
+        Ok(Link {
             sender,
             heard,
             address,
             idle_since: Instant::now(),
             _connection: Guard::new(task.abort_handle()),
+            _slot: slot,
             _permit: permit,
         })
     }
--- /dev/null
+++ b/crates/runtime/src/slots.rs
@@ -0,0 +1,97 @@
+//! Leave to open connections to endpoints: each that is up or on its way holds a slot.
+
+use curlewhub_balance::EndpointId;
+use curlewhub_links::{Leave, Links, Refusal, Terms};
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::sync::Notify;
+use tokio::time::Instant;
+
+/// The slots of all endpoints.
+pub struct Slots {
+    links: RefCell<Links>,
+    since: Instant,
+    changed: Notify,
+}
+
+#[derive(Clone, Copy, PartialEq)]
+enum Stage {
+    Opening,
+    Up,
+    Refused,
+}
+
+/// One connection, up or on its way; given back when dropped.
+pub struct Slot {
+    slots: Rc<Slots>,
+    endpoint: EndpointId,
+    stage: Cell<Stage>,
+}
+
+impl Slots {
+    /// No connections yet.
+    pub fn new(terms: Terms, seed: u64) -> Rc<Self> {
+        let (links, changed) = (RefCell::new(Links::new(terms, seed)), Notify::new());
+        Rc::new(Slots { links, since: Instant::now(), changed })
+    }
+
+    /// A slot for a new connection; none where all that may be are up, or the endpoint took no more just now.
+    /// Waits, where others are on their way, for one of these to come up, fail or come free: then there may be
+    /// an idle connection as well, so who asked looks there again.
+    pub async fn take(self: &Rc<Self>, endpoint: EndpointId) -> Result<Slot, Leave> {
+        let leave = self.links.borrow_mut().ask(self.since.elapsed(), endpoint.0);
+        match leave {
+            Leave::Open => Ok(Slot { slots: self.clone(), endpoint, stage: Cell::new(Stage::Opening) }),
+            Leave::Wait => {
+                self.changed.notified().await;
+                Err(leave)
+            }
+            Leave::Full => Err(leave),
+        }
+    }
+
+    /// A connection came free, or another one may be opened.
+    pub fn freed(&self) {
+        self.changed.notify_waiters();
+    }
+
+    /// How long an idle connection is kept that could be kept for so long.
+    pub fn kept(&self, most: Duration) -> Duration {
+        self.links.borrow().terms().kept(most)
+    }
+
+    /// Connects that endpoints with full tables have refused.
+    pub fn full(&self) -> u64 {
+        self.links.borrow().full()
+    }
+}
+
+impl Slot {
+    /// Its connection is up.
+    pub fn up(&self) {
+        if self.stage.replace(Stage::Up) == Stage::Opening {
+            self.slots.links.borrow_mut().opened(self.endpoint.0);
+            self.slots.freed();
+        }
+    }
+
+    /// Its connection was refused; what that says.
+    pub fn refused(self) -> Refusal {
+        self.stage.set(Stage::Refused);
+        let slots = &self.slots;
+        slots.links.borrow_mut().refused(slots.since.elapsed(), self.endpoint.0)
+    }
+}
+
+impl Drop for Slot {
+    fn drop(&mut self) {
+        let endpoint = self.endpoint.0;
+        match self.stage.get() {
+            Stage::Opening => self.slots.links.borrow_mut().given_up(endpoint),
+            Stage::Up => self.slots.links.borrow_mut().closed(endpoint),
+            Stage::Refused => {}
+        }
+        self.slots.freed();
+    }
+}
