Let the own zone use what other zones' windows have room for, before a crossing

Change: the own zone may have out what both windows allow, less what is out elsewhere; other zones what their own allows; nothing is lent where there is no other zone. Tests for both fail without them.

--- a/crates/balance/src/balance/attempts.rs
+++ b/crates/balance/src/balance/attempts.rs
@@ -227,10 +227,8 @@
 
     /// Rule 2: whether a further attempt is allowed at all.
     fn may_repeat(&self, now: Duration, id: RequestId) -> bool {
-        let Some(pending) = self.requests.get(&id) else { return false };
-        if pending.once && !pending.attempts.is_empty() {
-            return false;
-        }
+        let whole = |p: &&Pending| !p.once || p.attempts.is_empty();
+        let Some(pending) = self.requests.get(&id).filter(whole) else { return false };
         let first = pending.may_have_run().next().map(|ran| ran.sent);
         self.settings.classes[pending.class].semantics.may_repeat(now, first)
     }
@@ -252,8 +250,7 @@
     /// Marks a request finished, stops what is still out for it, and forgets it if nothing is.
     pub(super) fn finish(&mut self, id: RequestId, out: &mut Vec<Action>) {
         let Some(pending) = self.requests.get_mut(&id) else { return };
-        if !pending.finished {
-            pending.finished = true;
+        if !std::mem::replace(&mut pending.finished, true) {
             for (number, attempt) in pending.attempts.iter().enumerate() {
                 if attempt.fate == Fate::Out && !pending.streaming && self.settings.limits.cancelling {
                     out.push(Action::Cancel { request: id, attempt: AttemptNo(number as u32) });
@@ -327,8 +324,7 @@
     }
 
     fn set_recheck(&mut self, out: &mut Vec<Action>) {
-        if !self.recheck_set {
-            self.recheck_set = true;
+        if !std::mem::replace(&mut self.recheck_set, true) {
             self.set_timer(HOLD_RECHECK, Timer::Recheck, out);
         }
     }
--- a/crates/balance/src/balance/choice.rs
+++ b/crates/balance/src/balance/choice.rs
@@ -27,10 +27,13 @@
     /// theirs alone. What got as far as an inner tier holds a slot there, and is not held up.
     fn has_room(&self, now: Duration, value: f64, side: usize) -> bool {
         let part = (value / self.missed.read(now, MISSED_SECONDS).max(1e-9)).sqrt().min(1.0);
-        let (window, out) = (self.windows[side], self.windows[0].out + self.windows[1].out);
+        let ([own, far], out) = (self.windows, self.windows[0].out + self.windows[1].out);
         // At its floor of one call: two such windows of each of many balancers would still be a jam.
-        let spared = window.size > 1.0 || out == 0 || FLOOR_CALLS * self.part() >= 1.0;
-        let fits = f64::from(window.out) < window.size * self.share * part;
+        let spared = self.windows[side].size > 1.0 || out == 0 || FLOOR_CALLS * self.part() >= 1.0;
+        // What may cross may stay at home as well: else a crossing would only move load, at a price.
+        let lent = if self.pools[3].is_empty() { 0.0 } else { far.size };
+        let (used, size) = if side > 0 { (far.out, far.size) } else { (out, own.size + lent) };
+        let fits = f64::from(used) < size * self.share * part;
         self.settings.tier > 0 || (fits && spared)
     }
 
@@ -61,6 +64,9 @@
         for (pool, blind) in [(0, old), (2, old), (2, false)].into_iter().take(if old { 3 } else { 2 }) {
             self.blind = blind;
             let near = self.sample(now, id, pool);
+            // All of it goes before a crossing, but at the front, where a call of each caller would fill it.
+            let all = near.0.is_none() && self.settings.tier > 0;
+            let near = if all { self.sample(now, id, 2) } else { near };
             let far = self.sample(now, id, pool + 1);
             if pool == 0 && near.1 + far.1 < CHOICES {
                 continue;
--- a/crates/balance/src/balance/members.rs
+++ b/crates/balance/src/balance/members.rs
@@ -17,8 +17,7 @@
 impl Balancer {
     pub(super) fn on_membership(&mut self, now: Duration, news: Membership, out: &mut Vec<Action>) {
         let ask = self.settings.discovery == Discovery::Ask;
-        let failed = matches!(news, Membership::Failed);
-        self.list_old = failed.then(|| self.list_old.unwrap_or(now));
+        self.list_old = matches!(news, Membership::Failed).then(|| self.list_old.unwrap_or(now));
         match news {
             Membership::Failed => {
                 if ask {
@@ -39,9 +38,8 @@
             }
         }
         if ask && !self.started {
-            let most = self.settings.rules.ask_within.as_secs_f64() / 8.0;
             // All may start at once, and discovery answers them one after another.
-            let wait = Duration::from_secs_f64(self.draws.uniform() * most);
+            let wait = self.settings.rules.ask_within.mul_f64(self.draws.uniform() / 8.0);
             self.set_timer(wait, Timer::Ask, out);
         } else {
             self.ask_failures = 0;
--- a/crates/balance/tests/choice.rs
+++ b/crates/balance/tests/choice.rs
@@ -124,3 +124,37 @@
         "the window leaves less to more, the limit one call"
     );
 }
+
+/// Late answers of the own zone have shrunk its window, while that of others stands open.
+fn with_a_small_window_at_home(list: Vec<EndpointInfo>) -> Driver {
+    let settings = Settings { balancers: 4, ..Settings::default() };
+    let mut d = Driver::new(settings, list);
+    for _ in 0..30 {
+        let (id, _) = d.request(ms(60_000));
+        d.end(id, Outcome::Ok, ms(900));
+    }
+    d.advance(ms(60_000)); // drag and heat are forgotten, windows are not
+    d
+}
+
+#[test]
+fn what_may_cross_may_stay_at_home() {
+    let mut d = with_a_small_window_at_home(three_zones());
+    let went: Vec<EndpointId> = (0..3).flat_map(|_| sends(&d.request(ms(60_000)).1)).collect();
+    assert!(went.len() == 3 && went.iter().all(|id| id.0 % 3 == 0), "two endpoints hold three: {went:?}");
+    // Where there is no other zone, there is no window of others either.
+    let home = three_zones().into_iter().filter(|info| info.id.0 % 3 == 0).collect();
+    let mut d = with_a_small_window_at_home(home);
+    d.fill();
+    assert_eq!(d.out.len(), 1);
+}
+
+#[test]
+fn an_inner_tier_uses_all_of_its_zone_before_it_crosses() {
+    let settings = Settings { balancers: 400, zones: 2, tier: 1, tiers: 2, ..Settings::default() };
+    let list = (0..40).map(|id| EndpointInfo { zone: ZoneId((id % 2) as u32), ..endpoint(id) }).collect();
+    let mut d = Driver::new(settings, list);
+    // One call at each endpoint is what each of so many may have out.
+    let went = (0..20).flat_map(|_| sends(&d.request(ms(60_000)).1)).collect::<Vec<_>>();
+    assert_eq!(went.iter().filter(|id| id.0 % 2 == 0).count(), 20, "{went:?}");
+}
