--- a/crates/lab/src/load/client.rs
+++ b/crates/lab/src/load/client.rs
@@ -4,9 +4,11 @@
 use super::mix::{ClassMix, Mix};
 use curlewhub_config::Repeat;
 use curlewhub_model::{End, pick};
+use curlewhub_standins::books::Books;
 use curlewhub_standins::http::{Message, Reader, Side};
 use rand::Rng;
 use rand_pcg::Pcg32;
+use serde_json::json;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::io;
@@ -65,6 +67,7 @@
     run: u64,
     next: Cell<u64>,
     idle: RefCell<HashMap<SocketAddr, Vec<Kept>>>,
+    books: Books,
 }
 
 /// One try's answer.
@@ -76,10 +79,10 @@
 
 impl Client {
     /// No connections yet.
-    pub fn new(plan: &Plan) -> Self {
+    pub fn new(plan: &Plan, books: Books) -> Self {
         let (next, idle) = Default::default();
         let run = std::process::id().into();
-        Client { targets: plan.targets.clone(), mix: plan.mix.clone(), run, next, idle }
+        Client { targets: plan.targets.clone(), mix: plan.mix.clone(), run, next, idle, books }
     }
 
     /// Draws a request.
@@ -105,6 +108,7 @@
             let id = format!("{:x}-{:x}", self.run, self.next.replace(self.next.get() + 1));
             let text = self.text(request, class, &id, time, outcome.tries > 1);
             let mut told = None;
+            let (asked, mut status) = (Instant::now(), None);
             outcome.end = match self.exchange(request.target, &text, time).await {
                 None => {
                     outcome.unanswered += 1;
@@ -114,6 +118,7 @@
                     outcome.answered_twice += u32::from(answer.twice);
                     outcome.late += u32::from(answer.late);
                     told = retry_after(&answer.message);
+                    status = Some((answer.message.status, answer.twice, answer.late));
                     match answer.message.status {
                         200 if answer.message.body.windows(id.len()).any(|part| part == id.as_bytes()) => {
                             End::Served
@@ -127,6 +132,14 @@
                     }
                 }
             };
+            // At its end, with how long ago it was asked: one line a try.
+            self.books.note(|| {
+                json!({"what": "try", "id": id, "request": request.key, "sidecar": request.target, "class": class.name,
+                       "keyed": class.repeat == Repeat::Keyed, "time_us": time.as_micros() as u64,
+                       "took_us": asked.elapsed().as_micros() as u64, "end": outcome.end, "status": status.map(|s| s.0),
+                       "twice": status.is_some_and(|s| s.1), "late": status.is_some_and(|s| s.2),
+                       "retry_after_ms": told.map(|told| told.as_millis() as u64)})
+            });
             if !retry.again(outcome.end, class.repeat, outcome.tries) {
                 return outcome;
             }
@@ -138,6 +151,16 @@
         }
     }
 
+    /// A request has ended, so long after it was due, as its client took it.
+    pub fn ended(&self, request: &Request, outcome: &Outcome, took: Duration) {
+        let class = &self.mix.classes[request.class];
+        self.books.note(|| {
+            json!({"what": "request", "request": request.key, "sidecar": request.target, "class": class.name,
+                   "end": outcome.end, "tries": outcome.tries, "took_us": took.as_micros() as u64,
+                   "in_time": outcome.end == End::Served && took <= class.objective.0})
+        });
+    }
+
     fn text(&self, request: &Request, class: &ClassMix, id: &str, time: Duration, again: bool) -> Vec<u8> {
         let method = if class.repeat == Repeat::Safe { "GET" } else { "POST" };
         let mut text = format!(
--- a/crates/model/src/retry.rs
+++ b/crates/model/src/retry.rs
@@ -9,7 +9,8 @@
 use std::time::Duration;
 
 /// How a try, or a request, ended for its client.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "snake_case")]
 pub enum End {
     /// With its answer.
     Served,
--- a/crates/model/tests/model.rs
+++ b/crates/model/tests/model.rs
@@ -280,3 +280,15 @@
     assert_eq!((totals.unanswered, totals.answered_twice, totals.ran_twice), (0, 0, 0), "{totals:?}");
     assert!(outcome.worth() > 0.89, "{} of the worth asked for", outcome.worth());
 }
+
+/// Two copies in one hall, both waiting while neither had begun: the second is dropped as its work would begin, as the
+/// endpoints of a hall drop repeats. These seeds counted it as a second run once, and with it a job charged twice.
+#[test]
+fn a_copy_that_waited_beside_its_twin_is_dropped_as_it_would_begin() {
+    let mut scenario = Scenario::parse(include_str!("../../../scenarios/whole-join.toml")).unwrap();
+    scenario.sidecars = 50;
+    for seed in [48, 188, 338] {
+        let totals = run(&scenario, seed).totals;
+        assert_eq!((totals.ran_twice, totals.answered_twice), (0, 0), "seed {seed}: {totals:?}");
+    }
+}
--- a/crates/standins/src/discovery.rs
+++ b/crates/standins/src/discovery.rs
@@ -7,7 +7,7 @@
 use curlewhub_config::list::{List, State, Target};
 use socket2::SockRef;
 use std::cell::{Cell, RefCell};
-use std::collections::VecDeque;
+use std::collections::{BTreeMap, VecDeque};
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -21,10 +21,14 @@
 /// So many changes are kept for watches that resume; who is further behind is given the whole list.
 const HISTORY_MOST: usize = 4096;
 
+/// The endpoints' addresses as one site is told them, where they are not their own.
+type Addresses = BTreeMap<String, SocketAddr>;
+
 pub(crate) struct Directory {
     world: Rc<World>,
     spec: DirectorySpec,
     listener: TcpListener,
+    views: Vec<(TcpListener, Addresses)>,
     endpoints: Vec<Rc<Endpoint>>,
     rev: watch::Sender<u64>,
     listed: RefCell<Vec<Target>>,
@@ -48,10 +52,15 @@
     ) -> io::Result<Rc<Directory>> {
         let listed = endpoints.iter().filter_map(|endpoint| endpoint.target()).collect();
         let (history, short, cut, calls) = Default::default();
+        let mut views = Vec::new();
+        for view in &spec.views {
+            views.push((TcpListener::bind(view.listen).await?, view.addresses.clone()));
+        }
         Ok(Rc::new(Directory {
             world,
             spec,
             listener: TcpListener::bind(at).await?,
+            views,
             endpoints,
             rev: watch::Sender::new(1),
             listed: RefCell::new(listed),
@@ -132,32 +141,41 @@
 
     /// Serves until the fleet ends.
     pub async fn run(self: Rc<Self>) {
+        for view in 0..self.views.len() {
+            spawn_local(self.clone().accept(Some(view)));
+        }
+        self.accept(None).await;
+    }
+
+    /// Takes connections to a view, or to the list with the endpoints' own addresses.
+    async fn accept(self: Rc<Self>, view: Option<usize>) {
         loop {
-            match self.listener.accept().await {
+            let listener = view.map_or(&self.listener, |view| &self.views[view].0);
+            match listener.accept().await {
                 Ok((stream, _)) => {
                     let this = self.clone();
-                    spawn_local(async move { this.connection(stream).await });
+                    spawn_local(async move { this.connection(stream, view).await });
                 }
                 Err(_) => sleep(Duration::from_millis(10)).await,
             }
         }
     }
 
-    async fn connection(&self, stream: TcpStream) {
+    async fn connection(&self, stream: TcpStream, view: Option<usize>) {
         let _ = stream.set_nodelay(true);
         let mut reader = Reader::new(stream, Side::Requests);
         let mut down = self.down.subscribe();
         let is_down = tokio::select! {
             biased;
             _ = down.wait_for(|down| *down) => true,
-            _ = self.follow(&mut reader) => false,
+            _ = self.follow(&mut reader, view) => false,
         };
         if is_down {
             let _ = SockRef::from(&*reader.inner()).set_linger(Some(Duration::ZERO));
         }
     }
 
-    async fn follow(&self, reader: &mut Reader<TcpStream>) -> io::Result<()> {
+    async fn follow(&self, reader: &mut Reader<TcpStream>, view: Option<usize>) -> io::Result<()> {
         while let Some(message) = reader.message().await? {
             self.calls.set(self.calls.get() + 1);
             let stream = reader.inner();
@@ -166,9 +184,9 @@
             } else if !self.turn().await {
                 stream.write_all(b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n").await?;
             } else if message.target.contains("watch=1") {
-                return self.watch(&message, stream).await;
+                return self.watch(&message, stream, view).await;
             } else {
-                let text = json(&self.whole());
+                let text = self.json(self.whole(), view);
                 let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", text.len());
                 if self.cut.get() {
                     stream.write_all(format!("{head}{}", &text[..text.len() / 2]).as_bytes()).await?;
@@ -214,7 +232,12 @@
         List { rev: now, all: false, targets: changes.map(|(_, target)| target.clone()).collect() }
     }
 
-    async fn watch(&self, message: &Message, stream: &mut TcpStream) -> io::Result<()> {
+    async fn watch(
+        &self,
+        message: &Message,
+        stream: &mut TcpStream,
+        view: Option<usize>,
+    ) -> io::Result<()> {
         let query = message.target.split_once('?').map_or("", |(_, query)| query);
         let after = query.split('&').find_map(|pair| pair.strip_prefix("after=")?.parse().ok());
         stream.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n").await?;
@@ -222,7 +245,7 @@
         let first = after.map_or_else(|| self.whole(), |after| self.after(after));
         rev.mark_unchanged();
         let mut told = first.rev;
-        write_line(stream, &json(&first)).await?;
+        write_line(stream, &self.json(first, view)).await?;
         loop {
             let changed = timeout(self.spec.idle_line.0, rev.changed()).await;
             if changed.is_err() {
@@ -231,20 +254,26 @@
             }
             let changes = self.after(told);
             told = changes.rev;
-            write_line(stream, &json(&changes)).await?;
+            write_line(stream, &self.json(changes, view)).await?;
         }
     }
 
+    /// A list as a view words it.
+    fn json(&self, mut list: List, view: Option<usize>) -> String {
+        if let Some((_, addresses)) = view.map(|view| &self.views[view]) {
+            for target in &mut list.targets {
+                target.endpoint = addresses.get(&target.uid).copied().unwrap_or(target.endpoint);
+            }
+        }
+        serde_json::to_string(&list).unwrap_or_default() // numbers and text: it never fails
+    }
+
     /// The fleet's clock, for whoever reports.
     pub fn now(&self) -> Duration {
         self.world.now()
     }
 }
 
-fn json(list: &List) -> String {
-    serde_json::to_string(list).unwrap_or_default() // numbers and text: it never fails
-}
-
 async fn write_line(stream: &mut TcpStream, line: &str) -> io::Result<()> {
     stream.write_all(format!("{:x}\r\n{line}\n\r\n", line.len() + 1).as_bytes()).await
 }
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -5,6 +5,7 @@
 //! room, a cold start, a slow state under a backlog. [`fleet::Fleet`] puts machines behind sockets, keeps the
 //! [`ledger`] of what ran, and lets a test or an operator break things.
 
+pub mod books;
 mod control;
 mod discovery;
 mod endpoint;
@@ -13,6 +14,7 @@
 pub mod http;
 pub mod ledger;
 pub mod machine;
+pub mod program;
 pub mod spec;
 
 pub use fault::{Fault, FaultAt};
--- a/crates/standins/src/machine.rs
+++ b/crates/standins/src/machine.rs
@@ -149,6 +149,11 @@
         matches!(self.choke, Choke::Slow { .. })
     }
 
+    /// Whether it warms up still.
+    pub fn is_cold(&self) -> bool {
+        self.started.is_some()
+    }
+
     /// Its capacity now, in cores of the yardstick speed.
     pub fn capacity(&self) -> f64 {
         let spec = &self.spec;
--- a/crates/standins/src/spec.rs
+++ b/crates/standins/src/spec.rs
@@ -3,7 +3,7 @@
 use crate::fault::FaultAt;
 use curlewhub_config::units::Span;
 use serde::{Deserialize, Serialize};
-use std::collections::HashSet;
+use std::collections::{BTreeMap, HashSet};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -30,6 +30,10 @@
     /// What goes wrong, and when.
     #[serde(default)]
     pub faults: Vec<FaultAt>,
+    /// The machines' wall clocks are ahead by so many milliseconds, or behind where it is below 0: what they call the
+    /// time of their start is off by it. Nothing else of a stand-in reads the wall clock.
+    #[serde(default)]
+    pub clock_ahead_ms: f64,
 }
 
 /// How discovery behaves.
@@ -44,12 +48,31 @@
     pub notice: Span,
     /// A watch brings an empty line this often while nothing changes.
     pub idle_line: Span,
+    /// Further addresses at which the list is told, with other addresses for the endpoints: what one site sees.
+    pub views: Vec<ViewSpec>,
+}
+
+/// Discovery as one site sees it.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct ViewSpec {
+    /// Where it listens.
+    pub listen: SocketAddr,
+    /// The endpoints' addresses by id; one that is not here keeps its own.
+    #[serde(default)]
+    pub addresses: BTreeMap<String, SocketAddr>,
 }
 
 impl Default for DirectorySpec {
     fn default() -> Self {
         let span = |ms| Span(Duration::from_millis(ms));
-        DirectorySpec { calls_per_s: 50.0, timeout: span(3000), notice: span(0), idle_line: span(2000) }
+        DirectorySpec {
+            calls_per_s: 50.0,
+            timeout: span(3000),
+            notice: span(0),
+            idle_line: span(2000),
+            views: Vec::new(),
+        }
     }
 }
 
@@ -84,6 +107,8 @@
     /// Its machine kind.
     #[serde(default)]
     pub kind: String,
+    /// It is only listed here, at this address, and served by another process of stand-ins.
+    pub served_at: Option<SocketAddr>,
     /// The machine.
     #[serde(default)]
     pub machine: MachineSpec,
@@ -201,6 +226,15 @@
                 wants(choke.slower >= 1.0, at("machine.choke.slower"), "1 or more");
             }
         }
+        for (n, view) in self.directory.views.iter().enumerate() {
+            let at = |field: &str| format!("directory.views[{n}].{field}");
+            wants(view.listen.ip().is_loopback(), at("listen"), "on loopback");
+            for (id, address) in &view.addresses {
+                wants(ids.contains(id), at(&format!("addresses.{id}")), "an endpoint's id");
+                wants(address.ip().is_loopback(), at(&format!("addresses.{id}")), "on loopback");
+            }
+        }
+        wants(self.clock_ahead_ms.abs() <= 1e11, "clock_ahead_ms".to_owned(), "up to three years");
         for (n, fault) in self.faults.iter().enumerate() {
             let known = fault.endpoint.as_ref().is_none_or(|id| ids.contains(id));
             wants(known, format!("faults[{n}].endpoint"), "an endpoint's id");
