Begin a rig: many processes of the program, relays between them, one verdict

A package rig: a file says who is there, what goes wrong and what must hold; every process is the real program on 127.x addresses by hall; each pair of a site and a port has a relay; logs, books and the rig's own deeds become one history, and the checks read that alone. Campaigns draw schedules and make failing ones small.

--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -5,4 +5,5 @@
 pub mod demo;
 pub mod load;
 pub mod paper;
+pub mod rig;
 pub mod sim;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -5,6 +5,7 @@
 use curlewhub_lab::demo;
 use curlewhub_lab::load::{self, Arrivals, Look, Mix, Plan};
 use curlewhub_lab::paper;
+use curlewhub_lab::rig::{self, Ended, RigCommand};
 use curlewhub_lab::sim;
 use curlewhub_standins::books::Books;
 use indicatif::{ProgressBar, ProgressStyle};
@@ -173,6 +174,9 @@
         #[arg(long, value_name = "FILE")]
         json: Option<PathBuf>,
     },
+    /// Many processes on one rig, with faults between them, and one verdict.
+    #[command(subcommand)]
+    Rig(RigCommand),
     /// Print the default mix of requests.
     Mix,
     /// Be stand-ins: the words are curlewhub-standin's own.
@@ -288,6 +292,13 @@
                 Err(problem) => failed(&problem),
             }
         }
+        Command::Rig(command) => block_on(async {
+            match rig::rig(command).await {
+                Ended::Held => ExitCode::SUCCESS,
+                Ended::NotHeld(problem) => failed(&problem),
+                Ended::Wrong(problem) => wrong(&problem),
+            }
+        }),
         Command::Mix => match toml::to_string(&Mix::default()) {
             Ok(text) => {
                 print!("{text}");
--- /dev/null
+++ b/crates/rig/src/campaign.rs
@@ -0,0 +1,385 @@
+//! Many runs: schedules drawn from a space, what came of each, and failing ones made small.
+
+use crate::checks::Check;
+use crate::fault::{FaultSpec, Kind, StateIs, Strikes};
+use crate::plan::{Member, Role, members};
+use crate::spec::{DrawSpec, RigSpec};
+use comfy_table::{Table, presets};
+use curlewhub_config::units::{Size, Span};
+use rand::seq::IndexedRandom;
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg32;
+use serde::{Deserialize, Serialize};
+use serde_json::Value;
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::ops::Range;
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::time::Duration;
+use tokio::time::{Instant, sleep};
+
+/// How often runs are looked at.
+const LOOK: Duration = Duration::from_millis(50);
+
+/// What is played.
+pub struct Campaign {
+    /// The file; with `[draw]` its schedule is drawn, and behind what it holds already.
+    pub spec: RigSpec,
+    /// The seeds.
+    pub seeds: Range<u64>,
+    /// Runs at once.
+    pub jobs: usize,
+    /// No run is begun after this.
+    pub most: Duration,
+    /// Where all of it stays.
+    pub out: PathBuf,
+    /// Runs to shrink one failing schedule, at the most.
+    pub shrink: usize,
+    /// The lab's own program.
+    pub own: PathBuf,
+}
+
+/// A run of a campaign.
+#[derive(Clone, Debug, Serialize)]
+pub struct Done {
+    /// Its seed.
+    pub seed: u64,
+    /// All held.
+    pub passed: bool,
+    /// What did not hold, or why there was no run.
+    pub broken: Vec<String>,
+    /// The kinds of faults in it.
+    pub kinds: Vec<Kind>,
+    /// The failing schedule, made small, where it was.
+    pub shrunk: Option<PathBuf>,
+    /// The verdict's figures.
+    #[serde(skip)]
+    pub verdict: Value,
+}
+
+/// A run that goes on.
+struct Going {
+    child: Child,
+    seed: u64,
+    spec: RigSpec,
+    json: PathBuf,
+}
+
+impl Drop for Going {
+    fn drop(&mut self) {
+        // By a signal that it can heed: its own processes go with it.
+        let pid = rustix::process::Pid::from_child(&self.child);
+        if matches!(self.child.try_wait(), Ok(None)) {
+            let _ = rustix::process::kill_process(pid, rustix::process::Signal::TERM);
+            let _ = self.child.wait();
+        }
+    }
+}
+
+/// Plays a campaign; goes on after a failure.
+///
+/// # Errors
+/// The folder or a file in it can't be written, or the program can't be started.
+pub async fn campaign(campaign: &Campaign, mut say: impl FnMut(&str)) -> Result<Vec<Done>, String> {
+    std::fs::create_dir_all(&campaign.out).map_err(|e| format!("{}: {e}", campaign.out.display()))?;
+    let began = Instant::now();
+    let mut waiting: VecDeque<u64> = campaign.seeds.clone().collect();
+    let (mut going, mut done): (Vec<Going>, Vec<Done>) = Default::default();
+    while !waiting.is_empty() || !going.is_empty() {
+        if began.elapsed() > campaign.most && !waiting.is_empty() {
+            say(&format!("stopped after {:?}: {} seeds were not played", campaign.most, waiting.len()));
+            waiting.clear();
+        }
+        while going.len() < campaign.jobs {
+            let Some(seed) = waiting.pop_front() else { break };
+            going.push(campaign.begin(seed, drawn(&campaign.spec, seed), &format!("seed-{seed}"))?);
+        }
+        let mut still = Vec::new();
+        for mut one in going {
+            match one.child.try_wait() {
+                Ok(Some(_)) => {
+                    let ended = one.ended();
+                    let held = if ended.passed { "held" } else { "NOT HELD" };
+                    say(&format!(
+                        "seed {:>5}  {held}  {:?}  {}",
+                        ended.seed,
+                        ended.kinds,
+                        ended.broken.join("; ")
+                    ));
+                    done.push(ended);
+                }
+                _ => still.push(one),
+            }
+        }
+        going = still;
+        sleep(LOOK).await;
+    }
+    for one in done.iter_mut().filter(|one| !one.passed) {
+        if campaign.shrink > 0 && began.elapsed() < campaign.most {
+            one.shrunk = campaign.shrunk(one.seed, &one.broken, &mut say).await?;
+        }
+    }
+    done.sort_by_key(|one| one.seed);
+    let text = serde_json::to_string_pretty(&done).map_err(|e| e.to_string())?;
+    std::fs::write(campaign.out.join("campaign.json"), text).map_err(|e| format!("campaign.json: {e}"))?;
+    Ok(done)
+}
+
+impl Campaign {
+    fn begin(&self, seed: u64, spec: RigSpec, name: &str) -> Result<Going, String> {
+        let (file, json) = (self.out.join(format!("{name}.toml")), self.out.join(format!("{name}.json")));
+        let text = text(&spec)?;
+        std::fs::write(&file, text).map_err(|e| format!("{}: {e}", file.display()))?;
+        let _ = std::fs::remove_file(&json); // of an earlier campaign
+        let mut command = Command::new(&self.own);
+        command.args(["rig", "run"]).arg(&file).arg("--json").arg(&json);
+        command.arg("--html").arg(self.out.join(format!("{name}.html")));
+        let log = std::fs::File::create(self.out.join(format!("{name}.log"))).map_err(|e| e.to_string())?;
+        command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(log);
+        let child = command.spawn().map_err(|e| format!("{}: {e}", self.own.display()))?;
+        Ok(Going { child, seed, spec, json })
+    }
+
+    /// A failing schedule with as little in it as still fails in the same way.
+    async fn shrunk(
+        &self,
+        seed: u64,
+        broken: &[String],
+        say: &mut impl FnMut(&str),
+    ) -> Result<Option<PathBuf>, String> {
+        let mut spec = drawn(&self.spec, seed);
+        // By the checks' names: the worst of them differs from run to run.
+        let names: BTreeSet<&str> = broken.iter().filter_map(|one| one.split(": ").next()).collect();
+        let mut runs = 0;
+        let mut again = true;
+        while again && runs < self.shrink {
+            again = false;
+            for smaller in smaller(&spec) {
+                if runs >= self.shrink {
+                    break;
+                }
+                runs += 1;
+                let mut going = self.begin(seed, smaller.clone(), &format!("seed-{seed}-smaller"))?;
+                while matches!(going.child.try_wait(), Ok(None)) {
+                    sleep(LOOK).await;
+                }
+                let ended = going.ended();
+                if ended
+                    .broken
+                    .iter()
+                    .any(|one| one.split(": ").next().is_some_and(|name| names.contains(name)))
+                {
+                    (spec, again) = (smaller, true);
+                    break;
+                }
+            }
+        }
+        say(&format!("seed {seed}: {} faults are left after {runs} runs", spec.faults.len()));
+        let path = self.out.join(format!("found-{seed}.toml"));
+        std::fs::write(&path, text(&spec)?).map_err(|e| format!("{}: {e}", path.display()))?;
+        Ok(Some(path))
+    }
+}
+
+fn text(spec: &RigSpec) -> Result<String, String> {
+    let table = toml::Table::try_from(spec).map_err(|e| e.to_string())?;
+    toml::to_string(&table).map_err(|e| e.to_string())
+}
+
+impl Going {
+    fn ended(&mut self) -> Done {
+        let verdict: Option<Value> =
+            std::fs::read(&self.json).ok().and_then(|text| serde_json::from_slice(&text).ok());
+        let mut kinds: Vec<Kind> = self.spec.faults.iter().map(|fault| fault.what).collect();
+        kinds.sort();
+        let (passed, broken) = match &verdict {
+            None => {
+                let log = std::fs::read_to_string(self.json.with_extension("log")).unwrap_or_default();
+                (false, vec![format!("no verdict: {}", log.trim())])
+            }
+            Some(verdict) => {
+                let checks = verdict["checks"].as_array().into_iter().flatten();
+                let checks = checks.filter_map(|check| Check::deserialize(check).ok());
+                let broken = checks
+                    .filter(|check| !check.held)
+                    .map(|check| format!("{}: {}", check.name, check.worst));
+                (verdict["passed"] == Value::Bool(true), broken.collect())
+            }
+        };
+        let verdict = verdict.unwrap_or_default();
+        Done { seed: self.seed, passed, broken, kinds, shrunk: None, verdict }
+    }
+}
+
+/// Schedules with a little less in them: without each fault, and then with each half as long.
+pub fn smaller(spec: &RigSpec) -> Vec<RigSpec> {
+    let mut all = Vec::new();
+    // A check of the file's own names faults by number.
+    let named = spec.checks.iter().any(|check| check.fault.is_some());
+    for n in (0..spec.faults.len()).filter(|_| spec.faults.len() > 1 && !named) {
+        let mut one = spec.clone();
+        one.faults.remove(n);
+        all.push(one);
+    }
+    for n in 0..spec.faults.len() {
+        let Some(lasts) = spec.faults[n].lasts.filter(|lasts| lasts.0 > Duration::from_secs(1)) else {
+            continue;
+        };
+        let mut one = spec.clone();
+        one.faults[n].lasts = Some(Span(Duration::from_millis(lasts.0.as_millis() as u64 / 2)));
+        all.push(one);
+    }
+    all
+}
+
+/// A spec with this seed and, where it has a space, faults drawn from that behind its own.
+pub fn drawn(spec: &RigSpec, seed: u64) -> RigSpec {
+    let mut spec = RigSpec { seed, ..spec.clone() };
+    if let Some(draw) = spec.draw.take() {
+        let mut draws = Pcg32::seed_from_u64(seed);
+        let members = members(&spec);
+        for _ in 0..draws.random_range(draw.faults.0..=draw.faults.1) {
+            let fault = one(&spec, &draw, &members, &mut draws);
+            spec.faults.push(fault);
+        }
+    }
+    spec
+}
+
+fn between((least, most): (Span, Span), draws: &mut Pcg32) -> Span {
+    let (least, most) = (least.0.as_millis() as u64, most.0.as_millis() as u64);
+    Span(Duration::from_millis(draws.random_range(least..=most)))
+}
+
+/// One fault of the space: its kind, then what it strikes, then how badly.
+fn one(spec: &RigSpec, draw: &DrawSpec, members: &[Member], draws: &mut Pcg32) -> FaultSpec {
+    let what = draw.kinds.choose(draws).copied().unwrap_or(Kind::Pause);
+    let (at, lasts) = (between(draw.begin, draws), between(draw.lasts, draws));
+    let mut fault = FaultSpec::new(what, at, Some(lasts));
+    let halls: Vec<String> = spec.halls().into_iter().map(|(hall, _)| hall).collect();
+    let hall = |draws: &mut Pcg32| halls.choose(draws).cloned().unwrap_or_default();
+    let some = |role: Role, draws: &mut Pcg32| {
+        let all: Vec<&Member> = members.iter().filter(|member| member.role == role).collect();
+        all.choose(draws).map(|member| member.name.clone()).unwrap_or_default()
+    };
+    match what.strikes() {
+        Strikes::Links => {
+            fault.from = vec![hall(draws)];
+            // Another hall, or discovery: what passes within a hall passes no network of halls.
+            let mut others = halls.clone();
+            others.retain(|other| *other != fault.from[0]);
+            others.push("discovery".to_owned());
+            fault.to = others.choose(draws).cloned().into_iter().collect();
+        }
+        Strikes::Borders => fault.on = vec![hall(draws)],
+        Strikes::Endpoints => {
+            fault.on = if draws.random() { vec![hall(draws)] } else { vec![some(Role::Endpoint, draws)] };
+        }
+        Strikes::Discovery => {}
+        Strikes::Sidecars => fault.on = vec![some(Role::Sidecar, draws)],
+        Strikes::Processes => {
+            let group = spec.sidecars.choose(draws).map(|group| group.name.clone()).unwrap_or_default();
+            if draws.random() {
+                (fault.on, fault.part) = (vec![group], Some(draws.random_range(0.1..0.5)));
+            } else {
+                fault.on = vec![some(Role::Sidecar, draws)];
+            }
+        }
+    }
+    let part = |draws: &mut Pcg32| Some((draws.random_range(0.05_f64..0.5) * 100.0).round() / 100.0);
+    let coin = |draws: &mut Pcg32| draws.random::<bool>().then_some(true);
+    match what {
+        Kind::Cut | Kind::CutOff => (fault.one_way, fault.reset) = (coin(draws), coin(draws)),
+        Kind::Stall => fault.one_way = coin(draws),
+        Kind::CutAfter => fault.bytes = Some(draws.random_range(1..5000)),
+        Kind::Degrade => {
+            fault.delay = Some(Span(Duration::from_millis(draws.random_range(1..60))));
+            fault.jitter = Some(Span(Duration::from_millis(draws.random_range(1..20))));
+            fault.loss = part(draws);
+            fault.rate = coin(draws).map(|_| Size(64 * 1024));
+        }
+        Kind::Slow => fault.factor = Some(f64::from(draws.random_range(2_u8..12))),
+        Kind::Reset | Kind::Spoil | Kind::DiscoveryShort => fault.share = part(draws),
+        Kind::Flap => fault.every = Some(Span(Duration::from_millis(draws.random_range(500..3000)))),
+        Kind::Restart | Kind::Kill => {
+            fault.state =
+                [StateIs::Keep, StateIs::Lost, StateIs::Torn, StateIs::Old].choose(draws).copied();
+        }
+        _ => {}
+    }
+    if matches!(what, Kind::Restart | Kind::Roll) {
+        fault.lasts = None;
+    }
+    fault
+}
+
+/// A campaign as a table: each run with how its losses were left, and how many pairs of kinds were met.
+pub fn table(done: &[Done]) -> String {
+    let mut table = Table::new();
+    table.load_preset(presets::ASCII_MARKDOWN);
+    table.set_header([
+        "seed",
+        "held",
+        "in time",
+        "refused",
+        "failed",
+        "never left",
+        "last left s",
+        "spread s",
+        "last back s",
+        "flips",
+    ]);
+    for one in done {
+        let figures = &one.verdict["figures"];
+        let percent = |name: &str| {
+            figures["all"][name].as_f64().map_or("-".to_owned(), |part| format!("{:.1}%", part * 100.0))
+        };
+        let losses = figures["losses"].as_array().cloned().unwrap_or_default();
+        let each = |name: &str| {
+            let of = |loss: &Value| match &loss[name] {
+                Value::Number(n) if n.is_u64() => n.to_string(),
+                value => value.as_f64().map_or("-".to_owned(), |s| format!("{s:.2}")),
+            };
+            losses.iter().map(of).collect::<Vec<_>>().join(" ")
+        };
+        let never = losses.iter().map(|loss| format!("{}/{}", loss["never_left"], loss["sidecars"]));
+        let never = never.collect::<Vec<_>>().join(" ");
+        let held = if one.passed { "yes" } else { "NO" };
+        let [in_time, refused, failed] = ["in_time", "refused", "failed"].map(percent);
+        let [left, spread, back, flips] =
+            ["last_left_s", "spread_s", "last_back_s", "flips_most"].map(each);
+        table.add_row([
+            one.seed.to_string(),
+            held.to_owned(),
+            in_time,
+            refused,
+            failed,
+            never,
+            left,
+            spread,
+            back,
+            flips,
+        ]);
+    }
+    let (met, all) = pairs(done);
+    format!(
+        "{table}\n{} of {} runs held; {met} of {all} pairs of the kinds met were met in one run\n",
+        done.iter().filter(|one| one.passed).count(),
+        done.len()
+    )
+}
+
+/// Pairs of kinds that were met in one run, of all pairs of the kinds that were met at all.
+pub fn pairs(done: &[Done]) -> (usize, usize) {
+    let mut pairs: BTreeMap<(Kind, Kind), usize> = BTreeMap::new();
+    let mut kinds = BTreeSet::new();
+    for one in done {
+        for (n, first) in one.kinds.iter().enumerate() {
+            kinds.insert(*first);
+            for second in &one.kinds[n + 1..] {
+                *pairs.entry((*first, *second)).or_default() += 1;
+            }
+        }
+    }
+    (pairs.len(), kinds.len() * (kinds.len() + 1) / 2)
+}
--- /dev/null
+++ b/crates/rig/src/run.rs
@@ -0,0 +1,782 @@
+//! A run: everything is started, the schedule happens while requests come, all ends, and the history is gathered.
+
+use crate::history::{History, What, unix_us};
+use crate::links::{Holding, Link};
+use crate::plan::{Member, Plan, Role, Side};
+use crate::process::{Process, Ready, Start};
+use crate::relay::{AnyRelay, Datagrams, Passed, Relay};
+use crate::spec::Transport;
+use crate::texts::{self, Seen, Standing, fill, lay_over};
+use rustix::process::Signal;
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::ffi::OsString;
+use std::io;
+use std::net::{Ipv4Addr, SocketAddr, TcpListener, UdpSocket};
+use std::path::{Path, PathBuf};
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::sync::watch;
+use tokio::task::JoinSet;
+use tokio::time::{Instant, sleep, sleep_until};
+
+/// A process that is not ready after this long has failed.
+const START_MOST: Duration = Duration::from_secs(30);
+/// Sidecars that start at once.
+const STARTING: usize = 16;
+/// How often ends are looked for, and memory.
+const LOOK: Duration = Duration::from_millis(20);
+const USAGE_EVERY: Duration = Duration::from_secs(1);
+/// Beyond a sidecar's longest deadline, until one that was told to end is killed.
+const END_MOST: Duration = Duration::from_secs(4);
+/// Runs that can go on at once on one machine: each has a second octet of 127.x of its own.
+const OCTETS: std::ops::Range<u32> = 20..220;
+/// Held while a run uses its octet.
+const OCTET_PORT: u16 = 39_999;
+/// The first port that a process may have; those in use are passed over.
+const FIRST_PORT: u16 = 7070;
+const PORTS_TRIED: u16 = 200;
+/// Third octets of discovery and of the relays; halls come below them.
+const DISCOVERY_OCTET: u8 = 250;
+const RELAY_OCTET: u8 = 251;
+
+/// How a run is made.
+#[derive(Clone, Debug)]
+pub struct Options {
+    /// The lab's own program, which carries the sidecar, the stand-ins and the load.
+    pub own: PathBuf,
+    /// Files stay here; else they go with the run.
+    pub keep: Option<PathBuf>,
+}
+
+/// What a run cost, beside what it was for.
+#[derive(Clone, Debug, Default, serde::Serialize)]
+pub struct Cost {
+    /// Processes, of all kinds.
+    pub processes: usize,
+    /// Relays.
+    pub relays: usize,
+    /// Connections, and bytes both ways, that went through relays.
+    pub connections: u64,
+    /// Bytes both ways.
+    pub bytes: u64,
+    /// Seconds from the first process's start until requests came.
+    pub start_s: f64,
+    /// Processor seconds of the rig itself, relays and all, while requests came.
+    pub rig_cpu_s: f64,
+    /// Processor seconds of the sidecars while requests came.
+    pub sidecars_cpu_s: f64,
+    /// Resident memory of the sidecars at the end, in KiB, all together.
+    pub sidecars_kib: u64,
+}
+
+/// A run that has been made.
+pub struct Ran {
+    /// What was played.
+    pub plan: Plan,
+    /// All that happened.
+    pub history: History,
+    /// The sidecars' addresses, by name.
+    pub sidecars: BTreeMap<String, SocketAddr>,
+    /// What it cost.
+    pub cost: Cost,
+}
+
+/// Where the ports of a member are.
+pub(crate) type Ports = BTreeMap<String, (Transport, SocketAddr)>;
+
+/// The link from a site to one port.
+struct Wire {
+    from: Side,
+    /// The member, by its place.
+    to: usize,
+    target: SocketAddr,
+    at: SocketAddr,
+    link: watch::Sender<Link>,
+    passed: Rc<Passed>,
+}
+
+/// A folder that goes with its run, unless it is to stay.
+struct Folder(PathBuf, bool);
+
+impl Drop for Folder {
+    fn drop(&mut self) {
+        if !self.1 {
+            let _ = std::fs::remove_dir_all(&self.0);
+        }
+    }
+}
+
+/// A run under way.
+pub(crate) struct Rig {
+    pub plan: Plan,
+    pub processes: Vec<Option<Rc<Process>>>,
+    pub ports: Vec<Ports>,
+    wires: RefCell<Vec<Wire>>,
+    /// Made and not started yet.
+    relays: RefCell<Vec<AnyRelay>>,
+    pub holding: RefCell<Holding>,
+    history: RefCell<History>,
+    folder: PathBuf,
+    own: PathBuf,
+    octet: u8,
+    /// Sites in the order of their views of discovery.
+    views: Vec<Side>,
+    zero: Cell<Option<Instant>>,
+    cost: RefCell<Cost>,
+}
+
+/// Makes a run. Dropped before its end, it leaves no process behind.
+///
+/// # Errors
+/// What can't be started, by name, before requests come.
+pub async fn run(plan: Plan, options: &Options, mut say: impl FnMut(&str)) -> Result<Ran, String> {
+    let (octet, _held) = octet().ok_or("no second octet of 127.x is free for a run")?;
+    let folder = match &options.keep {
+        Some(folder) => Folder(folder.clone(), true),
+        None => Folder(
+            std::env::temp_dir().join(format!("curlewhub-rig-{}-{octet}", std::process::id())),
+            false,
+        ),
+    };
+    for part in ["files", "books", "state", "logs"] {
+        let path = folder.0.join(part);
+        // What an earlier run kept there is not this one's.
+        let _ = std::fs::remove_dir_all(&path);
+        std::fs::create_dir_all(&path).map_err(|e| format!("{}: {e}", path.display()))?;
+    }
+    let rig = Rc::new(Rig::new(plan, options.own.clone(), folder.0.clone(), octet)?);
+    rig.write_files()?;
+    let mut tasks = JoinSet::new();
+    rig.start_relays(&mut tasks);
+    let this = rig.clone();
+    tasks.spawn_local(async move { this.watch_ends().await });
+    let began = Instant::now();
+    rig.start_all().await?;
+    rig.cost.borrow_mut().start_s = began.elapsed().as_secs_f64();
+    let sidecars = rig.plan.of(Role::Sidecar).count();
+    let endpoints = rig.plan.of(Role::Endpoint).count();
+    say(&format!(
+        "{sidecars} sidecars and {endpoints} endpoints are ready after {:.1} s",
+        began.elapsed().as_secs_f64()
+    ));
+    rig.requests(&mut say).await?;
+    rig.end_all().await;
+    drop(tasks);
+    rig.gather()?;
+    let sidecars = rig.plan.of(Role::Sidecar).map(|(n, m)| (m.name.clone(), rig.at(n, "listen"))).collect();
+    let (history, cost) = (rig.history.take(), rig.cost.borrow().clone());
+    if options.keep.is_some() {
+        let path = folder.0.join("history.jsonl");
+        history.write(&path).map_err(|e| format!("{}: {e}", path.display()))?;
+    }
+    Ok(Ran { plan: rig.plan.clone(), history, sidecars, cost })
+}
+
+/// A second octet that no other run uses, and what holds it.
+fn octet() -> Option<(u8, TcpListener)> {
+    let (first, count) = (std::process::id() % OCTETS.len() as u32, OCTETS.len() as u32);
+    (0..count).find_map(|n| {
+        let octet = (OCTETS.start + (first + n) % count) as u8;
+        let held = TcpListener::bind((Ipv4Addr::new(127, octet, 255, 254), OCTET_PORT)).ok()?;
+        Some((octet, held))
+    })
+}
+
+/// A port that is free at this address, from this one on.
+fn free(ip: Ipv4Addr, first: &mut u16, transport: Transport) -> Result<SocketAddr, String> {
+    let from = *first;
+    for _ in 0..PORTS_TRIED {
+        let at = SocketAddr::from((ip, *first));
+        *first += 1;
+        let bound = match transport {
+            Transport::Tcp => TcpListener::bind(at).is_ok(),
+            Transport::Udp => UdpSocket::bind(at).is_ok(),
+        };
+        if bound {
+            return Ok(at);
+        }
+    }
+    Err(format!("no free port at {ip} from {from} on"))
+}
+
+impl Rig {
+    fn new(plan: Plan, own: PathBuf, folder: PathBuf, octet: u8) -> Result<Rig, String> {
+        let halls = plan.spec.halls();
+        let limits = |n: usize| {
+            let full = plan.spec.faults.iter().zip(&plan.struck);
+            full.into_iter()
+                .any(|(f, struck)| f.what == crate::fault::Kind::StateFull && struck.contains(&n))
+        };
+        let (mut processes, mut ports) = (Vec::new(), Vec::new());
+        let mut views: Vec<Side> = Vec::new();
+        for (n, member) in plan.members.iter().enumerate() {
+            let process =
+                (member.role != Role::Endpoint).then(|| Process::new(&member.name, &folder, limits(n)));
+            processes.push(process.transpose().map_err(|e| format!("{}: {e}", member.name))?.map(Rc::new));
+            let hall =
+                member.side.hall.as_ref().and_then(|hall| halls.iter().position(|(name, _)| name == hall));
+            let third = match member.role {
+                Role::Discovery => DISCOVERY_OCTET,
+                _ => hall.map_or(DISCOVERY_OCTET, |hall| hall as u8 + 1),
+            };
+            if member.role == Role::Sidecar && !views.contains(&member.site(&plan.spec)) {
+                views.push(member.site(&plan.spec));
+            }
+            ports.push(member_ports(
+                &plan,
+                member,
+                Ipv4Addr::new(127, octet, third, member.place.max(1)),
+                &views,
+            )?);
+        }
+        let (wires, relays, holding, history, zero) = Default::default();
+        let cost =
+            RefCell::new(Cost { processes: processes.iter().flatten().count() + 1, ..Cost::default() });
+        let rig = Rig {
+            plan,
+            processes,
+            ports,
+            wires,
+            relays,
+            holding,
+            history,
+            folder,
+            own,
+            octet,
+            views,
+            zero,
+            cost,
+        };
+        *rig.history.borrow_mut() = History::new(0);
+        Ok(rig)
+    }
+
+    /// Where a port of a member is.
+    pub fn at(&self, member: usize, port: &str) -> SocketAddr {
+        self.ports[member].get(port).map_or(SocketAddr::from((Ipv4Addr::LOCALHOST, 0)), |(_, at)| *at)
+    }
+
+    /// Notes what the rig itself does or sees.
+    pub fn note(&self, process: &str, incarnation: u32, what: What) {
+        self.history.borrow_mut().add(unix_us(), process, incarnation, what);
+    }
+
+    pub fn discovery(&self) -> usize {
+        self.plan.members.len() - 1
+    }
+
+    /// The process of stand-ins that serves an endpoint.
+    pub fn server(&self, endpoint: usize) -> usize {
+        let hall = &self.plan.members[endpoint].side.hall;
+        let found = self.plan.of(Role::Standins).find(|(_, member)| member.side.hall == *hall);
+        found.map_or(self.discovery(), |(n, _)| n)
+    }
+
+    /// The relay through which a site reaches a port; made where there is none yet.
+    fn wire(&self, from: &Side, to: usize, port: &str) -> Result<SocketAddr, String> {
+        let Some((transport, target)) = self.ports[to].get(port).copied() else {
+            return Err(format!("{} has no port `{port}`", self.plan.members[to].name));
+        };
+        let mut wires = self.wires.borrow_mut();
+        let known = wires.iter().find(|wire| wire.to == to && wire.from == *from && wire.target == target);
+        if let Some(wire) = known {
+            return Ok(wire.at);
+        }
+        let link = watch::Sender::new(Link::default());
+        let passed = Rc::<Passed>::default();
+        let ip = SocketAddr::from((Ipv4Addr::new(127, self.octet, RELAY_OCTET, 1), 0));
+        let seed = self.plan.spec.seed.wrapping_add(wires.len() as u64 * 7919);
+        let failed = |e: io::Error| format!("a relay to {}: {e}", self.plan.members[to].name);
+        let (heard, counts) = (link.subscribe(), passed.clone());
+        let (at, relay) = match transport {
+            Transport::Tcp => {
+                let relay = Relay::new(ip, target, heard, counts, seed).map_err(failed)?;
+                (relay.address(), AnyRelay::Streams(relay))
+            }
+            Transport::Udp => {
+                let relay = Datagrams::new(ip, target, heard, counts, seed).map_err(failed)?;
+                (relay.address().map_err(failed)?, AnyRelay::Datagrams(relay))
+            }
+        };
+        self.relays.borrow_mut().push(relay);
+        wires.push(Wire { from: from.clone(), to, target, at, link, passed });
+        Ok(at)
+    }
+
+    fn start_relays(&self, tasks: &mut JoinSet<()>) {
+        for relay in self.relays.borrow_mut().drain(..) {
+            tasks.spawn_local(async move {
+                let _ = relay.run().await; // one that can't listen refuses, which the checks find
+            });
+        }
+        self.cost.borrow_mut().relays = self.wires.borrow().len();
+    }
+
+    /// Works out anew what holds for each link.
+    pub fn relink(&self) {
+        let holding = self.holding.borrow();
+        for wire in self.wires.borrow().iter() {
+            let link = holding.link(&wire.from, &self.plan.members[wire.to].side);
+            wire.link.send_if_modified(|held| {
+                let changed = *held != link;
+                *held = link;
+                changed
+            });
+        }
+    }
+
+    fn file(&self, member: usize) -> PathBuf {
+        self.folder.join("files").join(format!("{}.toml", self.plan.members[member].name))
+    }
+
+    fn books(&self, name: &str) -> PathBuf {
+        self.folder.join("books").join(format!("{name}.jsonl"))
+    }
+
+    /// All files of all processes, checked before any is started.
+    fn write_files(&self) -> Result<(), String> {
+        for (n, member) in self.plan.members.iter().enumerate() {
+            if let Some(text) = self.text(n, member, false, &toml::Table::new())? {
+                std::fs::write(self.file(n), text).map_err(|e| format!("{}: {e}", member.name))?;
+            }
+        }
+        let mix = texts::mix(&self.plan.spec.classes, &self.plan.spec.load)?;
+        std::fs::write(self.folder.join("files/mix.toml"), mix).map_err(|e| format!("mix: {e}"))
+    }
+
+    /// The text of a member's file, where it has one; `set` is laid over a sidecar's.
+    fn text(
+        &self,
+        n: usize,
+        member: &Member,
+        cold: bool,
+        set: &toml::Table,
+    ) -> Result<Option<String>, String> {
+        let standing = || Standing { discovery: self.at(n, "discovery"), control: self.at(n, "control") };
+        match member.role {
+            Role::Endpoint => Ok(None),
+            Role::Sidecar => self.sidecar_text(n, member, set).map(Some),
+            Role::Other => {
+                let text = &self.plan.spec.processes[member.group].config;
+                fill(text, |name| self.look(n, name)).map(Some)
+            }
+            Role::Standins => {
+                let here = self.plan.of(Role::Endpoint).filter(|(_, e)| e.side.hall == member.side.hall);
+                let here: Vec<_> = here.map(|(e, endpoint)| (endpoint, self.at(e, "serve"))).collect();
+                texts::standins(&self.plan, &standing(), &here, None, &[], cold).map(Some)
+            }
+            Role::Discovery => {
+                let all = self.plan.of(Role::Endpoint);
+                let all: Vec<_> = all.map(|(e, endpoint)| (endpoint, self.at(e, "serve"))).collect();
+                let (mut views, mut listens) = (Vec::new(), Vec::new());
+                for (v, site) in self.views.iter().enumerate() {
+                    listens.push(self.at(n, &format!("view-{v}")));
+                    views.push(
+                        self.seen(site)?.into_iter().map(|seen| (seen.id.to_owned(), seen.at)).collect(),
+                    );
+                }
+                texts::standins(&self.plan, &standing(), &all, Some(views), &listens, cold).map(Some)
+            }
+        }
+    }
+
+    /// The endpoints as a site sees them.
+    fn seen(&self, site: &Side) -> Result<Vec<Seen<'_>>, String> {
+        let seen = |(n, endpoint): (usize, &'_ Member)| {
+            let at = self.wire(site, n, "serve")?;
+            Ok((n, at, endpoint.name.len()))
+        };
+        let all: Result<Vec<_>, String> = self.plan.of(Role::Endpoint).map(seen).collect();
+        let seen = |(n, at, _): (usize, SocketAddr, usize)| {
+            let member = &self.plan.members[n];
+            Seen { id: &member.name, hall: member.side.hall.as_deref().unwrap_or_default(), at }
+        };
+        Ok(all?.into_iter().map(seen).collect())
+    }
+
+    fn sidecar_text(&self, n: usize, member: &Member, set: &toml::Table) -> Result<String, String> {
+        let site = member.site(&self.plan.spec);
+        let view = self.views.iter().position(|view| *view == site).unwrap_or_default();
+        let discovery = self.wire(&site, self.discovery(), &format!("view-{view}"))?;
+        let addresses = (self.at(n, "listen"), self.at(n, "operator"), discovery);
+        let state = &self.process(n).state;
+        let mut table = texts::sidecar(&self.plan, member, addresses, state, &self.seen(&site)?)?;
+        lay_over(&mut table, &self.plan.spec.sidecars[member.group].config);
+        lay_over(&mut table, set);
+        let text = toml::to_string(&table).map_err(|e| format!("{}: {e}", member.name))?;
+        let text = fill(&text, |name| self.look(n, name))?;
+        curlewhub_config::file::parse(&member.name, &text, &[]).map_err(|problems| problems.to_string())?;
+        Ok(text)
+    }
+
+    /// What a name in braces stands for.
+    fn look(&self, n: usize, name: &str) -> Result<String, String> {
+        let member = &self.plan.members[n];
+        let side = &member.side;
+        let none = || format!("{}: `{{{name}}}` stands for nothing", member.name);
+        Ok(match name {
+            "name" => member.name.clone(),
+            "hall" => side.hall.clone().unwrap_or_default(),
+            "region" => side.region.clone().unwrap_or_default(),
+            "number" => member.number.to_string(),
+            "state" => self.process(n).state.display().to_string(),
+            "config" => self.file(n).display().to_string(),
+            _ => match name.split_once('.') {
+                Some(("port", port)) if self.ports[n].contains_key(port) => self.at(n, port).to_string(),
+                Some(("link", rest)) => {
+                    let (to, port) = rest.rsplit_once('.').ok_or_else(none)?;
+                    let to = self.plan.members.iter().position(|m| m.name == to).ok_or_else(none)?;
+                    if to == n {
+                        return Err(format!("{}: `{{{name}}}` would be a relay to itself", member.name));
+                    }
+                    self.wire(&member.site(&self.plan.spec), to, port)?.to_string()
+                }
+                _ => return Err(none()),
+            },
+        })
+    }
+
+    pub fn process(&self, n: usize) -> &Rc<Process> {
+        // Of endpoints there is none; they are never asked for.
+        self.processes[n].as_ref().unwrap_or_else(|| unreachable!("an endpoint is no process"))
+    }
+
+    /// What starts a member, and how it shows that it is ready.
+    fn start_of(&self, n: usize, how: &How) -> (Start, Ready) {
+        let member = &self.plan.members[n];
+        let programs = &self.plan.spec.programs;
+        let own = |word: &str| vec![self.own.clone().into_os_string(), word.into()];
+        let part = |path: &Option<PathBuf>, word: &str| match path {
+            Some(path) => vec![path.clone().into_os_string()],
+            None => own(word),
+        };
+        let sidecar =
+            || part(if how.program.is_some() { &how.program } else { &programs.sidecar }, "sidecar");
+        let standin = || part(&programs.standin, "standin");
+        let file = self.file(n).into_os_string();
+        let mut words: Vec<OsString>;
+        let ready = match member.role {
+            Role::Sidecar => {
+                words = sidecar();
+                words.extend(["run".into(), "--config".into(), file]);
+                if let Some(operator) = how.beside {
+                    words.extend(["--replace".into(), "--operator".into(), operator.to_string().into()]);
+                }
+                Ready::Yes(how.beside.unwrap_or_else(|| self.at(n, "operator")))
+            }
+            Role::Standins | Role::Discovery | Role::Endpoint => {
+                words = standin();
+                words.extend(["run".into(), file, "--books".into(), self.books(&member.name).into()]);
+                Ready::Takes(self.at(n, "control"))
+            }
+            Role::Other => {
+                let group = &self.plan.spec.processes[member.group];
+                words = match group.program.as_str() {
+                    "sidecar" => sidecar(),
+                    "standin" => standin(),
+                    "lab" => vec![self.own.clone().into()],
+                    path => vec![path.into()],
+                };
+                let filled =
+                    |word: &String| fill(word, |name| self.look(n, name)).unwrap_or_else(|_| word.clone());
+                words.extend(group.words.iter().map(|word| OsString::from(filled(word))));
+                group.ready.as_ref().map_or(Ready::Runs, |port| Ready::Takes(self.at(n, port)))
+            }
+        };
+        (Start { words }, ready)
+    }
+
+    /// Starts a member and waits until it is ready.
+    pub async fn start(&self, n: usize, how: &How) -> Result<u32, String> {
+        let (process, name) = (self.process(n).clone(), &self.plan.members[n].name);
+        if how.cold || how.set.is_some() {
+            let set = how.set.clone().unwrap_or_default();
+            if let Some(text) = self.text(n, &self.plan.members[n], how.cold, &set)? {
+                std::fs::write(self.file(n), text).map_err(|e| format!("{name}: {e}"))?;
+            }
+        }
+        let (start, ready) = self.start_of(n, how);
+        let incarnation = process.start(&start)?;
+        self.note(name, incarnation, What::Started);
+        let began = Instant::now();
+        while !ready.is().await {
+            if !process.alive().contains(&incarnation) || began.elapsed() > START_MOST {
+                let said = process.last_words();
+                self.note(name, incarnation, What::NotReady { said: said.clone() });
+                return Err(format!("{name} is not ready: {said}"));
+            }
+            sleep(LOOK).await;
+        }
+        self.note(name, incarnation, What::Ready);
+        Ok(incarnation)
+    }
+
+    /// Looks for processes that have ended, and at what those that run hold, until it is dropped.
+    async fn watch_ends(self: Rc<Self>) {
+        let mut usage_at = Instant::now();
+        loop {
+            let looks_at_usage = Instant::now() >= usage_at;
+            for process in self.processes.iter().flatten() {
+                for ended in process.ended() {
+                    let (status, clean) = (ended.status.to_string(), ended.status.success());
+                    self.note(
+                        &process.name,
+                        ended.incarnation,
+                        What::Ended { status, clean, told: ended.told },
+                    );
+                }
+                if looks_at_usage {
+                    for (incarnation, kib, descriptors) in process.usage() {
+                        self.note(&process.name, incarnation, What::Usage { kib, descriptors });
+                    }
+                }
+            }
+            if looks_at_usage {
+                usage_at += USAGE_EVERY;
+            }
+            sleep(LOOK).await;
+        }
+    }
+
+    /// Starts all: what sidecars lean on first.
+    async fn start_all(self: &Rc<Self>) -> Result<(), String> {
+        let first = [Role::Standins, Role::Discovery, Role::Other];
+        let first: Vec<usize> = first
+            .into_iter()
+            .flat_map(|role| self.plan.of(role).map(|(n, _)| n).collect::<Vec<_>>())
+            .collect();
+        let sidecars: Vec<usize> = self.plan.of(Role::Sidecar).map(|(n, _)| n).collect();
+        for all in [first, sidecars] {
+            let mut starting = JoinSet::new();
+            for n in all {
+                if starting.len() >= STARTING {
+                    joined(starting.join_next().await)?;
+                }
+                let this = self.clone();
+                starting.spawn_local(async move { this.start(n, &How::default()).await });
+            }
+            while let Some(started) = starting.join_next().await {
+                joined(Some(started))?;
+            }
+        }
+        Ok(())
+    }
+
+    /// Lets requests come, and the schedule happen, until both have ended.
+    async fn requests(self: &Rc<Self>, say: &mut impl FnMut(&str)) -> Result<(), String> {
+        let spec = &self.plan.spec;
+        let load = Process::new("load", &self.folder, false).map_err(|e| format!("load: {e}"))?;
+        let mut words: Vec<OsString> = vec![self.own.clone().into(), "load".into()];
+        for (n, _) in self.plan.of(Role::Sidecar) {
+            words.extend(["--to".into(), self.at(n, "listen").to_string().into()]);
+        }
+        let of = |name: &str, value: String| [OsString::from(name), value.into()];
+        words.extend(of("--rate", spec.load.rate.to_string()));
+        words.extend(of("--seconds", spec.lasts.0.as_secs_f64().to_string()));
+        words.extend(of("--seed", spec.seed.to_string()));
+        words.extend(of("--open-most", spec.load.open_most.to_string()));
+        words.extend(of("--mix", self.folder.join("files/mix.toml").display().to_string()));
+        words.extend(of("--books", self.books("load").display().to_string()));
+        let sidecars_cpu = self.sidecars_cpu_s();
+        let own_cpu = own_cpu_s();
+        load.start(&Start { words })?;
+        let zero = Instant::now();
+        self.zero.set(Some(zero));
+        self.keep_state();
+        self.history.borrow_mut().zero_us = unix_us();
+        let mut faults = self.schedule(zero);
+        let longest = spec.classes.iter().map(|class| class.deadline.0).max().unwrap_or_default();
+        let latest = zero + spec.lasts.0 + longest * 3 + END_MOST;
+        let mut told = zero;
+        let ended = loop {
+            if let Some(ended) = load.ended().pop() {
+                break ended;
+            }
+            if Instant::now() > latest {
+                return Err(format!("the load has not ended: {}", load.last_words()));
+            }
+            if Instant::now() >= told {
+                say(&format!(
+                    "{:>5.0} s of {:.0}",
+                    zero.elapsed().as_secs_f64(),
+                    spec.lasts.0.as_secs_f64()
+                ));
+                told += Duration::from_secs(5);
+            }
+            sleep(LOOK).await;
+        };
+        // 1 is how the load says that a try was not answered: the checks judge that.
+        if !matches!(ended.status.code(), Some(0 | 1)) {
+            return Err(format!("the load ended with {}: {}", ended.status, load.last_words()));
+        }
+        while faults.join_next().await.is_some() {}
+        let mut cost = self.cost.borrow_mut();
+        cost.rig_cpu_s = own_cpu_s() - own_cpu;
+        cost.sidecars_cpu_s = self.sidecars_cpu_s() - sidecars_cpu;
+        for wire in self.wires.borrow().iter() {
+            cost.connections += wire.passed.connections.get();
+            cost.bytes += wire.passed.forth.get() + wire.passed.back.get();
+        }
+        cost.sidecars_kib = self.sidecars().flat_map(|p| p.usage()).map(|(_, kib, _)| kib).sum();
+        Ok(())
+    }
+
+    fn sidecars(&self) -> impl Iterator<Item = &Rc<Process>> {
+        self.plan.of(Role::Sidecar).map(|(n, _)| self.process(n))
+    }
+
+    /// Of those that run; what ended ones took is not in it.
+    fn sidecars_cpu_s(&self) -> f64 {
+        self.sidecars().map(|process| process.cpu_s()).sum()
+    }
+
+    /// One task for each fault: it begins, holds, and ends.
+    fn schedule(self: &Rc<Self>, zero: Instant) -> JoinSet<()> {
+        let mut faults = JoinSet::new();
+        for (n, fault) in self.plan.spec.faults.iter().enumerate() {
+            for (time, (begin, end)) in fault.times(self.plan.spec.lasts.0).into_iter().enumerate() {
+                let this = self.clone();
+                let ends = fault.lasts.is_some();
+                faults.spawn_local(async move {
+                    sleep_until(zero + begin).await;
+                    let begun = this.begin(n, time, end - begin).await;
+                    this.note("rig", 0, What::Fault { fault: n, on: true, problem: begun.err() });
+                    if ends {
+                        sleep_until(zero + end).await;
+                        let ended = this.end(n, time).await;
+                        this.note("rig", 0, What::Fault { fault: n, on: false, problem: ended.err() });
+                    }
+                });
+            }
+        }
+        faults
+    }
+
+    /// Ends all: sidecars first, as an operator would, and then what they lean on.
+    async fn end_all(&self) {
+        let longest = self.plan.spec.classes.iter().map(|class| class.deadline.0).max().unwrap_or_default();
+        for role in [Role::Sidecar, Role::Other] {
+            let all: Vec<usize> = self.plan.of(role).map(|(n, _)| n).collect();
+            for n in &all {
+                self.process(*n).signal(None, Signal::CONT, false);
+                self.process(*n).signal(None, Signal::TERM, true);
+            }
+            for n in &all {
+                if !self.process(*n).gone(None, longest + END_MOST).await {
+                    let incarnation = self.process(*n).incarnations.get();
+                    let (status, name) = ("it did not end".to_owned(), &self.plan.members[*n].name);
+                    self.note(name, incarnation, What::Ended { status, clean: false, told: true });
+                }
+            }
+        }
+        for role in [Role::Standins, Role::Discovery] {
+            for (n, _) in self.plan.of(role) {
+                self.process(n).signal(None, Signal::KILL, true);
+            }
+        }
+    }
+
+    /// Reads what all have written.
+    fn gather(&self) -> Result<(), String> {
+        let mut history = self.history.borrow_mut();
+        // What the rig noted before requests came was stamped by Unix time alone.
+        let zero = history.zero_us;
+        history.entries.iter_mut().filter(|entry| entry.at > zero / 2).for_each(|entry| entry.at -= zero);
+        for process in self.processes.iter().flatten() {
+            for incarnation in 1..=process.incarnations.get() {
+                let path = process.log(incarnation);
+                if self.plan.members.iter().any(|m| m.name == process.name && m.role == Role::Sidecar) {
+                    history
+                        .log(&path, &process.name, incarnation)
+                        .map_err(|e| format!("{}: {e}", path.display()))?;
+                }
+            }
+            let path = self.books(&process.name);
+            if path.exists() {
+                history.books(&path, &process.name).map_err(|e| format!("{}: {e}", path.display()))?;
+            }
+        }
+        let path = self.books("load");
+        history.books(&path, "load").map_err(|e| format!("{}: {e}", path.display()))?;
+        history.order();
+        Ok(())
+    }
+}
+
+/// How a member is started anew.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct How {
+    /// Stand-ins are cold.
+    pub cold: bool,
+    /// Beside the one that runs, with this operators' address.
+    pub beside: Option<SocketAddr>,
+    /// This build.
+    pub program: Option<PathBuf>,
+    /// This laid over its configuration.
+    pub set: Option<toml::Table>,
+}
+
+fn joined<T>(joined: Option<Result<Result<T, String>, tokio::task::JoinError>>) -> Result<(), String> {
+    match joined {
+        None | Some(Ok(Ok(_))) => Ok(()),
+        Some(Ok(Err(problem))) => Err(problem),
+        Some(Err(e)) => Err(e.to_string()),
+    }
+}
+
+/// Processor seconds of this process.
+fn own_cpu_s() -> f64 {
+    let time = rustix::time::clock_gettime(rustix::time::ClockId::ProcessCPUTime);
+    time.tv_sec as f64 + time.tv_nsec as f64 / 1e9
+}
+
+/// The ports that a member listens on.
+fn member_ports(plan: &Plan, member: &Member, ip: Ipv4Addr, views: &[Side]) -> Result<Ports, String> {
+    let mut first = FIRST_PORT;
+    let mut ports = Ports::new();
+    let mut take = |name: String, transport: Transport| {
+        let at = free(ip, &mut first, transport)?;
+        ports.insert(name, (transport, at));
+        Ok::<(), String>(())
+    };
+    let tcp = Transport::Tcp;
+    match member.role {
+        Role::Sidecar => {
+            // The third is for a successor beside it, whose operators' address must be another one.
+            for name in ["listen", "operator", "operator-2"] {
+                take(name.to_owned(), tcp)?;
+            }
+            for (name, transport) in &plan.spec.sidecars[member.group].ports {
+                take(name.clone(), *transport)?;
+            }
+        }
+        Role::Endpoint => take("serve".to_owned(), tcp)?,
+        Role::Standins => {
+            take("discovery".to_owned(), tcp)?;
+            take("control".to_owned(), tcp)?;
+        }
+        Role::Discovery => {
+            take("discovery".to_owned(), tcp)?;
+            take("control".to_owned(), tcp)?;
+            // It is the last of the members: all sites are known by now.
+            for v in 0..views.len() {
+                take(format!("view-{v}"), tcp)?;
+            }
+        }
+        Role::Other => {
+            for (name, transport) in &plan.spec.processes[member.group].ports {
+                take(name.clone(), *transport)?;
+            }
+        }
+    }
+    Ok(ports)
+}
+
+/// Whether a program is there.
+///
+/// # Errors
+/// It is not; it is named.
+pub fn check_program(path: &Path) -> Result<(), String> {
+    if path.is_file() { Ok(()) } else { Err(format!("{}: there is no such program", path.display())) }
+}
--- a/crates/standins/src/endpoint.rs
+++ b/crates/standins/src/endpoint.rs
@@ -250,6 +250,12 @@
         self.jobs.borrow_mut().clear();
     }
 
+    /// Its process has just started.
+    pub fn start_cold(&self) {
+        self.alive.set(false);
+        self.come_back();
+    }
+
     fn come_back(&self) {
         if !self.alive.replace(true) {
             self.machine.borrow_mut().restart(self.world.now());
--- a/crates/standins/src/fleet.rs
+++ b/crates/standins/src/fleet.rs
@@ -109,6 +109,9 @@
         let world = Rc::new(World { seed, start, classes, ledger, books, clock_ahead_ms });
         let endpoints = spec.endpoints.iter().map(|spec| Endpoint::new(world.clone(), spec.clone()));
         let endpoints: Vec<_> = endpoints.collect::<io::Result<_>>()?;
+        if spec.cold {
+            endpoints.iter().for_each(|endpoint| endpoint.start_cold());
+        }
         let directory =
             Directory::new(world.clone(), spec.directory.clone(), spec.discovery, endpoints.clone())
                 .await?;
--- a/crates/standins/src/spec.rs
+++ b/crates/standins/src/spec.rs
@@ -34,6 +34,9 @@
     /// time of their start is off by it. Nothing else of a stand-in reads the wall clock.
     #[serde(default)]
     pub clock_ahead_ms: f64,
+    /// The machines have just started, and are cold.
+    #[serde(default)]
+    pub cold: bool,
 }
 
 /// How discovery behaves.
