Prove the rig's relays, files and checks, each against a defect

Found on the way: a datagram sent at once on a socket that had never been polled was lost by the relay itself, and a seed beyond 2^63 could not be written into a file.

--- a/crates/lab/src/rig.rs
+++ b/crates/lab/src/rig.rs
@@ -6,7 +6,7 @@
 use curlewhub_rig::plan::Plan;
 use curlewhub_rig::report;
 use curlewhub_rig::run::{Options, run};
-use curlewhub_rig::spec::RigSpec;
+use curlewhub_rig::spec::{RigSpec, SEED_MOST};
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 
@@ -18,7 +18,7 @@
         /// The rig's file (TOML).
         file: PathBuf,
         /// All that is drawn follows from it; the file's own where nothing is said.
-        #[arg(long)]
+        #[arg(long, value_parser = clap::value_parser!(u64).range(..=SEED_MOST))]
         seed: Option<u64>,
         /// Write the verdict there as JSON.
         #[arg(long, value_name = "FILE")]
@@ -61,7 +61,7 @@
     let wanted = || "two numbers, such as 1..6, the first below the second".to_owned();
     let (first, last) = text.split_once("..").ok_or_else(wanted)?;
     let (first, last) = (first.parse().map_err(|_| wanted())?, last.parse().map_err(|_| wanted())?);
-    if first < last { Ok(first..last) } else { Err(wanted()) }
+    if first < last && last <= SEED_MOST { Ok(first..last) } else { Err(wanted()) }
 }
 
 /// How a command ends.
--- /dev/null
+++ b/crates/lab/tests/rig.rs
@@ -0,0 +1,159 @@
+//! The rig as an operator starts it: three short files, defects that its checks must find, bad files, and Ctrl-C.
+
+use serde_json::Value;
+use std::io::{BufRead, BufReader};
+use std::path::{Path, PathBuf};
+use std::process::{Command, Output, Stdio};
+use std::time::{Duration, Instant};
+
+/// Nothing that a test waits for may take longer, not even on a slow machine.
+const PATIENCE: Duration = Duration::from_secs(60);
+
+struct Folder(PathBuf);
+
+impl Folder {
+    fn new(name: &str) -> Folder {
+        let path = std::env::temp_dir().join(format!("curlewhub-rig-{name}-{}", std::process::id()));
+        std::fs::create_dir_all(&path).unwrap();
+        Folder(path)
+    }
+}
+
+impl Drop for Folder {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.0);
+    }
+}
+
+fn rig(words: &[&str]) -> Command {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_curlewhub-lab"));
+    command.arg("rig").args(words).stdout(Stdio::piped()).stderr(Stdio::piped());
+    command
+}
+
+fn file(name: &str) -> String {
+    Path::new(env!("CARGO_MANIFEST_DIR")).join("../../scenarios/rig").join(name).display().to_string()
+}
+
+/// Runs a file; its exit code, its verdict, and what was said.
+fn run(file: &str, folder: &Folder) -> (Option<i32>, Value, Output) {
+    let json = folder.0.join("verdict.json");
+    let page = folder.0.join("page.html");
+    let words = ["run", file, "--json", json.to_str().unwrap(), "--html", page.to_str().unwrap()];
+    let output = rig(&words).output().unwrap();
+    let verdict =
+        std::fs::read(&json).map(|text| serde_json::from_slice(&text).unwrap()).unwrap_or_default();
+    if output.status.code() == Some(0) {
+        let page = std::fs::read_to_string(&page).unwrap();
+        assert!(page.contains("<svg") && !page.contains("http://") && !page.contains("https://"));
+    }
+    (output.status.code(), verdict, output)
+}
+
+fn broken(verdict: &Value) -> Vec<&str> {
+    let checks = verdict["checks"].as_array().into_iter().flatten();
+    checks.filter(|check| check["held"] == false).map(|check| check["name"].as_str().unwrap()).collect()
+}
+
+#[test]
+fn short_files_hold() {
+    for name in ["ci/cut-off.toml", "ci/die-and-roll.toml", "ci/pause-and-drain.toml"] {
+        let folder = Folder::new("short");
+        let (code, verdict, output) = run(&file(name), &folder);
+        let said = String::from_utf8_lossy(&output.stderr);
+        assert_eq!((code, broken(&verdict)), (Some(0), vec![]), "{name}: {said}");
+        assert_eq!(verdict["passed"], true);
+        let seen = |check: &Value| check["seen"].as_u64().unwrap() > 0;
+        assert!(verdict["checks"].as_array().unwrap().iter().all(seen), "{name}");
+        assert!(verdict["figures"]["all"]["asked"].as_u64().unwrap() > 100, "{name}");
+    }
+}
+
+#[test]
+fn sidecars_patched_by_configuration_are_found_out() {
+    // Keys that go to any hall, and five attempts for a request: one file, two defects.
+    let folder = Folder::new("defects");
+    let (code, verdict, _) = run(&file("defects/many-attempts.toml"), &folder);
+    assert_eq!(code, Some(1));
+    assert!(broken(&verdict).contains(&"no more attempts than allowed"), "{:?}", broken(&verdict));
+    let (code, verdict, _) = run(&file("defects/dead-program.toml"), &folder);
+    assert_eq!(code, Some(1));
+    let wanted = ["the schedule happened", "every process starts", "no process crashes"];
+    assert!(wanted.iter().all(|name| broken(&verdict).contains(name)), "{:?}", broken(&verdict));
+}
+
+#[test]
+fn bad_files_and_missing_programs_are_told_before_anything_starts() {
+    let folder = Folder::new("bad");
+    let path = folder.0.join("bad.toml");
+    let sound = std::fs::read_to_string(file("ci/cut-off.toml")).unwrap();
+    // What is added, the exit code, and what is said.
+    let cases = [
+        ("[[faults]]\nat = \"1s\"\nwhat = \"die\"\non = [\"z\"]\n", 2, "bad.toml: faults[1].on"),
+        ("[programs]\nsidecar = \"/no/such\"\n", 2, "programs.sidecar"),
+        (
+            "[[sidecars]]\nname = \"x\"\ncount = 1\nconfig = { limits = { sockets = 3 } }\n",
+            1,
+            "limits.sockets",
+        ),
+        (
+            "[[sidecars]]\nname = \"x\"\ncount = 1\nconfig = { name = \"{nam}\" }\n",
+            1,
+            "`{nam}` stands for nothing",
+        ),
+        (
+            "[[processes]]\nname = \"k\"\ncount = 1\nhalls = [\"a\"]\nprogram = \"lab\"\nwords = []\nports = { p = \"tcp\" }\n\
+          config = \"{link.k-a-1.p}\"\n",
+            1,
+            "a relay to itself",
+        ),
+    ];
+    for (more, code, wanted) in cases {
+        std::fs::write(&path, format!("{sound}\n{more}")).unwrap();
+        let output = rig(&["run", path.to_str().unwrap()]).output().unwrap();
+        let said = String::from_utf8_lossy(&output.stderr);
+        assert_eq!(output.status.code(), Some(code), "{wanted}: {said}");
+        assert!(said.contains(wanted), "{wanted}: {said}");
+    }
+    let nowhere = rig(&["check", "/no/such.toml"]).output().unwrap();
+    assert_eq!(nowhere.status.code(), Some(2));
+    for seeds in ["3", "5..2", "a..b"] {
+        let output =
+            rig(&["campaign", &file("drawn.toml"), "--seeds", seeds, "--out", "/tmp"]).output().unwrap();
+        assert_eq!(output.status.code(), Some(2), "{seeds}");
+    }
+}
+
+/// Processes whose words name this folder.
+fn named(folder: &str) -> Vec<String> {
+    let all = std::fs::read_dir("/proc").unwrap().flatten();
+    let words = all.filter_map(|entry| std::fs::read(entry.path().join("cmdline")).ok());
+    words
+        .map(|words| String::from_utf8_lossy(&words).replace('\0', " "))
+        .filter(|words| words.contains(folder))
+        .collect()
+}
+
+#[test]
+fn ctrl_c_leaves_no_process_behind() {
+    let folder = Folder::new("interrupted");
+    let keep = folder.0.join("kept");
+    let keep = keep.to_str().unwrap();
+    let mut child = rig(&["run", &file("hall-silent.toml"), "--keep", keep]).spawn().unwrap();
+    let mut lines = BufReader::new(child.stdout.take().unwrap()).lines();
+    assert!(lines.next().unwrap().unwrap().contains("are ready"));
+    // The rig's own words name the folder too.
+    assert!(named(keep).len() > 15, "{:?}", named(keep));
+    let pid = child.id().to_string();
+    assert!(Command::new("kill").args(["-INT", &pid]).status().unwrap().success());
+    let began = Instant::now();
+    let status = loop {
+        if let Some(status) = child.try_wait().unwrap() {
+            break status;
+        }
+        assert!(began.elapsed() < PATIENCE);
+        std::thread::sleep(Duration::from_millis(10));
+    };
+    assert_eq!(status.code(), Some(130));
+    assert_eq!(named(keep), [""; 0]);
+}
--- a/crates/rig/src/relay.rs
+++ b/crates/rig/src/relay.rs
@@ -393,12 +393,8 @@
                 let way = this.link.borrow().forth.clone();
                 let closed = this.link.borrow().closed;
                 let to = this.to;
-                this.clone().pass(
-                    if closed { Way { cut: true, ..way } } else { way },
-                    own,
-                    to,
-                    buffer[..n].to_vec(),
-                );
+                let way = if closed { Way { cut: true, ..way } } else { way };
+                this.clone().pass(way, own, to, buffer[..n].to_vec()).await;
             }
         }
     }
@@ -429,18 +425,18 @@
             let Ok((n, _)) = own.recv_from(&mut buffer).await else { continue };
             add(&self.passed.back, n as u64);
             let way = self.link.borrow().back.clone();
-            self.clone().pass(way, self.socket.clone(), peer, buffer[..n].to_vec());
+            self.clone().pass(way, self.socket.clone(), peer, buffer[..n].to_vec()).await;
         }
     }
 
-    fn pass(self: Rc<Self>, way: Way, socket: Rc<UdpSocket>, to: SocketAddr, bytes: Vec<u8>) {
+    async fn pass(self: Rc<Self>, way: Way, socket: Rc<UdpSocket>, to: SocketAddr, bytes: Vec<u8>) {
         let copies = copies(&way, &mut self.draws.borrow_mut());
         if copies.is_empty() {
             add(&self.passed.lost, 1);
         }
         for after in copies {
             if after.is_zero() {
-                let _ = socket.try_send_to(&bytes, to); // a full buffer loses it, as a network would
+                let _ = socket.send_to(&bytes, to).await; // who is not there loses it, as on a network
                 continue;
             }
             if self.late.get() >= PEERS_MOST {
@@ -452,7 +448,7 @@
             spawn_local(async move {
                 sleep(after).await;
                 this.late.set(this.late.get() - 1);
-                let _ = socket.try_send_to(&bytes, to);
+                let _ = socket.send_to(&bytes, to).await;
             });
         }
     }
--- a/crates/rig/src/spec.rs
+++ b/crates/rig/src/spec.rs
@@ -14,6 +14,8 @@
 pub const HALLS_MOST: usize = 100;
 /// Processes and endpoints of a hall at the most: each has a fourth octet.
 pub const IN_A_HALL_MOST: usize = 250;
+/// The largest number that TOML has.
+pub const SEED_MOST: u64 = i64::MAX as u64;
 /// A run lasts this long at the most.
 const LASTS_MOST: Duration = Duration::from_secs(24 * 3600);
 
@@ -326,6 +328,7 @@
     pub fn problems(&self) -> Vec<String> {
         let mut p = Problems::default();
         p.wants(!self.name.is_empty(), "name", "text");
+        p.wants(self.seed <= SEED_MOST, "seed", "0 to 9223372036854775807");
         let lasts = self.lasts.0;
         p.wants(!lasts.is_zero() && lasts <= LASTS_MOST, "lasts", "over 0, up to 24h");
         let halls = self.halls();
