--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -45,15 +45,15 @@
         /// All that is drawn follows from it.
         #[arg(long, default_value_t = 7)]
         seed: u64,
-        /// Sidecars listen from this port on; those in use are passed over.
-        #[arg(long, default_value_t = 17070)]
-        base_port: u16,
         /// The sidecar's program; this file's own by default.
         #[arg(long, value_name = "PROGRAM")]
         sidecar: Option<PathBuf>,
-        /// Write the books there as JSON.
+        /// Write the verdict there as JSON.
         #[arg(long, value_name = "FILE")]
         json: Option<PathBuf>,
+        /// Write a page there that needs no network.
+        #[arg(long, value_name = "FILE")]
+        html: Option<PathBuf>,
     },
     /// Make load, and account for every request.
     Load {
@@ -292,13 +292,7 @@
                 Err(problem) => failed(&problem),
             }
         }
-        Command::Rig(command) => block_on(async {
-            match rig::rig(command).await {
-                Ended::Held => ExitCode::SUCCESS,
-                Ended::NotHeld(problem) => failed(&problem),
-                Ended::Wrong(problem) => wrong(&problem),
-            }
-        }),
+        Command::Rig(command) => block_on(async { ended(rig::rig(command).await) }),
         Command::Mix => match toml::to_string(&Mix::default()) {
             Ok(text) => {
                 print!("{text}");
@@ -306,17 +300,14 @@
             }
             Err(e) => wrong(&e.to_string()),
         },
-        Command::Demo { seconds, rate, seed, base_port, sidecar, json } => {
+        Command::Demo { seconds, rate, seed, sidecar, json, html } => {
             let (Some(lasts), true) = (span(seconds), rate > 0.0) else {
                 return wrong("--seconds, --rate: allowed: over 0");
             };
-            let own = || std::env::current_exe().map(|own| (own, vec!["sidecar".to_owned()]));
-            let sidecar = match sidecar.map_or_else(own, |program| Ok((program, Vec::new()))) {
-                Ok(sidecar) => sidecar,
-                Err(e) => return wrong(&format!("--sidecar: {e}")),
-            };
-            let options = demo::Options { lasts, rate, seed, base_port, sidecar };
-            block_on(show(options, json))
+            match demo::spec(&demo::Options { lasts, rate, seed, sidecar }) {
+                Ok(spec) => block_on(async { ended(rig::one(spec, None, json, html).await) }),
+                Err(problem) => wrong(&problem),
+            }
         }
         Command::Load { to, rate, even, clients, seconds, mix, seed, open_most, books, json } => {
             let books = match books.map_or(Ok(Books::default()), |path| {
@@ -366,6 +357,14 @@
     ExitCode::FAILURE
 }
 
+fn ended(ended: Ended) -> ExitCode {
+    match ended {
+        Ended::Held => ExitCode::SUCCESS,
+        Ended::NotHeld(problem) => failed(&problem),
+        Ended::Wrong(problem) => wrong(&problem),
+    }
+}
+
 /// Set by the first Ctrl-C: what is done by then is kept. The second one ends the program.
 fn stopped_by_signal() -> Arc<AtomicBool> {
     let stop = Arc::new(AtomicBool::new(false));
@@ -442,35 +441,6 @@
     std::fs::write(&path, text + "\n").map_err(|e| format!("{}: {e}", path.display()))
 }
 
-async fn show(options: demo::Options, json: Option<PathBuf>) -> ExitCode {
-    let shown = match demo::run(&options, |line| println!("{line}")).await {
-        Ok(shown) => shown,
-        Err(problem) => return failed(&problem),
-    };
-    println!("\n{}", load::table(&shown.clients));
-    let books = &shown.endpoints;
-    println!(
-        "endpoints: {} requests came, {} ran, {} turned away unseen, {} repeats dropped, {} keyed jobs ran twice, \
-         {} sent to a draining endpoint after 250 ms; sidecars hold {:?} KiB",
-        books.came,
-        books.ran,
-        books.turned_away,
-        books.repeats_dropped,
-        books.ran_twice,
-        books.sent_to_draining,
-        shown.sidecar_kib
-    );
-    if let Err(problem) = write_json(json, &shown) {
-        return failed(&problem);
-    }
-    if shown.ok {
-        println!("every try had exactly one answer, and no keyed job ran twice");
-        ExitCode::SUCCESS
-    } else {
-        failed(&shown.problems.join("; "))
-    }
-}
-
 async fn make_load(plan: Plan, books: Books, json: Option<PathBuf>) -> ExitCode {
     let bar = ProgressBar::new(plan.lasts.as_secs().max(1));
     let style = ProgressStyle::with_template("{bar:20} {pos}/{len} s  {msg}");
--- a/crates/lab/src/rig.rs
+++ b/crates/lab/src/rig.rs
@@ -123,7 +123,13 @@
     std::env::current_exe().map_err(|e| e.to_string())
 }
 
-async fn one(spec: RigSpec, keep: Option<PathBuf>, json: Option<PathBuf>, html: Option<PathBuf>) -> Ended {
+/// Plays one spec, judges it, and says what came of that.
+pub async fn one(
+    spec: RigSpec,
+    keep: Option<PathBuf>,
+    json: Option<PathBuf>,
+    html: Option<PathBuf>,
+) -> Ended {
     let played = async {
         let ran = run(Plan::new(spec), &Options { own: own()?, keep }, |line| println!("{line}")).await?;
         let verdict = judge(&ran);
--- a/crates/lab/tests/rig.rs
+++ b/crates/lab/tests/rig.rs
@@ -55,18 +55,25 @@
     checks.filter(|check| check["held"] == false).map(|check| check["name"].as_str().unwrap()).collect()
 }
 
+fn holds(name: &str) {
+    let folder = Folder::new(&name.replace('/', "-"));
+    let (code, verdict, output) = run(&file(name), &folder);
+    let said = String::from_utf8_lossy(&output.stderr);
+    assert_eq!((code, broken(&verdict)), (Some(0), vec![]), "{name}: {said}");
+    assert_eq!(verdict["passed"], true);
+    let seen = |check: &Value| check["seen"].as_u64().unwrap() > 0;
+    assert!(verdict["checks"].as_array().unwrap().iter().all(seen), "{name}");
+    assert!(verdict["figures"]["all"]["asked"].as_u64().unwrap() > 100, "{name}");
+}
+
 #[test]
-fn short_files_hold() {
-    for name in ["ci/cut-off.toml", "ci/die-and-roll.toml", "ci/pause-and-drain.toml"] {
-        let folder = Folder::new("short");
-        let (code, verdict, output) = run(&file(name), &folder);
-        let said = String::from_utf8_lossy(&output.stderr);
-        assert_eq!((code, broken(&verdict)), (Some(0), vec![]), "{name}: {said}");
-        assert_eq!(verdict["passed"], true);
-        let seen = |check: &Value| check["seen"].as_u64().unwrap() > 0;
-        assert!(verdict["checks"].as_array().unwrap().iter().all(seen), "{name}");
-        assert!(verdict["figures"]["all"]["asked"].as_u64().unwrap() > 100, "{name}");
-    }
+fn short_files_hold_side_by_side() {
+    std::thread::scope(|scope| {
+        for name in ["ci/cut-off.toml", "ci/die-and-roll.toml", "ci/pause-and-drain.toml", "replaced.toml"]
+        {
+            scope.spawn(move || holds(name));
+        }
+    });
 }
 
 #[test]
@@ -89,7 +96,7 @@
     let sound = std::fs::read_to_string(file("ci/cut-off.toml")).unwrap();
     // What is added, the exit code, and what is said.
     let cases = [
-        ("[[faults]]\nat = \"1s\"\nwhat = \"die\"\non = [\"z\"]\n", 2, "bad.toml: faults[1].on"),
+        ("[[faults]]\nat = \"1s\"\nwhat = \"die\"\non = [\"z\"]\n", 2, "bad.toml: faults[2].on"),
         ("[programs]\nsidecar = \"/no/such\"\n", 2, "programs.sidecar"),
         (
             "[[sidecars]]\nname = \"x\"\ncount = 1\nconfig = { limits = { sockets = 3 } }\n",
--- a/crates/rig/src/act.rs
+++ b/crates/rig/src/act.rs
@@ -265,6 +265,7 @@
 
     async fn one_again(&self, member: usize, fault: &FaultSpec, how: &How) -> Result<(), String> {
         let process = self.process(member);
+        let _turn = process.turn.lock().await;
         if !process.gone(None, END_MOST).await {
             return Err(format!("{}: it did not end", process.name));
         }
@@ -324,7 +325,8 @@
     /// Replaces sidecars one after another.
     async fn roll(&self, fault: &FaultSpec, struck: &[usize]) -> Result<(), String> {
         let mut problems = Vec::new();
-        for (turn, member) in struck.iter().enumerate() {
+        let rounds = fault.rounds.unwrap_or(1) as usize;
+        for (turn, member) in struck.iter().cycle().take(struck.len() * rounds).enumerate() {
             if turn > 0 {
                 sleep(fault.apart.unwrap_or_default().0).await;
             }
@@ -337,6 +339,8 @@
 
     async fn replace(&self, member: usize, fault: &FaultSpec) -> Result<(), String> {
         let process = self.process(member);
+        // Another fault may have it replaced or started at this very time.
+        let _turn = process.turn.lock().await;
         let before = process.alive();
         let port = if process.incarnations.get() % 2 == 1 { "operator-2" } else { "operator" };
         let beside = Some(self.at(member, port));
--- a/crates/rig/src/fault.rs
+++ b/crates/rig/src/fault.rs
@@ -147,6 +147,9 @@
     /// One begins this long after the one before.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub apart: Option<Span>,
+    /// All are replaced so many times over, one round after another.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub rounds: Option<u32>,
     /// Restarted sidecars are this build.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub program: Option<PathBuf>,
@@ -214,7 +217,7 @@
             Kind::Kill | Kind::KillWriting | Kind::End => Fields(&["on"], RESTART),
             Kind::Pause | Kind::StateFull | Kind::StateUnwritable => Fields(&["on"], &["part"]),
             Kind::Restart => Fields(&["on"], RESTART),
-            Kind::Roll => Fields(&["on"], &["part", "apart", "program", "set"]),
+            Kind::Roll => Fields(&["on"], &["part", "apart", "rounds", "program", "set"]),
         }
     }
 }
@@ -225,7 +228,7 @@
         let (on, from, to) = Default::default();
         let (one_way, reset, part, delay, jitter, loss, duplicate) = Default::default();
         let (reorder, rate, bytes, factor, share, every, of) = Default::default();
-        let (state, starts, apart, program, set) = Default::default();
+        let (state, starts, apart, rounds, program, set) = Default::default();
         FaultSpec {
             at,
             lasts,
@@ -250,6 +253,7 @@
             state,
             starts,
             apart,
+            rounds,
             program,
             set,
         }
@@ -284,6 +288,7 @@
             ("state", self.state.is_some()),
             ("starts", self.starts.is_some()),
             ("apart", self.apart.is_some()),
+            ("rounds", self.rounds.is_some()),
             ("program", self.program.is_some()),
             ("set", self.set.is_some()),
         ];
@@ -317,6 +322,7 @@
         }
         p.wants(self.factor.is_none_or(|f| f > 1.0 && f <= 1e3), at("factor"), "over 1, up to 1000");
         p.wants(self.every.is_none_or(|every| every.0.as_millis() >= 100), at("every"), "100ms or more");
+        p.wants(self.rounds.is_none_or(|n| (1..=1000).contains(&n)), at("rounds"), "1 to 1000");
         p.wants(self.rate.is_none_or(|rate| rate.0 > 0), at("rate"), "over 0");
         let flaps = self.of.is_none_or(|of| matches!(of, Kind::Silent | Kind::Die));
         p.wants(flaps, at("of"), "silent or die");
--- a/crates/rig/src/figures.rs
+++ b/crates/rig/src/figures.rs
@@ -292,7 +292,8 @@
     fn a_course_tells_who_left_when_who_came_back_and_who_flipped() {
         let second = 1_000_000;
         // Calls, and what is told of a loss from 10 to 20 s: left, back, calls, flips.
-        let cases: &[(&[i64], Option<f64>, Option<f64>, u64, u64)] = &[
+        type Case = (&'static [i64], Option<f64>, Option<f64>, u64, u64);
+        let cases: &[Case] = &[
             (&[], Some(0.0), None, 0, 0),
             (&[9, 21], Some(0.0), Some(1.0), 0, 0),
             (&[9, 10, 11, 23], Some(1.0), Some(3.0), 2, 1),
--- a/crates/rig/src/process.rs
+++ b/crates/rig/src/process.rs
@@ -11,6 +11,7 @@
 use std::time::{Duration, Instant};
 use tokio::io::{AsyncBufReadExt, AsyncWriteExt, BufReader};
 use tokio::net::TcpStream;
+use tokio::sync::Mutex;
 use tokio::time::{sleep, timeout};
 
 /// How often what is awaited is looked at.
@@ -53,6 +54,8 @@
     pub incarnations: Cell<u32>,
     /// Its files' sizes may be limited: its log then goes through a pipe, which no limit holds for.
     pub limited: bool,
+    /// Held while it is started or replaced.
+    pub turn: Mutex<()>,
 }
 
 /// What is started.
@@ -70,8 +73,8 @@
         let (state, logs) = (folder.join("state").join(name), folder.join("logs"));
         std::fs::create_dir_all(&state)?;
         std::fs::create_dir_all(&logs)?;
-        let (running, incarnations) = Default::default();
-        Ok(Process { name: name.to_owned(), state, logs, running, incarnations, limited })
+        let (running, incarnations, turn) = Default::default();
+        Ok(Process { name: name.to_owned(), state, logs, running, incarnations, limited, turn })
     }
 
     /// The log of an incarnation.
--- a/crates/rig/src/report.rs
+++ b/crates/rig/src/report.rs
@@ -318,7 +318,7 @@
 }
 
 /// What a process was at a time, until the next.
-fn states<'a>(entries: &'a [Entry], lasts: f64) -> BTreeMap<&'a str, Vec<(f64, f64, &'static str)>> {
+fn states(entries: &[Entry], lasts: f64) -> BTreeMap<&str, Vec<(f64, f64, &'static str)>> {
     let mut now: BTreeMap<&str, (f64, &'static str)> = BTreeMap::new();
     let mut states: BTreeMap<&str, Vec<(f64, f64, &'static str)>> = BTreeMap::new();
     for entry in entries {
--- a/crates/rig/src/run.rs
+++ b/crates/rig/src/run.rs
@@ -124,6 +124,8 @@
     views: Vec<Side>,
     zero: Cell<Option<Instant>>,
     cost: RefCell<Cost>,
+    /// What is to be told a person who waits.
+    said: RefCell<Vec<String>>,
 }
 
 /// Makes a run. Dropped before its end, it leaves no process behind.
@@ -230,7 +232,7 @@
                 &views,
             )?);
         }
-        let (wires, relays, holding, history, zero) = Default::default();
+        let (wires, relays, holding, history, zero, said) = Default::default();
         let cost =
             RefCell::new(Cost { processes: processes.iter().flatten().count() + 1, ..Cost::default() });
         let rig = Rig {
@@ -247,6 +249,7 @@
             views,
             zero,
             cost,
+            said,
         };
         *rig.history.borrow_mut() = History::new(0);
         Ok(rig)
@@ -596,6 +599,7 @@
             if Instant::now() > latest {
                 return Err(format!("the load has not ended: {}", load.last_words()));
             }
+            self.said.borrow_mut().drain(..).for_each(|line| say(&line));
             if Instant::now() >= told {
                 say(&format!(
                     "{:>5.0} s of {:.0}",
@@ -641,10 +645,12 @@
                 faults.spawn_local(async move {
                     sleep_until(zero + begin).await;
                     let begun = this.begin(n, time, end - begin).await;
+                    this.tell(n, "begins", &begun);
                     this.note("rig", 0, What::Fault { fault: n, on: true, problem: begun.err() });
                     if ends {
                         sleep_until(zero + end).await;
                         let ended = this.end(n, time).await;
+                        this.tell(n, "ends", &ended);
                         this.note("rig", 0, What::Fault { fault: n, on: false, problem: ended.err() });
                     }
                 });
@@ -653,6 +659,17 @@
         faults
     }
 
+    /// Tells a person of a fault.
+    fn tell(&self, n: usize, what: &str, came: &Result<(), String>) {
+        let fault = &self.plan.spec.faults[n];
+        let kind = toml::Value::try_from(fault.what).map_or(String::new(), |kind| kind.to_string());
+        let on =
+            fault.on.iter().chain(&fault.from).chain(&fault.to).cloned().collect::<Vec<_>>().join(", ");
+        let at = self.zero.get().map_or(0.0, |zero| zero.elapsed().as_secs_f64());
+        let failed = came.as_ref().err().map_or(String::new(), |problem| format!(": {problem}"));
+        self.said.borrow_mut().push(format!("{at:>7.1} s  {} {what} {on}{failed}", kind.trim_matches('"')));
+    }
+
     /// Ends all: sidecars first, as an operator would, and then what they lean on.
     async fn end_all(&self) {
         let longest = self.plan.spec.classes.iter().map(|class| class.deadline.0).max().unwrap_or_default();
--- a/crates/rig/tests/checks.rs
+++ b/crates/rig/tests/checks.rs
@@ -91,6 +91,8 @@
     Ran { plan, history, sidecars, cost: Cost::default() }
 }
 
+type Case = (&'static str, Vec<(i64, &'static str, What)>, &'static [&'static str]);
+
 fn broken(ran: &Ran) -> Vec<String> {
     let verdict = judge(ran);
     let broken: Vec<String> = verdict.checks.into_iter().filter(|c| !c.held).map(|c| c.name).collect();
@@ -114,8 +116,8 @@
     let lost = || load(a_try("9", "proof-view", 500, "unanswered"));
     let failed = || Some("no".to_owned());
     let other = (5000, "load", What::Try(a_try("5", "job-submit", 40, "served")));
-    let nothing: &[(i64, &str, What)] = &[];
-    let cases: Vec<(&str, Vec<(i64, &str, What)>, &[&str])> = vec![
+    // What is wrong, what is behind the sound run, and the checks that fail for it.
+    let cases: Vec<Case> = vec![
         (
             "a fault that failed",
             vec![(9, "rig", What::Fault { fault: 0, on: false, problem: failed() })],
@@ -190,7 +192,7 @@
             vec![(9, SIDECAR, What::Usage { kib: 9000, descriptors: 1100 })],
             &["no sidecar outside its bounds"],
         ),
-        ("nothing", nothing.to_vec(), &[]),
+        ("nothing", vec![], &[]),
     ];
     for (case, more, wanted) in cases {
         assert_eq!(broken(&played(&more)), wanted, "{case}");
