--- /dev/null
+++ b/crates/fleet/src/keeper.rs
@@ -0,0 +1,651 @@
+//! A keeper: raft agrees on entries, and each that makes sense becomes the next record of the view.
+//!
+//! The host gives it ticks, messages and proposals, and after each takes its [`Output`]: it writes and syncs what is to
+//! be kept, and only then sends what is to be said.
+
+use crate::evidence::{Evidence, NotTaken};
+use crate::holder::{RECORDS_MOST, RENEW};
+use crate::record::{Proposal, Record, Version};
+use crate::view::{Refused, Tail, View};
+use crate::wire::{Said, Who};
+use raft::eraftpb::{
+    ConfChange, ConfChangeType, ConfState, Entry, EntryType, HardState, Message, Snapshot,
+};
+use raft::storage::{MemStorage, Storage};
+use raft::{Config, GetEntriesContext, RaftState, RawNode, StateRole, StorageError};
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg32;
+use serde::{Deserialize, Serialize};
+use std::collections::{BTreeMap, VecDeque};
+use std::time::Duration;
+
+/// The host ticks a keeper this often.
+pub const TICK: Duration = Duration::from_millis(50);
+/// A keeper that has heard no leader for so many ticks, and a few more by its number, asks for votes.
+const ELECTION_TICKS: usize = 10;
+/// Ticks between two keepers' timeouts: more than a heartbeat and the way there and back.
+const APART_TICKS: usize = 3;
+/// Applied entries after which what they did is kept as a snapshot in their place.
+const COMPACT_AFTER: u64 = 512;
+/// Entries left behind a snapshot for a keeper a little behind.
+const COMPACT_LEAVES: u64 = 128;
+/// A proposal that is not decided after this is told so; it may be all the same, later.
+const DECIDE_MOST: Duration = Duration::from_secs(3);
+/// Proposals under way at one keeper, at the most.
+const PROPOSALS_MOST: usize = 256;
+/// Ids of decided proposals that are remembered, so that one that comes twice is decided once.
+const IDS_MOST: usize = 1024;
+/// Holders that are told what follows, at the most.
+const TOLD_MOST: usize = 20_000;
+/// Bytes that a keeper tells holders in a second, at the most, and saves up at the most.
+const TELL_BYTES: f64 = 16e6;
+
+/// What raft's entries agree on.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+struct Agreed {
+    at_ms: u64,
+    proposal: Proposal,
+}
+
+/// What all keepers make of the same entries.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+struct State {
+    view: View,
+    ids: VecDeque<(u64, Version)>,
+}
+
+/// What must be on disk before anything of the same output is said.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Persist {
+    /// In place of all that is kept.
+    pub snapshot: Option<Vec<u8>>,
+    /// By index; those of the first index and after are replaced.
+    pub entries: Vec<(u64, Vec<u8>)>,
+    /// Term, vote and commit.
+    pub hard_state: Option<Vec<u8>>,
+    /// Entries below this index may go, as the snapshot has what they did.
+    pub compact: Option<u64>,
+}
+
+impl Persist {
+    /// Whether there is nothing to write.
+    pub fn is_empty(&self) -> bool {
+        *self == Persist::default()
+    }
+}
+
+/// All that a keeper has kept on disk.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+pub struct Kept {
+    /// The last snapshot.
+    pub snapshot: Option<Vec<u8>>,
+    /// By index.
+    pub entries: BTreeMap<u64, Vec<u8>>,
+    /// Term, vote and commit.
+    pub hard_state: Option<Vec<u8>>,
+}
+
+impl Kept {
+    /// Takes what an output wants kept, as a store does.
+    pub fn take(&mut self, persist: &Persist) {
+        if let Some(snapshot) = &persist.snapshot {
+            self.snapshot = Some(snapshot.clone());
+            if persist.compact.is_none() {
+                self.entries.clear();
+            }
+        }
+        if let Some((first, _)) = persist.entries.first() {
+            self.entries.split_off(first);
+        }
+        self.entries.extend(persist.entries.iter().cloned());
+        if let Some(hard_state) = &persist.hard_state {
+            self.hard_state = Some(hard_state.clone());
+        }
+        if let Some(compact) = persist.compact {
+            self.entries = self.entries.split_off(&compact);
+        }
+    }
+}
+
+/// What a keeper wants done: first `persist` is written and synced, then the rest happens.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Output {
+    /// To be kept.
+    pub persist: Persist,
+    /// Messages of the agreement, by the keeper's number.
+    pub agreement: Vec<(u64, Vec<u8>)>,
+    /// To be said to holders and proposers, by name.
+    pub said: Vec<(String, Said)>,
+    /// Newly decided.
+    pub applied: Vec<Record>,
+}
+
+/// Why a keeper can't begin or do something.
+#[derive(Clone, Debug, PartialEq, thiserror::Error)]
+pub enum KeeperError {
+    /// What was kept can't be read.
+    #[error("what was kept can't be read: {0}")]
+    Kept(String),
+    /// The agreement's library refuses.
+    #[error("agreement: {0}")]
+    Agreement(String),
+}
+
+/// Raft's storage in memory, with the snapshot that the last compaction made.
+struct Store {
+    memory: MemStorage,
+    snapshot: Snapshot,
+}
+
+impl Storage for Store {
+    fn initial_state(&self) -> raft::Result<RaftState> {
+        self.memory.initial_state()
+    }
+
+    fn entries(
+        &self,
+        low: u64,
+        high: u64,
+        max_size: impl Into<Option<u64>>,
+        context: GetEntriesContext,
+    ) -> raft::Result<Vec<Entry>> {
+        self.memory.entries(low, high, max_size, context)
+    }
+
+    fn term(&self, index: u64) -> raft::Result<u64> {
+        self.memory.term(index)
+    }
+
+    fn first_index(&self) -> raft::Result<u64> {
+        self.memory.first_index()
+    }
+
+    fn last_index(&self) -> raft::Result<u64> {
+        self.memory.last_index()
+    }
+
+    fn snapshot(&self, request_index: u64, _to: u64) -> raft::Result<Snapshot> {
+        if self.snapshot.get_metadata().index < request_index || self.snapshot.get_metadata().index == 0 {
+            return Err(raft::Error::Store(StorageError::SnapshotTemporarilyUnavailable));
+        }
+        Ok(self.snapshot.clone())
+    }
+}
+
+/// A keeper.
+pub struct Keeper {
+    id: u64,
+    node: RawNode<Store>,
+    state: State,
+    tail: Tail,
+    applied_index: u64,
+    conf: ConfState,
+    /// The keepers are others than in the last snapshot: a new one takes none that does not name it.
+    conf_changed: bool,
+    evidence: Evidence,
+    now: Duration,
+    unix_ms: u64,
+    /// Proposals under way: who waits, and until when.
+    waiting: BTreeMap<u64, (String, Duration)>,
+    /// Holders that are told what follows, until then.
+    told: BTreeMap<String, Duration>,
+    budget: f64,
+    draws: Pcg32,
+    /// Messages of the agreement that could not be read or did not fit.
+    pub unread: u64,
+    /// Asks that were put off.
+    pub put_off: u64,
+}
+
+/// The snapshot that all first keepers begin from, so that they agree on who they are.
+fn first_snapshot(keepers: &[u64]) -> Snapshot {
+    let mut snapshot = Snapshot::default();
+    snapshot.mut_metadata().index = 1;
+    snapshot.mut_metadata().term = 1;
+    snapshot.mut_metadata().mut_conf_state().set_voters(keepers.to_vec());
+    snapshot.set_data(encode(&State::default()).into());
+    snapshot
+}
+
+fn encode(value: &impl Serialize) -> Vec<u8> {
+    postcard::to_allocvec(value).unwrap_or_default() // plain data: it never fails
+}
+
+fn read<M: protobuf::Message>(bytes: &[u8]) -> Result<M, KeeperError> {
+    let mut message = M::new();
+    message.merge_from_bytes(bytes).map_err(|e| KeeperError::Kept(e.to_string()))?;
+    Ok(message)
+}
+
+fn write(message: &impl protobuf::Message) -> Vec<u8> {
+    message.write_to_bytes().unwrap_or_default() // into memory: it never fails
+}
+
+fn agreement(error: impl std::fmt::Display) -> KeeperError {
+    KeeperError::Agreement(error.to_string())
+}
+
+impl Keeper {
+    /// What one of the first keepers begins with, on an empty disk.
+    pub fn first(keepers: &[u64]) -> Kept {
+        Kept { snapshot: Some(write(&first_snapshot(keepers))), ..Kept::default() }
+    }
+
+    /// What one that joins later begins with: nothing. It must have a number that no keeper ever had: one that forgot
+    /// what it promised must not be taken for who promised.
+    pub fn joining() -> Kept {
+        Kept::default()
+    }
+
+    /// Begins, or goes on, with what was kept.
+    ///
+    /// # Errors
+    /// It can't be read.
+    pub fn new(id: u64, kept: &Kept, seed: u64, now: Duration) -> Result<Keeper, KeeperError> {
+        let memory = MemStorage::new();
+        let (mut state, mut snapshot) = (State::default(), Snapshot::default());
+        if let Some(bytes) = &kept.snapshot {
+            snapshot = read(bytes)?;
+            state =
+                postcard::from_bytes(snapshot.get_data()).map_err(|e| KeeperError::Kept(e.to_string()))?;
+            memory.wl().apply_snapshot(snapshot.clone()).map_err(agreement)?;
+        }
+        let from = snapshot.get_metadata().index;
+        let entries: Result<Vec<Entry>, _> =
+            kept.entries.range(from + 1..).map(|(_, bytes)| read::<Entry>(bytes)).collect();
+        let entries = entries?;
+        if let Some((n, _)) =
+            entries.iter().enumerate().find(|(n, entry)| entry.index != from + 1 + *n as u64)
+        {
+            return Err(KeeperError::Kept(format!("entry {} is missing", from + 1 + n as u64)));
+        }
+        memory.wl().append(&entries).map_err(agreement)?;
+        if let Some(bytes) = &kept.hard_state {
+            let mut hard: HardState = read(bytes)?;
+            // What is kept of entries decides: a commit beyond them was said of what a torn write lost.
+            let last = entries.last().map_or(from, |entry| entry.index);
+            if hard.commit > last {
+                return Err(KeeperError::Kept(format!(
+                    "{} is decided, and {last} is the last that is kept",
+                    hard.commit
+                )));
+            }
+            hard.commit = hard.commit.max(from);
+            memory.wl().set_hardstate(hard);
+        }
+        let ticks = ELECTION_TICKS + APART_TICKS * (id % 8) as usize;
+        let config = Config {
+            id,
+            election_tick: ELECTION_TICKS,
+            heartbeat_tick: 1,
+            min_election_tick: ticks,
+            max_election_tick: ticks + 1,
+            applied: from,
+            check_quorum: true,
+            pre_vote: true,
+            max_size_per_msg: 1 << 20,
+            max_inflight_msgs: 64,
+            ..Config::default()
+        };
+        let conf = snapshot.get_metadata().get_conf_state().clone();
+        let logger = slog::Logger::root(slog::Discard, slog::o!());
+        let node = RawNode::new(&config, Store { memory, snapshot }, &logger).map_err(agreement)?;
+        let (tail, evidence, waiting, told, unread, put_off) = Default::default();
+        let draws = Pcg32::seed_from_u64(seed);
+        Ok(Keeper {
+            id,
+            node,
+            state,
+            tail,
+            applied_index: from,
+            conf,
+            conf_changed: false,
+            evidence,
+            now,
+            unix_ms: 0,
+            waiting,
+            told,
+            budget: TELL_BYTES,
+            draws,
+            unread,
+            put_off,
+        })
+    }
+
+    /// Its number.
+    pub fn id(&self) -> u64 {
+        self.id
+    }
+
+    /// What is decided, as far as it knows.
+    pub fn view(&self) -> &View {
+        &self.state.view
+    }
+
+    /// What sidecars see.
+    pub fn evidence(&self) -> &Evidence {
+        &self.evidence
+    }
+
+    /// Whether it leads.
+    pub fn leads(&self) -> bool {
+        self.node.raft.state == StateRole::Leader
+    }
+
+    /// The leader's number, as far as it knows; 0 for none.
+    pub fn leader(&self) -> u64 {
+        self.node.raft.leader_id
+    }
+
+    /// Its term.
+    pub fn term(&self) -> u64 {
+        self.node.raft.term
+    }
+
+    /// The keepers' numbers.
+    pub fn keepers(&self) -> &[u64] {
+        self.conf.get_voters()
+    }
+
+    /// A tick has passed; `unix_ms` is the wall clock, for people alone.
+    pub fn tick(&mut self, now: Duration, unix_ms: u64) -> Output {
+        let passed = now.saturating_sub(self.now);
+        (self.now, self.unix_ms) = (now, unix_ms);
+        self.budget = (self.budget + TELL_BYTES * passed.as_secs_f64()).min(TELL_BYTES);
+        self.told.retain(|_, until| now < *until);
+        self.node.tick();
+        let mut output = self.output();
+        let late: Vec<u64> =
+            self.waiting.iter().filter(|(_, (_, at))| now >= *at).map(|(id, _)| *id).collect();
+        for id in late {
+            if let Some((name, _)) = self.waiting.remove(&id) {
+                let why = "no majority of keepers agreed in time; it may be decided later".to_owned();
+                output.said.push((name, Said::NotDecided { id, why }));
+            }
+        }
+        output
+    }
+
+    /// A message of another keeper.
+    pub fn agreement(&mut self, bytes: &[u8]) -> Output {
+        match read::<Message>(bytes) {
+            // Of one that is not of its configuration, or of a past term, raft takes nothing.
+            Ok(message) if message.to == self.id => {
+                if self.node.step(message).is_err() {
+                    self.unread += 1;
+                }
+            }
+            _ => self.unread += 1,
+        }
+        self.output()
+    }
+
+    /// Something that a holder or an operator says.
+    pub fn heard(&mut self, from: &Who, said: Said) -> Output {
+        match said {
+            Said::Ask { after } => self.asked(from, after),
+            Said::Evidence(digest) => {
+                // Late and repeated ones are expected.
+                let _: Result<(), NotTaken> = self.evidence.heard(self.now, from, digest);
+                Output::default()
+            }
+            Said::Propose(proposal) => self.propose(&from.name, proposal),
+            _ => Output::default(),
+        }
+    }
+
+    fn asked(&mut self, from: &Who, after: Version) -> Output {
+        let answer = self.tell(after);
+        let cost = 100.0 + size(&answer) as f64;
+        let mut output = Output::default();
+        if cost > self.budget {
+            self.put_off += 1;
+            let after_ms = self.draws.random_range(200..1000);
+            output.said.push((from.name.clone(), Said::Later { after_ms }));
+            return output;
+        }
+        self.budget -= cost;
+        if self.told.len() < TOLD_MOST || self.told.contains_key(&from.name) {
+            self.told.insert(from.name.clone(), self.now + RENEW * 3 / 2);
+        }
+        output.said.push((from.name.clone(), answer));
+        output
+    }
+
+    fn tell(&self, after: Version) -> Said {
+        let view = &self.state.view;
+        if after >= view.version() {
+            return Said::Have { version: view.version(), hash: view.hash() };
+        }
+        match self.tail.after(after, RECORDS_MOST) {
+            Some(records) => Said::Records(records),
+            None => Said::Snapshot(view.clone()),
+        }
+    }
+
+    fn propose(&mut self, name: &str, proposal: Proposal) -> Output {
+        let id = proposal.id;
+        let mut output = Output::default();
+        let refuse = |why: String| (name.to_owned(), Said::NotDecided { id, why });
+        if let Some((_, version)) = self.state.ids.iter().find(|(known, _)| *known == id) {
+            output.said.push((name.to_owned(), Said::Decided { id, version: *version }));
+            return output;
+        }
+        if let Err(problem) = proposal.check() {
+            output.said.push(refuse(problem.to_string()));
+            return output;
+        }
+        if self.waiting.len() >= PROPOSALS_MOST {
+            output.said.push(refuse(format!("{PROPOSALS_MOST} proposals are under way")));
+            return output;
+        }
+        let data = encode(&Agreed { at_ms: self.unix_ms, proposal });
+        match self.node.propose(Vec::new(), data) {
+            Ok(()) => {
+                self.waiting.insert(id, (name.to_owned(), self.now + DECIDE_MOST));
+                self.output()
+            }
+            Err(e) => {
+                output.said.push(refuse(format!("no leader takes it: {e}")));
+                output
+            }
+        }
+    }
+
+    /// Adds a keeper, or removes one: one at a time, by the leader alone.
+    ///
+    /// # Errors
+    /// It does not lead, or another change is under way.
+    pub fn change(&mut self, keeper: u64, add: bool) -> Result<Output, KeeperError> {
+        if !self.leads() {
+            return Err(KeeperError::Agreement(format!("keeper {} leads", self.leader())));
+        }
+        let known = self.keepers().contains(&keeper);
+        if known == add {
+            return Err(KeeperError::Agreement(format!(
+                "{keeper} is {} a keeper",
+                if add { "already" } else { "not" }
+            )));
+        }
+        let mut change = ConfChange::default();
+        change.set_change_type(if add { ConfChangeType::AddNode } else { ConfChangeType::RemoveNode });
+        change.node_id = keeper;
+        self.node.propose_conf_change(Vec::new(), change).map_err(agreement)?;
+        Ok(self.output())
+    }
+
+    /// What the agreement's library wants done now.
+    fn output(&mut self) -> Output {
+        let mut output = Output::default();
+        // Each round's work may bring about more; it ends, since nothing new comes in meanwhile.
+        while self.node.has_ready() {
+            let mut ready = self.node.ready();
+            self.say(ready.take_messages(), &mut output);
+            if !ready.snapshot().is_empty() {
+                self.restore(ready.snapshot().clone(), &mut output);
+            }
+            if !ready.entries().is_empty() {
+                let kept = ready.entries().iter().map(|entry| (entry.index, write(entry)));
+                keep(&mut output.persist.entries, kept.collect());
+                // It was made of what the library itself holds to be next.
+                let appended = self.node.mut_store().memory.wl().append(ready.entries());
+                debug_assert!(appended.is_ok());
+            }
+            if let Some(hard) = ready.hs() {
+                output.persist.hard_state = Some(write(hard));
+                self.node.mut_store().memory.wl().set_hardstate(hard.clone());
+            }
+            self.say(ready.take_persisted_messages(), &mut output);
+            let committed = ready.take_committed_entries();
+            self.apply(committed, &mut output);
+            let mut light = self.node.advance(ready);
+            if let Some(commit) = light.commit_index() {
+                let mut memory = self.node.mut_store().memory.wl();
+                memory.mut_hard_state().commit = commit;
+                output.persist.hard_state = Some(write(memory.hard_state()));
+            }
+            self.say(light.take_messages(), &mut output);
+            let committed = light.take_committed_entries();
+            self.apply(committed, &mut output);
+            self.node.advance_apply();
+        }
+        self.compact(&mut output);
+        self.tell_all(&mut output);
+        output
+    }
+
+    fn say(&self, messages: Vec<Message>, output: &mut Output) {
+        output.agreement.extend(messages.into_iter().map(|message| (message.to, write(&message))));
+    }
+
+    /// The leader's snapshot takes the place of all that was.
+    fn restore(&mut self, snapshot: Snapshot, output: &mut Output) {
+        let state: Result<State, _> = postcard::from_bytes(snapshot.get_data());
+        // What a keeper of this fleet made is readable by this build or a newer one; else it must not go on.
+        let Ok(state) = state else { return self.unread += 1 };
+        output.persist = Persist { snapshot: Some(write(&snapshot)), ..Persist::default() };
+        let metadata = snapshot.get_metadata();
+        (self.state, self.applied_index) = (state, metadata.index);
+        self.conf = metadata.get_conf_state().clone();
+        self.tail.clear();
+        let store = self.node.mut_store();
+        let applied = store.memory.wl().apply_snapshot(snapshot.clone());
+        debug_assert!(applied.is_ok());
+        store.snapshot = snapshot;
+    }
+
+    fn apply(&mut self, entries: Vec<Entry>, output: &mut Output) {
+        for entry in entries {
+            self.applied_index = entry.index;
+            match entry.get_entry_type() {
+                EntryType::EntryNormal if !entry.data.is_empty() => self.decide(&entry, output),
+                EntryType::EntryNormal => {} // a new leader's
+                EntryType::EntryConfChange => {
+                    let Ok(change) = read::<ConfChange>(&entry.data) else { continue };
+                    if let Ok(conf) = self.node.apply_conf_change(&change) {
+                        (self.conf, self.conf_changed) = (conf.clone(), true);
+                        self.node.mut_store().memory.wl().set_conf_state(conf);
+                    }
+                }
+                EntryType::EntryConfChangeV2 => {}
+            }
+        }
+    }
+
+    /// An agreed entry becomes the next record, if it makes sense after what was decided before it.
+    fn decide(&mut self, entry: &Entry, output: &mut Output) {
+        let Ok(Agreed { at_ms, proposal }) = postcard::from_bytes(&entry.data) else {
+            return self.unread += 1; // the same at every keeper
+        };
+        let id = proposal.id;
+        let version = match self.next_record(entry.term, at_ms, proposal) {
+            Ok(version) => version,
+            Err(why) => {
+                if let Some((name, _)) = self.waiting.remove(&id) {
+                    output.said.push((name, Said::NotDecided { id, why }));
+                }
+                return;
+            }
+        };
+        if let Some(record) = self.tail.after(Version(version.0 - 1), 1).and_then(|mut last| last.pop())
+            && record.proposal.id == id
+            && output.applied.last().is_none_or(|last| last.version < version)
+        {
+            output.applied.push(record);
+        }
+        if let Some((name, _)) = self.waiting.remove(&id) {
+            output.said.push((name, Said::Decided { id, version }));
+        }
+    }
+
+    fn next_record(&mut self, term: u64, at_ms: u64, proposal: Proposal) -> Result<Version, String> {
+        if let Some((_, version)) = self.state.ids.iter().find(|(known, _)| *known == proposal.id) {
+            return Ok(*version); // it came twice
+        }
+        let view = &mut self.state.view;
+        if let Some(wanted) = proposal.only_after {
+            let newest = view.get(&proposal.key).map_or(Version(0), |record| record.version);
+            if newest != wanted {
+                return Err(format!("{} is at version {newest}, and not {wanted}", proposal.key));
+            }
+        }
+        let (id, version) = (proposal.id, view.version().next());
+        let record = Record { version, term, before: view.hash(), at_ms, proposal };
+        view.apply(record.clone()).map_err(|refused: Refused| refused.to_string())?;
+        self.tail.push(record);
+        self.state.ids.push_back((id, version));
+        if self.state.ids.len() > IDS_MOST {
+            self.state.ids.pop_front();
+        }
+        Ok(version)
+    }
+
+    /// Keeps what many entries did in their place.
+    fn compact(&mut self, output: &mut Output) {
+        let store = self.node.mut_store();
+        let many = self.applied_index >= store.snapshot.get_metadata().index + COMPACT_AFTER;
+        if !many && !std::mem::take(&mut self.conf_changed) {
+            return;
+        }
+        let Ok(term) = store.memory.term(self.applied_index) else { return };
+        let mut snapshot = Snapshot::default();
+        snapshot.mut_metadata().index = self.applied_index;
+        snapshot.mut_metadata().term = term;
+        snapshot.mut_metadata().set_conf_state(self.conf.clone());
+        snapshot.set_data(encode(&self.state).into());
+        self.conf_changed = false;
+        let first =
+            self.applied_index.saturating_sub(COMPACT_LEAVES).max(store.memory.first_index().unwrap_or(1));
+        if store.memory.wl().compact(first).is_ok() {
+            output.persist.snapshot = Some(write(&snapshot));
+            output.persist.compact = Some(first);
+            store.snapshot = snapshot;
+        }
+    }
+
+    fn tell_all(&mut self, output: &mut Output) {
+        if output.applied.is_empty() {
+            return;
+        }
+        for name in self.told.keys() {
+            output.said.push((name.clone(), Said::Records(output.applied.clone())));
+        }
+    }
+}
+
+/// Entries over those kept before: an index that comes again replaces it and all behind it.
+fn keep(entries: &mut Vec<(u64, Vec<u8>)>, more: Vec<(u64, Vec<u8>)>) {
+    if let Some((first, _)) = more.first() {
+        entries.retain(|(index, _)| index < first);
+    }
+    entries.extend(more);
+}
+
+/// Bytes of what is said, about.
+fn size(said: &Said) -> usize {
+    match said {
+        Said::Records(records) => records.iter().map(|record| record.proposal.body.len() + 300).sum(),
+        Said::Snapshot(view) => view.bytes() + 300 * view.records().count(),
+        _ => 0,
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/view.rs
@@ -0,0 +1,167 @@
+//! What is decided: the newest record of each key, and where in the chain that is.
+
+use crate::record::{Hash, Record, Version};
+use serde::{Deserialize, Serialize};
+use std::collections::{BTreeMap, VecDeque};
+
+/// Keys at the most; one more is refused until another is superseded.
+pub const KEYS_MOST: usize = 4096;
+/// Bytes of all bodies at the most.
+pub const BYTES_MOST: usize = 16 << 20;
+/// Records kept behind the view for who is a little behind.
+pub const TAIL_MOST: usize = 1024;
+/// Bytes of those at the most.
+pub const TAIL_BYTES: usize = 4 << 20;
+
+/// Why a record does not follow.
+#[derive(Clone, Debug, PartialEq, thiserror::Error)]
+pub enum Refused {
+    /// It is known already, with this very content.
+    #[error("version {0} is known")]
+    Known(Version),
+    /// Another content for a version that is known.
+    #[error("version {0} has another content here")]
+    Contradicts(Version),
+    /// There is a gap before it.
+    #[error("version {0} does not follow {1}")]
+    Gap(Version, Version),
+    /// It follows another chain than this one.
+    #[error("version {0} names another hash for the one before")]
+    OtherChain(Version),
+    /// It is out of its bounds.
+    #[error("{0}")]
+    Bad(#[from] crate::record::BadProposal),
+    /// There is no room for one more.
+    #[error("no room: {KEYS_MOST} keys or {BYTES_MOST} bytes are held")]
+    NoRoom,
+}
+
+/// A view: a pure function of the records up to its version.
+#[derive(Clone, Debug, Default, PartialEq, Deserialize, Serialize)]
+pub struct View {
+    version: Version,
+    hash: Hash,
+    records: BTreeMap<String, Record>,
+}
+
+impl View {
+    /// Up to which version.
+    pub fn version(&self) -> Version {
+        self.version
+    }
+
+    /// The hash of that version's record.
+    pub fn hash(&self) -> Hash {
+        self.hash
+    }
+
+    /// The newest record of a key.
+    pub fn get(&self, key: &str) -> Option<&Record> {
+        self.records.get(key)
+    }
+
+    /// The newest record of each key, in the keys' order.
+    pub fn records(&self) -> impl Iterator<Item = &Record> {
+        self.records.values()
+    }
+
+    /// Bytes of all bodies.
+    pub fn bytes(&self) -> usize {
+        self.records.values().map(|record| record.proposal.body.len()).sum()
+    }
+
+    /// Whether this record may be the next one.
+    ///
+    /// # Errors
+    /// Why it does not follow.
+    pub fn follows(&self, record: &Record) -> Result<(), Refused> {
+        let version = record.version;
+        if version <= self.version {
+            let same = version == self.version && record.hash() == self.hash;
+            let newest = self.get(&record.proposal.key).is_some_and(|known| known == record);
+            // Of one that is superseded nothing is known any more: it is old, and no contradiction.
+            let contradicts = version == self.version && !same
+                || self.records.values().any(|known| known.version == version && known != record);
+            return Err(match (same || newest, contradicts) {
+                (false, true) => Refused::Contradicts(version),
+                _ => Refused::Known(version),
+            });
+        }
+        if version != self.version.next() {
+            return Err(Refused::Gap(version, self.version));
+        }
+        if record.before != self.hash {
+            return Err(Refused::OtherChain(version));
+        }
+        record.proposal.check()?;
+        self.has_room(record)
+    }
+
+    fn has_room(&self, record: &Record) -> Result<(), Refused> {
+        let held = self.get(&record.proposal.key);
+        let more = held.is_none() && self.records.len() >= KEYS_MOST;
+        let before = held.map_or(0, |known| known.proposal.body.len());
+        let bytes = self.bytes() - before + record.proposal.body.len();
+        if more || bytes > BYTES_MOST { Err(Refused::NoRoom) } else { Ok(()) }
+    }
+
+    /// Takes the next record.
+    ///
+    /// # Errors
+    /// Why it does not follow; nothing has changed then.
+    pub fn apply(&mut self, record: Record) -> Result<(), Refused> {
+        self.follows(&record)?;
+        (self.version, self.hash) = (record.version, record.hash());
+        self.records.insert(record.proposal.key.clone(), record);
+        Ok(())
+    }
+
+    /// Whether all of it holds together, as far as one view can tell: for one that came from outside.
+    pub fn is_sound(&self) -> bool {
+        let newest = self.records.values().max_by_key(|record| record.version);
+        let ends = match newest {
+            None => self.version == Version(0) && self.hash == Hash::default(),
+            Some(newest) => newest.version == self.version && newest.hash() == self.hash,
+        };
+        let each = |(key, record): (&String, &Record)| {
+            *key == record.proposal.key && record.version > Version(0) && record.proposal.check().is_ok()
+        };
+        ends && self.records.iter().all(each)
+            && self.records.len() <= KEYS_MOST
+            && self.bytes() <= BYTES_MOST
+    }
+}
+
+/// The last records, for who is a little behind.
+#[derive(Clone, Debug, Default)]
+pub struct Tail {
+    records: VecDeque<Record>,
+    bytes: usize,
+}
+
+impl Tail {
+    /// One more, the newest.
+    pub fn push(&mut self, record: Record) {
+        self.bytes += record.proposal.body.len();
+        self.records.push_back(record);
+        while self.records.len() > TAIL_MOST || (self.bytes > TAIL_BYTES && self.records.len() > 1) {
+            let Some(oldest) = self.records.pop_front() else { return };
+            self.bytes -= oldest.proposal.body.len();
+        }
+    }
+
+    /// Nothing of it follows what comes next.
+    pub fn clear(&mut self) {
+        *self = Tail::default();
+    }
+
+    /// All that follows a version, at most so many; none where some of it is gone.
+    pub fn after(&self, version: Version, most: usize) -> Option<Vec<Record>> {
+        let first = self.records.front()?.version;
+        if version.next() < first {
+            return None;
+        }
+        let skipped = (version.0 + 1 - first.0) as usize;
+        Some(self.records.iter().skip(skipped).take(most).cloned().collect())
+    }
+}
--- a/crates/rig/src/plan.rs
+++ b/crates/rig/src/plan.rs
@@ -211,9 +211,13 @@
 }
 
 impl FaultSpec {
-    /// When it holds, until the run's end at the latest; a flapping one holds again and again.
+    /// When it holds, until the run's end at the latest; a flapping one holds again and again, and what happens at once
+    /// for no time.
     pub fn times(&self, lasts: Duration) -> Vec<(Duration, Duration)> {
         let begin = self.at.0;
+        if matches!(self.what, Kind::Restart | Kind::Roll) {
+            return vec![(begin, begin)];
+        }
         let end = self.lasts.map_or(lasts, |lasts| begin + lasts.0);
         let Some(every) = self.every.filter(|_| self.what == Kind::Flap) else { return vec![(begin, end)] };
         let mut times = Vec::new();
--- a/crates/rig/src/report.rs
+++ b/crates/rig/src/report.rs
@@ -7,7 +7,7 @@
 use crate::run::Ran;
 use comfy_table::{Table, presets};
 use maud::{DOCTYPE, Markup, PreEscaped, html};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 fn some(value: Option<f64>) -> String {
     value.map_or("-".to_owned(), |value| format!("{value:.2}"))
@@ -224,7 +224,7 @@
     html! {
         @for (n, what, (begin, end)) in all {
             @let (from, to) = (scale.x(begin.as_secs_f64()), scale.x(end.as_secs_f64()));
-            rect x=(from) y="0" width=((to - from).max(1.0)) height=(height) fill="#f6a821" fill-opacity="0.18" {
+            rect x=(from) y="0" width=((to - from).max(1.0)) height=(height) fill="#f6a821" fill-opacity="0.13" {
                 title { "fault " (n) ": " (format!("{what:?}")) }
             }
             text x=(from + 2.0) y="9" font-size="9" fill="#9a6700" { (n) " " (format!("{what:?}")) }
@@ -319,30 +319,37 @@
 
 /// What a process was at a time, until the next.
 fn states(entries: &[Entry], lasts: f64) -> BTreeMap<&str, Vec<(f64, f64, &'static str)>> {
-    let mut now: BTreeMap<&str, (f64, &'static str)> = BTreeMap::new();
+    #[derive(Default)]
+    struct Now {
+        since: f64,
+        color: Option<&'static str>,
+        ready: BTreeSet<u32>,
+        stopped: bool,
+    }
+    let mut now: BTreeMap<&str, Now> = BTreeMap::new();
     let mut states: BTreeMap<&str, Vec<(f64, f64, &'static str)>> = BTreeMap::new();
     for entry in entries {
-        let color = match &entry.what {
-            What::Started => "#eeeeee",
-            What::Ready | What::Done { done: "goes on" } => "#c9d3dd",
-            What::Done { done: "paused" } => "#37474f",
-            What::Done { done: "told to end" } => "#e3e8ec",
-            What::Done { .. } | What::Ended { .. } => "#ffffff",
+        let process = now.entry(&entry.process).or_default();
+        match &entry.what {
+            What::Ready => drop(process.ready.insert(entry.incarnation)),
+            What::Ended { .. } => drop(process.ready.remove(&entry.incarnation)),
+            What::Done { done: "paused" } => process.stopped = true,
+            What::Done { done: "goes on" } => process.stopped = false,
             _ => continue,
+        }
+        let color = match (process.ready.is_empty(), process.stopped) {
+            (true, _) => None,
+            (false, true) => Some("#37474f"),
+            (false, false) => Some("#c9d3dd"),
         };
         let at = (entry.at as f64 / 1e6).clamp(0.0, lasts);
-        // Its end beside a successor is not the process's.
-        if matches!(&entry.what, What::Ended { .. })
-            && now.get(&*entry.process).is_some_and(|(_, c)| *c == "#c9d3dd")
-        {
-            continue;
-        }
-        if let Some((from, before)) = now.insert(&entry.process, (at, color)) {
-            states.entry(&entry.process).or_default().push((from, at, before));
+        if let Some(before) = process.color {
+            states.entry(&entry.process).or_default().push((process.since, at, before));
         }
+        (process.since, process.color) = (at, color);
     }
-    for (process, (from, color)) in now {
-        states.entry(process).or_default().push((from, lasts, color));
+    for (process, Now { since, color, .. }) in now {
+        states.entry(process).or_default().extend(color.map(|color| (since, lasts, color)));
     }
     states
 }
