Let keepers agree on one versioned view, and followers hold it, over sockets and disk

Need: to act as a fleet, processes must hold the same numbered view of what is decided, and go on safely without it.

fleet-node: frames with a MAC over TCP, a store that syncs before anything is said, the keeper's process, a follower, and an operator's calls. The rig starts further programs with ports, files and a key, reads what they log of versions, and checks one content a version, nobody back, all on the newest.

--- a/crates/curlewhub/src/cli.rs
+++ b/crates/curlewhub/src/cli.rs
@@ -5,6 +5,7 @@
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
+use std::time::Duration;
 
 /// How the program ends.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -72,6 +73,11 @@
     /// Look at what a sidecar has learnt and kept.
     #[command(subcommand)]
     Snapshot(SnapshotCommand),
+    /// Be a keeper: with a majority of the others it agrees on the fleet's view.
+    Keeper(Process),
+    /// The fleet's view: what is decided, and by whom it is held.
+    #[command(subcommand)]
+    Fleet(FleetCommand),
     /// Print completions for a shell.
     Completions {
         /// The shell.
@@ -79,6 +85,67 @@
     },
 }
 
+/// A process of the fleet.
+#[derive(Args, Debug)]
+pub struct Process {
+    /// Its file (TOML).
+    #[arg(long, value_name = "FILE")]
+    pub config: PathBuf,
+    /// The least level of the log.
+    #[arg(long, value_name = "LEVEL", default_value = "info")]
+    pub log_level: String,
+    /// Log lines as JSON.
+    #[arg(long)]
+    pub log_json: bool,
+}
+
+#[derive(Debug, Subcommand)]
+pub enum FleetCommand {
+    /// Hold the view in a process of its own, and say what it acts on.
+    Follow(Process),
+    /// Print how each keeper stands; 1 where no majority is reached.
+    Status {
+        /// A keeper's or follower's file (TOML), for the keepers' addresses and the key.
+        #[arg(long, value_name = "FILE")]
+        config: PathBuf,
+        /// Print JSON.
+        #[arg(long)]
+        json: bool,
+    },
+    /// Print what is decided: the newest record of each key.
+    Log {
+        /// A keeper's or follower's file (TOML).
+        #[arg(long, value_name = "FILE")]
+        config: PathBuf,
+        /// Print JSON.
+        #[arg(long)]
+        json: bool,
+    },
+    /// Have a note decided, which changes nothing: whether the keepers decide, and who acts on it, shows by it.
+    Note {
+        /// A keeper's or follower's file (TOML).
+        #[arg(long, value_name = "FILE")]
+        config: PathBuf,
+        /// The note.
+        text: String,
+        /// Who.
+        #[arg(long, default_value = "operator")]
+        by: String,
+        /// Why.
+        #[arg(long, default_value = "")]
+        why: String,
+        /// Again and again, this far apart, until told to end: a probe of the keepers.
+        #[arg(long, value_name = "TIME", value_parser = every)]
+        every: Option<Duration>,
+    },
+}
+
+/// A time with its unit, 10ms or more.
+fn every(text: &str) -> Result<Duration, String> {
+    let span = humantime::parse_duration(text).map_err(|e| e.to_string())?;
+    if span >= Duration::from_millis(10) { Ok(span) } else { Err("allowed: 10ms or more".to_owned()) }
+}
+
 #[derive(Debug, Subcommand)]
 pub enum ConfigCommand {
     /// Print a commented example.
--- /dev/null
+++ b/crates/curlewhub/src/fleet.rs
@@ -0,0 +1,185 @@
+//! The fleet's processes and calls: `curlewhub keeper`, `curlewhub fleet ...`.
+
+use crate::cli::{Exit, FleetCommand, Process};
+use crate::logs::Logs;
+use curlewhub_config::{Log, LogFormat};
+use curlewhub_fleet::record::{Kind, Proposal};
+use curlewhub_fleet::view::View;
+use curlewhub_fleet_node::call::{Described, describe, propose};
+use curlewhub_fleet_node::config::FleetConfig;
+use curlewhub_fleet_node::{follow, keep};
+use serde_json::json;
+use std::fmt::Write as _;
+use std::io::Write as _;
+use std::path::Path;
+use std::time::Duration;
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::task::LocalSet;
+use tokio::time::{MissedTickBehavior, interval};
+use tracing::info;
+
+/// Keeps, until told to end.
+pub fn keeper(process: &Process) -> Exit {
+    serve(process, async |config| keep(config).await)
+}
+
+/// Does what the command says.
+pub fn fleet(command: &FleetCommand) -> Exit {
+    match command {
+        FleetCommand::Follow(process) => serve(process, async |config| follow(config, acts).await),
+        FleetCommand::Status { config, json } => asked(config, async |config| status(config, *json).await),
+        FleetCommand::Log { config, json } => asked(config, async |config| log(config, *json).await),
+        FleetCommand::Note { config, text, by, why, every } => asked(config, async |config| {
+            let decided = note(config, text, by, why).await;
+            match (every, decided) {
+                (Some(every), _) => notes(config, text, by, why, *every).await,
+                (None, Ok(version)) => say(&format!("decided as version {version}\n")),
+                (None, Err(problem)) => failed(&problem),
+            }
+        }),
+    }
+}
+
+async fn note(config: &FleetConfig, text: &str, by: &str, why: &str) -> Result<u64, String> {
+    let (key, kind, body) = ("note".to_owned(), Kind::NOTE, text.as_bytes().to_vec());
+    let (id, by, why, only_after) = (rand::random(), by.to_owned(), why.to_owned(), None);
+    propose(config, &Proposal { id, key, kind, body, by, why, only_after }).await
+}
+
+/// A note again and again until told to end, a line for each.
+async fn notes(config: &FleetConfig, text: &str, by: &str, why: &str, every: Duration) -> Exit {
+    let (Ok(mut term), Ok(mut int)) = (signal(SignalKind::terminate()), signal(SignalKind::interrupt()))
+    else {
+        return failed("signals can't be waited for");
+    };
+    let mut turns = interval(every);
+    turns.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        tokio::select! {
+            _ = turns.tick() => {}
+            _ = term.recv() => return Exit::Done,
+            _ = int.recv() => return Exit::Done,
+        }
+        match note(config, text, by, why).await {
+            Ok(version) => drop(say(&format!("decided as version {version}\n"))),
+            Err(problem) => drop(say(&format!("not decided: {}\n", problem.replace('\n', "; ")))),
+        }
+    }
+}
+
+/// What a follower does with a view for now: it says that it acts on it.
+fn acts(view: &View) {
+    info!(version = view.version().0, hash = ?view.hash(), records = view.records().count(), "fleet: acts on");
+}
+
+fn say(text: &str) -> Exit {
+    let _ = std::io::stdout().write_all(text.as_bytes()); // a reader that has gone is no failure
+    Exit::Done
+}
+
+fn failed(problem: &str) -> Exit {
+    eprintln!("curlewhub: {problem}");
+    Exit::Failed
+}
+
+fn read(path: &Path) -> Result<FleetConfig, Exit> {
+    FleetConfig::read(path).map_err(|problem| {
+        eprintln!("curlewhub: {problem}");
+        Exit::Usage
+    })
+}
+
+/// Runs a process of the fleet until SIGTERM or Ctrl-C.
+fn serve(process: &Process, run: impl AsyncFnOnce(&FleetConfig) -> Result<(), String>) -> Exit {
+    let config = match read(&process.config) {
+        Ok(config) => config,
+        Err(exit) => return exit,
+    };
+    let format = if process.log_json { LogFormat::Json } else { LogFormat::Text };
+    let log = Log { format, level: process.log_level.clone(), ..Log::default() };
+    let logs = match Logs::start(&log) {
+        Ok(logs) => logs,
+        Err(problem) => {
+            eprintln!("curlewhub: --log-level: {problem}");
+            return Exit::Usage;
+        }
+    };
+    let ended = block_on(async {
+        let mut term = signal(SignalKind::terminate()).map_err(|e| format!("SIGTERM: {e}"))?;
+        let mut int = signal(SignalKind::interrupt()).map_err(|e| format!("SIGINT: {e}"))?;
+        tokio::select! {
+            ended = run(&config) => ended,
+            _ = term.recv() => Ok(()),
+            _ = int.recv() => Ok(()),
+        }
+    });
+    drop(logs); // what it still holds comes before the last word
+    match ended.and_then(|ended| ended) {
+        Ok(()) => Exit::Done,
+        Err(problem) => failed(&problem),
+    }
+}
+
+fn asked(path: &Path, ask: impl AsyncFnOnce(&FleetConfig) -> Exit) -> Exit {
+    let config = match read(path) {
+        Ok(config) => config,
+        Err(exit) => return exit,
+    };
+    block_on(ask(&config)).unwrap_or_else(|problem| failed(&problem))
+}
+
+fn block_on<T>(task: impl Future<Output = T>) -> Result<T, String> {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    Ok(LocalSet::new().block_on(&runtime.map_err(|e| e.to_string())?, task))
+}
+
+async fn status(config: &FleetConfig, json: bool) -> Exit {
+    let all = describe(config).await;
+    let up = all.iter().filter(|(_, described)| described.is_ok()).count();
+    let majority = up > all.len() / 2;
+    if json {
+        let one = |(name, described): &(String, Result<Described, String>)| match described {
+            Ok(described) => json!(described),
+            Err(problem) => json!({"name": name, "problem": problem}),
+        };
+        let keepers: Vec<_> = all.iter().map(one).collect();
+        say(&(json!({"majority": majority, "keepers": keepers}).to_string() + "\n"));
+    } else {
+        let mut text = String::new();
+        for (name, described) in &all {
+            // To a String: it never fails.
+            let _ = match described {
+                Ok(d) => {
+                    let role = if d.leads { "leads" } else { "follows" };
+                    writeln!(
+                        text,
+                        "{name}  {role}  term {}  version {}  {}  evidence of {}",
+                        d.term, d.version, d.hash, d.sidecars
+                    )
+                }
+                Err(problem) => writeln!(text, "{name}  not reached: {problem}"),
+            };
+        }
+        if !majority {
+            text += "no majority is reached: nothing new can be decided, and everything goes on\n";
+        }
+        say(&text);
+    }
+    if majority { Exit::Done } else { Exit::Failed }
+}
+
+async fn log(config: &FleetConfig, json: bool) -> Exit {
+    let all = describe(config).await;
+    let newest = all.into_iter().filter_map(|(_, described)| described.ok()).max_by_key(|d| d.version);
+    let Some(newest) = newest else { return failed("no keeper is reached") };
+    let mut records = newest.records;
+    records.sort_by_key(|record| record.version);
+    if json {
+        return say(&(json!(records).to_string() + "\n"));
+    }
+    let mut text = String::new();
+    for r in records {
+        let _ = writeln!(text, "{:>6}  {}  {}  by {}  {}", r.version, r.key, r.body, r.by, r.why); // never fails
+    }
+    say(&text)
+}
--- a/crates/curlewhub/src/lib.rs
+++ b/crates/curlewhub/src/lib.rs
@@ -3,6 +3,7 @@
 
 mod cli;
 mod ctl;
+mod fleet;
 mod logs;
 mod serve;
 mod snapshot;
@@ -40,6 +41,8 @@
         Some(Command::Config(ConfigCommand::Example)) => say(file::EXAMPLE),
         Some(Command::Ctl(call)) => ctl::run(&call),
         Some(Command::Snapshot(SnapshotCommand::Show { file, json })) => snapshot::show(&file, json),
+        Some(Command::Keeper(process)) => fleet::keeper(&process),
+        Some(Command::Fleet(command)) => fleet::fleet(&command),
         Some(Command::Completions { shell }) => {
             let mut text = Vec::new();
             clap_complete::generate(shell, &mut Cli::command(), "curlewhub", &mut text);
--- /dev/null
+++ b/crates/fleet-node/src/call.rs
@@ -0,0 +1,147 @@
+//! Calls of an operator to keepers: what is decided, how they stand, and proposals.
+
+use crate::config::FleetConfig;
+use crate::links::{read, write};
+use curlewhub_fleet::record::{Proposal, Record};
+use curlewhub_fleet::wire::{Message, Said, Who};
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::net::TcpStream;
+use tokio::time::timeout;
+
+/// A keeper answers within this, or it is not reached.
+const ANSWER_MOST: Duration = Duration::from_secs(2);
+/// A keeper that has not decided within this is left, and the next one asked: a proposal that comes twice is decided once.
+const DECIDE_MOST: Duration = Duration::from_millis(700);
+/// All keepers are asked so many times over, about three elections' time.
+const ROUNDS: usize = 3;
+
+/// A keeper, as it describes itself.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Described {
+    /// Its name.
+    pub name: String,
+    /// Which start of it.
+    pub incarnation: u64,
+    /// It leads.
+    pub leads: bool,
+    /// Who leads, as far as it knows.
+    pub leader: Option<String>,
+    /// The term.
+    pub term: u64,
+    /// The keepers' numbers.
+    pub keepers: Vec<u64>,
+    /// What is decided, as far as it knows.
+    pub version: u64,
+    /// The hash of that.
+    pub hash: String,
+    /// The newest record of each key.
+    pub records: Vec<Line>,
+    /// Sidecars whose evidence it has.
+    pub sidecars: usize,
+    /// Messages dropped, by why.
+    pub dropped: BTreeMap<String, u64>,
+}
+
+/// A record, for people.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Line {
+    /// Its version.
+    pub version: u64,
+    /// Its key.
+    pub key: String,
+    /// What is decided, where that is text.
+    pub body: String,
+    /// Who.
+    pub by: String,
+    /// Why.
+    pub why: String,
+    /// When, by the clock of its leader.
+    pub at_ms: u64,
+}
+
+impl Line {
+    /// Of a record.
+    pub fn of(record: &Record) -> Line {
+        let Proposal { key, body, by, why, .. } = &record.proposal;
+        let body = String::from_utf8_lossy(&body[..body.len().min(200)]).into_owned();
+        let (key, by, why) = (key.clone(), by.clone(), why.clone());
+        Line { version: record.version.0, key, body, by, why, at_ms: record.at_ms }
+    }
+}
+
+impl Described {
+    pub(crate) fn to_json(&self) -> String {
+        serde_json::to_string(self).unwrap_or_default() // numbers and text: it never fails
+    }
+}
+
+/// Says something to one keeper and hears its answer.
+///
+/// # Errors
+/// It is not there, or does not answer.
+pub async fn call(
+    config: &FleetConfig,
+    at: SocketAddr,
+    said: Said,
+    within: Duration,
+) -> Result<Said, String> {
+    let keys = config.keys()?;
+    // A name of its own: an answer goes to who asked, and not to another that asks now.
+    let name = format!("{}-call-{:x}", config.name, rand::random::<u64>());
+    let message = Message { from: Who { name, incarnation: 1 }, said };
+    let asked = async {
+        let mut stream = TcpStream::connect(at).await.map_err(|e| e.to_string())?;
+        write(&mut stream, &keys.write(&message)).await.map_err(|e| e.to_string())?;
+        loop {
+            let bytes = read(&mut stream).await.map_err(|e| e.to_string())?;
+            match keys.read(&bytes).map_err(|e| e.to_string())?.said {
+                Said::Agreement(_) => {}
+                said => return Ok(said),
+            }
+        }
+    };
+    timeout(within, asked).await.map_err(|_| format!("no answer within {within:?}"))?
+}
+
+/// How each keeper stands, or why that is not known.
+pub async fn describe(config: &FleetConfig) -> Vec<(String, Result<Described, String>)> {
+    let mut all = Vec::new();
+    for keeper in &config.keepers {
+        let described = match call(config, keeper.address, Said::Describe, ANSWER_MOST).await {
+            Ok(Said::Described(text)) => serde_json::from_str(&text).map_err(|e| e.to_string()),
+            Ok(_) => Err("another answer".to_owned()),
+            Err(problem) => Err(problem),
+        };
+        all.push((keeper.name.clone(), described));
+    }
+    all
+}
+
+/// Proposes something to the keepers, one after another, until it is decided: the version.
+///
+/// # Errors
+/// Nobody decides it, with what each said; it may be decided later all the same.
+pub async fn propose(config: &FleetConfig, proposal: &Proposal) -> Result<u64, String> {
+    proposal.check().map_err(|e| e.to_string())?;
+    let mut problems = BTreeMap::new();
+    for _ in 0..ROUNDS {
+        for keeper in &config.keepers {
+            let said = Said::Propose(proposal.clone());
+            let problem = match call(config, keeper.address, said, DECIDE_MOST).await {
+                Ok(Said::Decided { version, .. }) => return Ok(version.0),
+                Ok(Said::NotDecided { why, .. }) => why,
+                Ok(_) => "another answer".to_owned(),
+                Err(problem) => problem,
+            };
+            problems.insert(&keeper.name, problem);
+        }
+    }
+    Err(problems
+        .into_iter()
+        .map(|(name, problem)| format!("{name}: {problem}"))
+        .collect::<Vec<_>>()
+        .join("\n"))
+}
--- /dev/null
+++ b/crates/fleet-node/src/lib.rs
@@ -0,0 +1,14 @@
+//! The fleet's view over sockets and disk: keepers that agree, and followers that hold what is decided.
+//!
+//! What is decided and believed is worked out in `curlewhub-fleet`, sans I/O; here are its sockets, its disk and its clock.
+
+pub mod call;
+pub mod config;
+mod follower;
+mod keeper;
+mod links;
+mod store;
+
+pub use follower::follow;
+pub use keeper::keep;
+pub use store::{Store, StoreError};
--- /dev/null
+++ b/crates/fleet-node/tests/store.rs
@@ -0,0 +1,175 @@
+//! What is kept, over restarts, kills and files that are not what they were.
+
+use curlewhub_fleet::keeper::{Keeper, Kept, Output, TICK};
+use curlewhub_fleet::record::{Kind, Proposal, Version};
+use curlewhub_fleet::view::View;
+use curlewhub_fleet::wire::{Said, Who};
+use curlewhub_fleet_node::config::FleetConfig;
+use curlewhub_fleet_node::{Store, StoreError};
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+
+struct Folder(PathBuf);
+
+impl Folder {
+    fn new(name: &str) -> Folder {
+        let path = std::env::temp_dir().join(format!("curlewhub-store-{name}-{}", std::process::id()));
+        let _ = std::fs::remove_dir_all(&path);
+        std::fs::create_dir_all(&path).unwrap();
+        Folder(path)
+    }
+
+    fn file(&self) -> PathBuf {
+        self.0.join("keeper.redb")
+    }
+}
+
+impl Drop for Folder {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.0);
+    }
+}
+
+fn proposal(id: u64) -> Said {
+    let (key, by, why) = (format!("k{}", id % 7), "test".to_owned(), String::new());
+    Said::Propose(Proposal { id, key, kind: Kind::NOTE, body: vec![1; 50], by, why, only_after: None })
+}
+
+/// A keeper that is its own majority, with a store under it.
+struct Alone {
+    keeper: Keeper,
+    store: Store,
+    /// What the store should hold.
+    shadow: Kept,
+    now: Duration,
+}
+
+impl Alone {
+    fn open(file: &Path) -> Alone {
+        let store = Store::open(file).unwrap();
+        let kept = store.kept().unwrap().unwrap_or_else(|| {
+            let first = Keeper::first(&[1]);
+            store.begin(&first).unwrap();
+            first
+        });
+        let keeper = Keeper::new(1, &kept, 5, Duration::ZERO).unwrap();
+        let mut alone = Alone { keeper, store, shadow: kept, now: Duration::ZERO };
+        while !alone.keeper.leads() {
+            alone.tick();
+        }
+        alone
+    }
+
+    fn tick(&mut self) {
+        self.now += TICK;
+        let output = self.keeper.tick(self.now, 0);
+        self.keep(&output);
+    }
+
+    fn keep(&mut self, output: &Output) {
+        self.store.keep(&output.persist).unwrap();
+        self.shadow.take(&output.persist);
+    }
+
+    fn decide(&mut self, id: u64) {
+        let output = self.keeper.heard(&Who { name: "test".to_owned(), incarnation: 1 }, proposal(id));
+        self.keep(&output);
+        assert!(output.said.iter().any(|(_, said)| matches!(said, Said::Decided { .. })), "{id}");
+    }
+}
+
+#[test]
+fn a_keeper_goes_on_where_it_was_over_restarts_and_its_disk_stays_bounded() {
+    let folder = Folder::new("restarts");
+    let mut decided = 0;
+    let mut sizes = Vec::new();
+    for _ in 0..3 {
+        let mut alone = Alone::open(&folder.file());
+        assert_eq!(alone.keeper.view().version(), Version(decided));
+        for _ in 0..300 {
+            decided += 1;
+            alone.decide(decided);
+        }
+        let kept = alone.store.kept().unwrap().unwrap();
+        assert_eq!(kept, alone.shadow, "the store holds what it was told to");
+        assert!(kept.entries.len() < 800, "{}", kept.entries.len());
+        drop(alone);
+        sizes.push(std::fs::metadata(folder.file()).unwrap().len());
+    }
+    assert!(sizes[2] < sizes[0] * 3, "{sizes:?}");
+    // A proposal that was decided before the restarts is not decided again.
+    let mut alone = Alone::open(&folder.file());
+    alone.decide(decided);
+    assert_eq!(alone.keeper.view().version(), Version(decided));
+}
+
+#[test]
+fn incarnations_rise_over_restarts_and_a_clock_that_steps_back() {
+    let folder = Folder::new("incarnations");
+    let mut before = 0;
+    for unix_ms in [1000, 2000, 500, 500, 2000] {
+        let incarnation = Store::open(&folder.file()).unwrap().incarnation(unix_ms).unwrap();
+        assert!(incarnation > before, "{incarnation} after {before}");
+        before = incarnation;
+    }
+    let _open = Store::open(&folder.file()).unwrap();
+    assert!(matches!(Store::open(&folder.file()), Err(StoreError::Store(_))), "two processes, one folder");
+}
+
+#[test]
+fn spoilt_files_are_told_and_nothing_is_made_of_them() {
+    let folder = Folder::new("spoilt");
+    let store = Store::open(&folder.file()).unwrap();
+    assert_eq!(store.view().unwrap(), View::default());
+    drop(store);
+    // Noise in place of the file, and a torn one.
+    std::fs::write(folder.file(), vec![7; 10_000]).unwrap();
+    assert!(Store::open(&folder.file()).is_err());
+    std::fs::remove_file(folder.file()).unwrap();
+    let mut alone = Alone::open(&folder.file());
+    (1..50).for_each(|id| alone.decide(id));
+    drop(alone);
+    let length = std::fs::metadata(folder.file()).unwrap().len();
+    std::fs::File::options().write(true).open(folder.file()).unwrap().set_len(length / 3).unwrap();
+    let opened =
+        std::panic::catch_unwind(|| Store::open(&folder.file()).and_then(|store| store.kept()).is_ok());
+    assert!(matches!(opened, Ok(false)), "{opened:?}");
+    // What a keeper was promised to keep and is not there is told, not made up.
+    let kept = Kept { hard_state: Some(vec![8, 9, 24, 200, 1]), ..Keeper::first(&[1]) };
+    let missing = Keeper::new(1, &kept, 1, Duration::ZERO).err().map(|e| e.to_string()).unwrap_or_default();
+    assert!(missing.contains("is decided") || missing.contains("can't be read"), "{missing}");
+}
+
+#[test]
+fn the_examples_are_sound_and_what_is_wrong_is_named() {
+    for text in [include_str!("../../../deploy/keeper.toml"), include_str!("../../../deploy/follower.toml")]
+    {
+        let config: FleetConfig = toml::from_str(text).unwrap();
+        assert_eq!(config.problems(), [""; 0]);
+    }
+    let folder = Folder::new("config");
+    let path = folder.0.join("keeper.toml");
+    let sound = include_str!("../../../deploy/keeper.toml");
+    let cases = [
+        ("name = \"keeper-a\"", "name = \"\"", "name: allowed"),
+        ("listen = \"127.0.0.1:7401\"", "listen = \"10.0.0.1:7401\"", "listen: allowed: on loopback"),
+        ("id = 2", "id = 1", "keepers[1].id"),
+        ("id = 2", "id = 0", "keepers[1].id"),
+        ("name = \"keeper-b\"", "name = \"keeper-a\"", "keepers[1].name"),
+        ("state_dir", "state_dri", "state_dri"),
+    ];
+    for (from, to, wanted) in cases {
+        std::fs::write(&path, sound.replace(from, to)).unwrap();
+        let problem = FleetConfig::read(&path).unwrap_err();
+        assert!(problem.contains(wanted), "{wanted}: {problem}");
+    }
+    std::fs::write(&path, sound).unwrap();
+    let config = FleetConfig::read(&path).unwrap();
+    for (text, wanted) in [("", "64 hexadecimal digits"), ("zz", "64 hexadecimal digits")] {
+        let file = folder.0.join("key");
+        std::fs::write(&file, text).unwrap();
+        let mut config = config.clone();
+        config.key.file = file;
+        assert!(config.keys().unwrap_err().contains(wanted));
+    }
+}
--- a/crates/fleet/src/wire.rs
+++ b/crates/fleet/src/wire.rs
@@ -6,9 +6,10 @@
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 
-/// The format that this build writes.
-pub const FORMAT: u8 = 2;
-/// The oldest that it reads: the one before, so that a fleet is upgraded one process at a time.
+/// The format that this build writes: the first one.
+pub const FORMAT: u8 = 1;
+/// The oldest that it reads. With the next one this stays behind it by one, so that a fleet is upgraded one process at a
+/// time.
 pub const FORMAT_LEAST: u8 = 1;
 /// First bytes of every message.
 const MAGIC: [u8; 3] = *b"CHF";
@@ -70,6 +71,10 @@
     },
     /// A message of the keepers' agreement, in its library's own form.
     Agreement(Vec<u8>),
+    /// How do you stand? An operator asks.
+    Describe,
+    /// Like this, as JSON.
+    Described(String),
 }
 
 /// A message.
@@ -129,10 +134,10 @@
         self
     }
 
-    /// A message's bytes. A format other than the newest is written towards who reads no other.
-    pub fn write(&self, message: &Message, format: u8) -> Vec<u8> {
+    /// A message's bytes.
+    pub fn write(&self, message: &Message) -> Vec<u8> {
         let mut bytes = MAGIC.to_vec();
-        bytes.extend([format.clamp(FORMAT_LEAST, FORMAT), self.writes]);
+        bytes.extend([FORMAT, self.writes]);
         // Plain data into a growing buffer: it never fails.
         bytes.extend(postcard::to_allocvec(message).unwrap_or_default());
         let mac = self.keys.get(&self.writes).map(|key| blake3::keyed_hash(key, &bytes));
--- a/crates/lab/tests/rig.rs
+++ b/crates/lab/tests/rig.rs
@@ -69,8 +69,13 @@
 #[test]
 fn short_files_hold_side_by_side() {
     std::thread::scope(|scope| {
-        for name in ["ci/cut-off.toml", "ci/die-and-roll.toml", "ci/pause-and-drain.toml", "replaced.toml"]
-        {
+        for name in [
+            "ci/cut-off.toml",
+            "ci/die-and-roll.toml",
+            "ci/pause-and-drain.toml",
+            "ci/keepers.toml",
+            "replaced.toml",
+        ] {
             scope.spawn(move || holds(name));
         }
     });
--- a/crates/rig/src/checks.rs
+++ b/crates/rig/src/checks.rs
@@ -142,6 +142,7 @@
     let colds = seen.cold();
     checks.extend((colds.seen > 0).then_some(colds));
     checks.extend([seen.bounds(), seen.whole()]);
+    checks.extend(crate::versions::checks(plan, &history.entries));
     checks.extend(plan.spec.checks.iter().map(|check| own(check, plan, &history.entries, &figures)));
     Verdict { passed: checks.iter().all(|check| check.held), checks, figures }
 }
--- a/crates/rig/src/figures.rs
+++ b/crates/rig/src/figures.rs
@@ -113,6 +113,9 @@
     pub unknowing: u64,
     /// The least memory and the most of a sidecar, in KiB.
     pub kib: (u64, u64),
+    /// How the fleet's versions spread, where there are any.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub spread: Option<crate::versions::Spread>,
     /// What it cost.
     pub cost: Cost,
 }
@@ -138,7 +141,15 @@
         }
     }
     let kib = (kib.0.min(kib.1), kib.1);
-    Figures { losses, phases, all: service(plan, entries, 0, lasts), unknowing: 0, kib, cost }
+    Figures {
+        losses,
+        phases,
+        all: service(plan, entries, 0, lasts),
+        unknowing: 0,
+        kib,
+        spread: crate::versions::spread(entries),
+        cost,
+    }
 }
 
 fn loss_figures(plan: &Plan, loss: &Loss, entries: &[Entry]) -> LossFigures {
--- a/crates/rig/src/history.rs
+++ b/crates/rig/src/history.rs
@@ -80,6 +80,15 @@
         /// When it was sent.
         sent: Micros,
     },
+    /// A process of the fleet's view tells of a version.
+    Version {
+        /// What of it: `decided`, `applied`, `acts on`, `following`, `keeping`, `replaced by a snapshot`.
+        event: Rc<str>,
+        /// Which.
+        version: u64,
+        /// Its content, where it is told.
+        hash: Option<Rc<str>>,
+    },
     /// A line of a log.
     Log {
         /// Its level.
@@ -259,6 +268,11 @@
             self.add(at, process, incarnation, What::Attempt { endpoint, outcome, sent });
             return Some(());
         }
+        if let (Some(event), Some(version)) = (message.strip_prefix("fleet: "), line["version"].as_u64()) {
+            let (event, hash) = (self.name(event), line["hash"].as_str().map(|hash| self.name(hash)));
+            self.add(at, process, incarnation, What::Version { event, version, hash });
+            return Some(());
+        }
         let level = line["level"].as_str().unwrap_or_default();
         if level == "DEBUG" || level == "TRACE" {
             return Some(());
--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -19,3 +19,4 @@
 pub mod run;
 pub mod spec;
 pub mod texts;
+pub mod versions;
--- a/crates/rig/src/report.rs
+++ b/crates/rig/src/report.rs
@@ -105,6 +105,13 @@
         vec!["", "check", "seen", "the worst"],
         verdict.checks.iter().map(|check| check_row(check).into()).collect(),
     );
+    if let Some(s) = &verdict.figures.spread {
+        text += &format!(
+            "{} versions to {} followers: {:.1} ms in the middle, {:.1} at 99 of 100, {:.0} at the most; no decision for {:.0} ms \
+             at the most\n",
+            s.decided, s.followers, s.p50_ms, s.p99_ms, s.most_ms, s.gap_ms
+        );
+    }
     let cost = &verdict.figures.cost;
     text += &format!(
         "{} processes, {} relays, {} connections and {:.1} MB through them; ready after {:.1} s; the rig took {:.1} s of a \
@@ -174,6 +181,12 @@
                 p { "Room is what is left of the endpoints' capacity over what the requests need." }
                 (rows(&PHASE_HEAD, phase_rows(figures).iter().map(|row| &row[..])))
                 (service_plot(ran, verdict, &scale))
+                @if let Some(s) = &figures.spread {
+                    h2 { "Versions" }
+                    p { (s.decided) " versions to " (s.followers) " followers: from the first keeper's word to a follower's act "
+                        (format!("{:.1} ms in the middle, {:.1} at 99 of 100, {:.0} at the most", s.p50_ms, s.p99_ms, s.most_ms))
+                        "; no decision for " (format!("{:.0}", s.gap_ms)) " ms at the most." }
+                }
                 @if !figures.losses.is_empty() {
                     h2 { "Leaving and coming back" }
                     p { "Times of new calls by the sidecars' logs: the last into what is lost, from the loss on; the first after \
--- a/crates/rig/src/run.rs
+++ b/crates/rig/src/run.rs
@@ -7,6 +7,9 @@
 use crate::relay::{AnyRelay, Datagrams, Passed, Relay};
 use crate::spec::Transport;
 use crate::texts::{self, Seen, Standing, fill, lay_over};
+use rand::seq::IndexedRandom;
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg32;
 use rustix::process::Signal;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
@@ -33,6 +36,8 @@
 const OCTETS: std::ops::Range<u32> = 20..220;
 /// Held while a run uses its octet.
 const OCTET_PORT: u16 = 39_999;
+/// Peers that `{peers.GROUP.PORT}` names.
+const PEERS_MOST: usize = 4;
 /// The first port that a process may have; those in use are passed over.
 const FIRST_PORT: u16 = 7070;
 const PORTS_TRIED: u16 = 200;
@@ -141,13 +146,14 @@
             false,
         ),
     };
-    for part in ["files", "books", "state", "logs"] {
+    for part in ["files", "books", "state", "logs", "shared"] {
         let path = folder.0.join(part);
         // What an earlier run kept there is not this one's.
         let _ = std::fs::remove_dir_all(&path);
         std::fs::create_dir_all(&path).map_err(|e| format!("{}: {e}", path.display()))?;
     }
     let rig = Rc::new(Rig::new(plan, options.own.clone(), folder.0.clone(), octet)?);
+    rig.write_key()?;
     rig.write_files()?;
     let mut tasks = JoinSet::new();
     rig.start_relays(&mut tasks);
@@ -337,6 +343,14 @@
         self.folder.join("books").join(format!("{name}.jsonl"))
     }
 
+    /// A key that all of this run share, for processes that want one.
+    fn write_key(&self) -> Result<(), String> {
+        let mut draws = Pcg32::seed_from_u64(self.plan.spec.seed);
+        let key: String = (0..32).map(|_| format!("{:02x}", draws.random::<u8>())).collect();
+        let path = self.folder.join("shared/fleet.key");
+        std::fs::write(&path, key).map_err(|e| format!("{}: {e}", path.display()))
+    }
+
     /// All files of all processes, checked before any is started.
     fn write_files(&self) -> Result<(), String> {
         for (n, member) in self.plan.members.iter().enumerate() {
@@ -425,21 +439,47 @@
             "number" => member.number.to_string(),
             "state" => self.process(n).state.display().to_string(),
             "config" => self.file(n).display().to_string(),
+            "shared" => self.folder.join("shared").display().to_string(),
             _ => match name.split_once('.') {
                 Some(("port", port)) if self.ports[n].contains_key(port) => self.at(n, port).to_string(),
-                Some(("link", rest)) => {
+                Some((how @ ("link" | "reach"), rest)) => {
                     let (to, port) = rest.rsplit_once('.').ok_or_else(none)?;
                     let to = self.plan.members.iter().position(|m| m.name == to).ok_or_else(none)?;
-                    if to == n {
-                        return Err(format!("{}: `{{{name}}}` would be a relay to itself", member.name));
+                    match to == n {
+                        // What is listed for all alike names a process's own port to itself.
+                        true if how == "reach" => self.at(n, port).to_string(),
+                        true => {
+                            return Err(format!(
+                                "{}: `{{{name}}}` would be a relay to itself",
+                                member.name
+                            ));
+                        }
+                        false => self.wire(&member.site(&self.plan.spec), to, port)?.to_string(),
                     }
-                    self.wire(&member.site(&self.plan.spec), to, port)?.to_string()
+                }
+                Some(("peers", rest)) => {
+                    let (group, port) = rest.rsplit_once('.').ok_or_else(none)?;
+                    self.some_peers(n, group, port)?
                 }
                 _ => return Err(none()),
             },
         })
     }
 
+    /// A few others of a group as a list of tables: as many as a process speaks to, whatever the group's size.
+    fn some_peers(&self, n: usize, group: &str, port: &str) -> Result<String, String> {
+        let members = &self.plan.members;
+        let others: Vec<usize> =
+            (0..members.len()).filter(|o| *o != n && members[*o].side.group == group).collect();
+        let mut draws = Pcg32::seed_from_u64(self.plan.spec.seed.wrapping_add(n as u64));
+        let chosen = others.choose_multiple(&mut draws, PEERS_MOST);
+        let one = |other: &usize| {
+            let at = self.wire(&members[n].site(&self.plan.spec), *other, port)?;
+            Ok(format!("{{ name = \"{}\", address = \"{at}\" }}", members[*other].name))
+        };
+        Ok(chosen.map(one).collect::<Result<Vec<String>, String>>()?.join(", "))
+    }
+
     pub fn process(&self, n: usize) -> &Rc<Process> {
         // Of endpoints there is none; they are never asked for.
         self.processes[n].as_ref().unwrap_or_else(|| unreachable!("an endpoint is no process"))
@@ -703,7 +743,15 @@
         for process in self.processes.iter().flatten() {
             for incarnation in 1..=process.incarnations.get() {
                 let path = process.log(incarnation);
-                if self.plan.members.iter().any(|m| m.name == process.name && m.role == Role::Sidecar) {
+                // Another program's log is read where it is one of JSON lines.
+                let read = |m: &Member| match m.role {
+                    Role::Sidecar => true,
+                    Role::Other => {
+                        self.plan.spec.processes[m.group].words.iter().any(|w| w == "--log-json")
+                    }
+                    _ => false,
+                };
+                if self.plan.members.iter().any(|m| m.name == process.name && read(m)) {
                     history
                         .log(&path, &process.name, incarnation)
                         .map_err(|e| format!("{}: {e}", path.display()))?;
--- /dev/null
+++ b/crates/rig/src/versions.rs
@@ -0,0 +1,150 @@
+//! The fleet's view in a history: which process acted on which version when, and whether that holds together.
+
+use crate::checks::Check;
+use crate::fault::StateIs;
+use crate::history::{Entry, Micros, What};
+use crate::plan::Plan;
+use serde::Serialize;
+use std::collections::{BTreeMap, BTreeSet};
+
+/// Followers act on the newest version by the end where it was decided this long before.
+const SETTLED: Micros = 3_000_000;
+
+/// How versions spread.
+#[derive(Clone, Debug, Default, Serialize)]
+pub struct Spread {
+    /// Versions decided.
+    pub decided: u64,
+    /// Processes that act on them.
+    pub followers: u64,
+    /// From the first keeper's word to a follower's act, over all followers and versions.
+    pub p50_ms: f64,
+    /// The same.
+    pub p99_ms: f64,
+    /// The same.
+    pub most_ms: f64,
+    /// The longest time between two decisions.
+    pub gap_ms: f64,
+}
+
+/// What each process says of versions, in order.
+struct Told<'a> {
+    decided: BTreeMap<u64, Micros>,
+    /// By follower: when, which incarnation, which version.
+    acts: BTreeMap<&'a str, Vec<(Micros, u32, u64)>>,
+}
+
+impl<'a> Told<'a> {
+    fn new(entries: &'a [Entry]) -> Told<'a> {
+        let mut told = Told { decided: BTreeMap::new(), acts: BTreeMap::new() };
+        for entry in entries {
+            let What::Version { event, version, .. } = &entry.what else { continue };
+            match &**event {
+                "decided" => drop(told.decided.entry(*version).or_insert(entry.at)),
+                "acts on" => {
+                    told.acts.entry(&entry.process).or_default().push((
+                        entry.at,
+                        entry.incarnation,
+                        *version,
+                    ));
+                }
+                _ => {}
+            }
+        }
+        told
+    }
+}
+
+/// How versions spread in this run; none where no process tells of any.
+pub fn spread(entries: &[Entry]) -> Option<Spread> {
+    let told = Told::new(entries);
+    if told.decided.is_empty() {
+        return None;
+    }
+    let mut after: Vec<f64> = Vec::new();
+    for acts in told.acts.values() {
+        for (version, at) in &told.decided {
+            // Acting on a later one is acting on it.
+            let acted = acts.iter().find(|(_, _, acted)| acted >= version);
+            after.extend(acted.map(|(acted, ..)| (acted - at).max(0) as f64 / 1e3));
+        }
+    }
+    after.sort_by(f64::total_cmp);
+    let at = |q: f64| {
+        after.get(((after.len().max(1) - 1) as f64 * q).round() as usize).copied().unwrap_or_default()
+    };
+    let times: Vec<Micros> = told.decided.values().copied().collect();
+    let gap_ms = times.windows(2).map(|pair| pair[1] - pair[0]).max().unwrap_or_default() as f64 / 1e3;
+    let (decided, followers) = (told.decided.len() as u64, told.acts.len() as u64);
+    Some(Spread { decided, followers, p50_ms: at(0.5), p99_ms: at(0.99), most_ms: at(1.0), gap_ms })
+}
+
+/// The checks of versions; none where no process tells of any.
+pub fn checks(plan: &Plan, entries: &[Entry]) -> Vec<Check> {
+    let told = Told::new(entries);
+    if told.decided.is_empty() && told.acts.is_empty() {
+        return Vec::new();
+    }
+    vec![one_content(entries), never_back(plan, &told), all_newest(plan, &told)]
+}
+
+fn check(name: &str, seen: u64, worst: Option<(String, Micros, &str)>) -> Check {
+    let (held, at_s) = (worst.is_none() && seen > 0, worst.as_ref().map(|(_, at, _)| *at as f64 / 1e6));
+    let process = worst.as_ref().map(|(_, _, process)| (*process).to_owned());
+    let nothing = if seen == 0 { "nothing was seen" } else { "none" };
+    let worst = worst.map_or(nothing.to_owned(), |(text, ..)| text);
+    Check { name: name.to_owned(), held, worst, seen, at_s, process }
+}
+
+fn one_content(entries: &[Entry]) -> Check {
+    let mut contents: BTreeMap<u64, (&str, &str)> = BTreeMap::new();
+    let (mut seen, mut worst) = (0, None);
+    for entry in entries {
+        let What::Version { version, hash: Some(hash), .. } = &entry.what else { continue };
+        seen += 1;
+        let (first, by) = *contents.entry(*version).or_insert((hash, &entry.process));
+        if first != &**hash {
+            let text = format!("version {version} is {first} at {by} and {hash} at {}", entry.process);
+            worst = worst.or(Some((text, entry.at, &*entry.process)));
+        }
+    }
+    check("one content a version", seen, worst)
+}
+
+fn never_back(plan: &Plan, told: &Told<'_>) -> Check {
+    // A process whose disk a fault made forget begins anew; else it goes on where it was, over restarts too.
+    let forgets: BTreeSet<&str> = (plan.spec.faults.iter().zip(&plan.struck))
+        .filter(|(fault, _)| fault.state.is_some_and(|state| state != StateIs::Keep))
+        .flat_map(|(_, struck)| struck.iter().map(|n| &plan.members[*n].name[..]))
+        .collect();
+    let (mut seen, mut worst) = (0, None);
+    for (process, acts) in &told.acts {
+        for pair in acts.windows(2) {
+            seen += 1;
+            let ((_, before_in, before), (at, now_in, now)) = (pair[0], pair[1]);
+            if now < before && (before_in == now_in || !forgets.contains(process)) {
+                let text = format!("{process} acted on {before} and then on {now}");
+                worst = worst.or(Some((text, at, *process)));
+            }
+        }
+    }
+    check("no process goes back", seen, worst)
+}
+
+fn all_newest(plan: &Plan, told: &Told<'_>) -> Check {
+    let end = plan.spec.lasts.0.as_micros() as Micros - SETTLED;
+    let newest = told.decided.iter().filter(|(_, at)| **at <= end).map(|(version, _)| *version).max();
+    let mut worst = None;
+    for (process, acts) in &told.acts {
+        let last = acts.last().map_or(0, |(_, _, version)| *version);
+        if newest.is_some_and(|newest| last < newest) {
+            let text = format!("{process} ends on {last}, and {} was decided", newest.unwrap_or_default());
+            worst = worst.or(Some((text, end, *process)));
+        }
+    }
+    check(
+        "all come to the newest version",
+        if newest.is_some() { told.acts.len() as u64 } else { 0 },
+        worst,
+    )
+}
