Add and remove keepers by command, one at a time

Need: a keeper whose disk is lost must not come back under its number, and another takes its place. The core could add and remove; the call was missing. The leader alone does it, refuses a second change while one is under way, the removal of the only keeper, and one that its own file does not name.

--- a/crates/curlewhub/src/cli.rs
+++ b/crates/curlewhub/src/cli.rs
@@ -121,6 +121,14 @@
         #[arg(long)]
         json: bool,
     },
+    /// Add a keeper, or remove one: one at a time.
+    Keepers {
+        /// A keeper's or follower's file (TOML).
+        #[arg(long, value_name = "FILE")]
+        config: PathBuf,
+        #[command(subcommand)]
+        change: KeepersChange,
+    },
     /// Have a note decided, which changes nothing: whether the keepers decide, and who acts on it, shows by it.
     Note {
         /// A keeper's or follower's file (TOML).
@@ -140,6 +148,21 @@
     },
 }
 
+/// A change of the keepers.
+#[derive(Debug, Subcommand)]
+pub enum KeepersChange {
+    /// Add one that runs with `joins = true`, and that the others' files name.
+    Add {
+        /// Its number, which no keeper ever had.
+        id: u64,
+    },
+    /// Remove one; its number is never used again.
+    Remove {
+        /// Its number.
+        id: u64,
+    },
+}
+
 /// A time with its unit, 10ms or more.
 fn every(text: &str) -> Result<Duration, String> {
     let span = humantime::parse_duration(text).map_err(|e| e.to_string())?;
--- a/crates/curlewhub/src/fleet.rs
+++ b/crates/curlewhub/src/fleet.rs
@@ -1,13 +1,13 @@
 //! The fleet's processes and calls: `curlewhub keeper`, `curlewhub fleet ...`.
 
-use crate::cli::{Exit, FleetCommand, Process};
+use crate::cli::{Exit, FleetCommand, KeepersChange, Process};
 use crate::logs::Logs;
 use curlewhub_balance::{Outcome, ZoneId};
 use curlewhub_config::{Config, Log, LogFormat};
 use curlewhub_fleet::evidence::{Ended, Witness};
 use curlewhub_fleet::record::{Kind, Proposal};
 use curlewhub_fleet::view::View;
-use curlewhub_fleet_node::call::{Described, describe, propose};
+use curlewhub_fleet_node::call::{Described, change, describe, propose};
 use curlewhub_fleet_node::config::FleetConfig;
 use curlewhub_fleet_node::{Acts, Manner, Standing, follow, keep};
 use curlewhub_runtime::figures::Figures;
@@ -37,6 +37,16 @@
         }
         FleetCommand::Status { config, json } => asked(config, async |config| status(config, *json).await),
         FleetCommand::Log { config, json } => asked(config, async |config| log(config, *json).await),
+        FleetCommand::Keepers { config, change: wanted } => asked(config, async |config| {
+            let (id, add) = match wanted {
+                KeepersChange::Add { id } => (*id, true),
+                KeepersChange::Remove { id } => (*id, false),
+            };
+            match change(config, id, add).await {
+                Ok(()) => say("under way; `fleet status` shows when it holds\n"),
+                Err(problem) => failed(&problem),
+            }
+        }),
         FleetCommand::Note { config, text, by, why, every } => asked(config, async |config| {
             let decided = note(config, text, by, why).await;
             match (every, decided) {
@@ -218,10 +228,11 @@
             let _ = match described {
                 Ok(d) => {
                     let role = if d.leads { "leads" } else { "follows" };
+                    let (term, version, hash, keepers) = (d.term, d.version, &d.hash, &d.keepers);
                     writeln!(
                         text,
-                        "{name}  {role}  term {}  version {}  {}  evidence of {}",
-                        d.term, d.version, d.hash, d.sidecars
+                        "{name}  {role}  term {term}  version {version}  {hash}  of keepers {keepers:?}  evidence of {}",
+                        d.sidecars
                     )
                 }
                 Err(problem) => writeln!(text, "{name}  not reached: {problem}"),
--- a/crates/fleet-node/src/call.rs
+++ b/crates/fleet-node/src/call.rs
@@ -145,3 +145,21 @@
         .collect::<Vec<_>>()
         .join("\n"))
 }
+
+/// Has a keeper added or removed: the leader among those that are reached does it.
+///
+/// # Errors
+/// Nobody does it, with what each said.
+pub async fn change(config: &FleetConfig, keeper: u64, add: bool) -> Result<(), String> {
+    let mut problems = Vec::new();
+    for one in &config.keepers {
+        let problem = match call(config, one.address, Said::Change { keeper, add }, ANSWER_MOST).await {
+            Ok(Said::Changing) => return Ok(()),
+            Ok(Said::NotChanging(why)) => why,
+            Ok(_) => "another answer".to_owned(),
+            Err(problem) => problem,
+        };
+        problems.push(format!("{}: {problem}", one.name));
+    }
+    Err(problems.join("\n"))
+}
--- a/crates/fleet-node/src/keeper.rs
+++ b/crates/fleet-node/src/keeper.rs
@@ -96,6 +96,26 @@
                 let text = self.described().to_json();
                 Output { said: vec![(message.from.name, Said::Described(text))], ..Output::default() }
             }
+            Said::Change { keeper, add } => {
+                // Others could not reach it.
+                let known = !add || self.names.contains_key(&keeper);
+                let unknown = || Err(format!("`keepers` of {} does not name {keeper}", self.who.name));
+                let changed = if known {
+                    self.keeper.change(keeper, add).map_err(|e| e.to_string())
+                } else {
+                    unknown()
+                };
+                if changed.is_ok() {
+                    let by = &message.from.name;
+                    info!(keeper, add, by, "fleet: keepers change");
+                }
+                let (mut output, answer) = match changed {
+                    Ok(output) => (output, Said::Changing),
+                    Err(problem) => (Output::default(), Said::NotChanging(problem)),
+                };
+                output.said.push((message.from.name, answer));
+                output
+            }
             said => self.keeper.heard(&message.from, said),
         }
     }
@@ -140,7 +160,7 @@
             leads: keeper.leads(),
             leader: self.names.get(&keeper.leader()).cloned(),
             term: keeper.term(),
-            keepers: keeper.keepers().to_vec(),
+            keepers: sorted(keeper.keepers()),
             version: keeper.view().version().0,
             hash: format!("{:?}", keeper.view().hash()),
             records: keeper.view().records().map(crate::call::Line::of).collect(),
@@ -149,3 +169,10 @@
         }
     }
 }
+
+/// For people, and for who compares them.
+fn sorted(keepers: &[u64]) -> Vec<u64> {
+    let mut keepers = keepers.to_vec();
+    keepers.sort_unstable();
+    keepers
+}
--- a/crates/fleet/src/keeper.rs
+++ b/crates/fleet/src/keeper.rs
@@ -461,12 +461,18 @@
             return Err(KeeperError::Agreement(format!("keeper {} leads", self.leader())));
         }
         let known = self.keepers().contains(&keeper);
+        if !add && known && self.keepers().len() == 1 {
+            return Err(KeeperError::Agreement(format!("{keeper} is the only keeper")));
+        }
         if known == add {
             return Err(KeeperError::Agreement(format!(
                 "{keeper} is {} a keeper",
                 if add { "already" } else { "not" }
             )));
         }
+        if self.node.raft.has_pending_conf() {
+            return Err(KeeperError::Agreement("another change is under way".to_owned()));
+        }
         let mut change = ConfChange::default();
         change.set_change_type(if add { ConfChangeType::AddNode } else { ConfChangeType::RemoveNode });
         change.node_id = keeper;
--- a/crates/fleet/src/wire.rs
+++ b/crates/fleet/src/wire.rs
@@ -75,6 +75,17 @@
     Describe,
     /// Like this, as JSON.
     Described(String),
+    /// Please add a keeper, or remove one.
+    Change {
+        /// Its number.
+        keeper: u64,
+        /// Add it.
+        add: bool,
+    },
+    /// The change is under way; `Describe` shows when it holds.
+    Changing,
+    /// It is not, and why.
+    NotChanging(String),
 }
 
 /// A message.
