Refuse a keeper that forgot what it promised, and end one that is an old copy

Drawn failures on the rig: a keeper killed, its folder gone, started under its number began anew, and panicked when the leader counted on what it had held; before that it could have voted against its promises. Ruled out: to ask the others whether the fleet is new, since a first start of one after the others looks the same.

Both tested with real processes. The rig has words for the very first start, and draws faults for other programs too, of those a program must bear.

--- a/crates/curlewhub/src/cli.rs
+++ b/crates/curlewhub/src/cli.rs
@@ -74,7 +74,14 @@
     #[command(subcommand)]
     Snapshot(SnapshotCommand),
     /// Be a keeper: with a majority of the others it agrees on the fleet's view.
-    Keeper(Process),
+    Keeper {
+        /// The fleet is new, and so is this keeper's folder: without this an empty folder is one that has forgotten what it
+        /// promised, and refused.
+        #[arg(long)]
+        begin: bool,
+        #[command(flatten)]
+        process: Process,
+    },
     /// The fleet's view: what is decided, and by whom it is held.
     #[command(subcommand)]
     Fleet(FleetCommand),
--- a/crates/curlewhub/src/fleet.rs
+++ b/crates/curlewhub/src/fleet.rs
@@ -25,8 +25,8 @@
 use tracing::{error, info};
 
 /// Keeps, until told to end.
-pub fn keeper(process: &Process) -> Exit {
-    serve(process, async |config| keep(config).await)
+pub fn keeper(process: &Process, begin: bool) -> Exit {
+    serve(process, async |config| keep(config, begin).await)
 }
 
 /// Does what the command says.
--- a/crates/curlewhub/tests/keepers.rs
+++ b/crates/curlewhub/tests/keepers.rs
@@ -67,8 +67,10 @@
     }
 
     fn start(&mut self, id: u64, file: &str) {
-        let child =
-            program(&["keeper", "--config", &self.file(file)]).stderr(Stdio::null()).spawn().unwrap();
+        let config = self.file(file);
+        let mut words = vec!["keeper", "--config", &config];
+        words.extend(file.contains("first").then_some("--begin"));
+        let child = program(&words).stderr(Stdio::null()).spawn().unwrap();
         self.running.push((id, child));
     }
 
@@ -161,6 +163,37 @@
     assert_eq!(none.status.code(), Some(1), "{none:?}");
 }
 
+#[test]
+fn a_keeper_that_forgot_what_it_promised_does_not_keep() {
+    let mut all = Keepers::new("forgot");
+    (1..=3).for_each(|id| all.start(id, &format!("k{id}-first.toml")));
+    all.until_done(&["note", "one"]);
+    all.end(2);
+    let state = all.folder.join("k2");
+    let copy = std::fs::read(state.join("keeper.redb")).unwrap();
+    // Its disk is lost: it is refused under its number.
+    std::fs::remove_dir_all(&state).unwrap();
+    let output = program(&["keeper", "--config", &all.file("k2-first.toml")]).output().unwrap();
+    assert_eq!(output.status.code(), Some(1));
+    let said = String::from_utf8_lossy(&output.stderr).into_owned();
+    assert!(said.contains("it holds nothing"), "{said}");
+    // An old copy of it: it holds less than the leader was told, and ends once it hears so.
+    std::fs::create_dir_all(&state).unwrap();
+    std::fs::write(state.join("keeper.redb"), &copy).unwrap();
+    all.start(2, "k2.toml");
+    (0..30).for_each(|n| drop(all.until_done(&["note", &n.to_string()])));
+    all.wait_for("the second follows", |status| {
+        keeper(status, 1)["version"] == keeper(status, 0)["version"]
+    });
+    all.end(2);
+    std::fs::write(state.join("keeper.redb"), copy).unwrap();
+    let output = program(&["keeper", "--config", &all.file("k2.toml")]).output().unwrap();
+    let said = String::from_utf8_lossy(&output.stderr).into_owned();
+    assert_eq!(output.status.code(), Some(1), "{said}");
+    assert!(said.contains("less than it has promised"), "{said}");
+    all.until_done(&["note", "the others go on"]);
+}
+
 #[test]
 fn wrong_files_and_folders_are_named() {
     let all = Keepers::new("wrong");
--- a/crates/fleet-node/src/keeper.rs
+++ b/crates/fleet-node/src/keeper.rs
@@ -37,11 +37,12 @@
     who: Who,
 }
 
-/// Keeps, until it is dropped.
+/// Keeps, until it is dropped. Only where the fleet `begins` may a keeper that is no joining one have an empty folder: later
+/// on that is a disk that forgot what it promised, and a promise that is forgotten must not be voted against.
 ///
 /// # Errors
 /// What keeps it from starting, by field; or its disk, on which it then no longer relies.
-pub async fn keep(config: &FleetConfig) -> Result<(), String> {
+pub async fn keep(config: &FleetConfig, begins: bool) -> Result<(), String> {
     let id = config.id().ok_or("name: allowed: that of one of `keepers`")?;
     let keys = keys(config)?;
     let at = |e: &dyn std::fmt::Display| format!("state_dir: {}: {e}", config.state_dir.display());
@@ -52,7 +53,11 @@
     let kept = match store.kept().map_err(|e| at(&e))? {
         Some(kept) => kept,
         None if config.joins => Keeper::joining(),
-        None => Keeper::first(&ids),
+        None if begins => Keeper::first(&ids),
+        None => {
+            let why = "it holds nothing: with `--begin` where the fleet is new, else with `joins = true` and a new number";
+            return Err(at(&why));
+        }
     };
     store.begin(&kept).map_err(|e| at(&e))?;
     let keeper = Keeper::new(id, &kept, rand::random(), Duration::ZERO).map_err(|e| at(&e))?;
@@ -122,6 +127,13 @@
 
     /// First all is on disk, then all is said.
     fn carry_out(&mut self, outputs: Vec<Output>) -> Result<(), String> {
+        if self.keeper.forgot() {
+            let problem = "its folder holds less than it has promised: it is an old copy, or has forgotten";
+            error!(problem, "fleet: ending");
+            return Err(format!(
+                "state_dir: {problem}; it goes on under a new number, with `joins = true`"
+            ));
+        }
         for output in outputs.iter().filter(|output| !output.persist.is_empty()) {
             if let Err(problem) = self.store.keep(&output.persist) {
                 // What it has promised it may not remember: it must not go on.
--- a/crates/fleet/src/keeper.rs
+++ b/crates/fleet/src/keeper.rs
@@ -9,7 +9,7 @@
 use crate::view::{Refused, Tail, View};
 use crate::wire::{Said, Who};
 use raft::eraftpb::{
-    ConfChange, ConfChangeType, ConfState, Entry, EntryType, HardState, Message, Snapshot,
+    ConfChange, ConfChangeType, ConfState, Entry, EntryType, HardState, Message, MessageType, Snapshot,
 };
 use raft::storage::{MemStorage, Storage};
 use raft::{Config, GetEntriesContext, RaftState, RawNode, StateRole, StorageError};
@@ -191,6 +191,7 @@
     told: BTreeMap<String, Duration>,
     budget: f64,
     draws: Pcg32,
+    forgot: bool,
     /// Messages of the agreement that could not be read or did not fit.
     pub unread: u64,
     /// Asks that were put off.
@@ -307,6 +308,7 @@
             told,
             budget: TELL_BYTES,
             draws,
+            forgot: false,
             unread,
             put_off,
         })
@@ -370,6 +372,13 @@
     pub fn agreement(&mut self, bytes: &[u8]) -> Output {
         match read::<Message>(bytes) {
             // Of one that is not of its configuration, or of a past term, raft takes nothing.
+            // The leader counts on what this keeper has said that it holds, and it does not hold it.
+            Ok(message)
+                if message.get_msg_type() == MessageType::MsgHeartbeat && self.is_beyond(&message) =>
+            {
+                self.forgot = true;
+                return Output::default();
+            }
             Ok(message) if message.to == self.id => {
                 if self.node.step(message).is_err() {
                     self.unread += 1;
@@ -380,6 +389,16 @@
         self.output()
     }
 
+    fn is_beyond(&self, message: &Message) -> bool {
+        let log = &self.node.raft.raft_log;
+        message.to == self.id && message.term >= self.node.raft.term && message.commit > log.last_index()
+    }
+
+    /// Whether it has been shown that its disk holds less than it has promised: an old copy, or one that forgot. It must end.
+    pub fn forgot(&self) -> bool {
+        self.forgot
+    }
+
     /// Something that a holder or an operator says.
     pub fn heard(&mut self, from: &Who, said: Said) -> Output {
         match said {
--- a/crates/rig/src/campaign.rs
+++ b/crates/rig/src/campaign.rs
@@ -262,6 +262,7 @@
         let all: Vec<&Member> = members.iter().filter(|member| member.role == role).collect();
         all.choose(draws).map(|member| member.name.clone()).unwrap_or_default()
     };
+    let mut forgets = true;
     match what.strikes() {
         Strikes::Links => {
             fault.from = vec![hall(draws)];
@@ -278,11 +279,21 @@
         Strikes::Discovery => {}
         Strikes::Sidecars => fault.on = vec![some(Role::Sidecar, draws)],
         Strikes::Processes => {
-            let group = spec.sidecars.choose(draws).map(|group| group.name.clone()).unwrap_or_default();
+            // Whoever serves something: sidecars, and other programs that say when they are ready.
+            let groups = spec.sidecars.iter().map(|group| (&group.name, Role::Sidecar));
+            let others = spec.processes.iter().filter(|group| group.ready.is_some());
+            // Another program may rightly end where its disk fails it: only what a sidecar must bear is drawn for all.
+            let bears = !matches!(what, Kind::StateFull | Kind::StateUnwritable);
+            let others = others.filter(|_| bears).map(|group| (&group.name, Role::Other));
+            let groups: Vec<_> = groups.chain(others).collect();
+            let Some((group, role)) = groups.choose(draws) else { return fault };
+            forgets = *role == Role::Sidecar;
             if draws.random() {
-                (fault.on, fault.part) = (vec![group], Some(draws.random_range(0.1..0.5)));
+                (fault.on, fault.part) = (vec![(*group).clone()], Some(draws.random_range(0.1..0.5)));
             } else {
-                fault.on = vec![some(Role::Sidecar, draws)];
+                let of: Vec<&Member> =
+                    members.iter().filter(|member| member.side.group == **group).collect();
+                fault.on = of.choose(draws).map(|member| member.name.clone()).into_iter().collect();
             }
         }
     }
@@ -301,7 +312,7 @@
         Kind::Slow => fault.factor = Some(f64::from(draws.random_range(2_u8..12))),
         Kind::Reset | Kind::Spoil | Kind::DiscoveryShort => fault.share = part(draws),
         Kind::Flap => fault.every = Some(Span(Duration::from_millis(draws.random_range(500..3000)))),
-        Kind::Restart | Kind::Kill => {
+        Kind::Restart | Kind::Kill if forgets => {
             fault.state =
                 [StateIs::Keep, StateIs::Lost, StateIs::Torn, StateIs::Old].choose(draws).copied();
         }
--- a/crates/rig/src/run.rs
+++ b/crates/rig/src/run.rs
@@ -524,7 +524,9 @@
                 };
                 let filled =
                     |word: &String| fill(word, |name| self.look(n, name)).unwrap_or_else(|_| word.clone());
-                words.extend(group.words.iter().map(|word| OsString::from(filled(word))));
+                let first =
+                    if self.process(n).incarnations.get() == 0 { &group.first_words[..] } else { &[] };
+                words.extend(group.words.iter().chain(first).map(|word| OsString::from(filled(word))));
                 group.ready.as_ref().map_or(Ready::Runs, |port| Ready::Takes(self.at(n, port)))
             }
         };
--- a/crates/rig/src/spec.rs
+++ b/crates/rig/src/spec.rs
@@ -137,6 +137,9 @@
     pub program: String,
     /// Its words; names in braces are filled in, and `{config}` is the path of its file.
     pub words: Vec<String>,
+    /// Words that it has beside these at its very first start, and never again.
+    #[serde(default)]
+    pub first_words: Vec<String>,
     /// The text of its file, with names in braces filled in.
     #[serde(default)]
     pub config: String,
