--- a/crates/fleet-node/src/links.rs
+++ b/crates/fleet-node/src/links.rs
@@ -148,11 +148,15 @@
             io::Result::Ok(())
         };
         let hears = async {
+            // One name a connection: what is remembered of it does not grow with what it claims.
+            let mut named = false;
             loop {
                 let bytes = read(&mut from).await?;
                 match self.keys.read(&bytes) {
                     Ok(message) => {
-                        if let Some((_, sender)) = &back {
+                        if let Some((_, sender)) =
+                            back.as_ref().filter(|_| !std::mem::replace(&mut named, true))
+                        {
                             self.accepted.borrow_mut().insert(message.from.name.clone(), sender.clone());
                         }
                         // A process that has too much to do loses it, as a network would.
--- a/crates/fleet/src/evidence.rs
+++ b/crates/fleet/src/evidence.rs
@@ -1,5 +1,6 @@
 //! Evidence: what sidecars' own calls show, in bounded digests, merged by pair of halls.
 
+use crate::record::TEXT_MOST;
 use crate::wire::Who;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
@@ -164,7 +165,9 @@
     /// # Errors
     /// Why it is not taken.
     pub fn heard(&mut self, now: Duration, from: &Who, digest: Digest) -> Result<(), NotTaken> {
-        if digest.rows.len() > ROWS_MOST || !digest.rows.values().all(Calls::is_sensible) {
+        let sensible = |(hall, calls): (&String, &Calls)| hall.len() <= TEXT_MOST && calls.is_sensible();
+        let rows = digest.rows.len() <= ROWS_MOST && digest.rows.iter().all(sensible);
+        if !rows || digest.hall.len() > TEXT_MOST {
             return Err(NotTaken::Senseless);
         }
         match self.newest.get(&from.name) {
--- a/crates/fleet/src/wire.rs
+++ b/crates/fleet/src/wire.rs
@@ -1,7 +1,7 @@
 //! What processes of a fleet say to one another: a format, a key's number, the words, and a MAC over all of it.
 
 use crate::evidence::Digest;
-use crate::record::{Hash, Proposal, Record, Version};
+use crate::record::{Hash, Proposal, Record, TEXT_MOST, Version};
 use crate::view::View;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
@@ -178,6 +178,8 @@
         }
         let (message, rest): (Message, _) =
             postcard::take_from_bytes(&said[HEAD..]).map_err(|_| Dropped::Words)?;
-        if rest.is_empty() { Ok(message) } else { Err(Dropped::Words) }
+        // Names are kept in tables that are bounded by their number.
+        let named = (1..=TEXT_MOST).contains(&message.from.name.len());
+        if rest.is_empty() && named { Ok(message) } else { Err(Dropped::Words) }
     }
 }
--- a/crates/fleet/tests/wire.rs
+++ b/crates/fleet/tests/wire.rs
@@ -13,6 +13,10 @@
     Message { from, said: Said::Have { version: Version(41), hash: Hash([5; 32]) } }
 }
 
+fn named(name: String) -> Message {
+    Message { from: Who { name, incarnation: 1 }, ..message() }
+}
+
 fn record(version: u64, before: Hash, key: &str, body: Vec<u8>) -> Record {
     let (key, kind, by, why) = (key.to_owned(), Kind::NOTE, "test".to_owned(), String::new());
     let proposal = Proposal { id: version, key, kind, body, by, why, only_after: None };
@@ -61,6 +65,8 @@
         ("a wrong key", Keys::one(1, OTHER).write(&message()), Dropped::Mac),
         ("words that are none", unread, Dropped::Words),
         ("more behind the words", longer, Dropped::Words),
+        ("a name without end", keys.write(&named("n".repeat(201))), Dropped::Words),
+        ("no name", keys.write(&named(String::new())), Dropped::Words),
         ("too long", vec![0; MESSAGE_MOST + 1], Dropped::TooLong),
     ];
     for (case, bytes, why) in cases {
