Look a zone up only where somebody sees, and count what a keeper puts off

Read once more: each attempt of a sidecar without a fleet looked its endpoint's zone up for nobody. It is asked for now by who sees. A keeper's decision gives its record in place of having it looked up in the tail; digests that are not taken, asks put off and messages unread were counted and shown nowhere, and are in what a keeper describes.

--- a/crates/curlewhub/src/fleet.rs
+++ b/crates/curlewhub/src/fleet.rs
@@ -105,7 +105,7 @@
 }
 
 impl Sight for Member {
-    fn ended(&self, zone: ZoneId, outcome: Outcome, took: Duration) {
+    fn ended(&self, zone: &dyn Fn() -> Option<ZoneId>, outcome: Outcome, took: Duration) {
         let how = match outcome {
             Outcome::Ok => Ended::Served,
             Outcome::TimedOut | Outcome::ConnectFailed => Ended::Silent,
@@ -113,7 +113,7 @@
             // They say nothing of the endpoint.
             Outcome::Cancelled | Outcome::Moot => return,
         };
-        if let Some(hall) = self.halls.get(zone.0 as usize) {
+        if let Some(hall) = zone().and_then(|zone| self.halls.get(zone.0 as usize)) {
             self.witness.borrow_mut().ended(hall, how, took);
         }
     }
--- a/crates/fleet-node/src/call.rs
+++ b/crates/fleet-node/src/call.rs
@@ -41,6 +41,12 @@
     pub records: Vec<Line>,
     /// Sidecars whose evidence it has.
     pub sidecars: usize,
+    /// Asks of sidecars that were put off, since too much was told just then.
+    pub put_off: u64,
+    /// Messages of the agreement that could not be read or did not fit.
+    pub unread: u64,
+    /// Digests that were not taken, by why.
+    pub not_taken: BTreeMap<String, u64>,
     /// Messages dropped, by why.
     pub dropped: BTreeMap<String, u64>,
 }
--- a/crates/fleet-node/src/keeper.rs
+++ b/crates/fleet-node/src/keeper.rs
@@ -177,6 +177,9 @@
             hash: format!("{:?}", keeper.view().hash()),
             records: keeper.view().records().map(crate::call::Line::of).collect(),
             sidecars: keeper.evidence().sidecars(),
+            put_off: keeper.put_off,
+            unread: keeper.unread,
+            not_taken: keeper.not_taken.iter().map(|(why, n)| (why.to_string(), *n)).collect(),
             dropped: self.links.drops.counts().iter().map(|(why, n)| (why.to_string(), *n)).collect(),
         }
     }
--- a/crates/fleet/src/keeper.rs
+++ b/crates/fleet/src/keeper.rs
@@ -47,6 +47,14 @@
     proposal: Proposal,
 }
 
+/// Why an agreed entry is no new record.
+enum Undecided {
+    /// It has come before, and is this version.
+    Twice(Version),
+    /// It makes no sense after what was decided before it.
+    Senseless(String),
+}
+
 /// What all keepers make of the same entries.
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
 struct State {
@@ -196,6 +204,8 @@
     pub unread: u64,
     /// Asks that were put off.
     pub put_off: u64,
+    /// Digests that were not taken, by why; late and repeated ones are expected.
+    pub not_taken: BTreeMap<NotTaken, u64>,
 }
 
 /// The snapshot that all first keepers begin from, so that they agree on who they are.
@@ -291,7 +301,7 @@
         let conf = snapshot.get_metadata().get_conf_state().clone();
         let logger = slog::Logger::root(slog::Discard, slog::o!());
         let node = RawNode::new(&config, Store { memory, snapshot }, &logger).map_err(agreement)?;
-        let (tail, evidence, waiting, told, unread, put_off) = Default::default();
+        let (tail, evidence, waiting, told, unread, put_off, not_taken) = Default::default();
         let draws = Pcg32::seed_from_u64(seed);
         Ok(Keeper {
             id,
@@ -311,6 +321,7 @@
             forgot: false,
             unread,
             put_off,
+            not_taken,
         })
     }
 
@@ -404,8 +415,9 @@
         match said {
             Said::Ask { after } => self.asked(from, after),
             Said::Evidence(digest) => {
-                // Late and repeated ones are expected.
-                let _: Result<(), NotTaken> = self.evidence.heard(self.now, from, digest);
+                if let Err(why) = self.evidence.heard(self.now, from, digest) {
+                    *self.not_taken.entry(why).or_default() += 1;
+                }
                 Output::default()
             }
             Said::Propose(proposal) => self.propose(&from.name, proposal),
@@ -583,46 +595,42 @@
             return self.unread += 1; // the same at every keeper
         };
         let id = proposal.id;
-        let version = match self.next_record(entry.term, at_ms, proposal) {
-            Ok(version) => version,
-            Err(why) => {
-                if let Some((name, _)) = self.waiting.remove(&id) {
-                    output.said.push((name, Said::NotDecided { id, why }));
-                }
-                return;
+        let said = match self.next_record(entry.term, at_ms, proposal) {
+            Ok(record) => {
+                let version = record.version;
+                output.applied.push(record);
+                Said::Decided { id, version }
             }
+            Err(Undecided::Twice(version)) => Said::Decided { id, version },
+            Err(Undecided::Senseless(why)) => Said::NotDecided { id, why },
         };
-        if let Some(record) = self.tail.after(Version(version.0 - 1), 1).and_then(|mut last| last.pop())
-            && record.proposal.id == id
-            && output.applied.last().is_none_or(|last| last.version < version)
-        {
-            output.applied.push(record);
-        }
         if let Some((name, _)) = self.waiting.remove(&id) {
-            output.said.push((name, Said::Decided { id, version }));
+            output.said.push((name, said));
         }
     }
 
-    fn next_record(&mut self, term: u64, at_ms: u64, proposal: Proposal) -> Result<Version, String> {
+    fn next_record(&mut self, term: u64, at_ms: u64, proposal: Proposal) -> Result<Record, Undecided> {
         if let Some((_, version)) = self.state.ids.iter().find(|(known, _)| *known == proposal.id) {
-            return Ok(*version); // it came twice
+            return Err(Undecided::Twice(*version));
         }
         let view = &mut self.state.view;
         if let Some(wanted) = proposal.only_after {
             let newest = view.get(&proposal.key).map_or(Version(0), |record| record.version);
             if newest != wanted {
-                return Err(format!("{} is at version {newest}, and not {wanted}", proposal.key));
+                let why = format!("{} is at version {newest}, and not {wanted}", proposal.key);
+                return Err(Undecided::Senseless(why));
             }
         }
         let (id, version) = (proposal.id, view.version().next());
         let record = Record { version, term, before: view.hash(), at_ms, proposal };
-        view.apply(record.clone()).map_err(|refused: Refused| refused.to_string())?;
-        self.tail.push(record);
+        let refused = |refused: Refused| Undecided::Senseless(refused.to_string());
+        view.apply(record.clone()).map_err(refused)?;
+        self.tail.push(record.clone());
         self.state.ids.push_back((id, version));
         if self.state.ids.len() > IDS_MOST {
             self.state.ids.pop_front();
         }
-        Ok(version)
+        Ok(record)
     }
 
     /// Keeps what many entries did in their place.
--- a/crates/fleet/src/wire.rs
+++ b/crates/fleet/src/wire.rs
@@ -30,7 +30,7 @@
 /// What is said.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub enum Said {
-    /// This is how far I am, and for how long that is so (milliseconds).
+    /// This is how far I am.
     Have {
         /// Up to which version.
         version: Version,
--- a/crates/runtime/src/driver.rs
+++ b/crates/runtime/src/driver.rs
@@ -340,9 +340,8 @@
             micros = elapsed.as_micros() as u64,
             "attempt ended"
         );
-        if let Some((zone, _)) = self.balancer.place(endpoint) {
-            self.sight.ended(zone, outcome, elapsed);
-        }
+        let zone = || self.balancer.place(endpoint).map(|(zone, _)| zone);
+        self.sight.ended(&zone, outcome, elapsed);
         if outcome == Outcome::TimedOut {
             self.outbound.close_unheard(endpoint, sent);
         }
--- a/crates/runtime/src/sight.rs
+++ b/crates/runtime/src/sight.rs
@@ -5,13 +5,13 @@
 
 /// Sees how attempts end.
 pub trait Sight {
-    /// An attempt into this zone has ended so, after this long.
-    fn ended(&self, zone: ZoneId, outcome: Outcome, took: Duration);
+    /// An attempt has ended so, after this long. Its zone is looked up only where somebody sees.
+    fn ended(&self, zone: &dyn Fn() -> Option<ZoneId>, outcome: Outcome, took: Duration);
 }
 
 /// Sees nothing: where there is no fleet.
 pub struct Blind;
 
 impl Sight for Blind {
-    fn ended(&self, _: ZoneId, _: Outcome, _: Duration) {}
+    fn ended(&self, _: &dyn Fn() -> Option<ZoneId>, _: Outcome, _: Duration) {}
 }
