--- a/crates/lab/tests/rig.rs
+++ b/crates/lab/tests/rig.rs
@@ -1,29 +1,13 @@
 //! The rig as an operator starts it: three short files, defects that its checks must find, bad files, and Ctrl-C.
 
+#[allow(dead_code)]
+mod support;
+
 use serde_json::Value;
 use std::io::{BufRead, BufReader};
-use std::path::{Path, PathBuf};
+use std::path::Path;
 use std::process::{Command, Output, Stdio};
-use std::time::{Duration, Instant};
-
-/// Nothing that a test waits for may take longer, not even on a slow machine.
-const PATIENCE: Duration = Duration::from_secs(60);
-
-struct Folder(PathBuf);
-
-impl Folder {
-    fn new(name: &str) -> Folder {
-        let path = std::env::temp_dir().join(format!("curlewhub-rig-{name}-{}", std::process::id()));
-        std::fs::create_dir_all(&path).unwrap();
-        Folder(path)
-    }
-}
-
-impl Drop for Folder {
-    fn drop(&mut self) {
-        let _ = std::fs::remove_dir_all(&self.0);
-    }
-}
+use support::{Folder, wait_for};
 
 fn rig(words: &[&str]) -> Command {
     let mut command = Command::new(env!("CARGO_BIN_EXE_curlewhub-lab"));
@@ -136,6 +120,27 @@
     }
 }
 
+#[test]
+fn a_campaign_goes_on_after_a_failure_and_makes_the_failing_schedule_small() {
+    let folder = Folder::new("campaign");
+    let out = folder.0.join("out");
+    let words =
+        ["campaign", &file("defects/two-faults.toml"), "--seeds", "1..3", "--jobs", "2", "--shrink", "2"];
+    let output = rig(&words).args(["--out", out.to_str().unwrap()]).output().unwrap();
+    let said = String::from_utf8_lossy(&output.stdout).into_owned();
+    assert_eq!(output.status.code(), Some(1), "{said}");
+    assert!(said.contains("0 of 2 runs held"), "both seeds were played: {said}");
+    // Of the two faults the one that breaks nothing is gone, and what is left is a file that can be played.
+    let found = std::fs::read_to_string(out.join("found-1.toml")).unwrap();
+    assert!(found.contains("/bin/false") && !found.contains("pause"), "{found}");
+    assert_eq!(
+        rig(&["check", out.join("found-1.toml").to_str().unwrap()]).output().unwrap().status.code(),
+        Some(0)
+    );
+    let all: Value = serde_json::from_slice(&std::fs::read(out.join("campaign.json")).unwrap()).unwrap();
+    assert_eq!((all[0]["seed"].as_u64(), all[0]["passed"].as_bool()), (Some(1), Some(false)));
+}
+
 /// Processes whose words name this folder.
 fn named(folder: &str) -> Vec<String> {
     let all = std::fs::read_dir("/proc").unwrap().flatten();
@@ -158,14 +163,11 @@
     assert!(named(keep).len() > 15, "{:?}", named(keep));
     let pid = child.id().to_string();
     assert!(Command::new("kill").args(["-INT", &pid]).status().unwrap().success());
-    let began = Instant::now();
-    let status = loop {
-        if let Some(status) = child.try_wait().unwrap() {
-            break status;
-        }
-        assert!(began.elapsed() < PATIENCE);
-        std::thread::sleep(Duration::from_millis(10));
-    };
-    assert_eq!(status.code(), Some(130));
+    let mut status = None;
+    wait_for("its end", || {
+        status = child.try_wait().unwrap();
+        status.is_some()
+    });
+    assert_eq!(status.unwrap().code(), Some(130));
     assert_eq!(named(keep), [""; 0]);
 }
--- a/crates/rig/src/figures.rs
+++ b/crates/rig/src/figures.rs
@@ -6,7 +6,7 @@
 use crate::run::Cost;
 use hdrhistogram::Histogram;
 use serde::Serialize;
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::time::Duration;
 
 /// A sidecar that calls into a lost place this shortly before the loss ends has not left it.
@@ -111,6 +111,9 @@
     pub all: Service,
     /// Requests that came to an endpoint that drained, before its sidecar could know.
     pub unknowing: u64,
+    /// The most by which a request came to an endpoint, by the endpoint's stamp, before its client had begun to ask, by the
+    /// client's: what two processes' stamps are out by, in milliseconds. 0 where none did.
+    pub stamps_ms: f64,
     /// The least memory and the most of a sidecar, in KiB.
     pub kib: (u64, u64),
     /// How the fleet's versions spread, where there are any.
@@ -146,12 +149,29 @@
         phases,
         all: service(plan, entries, 0, lasts),
         unknowing: 0,
+        stamps_ms: stamps(entries),
         kib,
         spread: crate::versions::spread(entries),
         cost,
     }
 }
 
+/// How far an effect is stamped before its cause, at the most.
+fn stamps(entries: &[Entry]) -> f64 {
+    let asked: HashMap<&str, Micros> = entries
+        .iter()
+        .filter_map(|entry| match &entry.what {
+            What::Try(one) => Some((&*one.id, entry.at - one.took_us)),
+            _ => None,
+        })
+        .collect();
+    let early = entries.iter().filter_map(|entry| match &entry.what {
+        What::Came { id, .. } => Some(asked.get(&**id)? - entry.at),
+        _ => None,
+    });
+    early.max().unwrap_or_default().max(0) as f64 / 1e3
+}
+
 fn loss_figures(plan: &Plan, loss: &Loss, entries: &[Entry]) -> LossFigures {
     let (begin, end) = (micros(loss.begin), micros(loss.end));
     let lost: BTreeSet<&str> = loss.endpoints.iter().map(|e| &plan.members[*e].name[..]).collect();
--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -18,5 +18,6 @@
 pub mod report;
 pub mod run;
 pub mod spec;
+mod tell;
 pub mod texts;
 pub mod versions;
--- a/crates/rig/src/report.rs
+++ b/crates/rig/src/report.rs
@@ -115,7 +115,7 @@
     let cost = &verdict.figures.cost;
     text += &format!(
         "{} processes, {} relays, {} connections and {:.1} MB through them; ready after {:.1} s; the rig took {:.1} s of a \
-         processor, the sidecars {:.1} s and {} MiB\n",
+         processor, the sidecars {:.1} s and {} MiB; stamps are out by {:.2} ms at the most\n",
         cost.processes,
         cost.relays,
         cost.connections,
@@ -123,7 +123,8 @@
         cost.start_s,
         cost.rig_cpu_s,
         cost.sidecars_cpu_s,
-        cost.sidecars_kib / 1024
+        cost.sidecars_kib / 1024,
+        verdict.figures.stamps_ms
     );
     text
 }
