--- a/crates/config/src/file.rs
+++ b/crates/config/src/file.rs
@@ -149,7 +149,8 @@
         r.problem_at("tier", "there are not so many tiers", "0 to one less than `tiers`");
     }
     check(r, &settings);
-    let fleet = fleet(r, root, &name, &state_dir);
+    let hall = zones.get(settings.zone.0 as usize).map_or("", |hall| hall);
+    let fleet = fleet(r, root, &name, hall, &state_dir);
     Config {
         name,
         listen,
@@ -362,7 +363,13 @@
 }
 
 /// The fleet whose view it holds, where there is a section of it.
-fn fleet(r: &mut Reader, root: &mut Section<'_>, name: &str, state_dir: &Path) -> Option<FleetConfig> {
+fn fleet(
+    r: &mut Reader,
+    root: &mut Section<'_>,
+    name: &str,
+    hall: &str,
+    state_dir: &Path,
+) -> Option<FleetConfig> {
     let mut s = root.section(r, "fleet");
     s.line()?;
     let nowhere = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
@@ -372,6 +379,8 @@
     let config = FleetConfig {
         name: name.to_owned(),
         listen: s.required(r, "listen", nowhere, &any("an address and port, such as 127.0.0.1:7411")),
+        advertise: s.optional(r, "advertise", &any("an address and port")),
+        hall: hall.to_owned(),
         state_dir: state_dir.to_owned(),
         key: s.required(r, "key", no_key, &key),
         other_key: s.optional(r, "other_key", &key),
--- a/crates/config/src/fleet.rs
+++ b/crates/config/src/fleet.rs
@@ -14,8 +14,13 @@
 pub struct FleetConfig {
     /// Its name, of its own in the fleet.
     pub name: String,
-    /// Where it listens; for a keeper its entry of `keepers` says so as others reach it, which a relay may change.
+    /// Where it listens, for streams and for datagrams, and what it connects and sends from.
     pub listen: SocketAddr,
+    /// Where others reach it, if that is another address than `listen`.
+    pub advertise: Option<SocketAddr>,
+    /// Its hall; a sidecar's is its zone.
+    #[serde(default)]
+    pub hall: String,
     /// Its folder; nobody else's.
     pub state_dir: PathBuf,
     /// The key that messages are written with.
@@ -52,6 +57,12 @@
     pub name: String,
     /// Where this process reaches it.
     pub address: SocketAddr,
+    /// Its hall and region, where it is said: no hall's loss may take the majority, and no region's where there are three.
+    #[serde(default)]
+    pub hall: String,
+    /// Its region.
+    #[serde(default)]
+    pub region: String,
 }
 
 /// A peer.
@@ -96,6 +107,28 @@
             "keepers".to_owned(),
             "1 to 9, best 3 or 5",
         );
+        let text = |text: &str| text.len() <= 80 && text.chars().all(|c| c.is_ascii_graphic());
+        wants(text(&self.hall), "hall".to_owned(), "up to 80 visible characters");
+        wants(
+            self.advertise.is_none_or(|at| at.ip().is_loopback() && at.port() > 0),
+            "advertise".to_owned(),
+            "on loopback, with a port",
+        );
+        for (field, places) in [
+            ("hall", self.keepers.iter().map(|k| &k.hall).collect::<Vec<_>>()),
+            ("region", self.keepers.iter().map(|k| &k.region).collect()),
+        ] {
+            let distinct: BTreeSet<_> = places.iter().filter(|place| !place.is_empty()).collect();
+            // Of two places one always holds half.
+            for place in distinct.iter().filter(|_| distinct.len() > 2) {
+                let here = places.iter().filter(|other| **other == **place).count();
+                wants(
+                    here <= self.keepers.len() - (self.keepers.len() / 2 + 1),
+                    format!("keepers.{field} `{place}`"),
+                    "so few keepers that a majority is left without them",
+                );
+            }
+        }
         let (mut ids, mut names) = (BTreeSet::new(), BTreeSet::new());
         for (n, keeper) in self.keepers.iter().enumerate() {
             wants(
@@ -105,6 +138,8 @@
             );
             let own = name(&keeper.name) && names.insert(&keeper.name);
             wants(own, format!("keepers[{n}].name"), "a name of its own");
+            wants(text(&keeper.hall), format!("keepers[{n}].hall"), "up to 80 visible characters");
+            wants(text(&keeper.region), format!("keepers[{n}].region"), "up to 80 visible characters");
         }
         for (n, peer) in self.peers.iter().enumerate() {
             let own = name(&peer.name) && peer.name != self.name && names.insert(&peer.name);
@@ -115,6 +150,11 @@
         problems
     }
 
+    /// Where others reach this process.
+    pub fn reached_at(&self) -> SocketAddr {
+        self.advertise.unwrap_or(self.listen)
+    }
+
     /// This process's keeper number, if it is one.
     pub fn id(&self) -> Option<u64> {
         self.keepers.iter().find(|keeper| keeper.name == self.name).map(|keeper| keeper.id)
--- a/crates/curlewhub/src/cli.rs
+++ b/crates/curlewhub/src/cli.rs
@@ -119,6 +119,15 @@
         #[arg(long)]
         json: bool,
     },
+    /// Print who is there, suspected or gone, as the keeper that knows most tells it.
+    Members {
+        /// A keeper's or follower's file (TOML).
+        #[arg(long, value_name = "FILE")]
+        config: PathBuf,
+        /// Print JSON.
+        #[arg(long)]
+        json: bool,
+    },
     /// Print what is decided: the newest record of each key.
     Log {
         /// A keeper's or follower's file (TOML).
--- a/crates/curlewhub/src/fleet.rs
+++ b/crates/curlewhub/src/fleet.rs
@@ -2,40 +2,48 @@
 
 use crate::cli::{Exit, FleetCommand, KeepersChange, Process};
 use crate::logs::Logs;
+use comfy_table::Table;
 use curlewhub_balance::{Outcome, ZoneId};
 use curlewhub_config::{Config, Log, LogFormat};
 use curlewhub_fleet::evidence::{Ended, Witness};
+use curlewhub_fleet::members::Standing as MemberStands;
 use curlewhub_fleet::record::{Kind, Proposal};
 use curlewhub_fleet::view::View;
-use curlewhub_fleet_node::call::{Described, change, describe, propose};
+use curlewhub_fleet_node::call::{Described, Known, change, describe, members, propose};
 use curlewhub_fleet_node::config::FleetConfig;
 use curlewhub_fleet_node::{Acts, Manner, Standing, follow, keep};
-use curlewhub_runtime::figures::Figures;
+use curlewhub_runtime::figures::{Beside, Figures};
 use curlewhub_runtime::sight::{Blind, Sight};
 use serde_json::json;
 use std::cell::RefCell;
 use std::fmt::Write as _;
 use std::io::Write as _;
 use std::path::Path;
+use std::pin::Pin;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::signal::unix::{SignalKind, signal};
-use tokio::task::{LocalSet, spawn_local};
-use tokio::time::{MissedTickBehavior, interval};
+use tokio::sync::oneshot;
+use tokio::task::{JoinHandle, LocalSet, spawn_local};
+use tokio::time::{MissedTickBehavior, interval, timeout};
 use tracing::{error, info};
 
+/// A process that ends waits so long for its last word to its fleet.
+const LEAVE_MOST: Duration = Duration::from_millis(100);
+
 /// Keeps, until told to end.
 pub fn keeper(process: &Process, begin: bool) -> Exit {
-    serve(process, async |config| keep(config, begin).await)
+    serve(process, async |config, end| keep(config, begin, end).await)
 }
 
 /// Does what the command says.
 pub fn fleet(command: &FleetCommand) -> Exit {
     match command {
         FleetCommand::Follow(process) => {
-            serve(process, async |config| follow(config, Manner::default(), &mut Says).await)
+            serve(process, async |config, end| follow(config, Manner::default(), &mut Says, end).await)
         }
         FleetCommand::Status { config, json } => asked(config, async |config| status(config, *json).await),
+        FleetCommand::Members { config, json } => asked(config, async |config| listed(config, *json).await),
         FleetCommand::Log { config, json } => asked(config, async |config| log(config, *json).await),
         FleetCommand::Keepers { config, change: wanted } => asked(config, async |config| {
             let (id, add) = match wanted {
@@ -128,25 +136,59 @@
     }
 
     fn stands(&mut self, standing: Standing) {
-        let age = standing.age.map(|age| age.as_millis() as u64);
-        self.0.fleet(standing.version, age, standing.counts.contradictions);
+        let Standing { version, age, counts, members, traffic: (said, heard) } = standing;
+        let gauge = |name, value| Beside { name, value, counts: false };
+        let count = |name, value| Beside { name, value, counts: true };
+        let mut figures = vec![gauge("fleet_version", version)];
+        // Without a keeper's word since the start there is no age to tell.
+        figures.extend(age.map(|age| gauge("fleet_age_ms", age.as_millis() as u64)));
+        figures.extend([
+            gauge("fleet_members", members as u64),
+            count("fleet_contradictions", counts.contradictions),
+            count("fleet_unanswered", counts.unanswered),
+            count("fleet_said_bytes", said),
+            count("fleet_heard_bytes", heard),
+        ]);
+        self.0.beside(figures);
     }
 }
 
-/// Takes a sidecar into its fleet, where it is told of one; what its driver is to tell is the answer. A fleet that can't
-/// be joined keeps no sidecar from serving.
-pub fn join(config: &Config, figures: &Rc<Figures>) -> Rc<dyn Sight> {
-    let Some(fleet) = config.fleet.clone() else { return Rc::new(Blind) };
+/// What a sidecar has of its fleet.
+pub struct Joined {
+    /// What its driver is to tell.
+    pub sight: Rc<dyn Sight>,
+    leave: Option<(oneshot::Sender<()>, JoinHandle<()>)>,
+}
+
+impl Joined {
+    /// Says that this process goes, so that nobody has to find that out.
+    pub async fn leave(self) {
+        if let Some((leave, left)) = self.leave {
+            let _ = leave.send(());
+            let _ = timeout(LEAVE_MOST, left).await; // who has not heard it finds out
+        }
+    }
+}
+
+/// Takes a sidecar into its fleet, where it is told of one. A fleet that can't be joined keeps no sidecar from serving.
+pub fn join(config: &Config, figures: &Rc<Figures>) -> Joined {
+    let Some(fleet) = config.fleet.clone() else { return Joined { sight: Rc::new(Blind), leave: None } };
     let halls = config.names.areas.clone();
     let hall = halls.get(config.settings.zone.0 as usize).map_or("", |hall| hall);
     let witness = Rc::new(RefCell::new(Witness::new(hall)));
     let (manner, figures) = (Manner { beside: true, witness: Some(witness.clone()) }, figures.clone());
-    spawn_local(async move {
-        if let Err(problem) = follow(&fleet, manner, &mut Holds(figures)).await {
+    let (leave, leaves) = oneshot::channel::<()>();
+    let left = spawn_local(async move {
+        let leaves = async {
+            if leaves.await.is_err() {
+                std::future::pending().await
+            }
+        };
+        if let Err(problem) = follow(&fleet, manner, &mut Holds(figures), leaves).await {
             error!(problem, "fleet: not joined; going on alone");
         }
     });
-    Rc::new(Member { witness, halls })
+    Joined { sight: Rc::new(Member { witness, halls }), leave: Some((leave, left)) }
 }
 
 fn say(text: &str) -> Exit {
@@ -167,7 +209,10 @@
 }
 
 /// Runs a process of the fleet until SIGTERM or Ctrl-C.
-fn serve(process: &Process, run: impl AsyncFnOnce(&FleetConfig) -> Result<(), String>) -> Exit {
+fn serve(
+    process: &Process,
+    run: impl AsyncFnOnce(&FleetConfig, Pin<Box<dyn Future<Output = ()>>>) -> Result<(), String>,
+) -> Exit {
     let config = match read(&process.config) {
         Ok(config) => config,
         Err(exit) => return exit,
@@ -184,11 +229,13 @@
     let ended = block_on(async {
         let mut term = signal(SignalKind::terminate()).map_err(|e| format!("SIGTERM: {e}"))?;
         let mut int = signal(SignalKind::interrupt()).map_err(|e| format!("SIGINT: {e}"))?;
-        tokio::select! {
-            ended = run(&config) => ended,
-            _ = term.recv() => Ok(()),
-            _ = int.recv() => Ok(()),
-        }
+        let end = Box::pin(async move {
+            tokio::select! {
+                _ = term.recv() => {}
+                _ = int.recv() => {}
+            }
+        });
+        run(&config, end).await
     });
     drop(logs); // what it still holds comes before the last word
     match ended.and_then(|ended| ended) {
@@ -246,6 +293,33 @@
     if majority { Exit::Done } else { Exit::Failed }
 }
 
+async fn listed(config: &FleetConfig, json: bool) -> Exit {
+    let listed = match members(config).await {
+        Ok(listed) => listed,
+        Err(problem) => return failed(&problem),
+    };
+    if json {
+        return say(&(json!(listed).to_string() + "\n"));
+    }
+    let mut table = Table::new();
+    table.load_preset(comfy_table::presets::NOTHING);
+    table.set_header(["name", "stands", "role", "hall", "at", "build", "format", "incarnation"]);
+    for Known { member: m, standing } in &listed.members {
+        table.add_row([
+            m.name.clone(),
+            format!("{standing:?}").to_lowercase(),
+            format!("{:?}", m.role).to_lowercase(),
+            m.hall.clone(),
+            m.at.to_string(),
+            m.build.clone(),
+            m.format.to_string(),
+            format!("{}.{}", m.incarnation, m.renewed),
+        ]);
+    }
+    let there = listed.members.iter().filter(|known| known.standing != MemberStands::Gone).count();
+    say(&format!("{table}\n{there} there, by {}\n", listed.by))
+}
+
 async fn log(config: &FleetConfig, json: bool) -> Exit {
     let all = describe(config).await;
     let newest = all.into_iter().filter_map(|(_, described)| described.ok()).max_by_key(|d| d.version);
--- a/crates/curlewhub/src/serve.rs
+++ b/crates/curlewhub/src/serve.rs
@@ -134,7 +134,8 @@
     let (folder, zones) = (&config.state_dir, &config.names.areas);
     let keyed = Keyed::open(folder, config.listen, &config.settings, zones, figures.clone(), clock.now());
     let (bans_held, life) = (bans.clone(), lifecycle.clone());
-    let sight = crate::fleet::join(&config, &figures);
+    let fleet = crate::fleet::join(&config, &figures);
+    let sight = fleet.sight.clone();
     let parts =
         Parts { outbound: outbound.clone(), listing, bans: bans_held, lifecycle: life, keyed, sight };
     let driver = Driver::new(balancer, clock, attempts, parts, calls.clone(), inbox);
@@ -163,7 +164,7 @@
     });
     loop {
         tokio::select! {
-            () = &mut serving => return Ok(()),
+            () = &mut serving => break,
             () = &mut offered => {}
             ended = &mut driver => return Err(format!("the driver ended: {ended:?}")),
             _ = term.recv() => lifecycle.terminate(),
@@ -171,6 +172,8 @@
             _ = hup.recv() => reload(&mut loaded, &figures, &calls),
         }
     }
+    fleet.leave().await;
+    Ok(())
 }
 
 /// The clients' listener: handed over by the process before this one, or bound anew.
--- a/crates/fleet-node/src/call.rs
+++ b/crates/fleet-node/src/call.rs
@@ -1,14 +1,14 @@
 //! Calls of an operator to keepers: what is decided, how they stand, and proposals.
 
 use crate::config::{FleetConfig, keys};
-use crate::links::{read, write};
+use crate::links::{connect, read, room, write};
+use curlewhub_fleet::members::{Member, Standing};
 use curlewhub_fleet::record::{Proposal, Record};
-use curlewhub_fleet::wire::{Message, Said, Who};
+use curlewhub_fleet::wire::{FORMAT, FORMAT_LEAST, Message, Said, Who};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
-use tokio::net::TcpStream;
 use tokio::time::timeout;
 
 /// A keeper answers within this, or it is not reached.
@@ -41,6 +41,21 @@
     pub records: Vec<Line>,
     /// Sidecars whose evidence it has.
     pub sidecars: usize,
+    /// Members that it knows to be there, itself among them.
+    #[serde(default)]
+    pub members: usize,
+    /// Bytes that it has said since its start ...
+    #[serde(default)]
+    pub said_bytes: u64,
+    /// ... and heard.
+    #[serde(default)]
+    pub heard_bytes: u64,
+    /// Words on the agreement of earlier starts of keepers, or of who is none.
+    #[serde(default)]
+    pub fenced: u64,
+    /// Packets of the membership that were not taken, by why.
+    #[serde(default)]
+    pub not_heard: BTreeMap<String, u64>,
     /// Asks of sidecars that were put off, since too much was told just then.
     pub put_off: u64,
     /// Messages of the agreement that could not be read or did not fit.
@@ -78,6 +93,31 @@
     }
 }
 
+/// Whom a keeper knows.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Listed {
+    /// Who says so.
+    pub by: String,
+    /// By name, itself among them.
+    pub members: Vec<Known>,
+}
+
+/// A member that is known, and how it stands.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Known {
+    /// The member.
+    #[serde(flatten)]
+    pub member: Member,
+    /// How it stands.
+    pub standing: Standing,
+}
+
+impl Listed {
+    pub(crate) fn to_json(&self) -> String {
+        serde_json::to_string(self).unwrap_or_default() // numbers and text: it never fails
+    }
+}
+
 impl Described {
     pub(crate) fn to_json(&self) -> String {
         serde_json::to_string(self).unwrap_or_default() // numbers and text: it never fails
@@ -98,18 +138,52 @@
     // A name of its own: an answer goes to who asked, and not to another that asks now.
     let name = format!("{}-call-{:x}", config.name, rand::random::<u64>());
     let message = Message { from: Who { name, incarnation: 1 }, said };
-    let asked = async {
-        let mut stream = TcpStream::connect(at).await.map_err(|e| e.to_string())?;
-        write(&mut stream, &keys.write(&message)).await.map_err(|e| e.to_string())?;
-        loop {
-            let bytes = read(&mut stream).await.map_err(|e| e.to_string())?;
-            match keys.read(&bytes).map_err(|e| e.to_string())?.said {
-                Said::Agreement(_) => {}
-                said => return Ok(said),
+    // A keeper of an older build cuts off who speaks a newer format, and is asked again in its own.
+    let mut problem = String::new();
+    for format in (message.said.since().max(FORMAT_LEAST)..=FORMAT).rev() {
+        let asked = async {
+            let mut stream = connect(config.listen.ip(), at).await?;
+            write(&mut stream, &keys.write(&message, format)).await?;
+            let room = room();
+            loop {
+                let bytes = read(&mut stream, &room).await?;
+                match keys.read(&bytes).map_err(std::io::Error::other)?.said {
+                    Said::Agreement(_) => {}
+                    said => return Ok::<_, std::io::Error>(said),
+                }
             }
+        };
+        match timeout(within, asked).await {
+            Ok(Ok(said)) => return Ok(said),
+            Ok(Err(e)) if e.kind() == std::io::ErrorKind::UnexpectedEof => problem = e.to_string(),
+            Ok(Err(e)) => return Err(e.to_string()),
+            Err(_) => return Err(format!("no answer within {within:?}")),
         }
-    };
-    timeout(within, asked).await.map_err(|_| format!("no answer within {within:?}"))?
+    }
+    Err(problem)
+}
+
+/// Whom the fleet's members know: the word of the keeper that knows most.
+///
+/// # Errors
+/// No keeper is reached, with what each said.
+pub async fn members(config: &FleetConfig) -> Result<Listed, String> {
+    let (mut best, mut problems): (Option<Listed>, Vec<String>) = (None, Vec::new());
+    for keeper in &config.keepers {
+        let listed = match call(config, keeper.address, Said::ListMembers, ANSWER_MOST).await {
+            Ok(Said::Described(text)) => serde_json::from_str::<Listed>(&text).map_err(|e| e.to_string()),
+            Ok(_) => Err("another answer".to_owned()),
+            Err(problem) => Err(problem),
+        };
+        match listed {
+            Ok(listed) if best.as_ref().is_none_or(|best| listed.members.len() > best.members.len()) => {
+                best = Some(listed);
+            }
+            Ok(_) => {}
+            Err(problem) => problems.push(format!("{}: {problem}", keeper.name)),
+        }
+    }
+    best.ok_or_else(|| problems.join("\n"))
 }
 
 /// How each keeper stands, or why that is not known.
--- a/crates/fleet-node/src/follower.rs
+++ b/crates/fleet-node/src/follower.rs
@@ -3,20 +3,22 @@
 use crate::config::{FleetConfig, keys};
 use crate::kept::ViewFile;
 use crate::links::Links;
-
+use curlewhub_fleet::agent::{Action, Agent, Begin};
 use curlewhub_fleet::evidence::Witness;
-use curlewhub_fleet::holder::{Action, Counts, Holder};
+use curlewhub_fleet::holder::Counts;
+use curlewhub_fleet::members::{Member, Role};
 use curlewhub_fleet::record::Version;
 use curlewhub_fleet::view::View;
-use curlewhub_fleet::wire::{Said, Who};
+use curlewhub_fleet::wire::{FORMAT, Who};
 use std::cell::RefCell;
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, UdpSocket};
 use tokio::sync::mpsc;
 use tokio::task::{JoinHandle, spawn_blocking, spawn_local};
 use tokio::time::{MissedTickBehavior, interval, sleep_until};
-use tracing::{info, warn};
+use tracing::{debug, info, warn};
 
 /// Connections of peers that it accepts at once, at the most. With those to keepers and peers they come beside the
 /// sidecar's own budget of sockets.
@@ -38,6 +40,10 @@
     pub age: Option<Duration>,
     /// What could not be taken.
     pub counts: Counts,
+    /// Members that it knows of, itself among them; 0 until it is one.
+    pub members: usize,
+    /// Bytes that it has said to its fleet, and heard.
+    pub traffic: (u64, u64),
 }
 
 /// What a follower's process does with it.
@@ -62,8 +68,25 @@
     SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis() as u64
 }
 
-async fn listen(config: &FleetConfig) -> Result<TcpListener, String> {
-    TcpListener::bind(config.listen).await.map_err(|e| format!("listen: {}: {e}", config.listen))
+/// Both of its doors: streams, and datagrams at the same port.
+pub(crate) async fn listen(config: &FleetConfig) -> Result<(TcpListener, UdpSocket), String> {
+    let at = |e: std::io::Error| format!("listen: {}: {e}", config.listen);
+    let streams = TcpListener::bind(config.listen).await.map_err(at)?;
+    Ok((streams, UdpSocket::bind(config.listen).await.map_err(at)?))
+}
+
+/// This process, as its fleet is to know it.
+pub(crate) fn own(config: &FleetConfig, role: Role, incarnation: u64) -> Member {
+    Member {
+        name: config.name.clone(),
+        role,
+        hall: config.hall.clone(),
+        at: config.reached_at(),
+        build: env!("CARGO_PKG_VERSION").to_owned(),
+        format: FORMAT,
+        incarnation,
+        renewed: 0,
+    }
 }
 
 /// A view on its way to the disk.
@@ -76,7 +99,7 @@
 
 struct Follower<'a, A: Acts> {
     config: &'a FleetConfig,
-    holder: Holder,
+    agent: Agent,
     links: Rc<Links>,
     file: ViewFile,
     listens: bool,
@@ -90,11 +113,16 @@
     to: &'a mut A,
 }
 
-/// Follows, until it is dropped.
+/// Follows, until it is told to leave; dropped before that, it is missed by others after a while.
 ///
 /// # Errors
 /// What keeps it from starting, by field.
-pub async fn follow(config: &FleetConfig, manner: Manner, to: &mut impl Acts) -> Result<(), String> {
+pub async fn follow(
+    config: &FleetConfig,
+    manner: Manner,
+    to: &mut impl Acts,
+    leave: impl Future<Output = ()>,
+) -> Result<(), String> {
     let keys = keys(config)?;
     let at = |e: &dyn std::fmt::Display| format!("state_dir: {}: {e}", config.state_dir.display());
     let file = ViewFile::open(&config.state_dir).map_err(|e| at(&e))?;
@@ -108,53 +136,67 @@
         warn!(%problem, "fleet: the view that was kept is not used");
         View::default()
     });
-    let listener = match listen(config).await {
-        Ok(listener) => Some(listener),
+    let doors = match listen(config).await {
+        Ok(doors) => Some(doors),
         Err(_) if manner.beside => None,
         Err(problem) => return Err(problem),
     };
-    let keepers: Vec<String> = config.keepers.iter().map(|keeper| keeper.name.clone()).collect();
-    let addresses = config.keepers.iter().map(|keeper| (keeper.name.clone(), keeper.address));
-    let peers = config.peers.iter().map(|peer| (peer.name.clone(), peer.address));
+    let keepers: Vec<_> =
+        config.keepers.iter().map(|keeper| (keeper.name.clone(), keeper.address)).collect();
+    let peers = config.peers.iter().map(|peer| (peer.name.clone(), peer.address)).collect();
     let (inbox, mut heard) = mpsc::channel(INBOX_MOST);
     let who = Who { name: config.name.clone(), incarnation };
-    let links = Links::new(ACCEPTED_MOST, who, keys, addresses.chain(peers).collect(), inbox);
-    let listens = listener.is_some();
-    if let Some(listener) = listener {
-        spawn_local(links.clone().listen(listener));
-    }
+    let addresses = keepers.iter().cloned().collect();
+    let links = Links::new(ACCEPTED_MOST, who, keys, config.listen.ip(), addresses, inbox);
     info!(version = view.version().0, hash = ?view.hash(), incarnation, "fleet: following");
     to.acts(&view);
     let acted = view.version();
-    let mut holder = Holder::new(view, keepers, rand::random(), Duration::ZERO);
-    holder.peers(config.peers.iter().map(|peer| peer.name.clone()).collect());
+    let own = own(config, Role::Sidecar, incarnation);
+    let agent = Agent::new(Begin { own, keepers, peers, view, seed: rand::random() }, Duration::ZERO);
     let (began, witness, failing, keeping) = (Instant::now(), manner.witness, false, None);
-    let mut follower =
-        Follower { config, holder, links, file, listens, failing, keeping, acted, began, witness, to };
+    let mut follower = Follower {
+        config,
+        agent,
+        links,
+        file,
+        listens: false,
+        failing,
+        keeping,
+        acted,
+        began,
+        witness,
+        to,
+    };
+    if let Some(doors) = doors {
+        follower.open(doors);
+    }
     let mut turns = interval(TURN);
     turns.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut leave = pin!(leave);
     loop {
-        let next = tokio::time::Instant::from_std(began + follower.holder.next());
+        let next = tokio::time::Instant::from_std(began + follower.agent.next());
         let late = follower.keeping.as_ref().map_or(next, |keeping| keeping.acts_at);
         let waits =
             follower.keeping.as_ref().is_some_and(|keeping| keeping.view.version() > follower.acted);
         let keeps = follower.keeping.is_some();
         let actions = tokio::select! {
-            () = sleep_until(next) => follower.holder.tick(began.elapsed()),
+            () = sleep_until(next) => follower.agent.tick(began.elapsed()),
             Some(message) = heard.recv() => {
-                follower.holder.heard(began.elapsed(), &message.from, message.said)
+                follower.agent.heard(began.elapsed(), &message.from, message.said)
             }
             done = kept(&mut follower.keeping), if keeps => {
                 follower.kept(done);
                 Vec::new()
             }
             () = sleep_until(late), if waits => {
-                follower.act(follower.holder.view().clone());
+                follower.act(follower.agent.view().clone());
                 Vec::new()
             }
-            _ = turns.tick() => {
-                follower.turn().await;
-                Vec::new()
+            _ = turns.tick() => follower.turn().await,
+            () = &mut leave => {
+                let actions = follower.agent.leave();
+                follower.carry_out(actions);
+                return Ok(());
             }
         };
         follower.carry_out(actions);
@@ -162,30 +204,52 @@
 }
 
 impl<A: Acts> Follower<'_, A> {
+    /// It can be reached from now on.
+    fn open(&mut self, (streams, datagrams): (TcpListener, UdpSocket)) {
+        self.listens = true;
+        spawn_local(self.links.clone().listen(streams));
+        spawn_local(self.links.clone().overhear(datagrams));
+        self.agent.join(self.began.elapsed());
+    }
+
     /// What is done twice a second.
-    async fn turn(&mut self) {
+    async fn turn(&mut self) -> Vec<Action> {
         let now = self.began.elapsed();
-        let version = self.holder.view().version().0;
-        self.to.stands(Standing { version, age: self.holder.age(now), counts: self.holder.counts() });
-        let digest = self.witness.as_ref().and_then(|witness| witness.borrow_mut().digest(TURN));
-        if let Some(digest) = digest {
-            for keeper in &self.config.keepers {
-                self.links.say(&keeper.name, Said::Evidence(digest.clone()));
-            }
-        }
+        let version = self.agent.view().version().0;
+        let members = self.agent.members().map_or(0, |members| members.count() + 1);
+        let traffic = (self.links.traffic.out.get(), self.links.traffic.come.get());
+        let (age, counts) = (self.agent.age(now), self.agent.counts());
+        self.to.stands(Standing { version, age, counts, members, traffic });
         if !self.listens
-            && let Ok(listener) = listen(self.config).await
+            && let Ok(doors) = listen(self.config).await
         {
-            self.listens = true;
-            spawn_local(self.links.clone().listen(listener));
+            self.open(doors);
         }
+        let digest = self.witness.as_ref().and_then(|witness| witness.borrow_mut().digest(TURN));
+        digest.map(|digest| self.agent.tell(&digest)).unwrap_or_default()
     }
 
     fn carry_out(&mut self, actions: Vec<Action>) {
         let mut changed = false;
         for action in actions {
             match action {
-                Action::Say(to, said) => self.links.say(&to, said),
+                Action::Say(to, at, said) => self.links.say(&to, at, said),
+                Action::Whisper(to, said) => self.links.whisper(to, said),
+                Action::Up(member) => {
+                    self.links.member(&member.name, Some(member.format));
+                    let Member { name, hall, incarnation, .. } = member;
+                    debug!(name, hall, incarnation, "fleet: a member is there");
+                }
+                Action::Down(member) => {
+                    self.links.member(&member.name, None);
+                    let Member { name, hall, incarnation, .. } = member;
+                    debug!(name, hall, incarnation, "fleet: a member is gone");
+                }
+                Action::Renewed => info!("fleet: taken for gone, and back"),
+                Action::Displaced(by) => {
+                    let incarnation = by.incarnation;
+                    warn!(incarnation, at = %by.at, "fleet: a later process has this name; following on, and no member");
+                }
                 Action::Applied(record) => {
                     let key = &record.proposal.key;
                     info!(version = record.version.0, hash = ?record.hash(), key, "fleet: applied");
@@ -204,7 +268,7 @@
 
     /// Writes the view down; once that is done, or takes too long, it is acted on.
     fn keep(&mut self) {
-        let (file, view) = (self.file.clone(), self.holder.view().clone());
+        let (file, view) = (self.file.clone(), self.agent.view().clone());
         let written = view.clone();
         let done = spawn_blocking(move || file.keep(&written));
         self.keeping = Some(Keeping { view, done, acts_at: tokio::time::Instant::now() + KEEP_MOST });
@@ -220,7 +284,7 @@
         self.failing = done.is_err();
         let Some(keeping) = self.keeping.take() else { return };
         self.act(keeping.view);
-        if self.holder.view().version() > self.acted {
+        if self.agent.view().version() > self.acted {
             self.keep();
         }
     }
--- a/crates/fleet-node/src/keeper.rs
+++ b/crates/fleet-node/src/keeper.rs
@@ -1,15 +1,18 @@
 //! A keeper's process: the agreement's ticks and messages, its disk, and what it says.
 
 use crate::call::Described;
+use crate::call::{Known, Listed};
 use crate::config::{FleetConfig, keys};
+use crate::follower::{listen, own};
 use crate::links::Links;
 use crate::store::Store;
-use curlewhub_fleet::keeper::{Keeper, Output, TICK};
+use curlewhub_fleet::keeper::{Keeper, TICK};
+use curlewhub_fleet::members::{Member, Members, Role, Standing};
+use curlewhub_fleet::seat::{Output, Seat};
 use curlewhub_fleet::wire::{Message, Said, Who};
-use std::collections::BTreeMap;
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
-use tokio::net::TcpListener;
 use tokio::sync::mpsc;
 use tokio::task::spawn_local;
 use tokio::time::{MissedTickBehavior, interval};
@@ -27,14 +30,11 @@
 }
 
 struct Process {
-    keeper: Keeper,
+    seat: Seat,
     store: Store,
     links: Rc<Links>,
-    /// The keepers' names by number.
-    names: BTreeMap<u64, String>,
     began: Instant,
     leader: u64,
-    who: Who,
 }
 
 /// Keeps, until it is dropped. Only where the fleet `begins` may a keeper that is no joining one have an empty folder: later
@@ -42,12 +42,17 @@
 ///
 /// # Errors
 /// What keeps it from starting, by field; or its disk, on which it then no longer relies.
-pub async fn keep(config: &FleetConfig, begins: bool) -> Result<(), String> {
+pub async fn keep(
+    config: &FleetConfig,
+    begins: bool,
+    leave: impl Future<Output = ()>,
+) -> Result<(), String> {
     let id = config.id().ok_or("name: allowed: that of one of `keepers`")?;
     let keys = keys(config)?;
     let at = |e: &dyn std::fmt::Display| format!("state_dir: {}: {e}", config.state_dir.display());
     std::fs::create_dir_all(&config.state_dir).map_err(|e| at(&e))?;
     let store = Store::open(&config.state_dir.join("keeper.redb")).map_err(|e| at(&e))?;
+    store.is_of(id).map_err(|e| at(&e))?;
     let incarnation = store.incarnation(unix_ms()).map_err(|e| at(&e))?;
     let ids: Vec<u64> = config.keepers.iter().map(|keeper| keeper.id).collect();
     let kept = match store.kept().map_err(|e| at(&e))? {
@@ -61,25 +66,36 @@
     };
     store.begin(&kept).map_err(|e| at(&e))?;
     let keeper = Keeper::new(id, &kept, rand::random(), Duration::ZERO).map_err(|e| at(&e))?;
-    let listener =
-        TcpListener::bind(config.listen).await.map_err(|e| format!("listen: {}: {e}", config.listen))?;
+    let (streams, datagrams) = listen(config).await?;
     let who = Who { name: config.name.clone(), incarnation };
     let others = config.keepers.iter().filter(|keeper| keeper.id != id);
-    let addresses = others.map(|keeper| (keeper.name.clone(), keeper.address)).collect();
+    let others: Vec<_> = others.map(|keeper| (keeper.name.clone(), keeper.address)).collect();
+    let peers = config.peers.iter().map(|peer| (peer.name.clone(), peer.address));
+    let seeds: Vec<_> = others.iter().cloned().chain(peers).collect();
+    let members =
+        Members::new(own(config, Role::Keeper, incarnation), &seeds, rand::random(), Duration::ZERO);
     let (inbox, mut heard) = mpsc::channel(INBOX_MOST);
-    let links = Links::new(ACCEPTED_MOST, who.clone(), keys, addresses, inbox);
-    spawn_local(links.clone().listen(listener));
+    let from = config.listen.ip();
+    let links = Links::new(ACCEPTED_MOST, who, keys, from, others.into_iter().collect(), inbox);
+    spawn_local(links.clone().listen(streams));
+    spawn_local(links.clone().overhear(datagrams));
     let names = config.keepers.iter().map(|keeper| (keeper.id, keeper.name.clone())).collect();
     let version = keeper.view().version();
     info!(keeper = id, incarnation, version = version.0, "fleet: keeping");
-    let mut process = Process { keeper, store, links, names, began: Instant::now(), leader: 0, who };
+    let seat = Seat::new(keeper, members, names);
+    let mut process = Process { seat, store, links, began: Instant::now(), leader: 0 };
     let mut ticks = interval(TICK);
     // After a pause one tick is enough: it must hear before it asks for votes.
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut leave = pin!(leave);
     loop {
         tokio::select! {
+            () = &mut leave => {
+                let output = process.seat.leave();
+                return process.carry_out(vec![output]);
+            }
             _ = ticks.tick() => {
-                let output = process.keeper.tick(process.began.elapsed(), unix_ms());
+                let output = process.seat.tick(process.began.elapsed(), unix_ms());
                 process.carry_out(vec![output])?;
             }
             Some(message) = heard.recv() => {
@@ -95,88 +111,112 @@
 
 impl Process {
     fn heard(&mut self, message: Message) -> Output {
-        match message.said {
-            Said::Agreement(bytes) => self.keeper.agreement(&bytes),
-            Said::Describe => {
-                let text = self.described().to_json();
-                Output { said: vec![(message.from.name, Said::Described(text))], ..Output::default() }
-            }
-            Said::Change { keeper, add } => {
-                // Others could not reach it.
-                let known = !add || self.names.contains_key(&keeper);
-                let unknown = || Err(format!("`keepers` of {} does not name {keeper}", self.who.name));
-                let changed = if known {
-                    self.keeper.change(keeper, add).map_err(|e| e.to_string())
-                } else {
-                    unknown()
-                };
-                if changed.is_ok() {
-                    let by = &message.from.name;
-                    info!(keeper, add, by, "fleet: keepers change");
-                }
-                let (mut output, answer) = match changed {
-                    Ok(output) => (output, Said::Changing),
-                    Err(problem) => (Output::default(), Said::NotChanging(problem)),
-                };
-                output.said.push((message.from.name, answer));
-                output
-            }
-            said => self.keeper.heard(&message.from, said),
+        let Message { from, said } = message;
+        match said {
+            Said::Describe => says(from.name, Said::Described(self.described().to_json())),
+            Said::ListMembers => says(from.name, Said::Described(self.listed().to_json())),
+            Said::Change { keeper, add } => match self.change(keeper, add, &from.name) {
+                Ok(output) => output,
+                Err(problem) => says(from.name, Said::NotChanging(problem)),
+            },
+            said => self.seat.heard(self.began.elapsed(), &from, said),
+        }
+    }
+
+    fn change(&mut self, keeper: u64, add: bool, by: &str) -> Result<Output, String> {
+        // Others could not reach one that they don't name.
+        if add && self.seat.name(keeper).is_none() {
+            return Err(format!("`keepers` of {} does not name {keeper}", self.seat.own().name));
         }
+        let keeper_output = self.seat.keeper.change(keeper, add).map_err(|e| e.to_string())?;
+        info!(keeper, add, by, "fleet: keepers change");
+        let mut output = Output { keeper: keeper_output, ..Output::default() };
+        output.keeper.said.push((by.to_owned(), Said::Changing));
+        Ok(output)
     }
 
     /// First all is on disk, then all is said.
     fn carry_out(&mut self, outputs: Vec<Output>) -> Result<(), String> {
-        if self.keeper.forgot() {
-            let problem = "its folder holds less than it has promised: it is an old copy, or has forgotten";
-            error!(problem, "fleet: ending");
-            return Err(format!(
-                "state_dir: {problem}; it goes on under a new number, with `joins = true`"
-            ));
+        if let Some(why) = self.seat.ends() {
+            error!(problem = %why, "fleet: ending");
+            return Err(why.to_string());
         }
-        for output in outputs.iter().filter(|output| !output.persist.is_empty()) {
-            if let Err(problem) = self.store.keep(&output.persist) {
+        for output in outputs.iter().filter(|output| !output.keeper.persist.is_empty()) {
+            if let Err(problem) = self.store.keep(&output.keeper.persist) {
                 // What it has promised it may not remember: it must not go on.
                 error!(%problem, "fleet: the disk does not keep; ending");
                 return Err(problem.to_string());
             }
         }
         for output in outputs {
-            for (to, bytes) in output.agreement {
-                if let Some(name) = self.names.get(&to) {
-                    self.links.say(name, Said::Agreement(bytes));
-                }
-            }
-            for (to, said) in output.said {
-                self.links.say(&to, said);
-            }
-            for record in &output.applied {
-                let (key, by) = (&record.proposal.key, &record.proposal.by);
-                info!(version = record.version.0, hash = ?record.hash(), term = record.term, key, by, "fleet: decided");
-            }
+            self.say(output);
         }
-        let leader = self.keeper.leader();
+        let leader = self.seat.keeper.leader();
         if leader != self.leader {
             self.leader = leader;
-            let name = self.names.get(&leader).map_or("nobody", |name| name);
-            info!(leader = name, term = self.keeper.term(), "fleet: leader");
+            let name = self.seat.name(leader).unwrap_or("nobody");
+            info!(leader = name, term = self.seat.keeper.term(), "fleet: leader");
         }
         Ok(())
     }
 
+    fn say(&self, output: Output) {
+        let Output { keeper, whispers, up, down } = output;
+        for (to, bytes) in keeper.agreement {
+            if let Some(name) = self.seat.name(to) {
+                self.links.say(name, None, Said::Agreement(bytes));
+            }
+        }
+        for (to, said) in keeper.said {
+            self.links.say(&to, None, said);
+        }
+        for (to, said) in whispers {
+            self.links.whisper(to, said);
+        }
+        for member in up {
+            self.links.member(&member.name, Some(member.format));
+            let Member { name, hall, incarnation, build, .. } = member;
+            info!(name, hall, incarnation, build, "fleet: a member is there");
+        }
+        for member in down {
+            self.links.member(&member.name, None);
+            let Member { name, hall, incarnation, .. } = member;
+            info!(name, hall, incarnation, "fleet: a member is gone");
+        }
+        for record in &keeper.applied {
+            let (key, by) = (&record.proposal.key, &record.proposal.by);
+            info!(version = record.version.0, hash = ?record.hash(), term = record.term, key, by, "fleet: decided");
+        }
+    }
+
+    fn listed(&self) -> Listed {
+        let members = self.seat.members();
+        let of = |member: &Member, standing| Known { member: member.clone(), standing };
+        let mut all: Vec<Known> = members.known().map(|(member, standing)| of(member, standing)).collect();
+        all.push(of(members.own(), Standing::There));
+        all.sort_by(|a, b| a.member.name.cmp(&b.member.name));
+        Listed { by: members.own().name.clone(), members: all }
+    }
+
     fn described(&self) -> Described {
-        let keeper = &self.keeper;
+        let (seat, keeper, own) = (&self.seat, &self.seat.keeper, self.seat.own());
+        let traffic = &self.links.traffic;
         Described {
-            name: self.who.name.clone(),
-            incarnation: self.who.incarnation,
+            name: own.name.clone(),
+            incarnation: own.incarnation,
             leads: keeper.leads(),
-            leader: self.names.get(&keeper.leader()).cloned(),
+            leader: seat.name(keeper.leader()).map(str::to_owned),
             term: keeper.term(),
             keepers: sorted(keeper.keepers()),
             version: keeper.view().version().0,
             hash: format!("{:?}", keeper.view().hash()),
             records: keeper.view().records().map(crate::call::Line::of).collect(),
             sidecars: keeper.evidence().sidecars(),
+            members: seat.members().count() + 1,
+            said_bytes: traffic.out.get(),
+            heard_bytes: traffic.come.get(),
+            fenced: seat.fenced,
+            not_heard: seat.not_heard.iter().map(|(why, n)| (why.to_string(), *n)).collect(),
             put_off: keeper.put_off,
             unread: keeper.unread,
             not_taken: keeper.not_taken.iter().map(|(why, n)| (why.to_string(), *n)).collect(),
@@ -185,6 +225,12 @@
     }
 }
 
+fn says(to: String, said: Said) -> Output {
+    let mut output = Output::default();
+    output.keeper.said.push((to, said));
+    output
+}
+
 /// For people, and for who compares them.
 fn sorted(keepers: &[u64]) -> Vec<u64> {
     let mut keepers = keepers.to_vec();
--- a/crates/fleet-node/src/links.rs
+++ b/crates/fleet-node/src/links.rs
@@ -1,17 +1,18 @@
-//! Connections: frames of a length and a message, dialled by who has something to say, answered on the same one.
+//! Connections: frames of a length and a message, dialled by who has something to say, answered on the same one; and
+//! datagrams, for what is small and may be lost.
 
-use curlewhub_fleet::wire::{Dropped, Keys, MESSAGE_MOST, Message, Who};
+use curlewhub_fleet::wire::{Dropped, FORMAT, FORMAT_LEAST, Keys, MESSAGE_MOST, Message, Said, Who};
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, HashMap};
 use std::io;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
-use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::mpsc;
+use tokio::net::{TcpListener, TcpSocket, TcpStream, UdpSocket};
+use tokio::sync::{Semaphore, mpsc};
 use tokio::task::spawn_local;
-use tokio::time::{sleep, timeout};
+use tokio::time::{Instant, sleep, timeout};
 use tracing::warn;
 
 /// Messages that wait for one peer, at the most; the agreement and holders bear the loss of any.
@@ -20,22 +21,33 @@
 const CONNECT_MOST: Duration = Duration::from_millis(500);
 /// The next one is tried after this.
 const AGAIN: Duration = Duration::from_millis(100);
+/// A connection on which nothing has been said either way for this long is closed; who speaks again dials again.
+const IDLE_MOST: Duration = Duration::from_secs(20);
+/// Others that are dialled at once, at the most.
+const DIALLED_MOST: usize = 64;
 /// A frame that has begun has come whole within this, and a message is taken by its receiver.
 const FRAME_MOST: Duration = Duration::from_secs(10);
 /// One line a minute of messages that were dropped.
 const TOLD_EVERY: Duration = Duration::from_secs(60);
+/// Who has cut a connection off without a word is spoken to in the older format for this long.
+const OLDER_FOR: Duration = Duration::from_secs(30);
+/// Frames beyond this wait for room, of which there is so much in all: a peer that has shown no key yet can claim any size.
+const LARGE_KIB: usize = 64;
+const LARGE_ALL_KIB: usize = 64 * 1024;
+/// The largest datagram; a packet of the membership fits with its frame.
+const DATAGRAM_MOST: usize = 1472;
 
 /// Where messages that were heard go.
 pub type Inbox = mpsc::Sender<Message>;
 
 /// Messages dropped, by why.
 #[derive(Debug, Default)]
-pub struct Drops(RefCell<BTreeMap<Dropped, u64>>, Cell<Option<tokio::time::Instant>>);
+pub struct Drops(RefCell<BTreeMap<Dropped, u64>>, Cell<Option<Instant>>);
 
 impl Drops {
     fn dropped(&self, why: Dropped, from: Option<SocketAddr>) {
         *self.0.borrow_mut().entry(why).or_default() += 1;
-        let now = tokio::time::Instant::now();
+        let now = Instant::now();
         if self.1.get().is_none_or(|told| now >= told + TOLD_EVERY) {
             self.1.set(Some(now));
             warn!(?from, %why, all = ?self.counts(), "fleet: a message is dropped");
@@ -48,21 +60,48 @@
     }
 }
 
+/// Bytes that went out and came in, frames and all.
+#[derive(Debug, Default)]
+pub struct Traffic {
+    /// Out.
+    pub out: Cell<u64>,
+    /// In.
+    pub come: Cell<u64>,
+}
+
+fn add(cell: &Cell<u64>, bytes: usize) {
+    cell.set(cell.get() + bytes as u64);
+}
+
+/// The way to somebody.
+type Way = mpsc::Sender<Message>;
+
 /// All connections of a process.
 pub struct Links {
     who: Who,
     keys: Keys,
-    /// Where others are reached, by name.
+    /// What is connected and sent from.
+    from: IpAddr,
+    /// Where keepers are reached, by name.
     addresses: BTreeMap<String, SocketAddr>,
-    dialled: RefCell<HashMap<String, mpsc::Sender<Message>>>,
+    dialled: RefCell<HashMap<String, (SocketAddr, Way)>>,
     /// Who has spoken on a connection that was accepted, and the way back.
-    accepted: RefCell<HashMap<String, mpsc::Sender<Message>>>,
+    accepted: RefCell<HashMap<String, Way>>,
     open: Cell<usize>,
     /// Connections that are accepted at once, at the most.
     accepted_most: usize,
+    /// Who reads no newer format than the least, by name, and until when that is believed.
+    older: RefCell<BTreeMap<String, Instant>>,
+    /// What members read by their own word.
+    reads: RefCell<BTreeMap<String, u8>>,
+    /// Room for large frames that are being read, in KiB.
+    large: Semaphore,
+    datagrams: RefCell<Option<Rc<UdpSocket>>>,
     inbox: Inbox,
     /// Messages that were dropped.
     pub drops: Drops,
+    /// What they cost.
+    pub traffic: Traffic,
 }
 
 impl Links {
@@ -71,43 +110,142 @@
         accepted_most: usize,
         who: Who,
         keys: Keys,
+        from: IpAddr,
         addresses: BTreeMap<String, SocketAddr>,
         inbox: Inbox,
     ) -> Rc<Links> {
-        let (dialled, accepted, open, drops) = Default::default();
-        Rc::new(Links { who, keys, addresses, dialled, accepted, open, accepted_most, inbox, drops })
+        let (dialled, accepted, open, older, reads, datagrams, drops, traffic) = Default::default();
+        let large = Semaphore::new(LARGE_ALL_KIB);
+        Rc::new(Links {
+            who,
+            keys,
+            from,
+            addresses,
+            dialled,
+            accepted,
+            open,
+            accepted_most,
+            older,
+            reads,
+            large,
+            datagrams,
+            inbox,
+            drops,
+            traffic,
+        })
     }
 
     /// Says something to another one: on a connection of its own where its address is known, else on the one on which
     /// it has spoken. What finds no room is lost.
-    pub fn say(self: &Rc<Self>, to: &str, said: curlewhub_fleet::wire::Said) {
+    pub fn say(self: &Rc<Self>, to: &str, at: Option<SocketAddr>, said: Said) {
         let message = Message { from: self.who.clone(), said };
-        if let Some(at) = self.addresses.get(to).copied() {
-            let mut dialled = self.dialled.borrow_mut();
-            let sender = dialled.entry(to.to_owned()).or_insert_with(|| {
-                let (sender, waiting) = mpsc::channel(WAITING_MOST);
-                let this = self.clone();
-                spawn_local(async move { this.dial(at, waiting).await });
-                sender
-            });
-            let _ = sender.try_send(message);
-        } else if let Some(sender) = self.accepted.borrow().get(to) {
-            let _ = sender.try_send(message);
+        let keeper = self.addresses.get(to).copied();
+        // Who is no keeper is answered where it has spoken, and dialled only otherwise.
+        if keeper.is_none()
+            && let Some(way) = self.accepted.borrow().get(to)
+        {
+            let _ = way.try_send(message);
+            return;
+        }
+        let Some(at) = keeper.or(at) else { return };
+        let mut dialled = self.dialled.borrow_mut();
+        // A restarted peer may be reached at another address.
+        dialled.retain(|name, (known, way)| !way.is_closed() && (name != to || *known == at));
+        if dialled.len() >= DIALLED_MOST && !dialled.contains_key(to) {
+            return;
+        }
+        let (_, way) = dialled.entry(to.to_owned()).or_insert_with(|| {
+            let (way, waiting) = mpsc::channel(WAITING_MOST);
+            let (this, name) = (self.clone(), to.to_owned());
+            spawn_local(async move { this.dial(&name, at, waiting).await });
+            (at, way)
+        });
+        let _ = way.try_send(message);
+    }
+
+    /// Says something in a datagram, once there is a socket for them.
+    pub fn whisper(&self, to: SocketAddr, said: Said) {
+        let Some(socket) = self.datagrams.borrow().clone() else { return };
+        let bytes = self.keys.write(&Message { from: self.who.clone(), said }, FORMAT);
+        if bytes.len() <= DATAGRAM_MOST && socket.try_send_to(&bytes, to).is_ok() {
+            add(&self.traffic.out, bytes.len());
+        }
+    }
+
+    /// Hears datagrams, until it is dropped.
+    pub async fn overhear(self: Rc<Self>, socket: UdpSocket) {
+        let socket = Rc::new(socket);
+        *self.datagrams.borrow_mut() = Some(socket.clone());
+        let mut buffer = vec![0; DATAGRAM_MOST + 1];
+        loop {
+            let Ok((n, from)) = socket.recv_from(&mut buffer).await else {
+                sleep(Duration::from_millis(1)).await; // an earlier one was refused where it went
+                continue;
+            };
+            add(&self.traffic.come, n);
+            match self.keys.read(&buffer[..n]) {
+                Ok(message) => drop(self.inbox.try_send(message)),
+                Err(why) => self.drops.dropped(why, Some(from)),
+            }
+        }
+    }
+
+    /// A member says what it reads, or is not there any more.
+    pub fn member(&self, name: &str, format: Option<u8>) {
+        match format {
+            Some(format) => drop(self.reads.borrow_mut().insert(name.to_owned(), format)),
+            None => drop(self.reads.borrow_mut().remove(name)),
+        }
+    }
+
+    /// The format for who has this name: what it has said that it reads, else what it seems to.
+    fn format(&self, name: &str) -> u8 {
+        if let Some(format) = self.reads.borrow().get(name) {
+            return (*format).clamp(FORMAT_LEAST, FORMAT);
+        }
+        let mut older = self.older.borrow_mut();
+        let now = Instant::now();
+        older.retain(|_, until| now < *until);
+        if older.contains_key(name) { FORMAT_LEAST } else { FORMAT }
+    }
+
+    /// Who has this name writes this format.
+    fn wrote(&self, name: &str, format: u8) {
+        if format >= FORMAT {
+            self.older.borrow_mut().remove(name);
+        } else {
+            self.is_older(name);
         }
     }
 
-    /// Connects as often as it takes, and says what waits.
-    async fn dial(self: Rc<Self>, at: SocketAddr, mut waiting: mpsc::Receiver<Message>) {
-        while let Some(first) = waiting.recv().await {
-            match timeout(CONNECT_MOST, TcpStream::connect(at)).await {
+    fn is_older(&self, name: &str) {
+        let mut older = self.older.borrow_mut();
+        if older.len() < WAITING_MOST || older.contains_key(name) {
+            older.insert(name.to_owned(), Instant::now() + OLDER_FOR);
+        }
+    }
+
+    /// Connects as often as it takes, and says what waits, until nothing has for a while.
+    async fn dial(self: Rc<Self>, name: &str, at: SocketAddr, mut waiting: mpsc::Receiver<Message>) {
+        while let Ok(Some(first)) = timeout(IDLE_MOST, waiting.recv()).await {
+            match timeout(CONNECT_MOST, self.connect(at)).await {
                 Ok(Ok(stream)) => {
-                    let _ = self.clone().speak(stream, None, Some(first), &mut waiting).await;
+                    let talk = Talk { name: Some(name), back: None, first: Some(first) };
+                    let heard = self.clone().speak(stream, talk, &mut waiting).await;
+                    // A build that reads no newer format cuts off who speaks it, and says nothing.
+                    if heard == Some(false) && self.format(name) > FORMAT_LEAST {
+                        self.is_older(name);
+                    }
                 }
                 _ => sleep(AGAIN).await,
             }
         }
     }
 
+    async fn connect(&self, at: SocketAddr) -> io::Result<TcpStream> {
+        connect(self.from, at).await
+    }
+
     /// Accepts until it is dropped.
     pub async fn listen(self: Rc<Self>, listener: TcpListener) {
         loop {
@@ -117,8 +255,8 @@
                     spawn_local(async move {
                         this.open.set(this.open.get() + 1);
                         let (sender, mut waiting) = mpsc::channel(WAITING_MOST);
-                        let back = Some((peer, sender));
-                        let _ = this.clone().speak(stream, back, None, &mut waiting).await;
+                        let talk = Talk { name: None, back: Some((peer, sender)), first: None };
+                        this.clone().speak(stream, talk, &mut waiting).await;
                         this.open.set(this.open.get() - 1);
                     });
                 }
@@ -128,58 +266,107 @@
         }
     }
 
-    /// Both ways of a connection, until one of them ends.
+    /// Both ways of a connection, until one of them ends or nothing has been said for long. Whether anything was heard, where
+    /// the other side has ended it.
     async fn speak(
         self: Rc<Self>,
         stream: TcpStream,
-        back: Option<(SocketAddr, mpsc::Sender<Message>)>,
-        first: Option<Message>,
+        talk: Talk<'_>,
         waiting: &mut mpsc::Receiver<Message>,
-    ) -> io::Result<()> {
-        stream.set_nodelay(true)?;
+    ) -> Option<bool> {
+        stream.set_nodelay(true).ok()?;
         let (mut from, mut into) = stream.into_split();
+        let Talk { name, back, first } = talk;
+        let (heard, used) = (Cell::new(false), Cell::new(Instant::now()));
+        let spoken = RefCell::new(name.map(str::to_owned));
+        let format = Cell::new(FORMAT);
         let says = async {
-            if let Some(first) = first {
-                write(&mut into, &self.keys.write(&first)).await?;
-            }
-            while let Some(message) = waiting.recv().await {
-                write(&mut into, &self.keys.write(&message)).await?;
+            let mut next = first;
+            loop {
+                let message = match next.take() {
+                    Some(message) => message,
+                    None => waiting.recv().await.ok_or(io::ErrorKind::BrokenPipe)?,
+                };
+                let format = match name {
+                    Some(name) => self.format(name),
+                    None => format.get(),
+                };
+                if message.said.since() > format {
+                    continue; // it would not be understood
+                }
+                let bytes = self.keys.write(&message, format);
+                add(&self.traffic.out, bytes.len() + 4);
+                write(&mut into, &bytes).await?;
+                used.set(Instant::now());
             }
-            io::Result::Ok(())
         };
         let hears = async {
-            // One name a connection: what is remembered of it does not grow with what it claims.
-            let mut named = false;
             loop {
-                let bytes = read(&mut from).await?;
-                match self.keys.read(&bytes) {
-                    Ok(message) => {
-                        if let Some((_, sender)) =
-                            back.as_ref().filter(|_| !std::mem::replace(&mut named, true))
-                        {
-                            self.accepted.borrow_mut().insert(message.from.name.clone(), sender.clone());
-                        }
-                        // A process that has too much to do loses it, as a network would.
-                        let _ = self.inbox.try_send(message);
+                let bytes = read(&mut from, &self.large).await?;
+                add(&self.traffic.come, bytes.len() + 4);
+                used.set(Instant::now());
+                let message = match self.keys.read_format(&bytes) {
+                    Ok((message, written)) => {
+                        format.set(written);
+                        message
+                    }
+                    // A word of a newer build: what comes behind it may be understood.
+                    Err(why @ Dropped::Words) => {
+                        self.drops.dropped(why, back.as_ref().map(|(peer, _)| *peer));
+                        continue;
                     }
                     Err(why) => {
                         self.drops.dropped(why, back.as_ref().map(|(peer, _)| *peer));
                         return io::Result::<()>::Err(io::ErrorKind::InvalidData.into());
                     }
+                };
+                heard.set(true);
+                self.wrote(&message.from.name, format.get());
+                // One name a connection: what is remembered of it does not grow with what it claims.
+                if let Some((_, sender)) = back.as_ref().filter(|_| spoken.borrow().is_none()) {
+                    *spoken.borrow_mut() = Some(message.from.name.clone());
+                    self.accepted.borrow_mut().insert(message.from.name.clone(), sender.clone());
                 }
+                // A process that has too much to do loses it, as a network would.
+                let _ = self.inbox.try_send(message);
             }
         };
-        let ended = tokio::select! {
-            ended = says => ended,
-            ended = hears => ended,
+        let idle = async {
+            while used.get().elapsed() < IDLE_MOST {
+                sleep(IDLE_MOST - used.get().elapsed().min(IDLE_MOST)).await;
+            }
+        };
+        let cut_off = tokio::select! {
+            ended = says => { let _: io::Result<()> = ended; Some(heard.get()) }
+            ended = hears => ended.is_err().then(|| heard.get()),
+            () = idle => None,
         };
         if let Some((_, sender)) = &back {
             self.accepted.borrow_mut().retain(|_, other| !other.same_channel(sender));
         }
-        ended
+        cut_off
     }
 }
 
+/// What a connection begins with: who is dialled, or who is to be answered.
+struct Talk<'a> {
+    name: Option<&'a str>,
+    back: Option<(SocketAddr, Way)>,
+    first: Option<Message>,
+}
+
+/// Connects from an address of this process's own, by which others may know it.
+///
+/// # Errors
+/// It can't.
+pub async fn connect(from: IpAddr, at: SocketAddr) -> io::Result<TcpStream> {
+    let socket = if at.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
+    if from.is_ipv4() == at.is_ipv4() && !from.is_unspecified() {
+        socket.bind(SocketAddr::new(from, 0))?;
+    }
+    socket.connect(at).await
+}
+
 /// Writes a frame.
 ///
 /// # Errors
@@ -197,15 +384,25 @@
 ///
 /// # Errors
 /// The connection ends, the frame is too long, or its end does not come.
-pub async fn read(from: &mut (impl AsyncRead + Unpin)) -> io::Result<Vec<u8>> {
+pub async fn read(from: &mut (impl AsyncRead + Unpin), large: &Semaphore) -> io::Result<Vec<u8>> {
     let length = from.read_u32().await? as usize;
     if length > MESSAGE_MOST {
         return Err(io::Error::new(io::ErrorKind::InvalidData, Dropped::TooLong));
     }
-    // As it comes, and not as it is claimed: a claim alone takes no memory.
-    let mut bytes = Vec::new();
-    let mut limited = from.take(length as u64);
-    let read = timeout(FRAME_MOST, limited.read_to_end(&mut bytes)).await;
-    read.map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
+    let rest = async {
+        let kib = length / 1024;
+        let needs = if kib > LARGE_KIB { kib.min(LARGE_ALL_KIB) as u32 } else { 0 };
+        let _room = large.acquire_many(needs).await.map_err(io::Error::other)?;
+        // As it comes, and not as it is claimed: a claim alone takes no memory.
+        let mut bytes = Vec::new();
+        from.take(length as u64).read_to_end(&mut bytes).await?;
+        Ok::<_, io::Error>(bytes)
+    };
+    let bytes = timeout(FRAME_MOST, rest).await.map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
     if bytes.len() < length { Err(io::ErrorKind::UnexpectedEof.into()) } else { Ok(bytes) }
 }
+
+/// Room for one large frame, for who has one connection alone.
+pub fn room() -> Semaphore {
+    Semaphore::new(LARGE_ALL_KIB)
+}
--- a/crates/fleet-node/src/store.rs
+++ b/crates/fleet-node/src/store.rs
@@ -11,6 +11,7 @@
 const SNAPSHOT: &str = "snapshot";
 const HARD_STATE: &str = "hard state";
 const INCARNATION: &str = "incarnation";
+const KEEPER: &str = "keeper";
 
 /// Why something could not be kept or read.
 #[derive(Debug, thiserror::Error)]
@@ -21,6 +22,9 @@
     /// What it holds is not what was kept.
     #[error("store: {0} can't be read")]
     Spoilt(&'static str),
+    /// It is another keeper's.
+    #[error("it is the folder of keeper {0}, or a copy of it, and this is keeper {1}")]
+    Others(u64, u64),
 }
 
 macro_rules! from_parts {
@@ -57,6 +61,25 @@
         Ok(store)
     }
 
+    /// Whose it is: that of the first keeper that has used it. What one has promised is not another's to know.
+    ///
+    /// # Errors
+    /// It is another keeper's, or can't be written.
+    pub fn is_of(&self, id: u64) -> Result<(), StoreError> {
+        let write = self.0.begin_write()?;
+        {
+            let mut rest = write.open_table(REST)?;
+            let known = rest.get(KEEPER)?.map(|bytes| bytes.value().try_into().map(u64::from_le_bytes));
+            match known.transpose().map_err(|_| StoreError::Spoilt(KEEPER))? {
+                Some(known) if known != id => return Err(StoreError::Others(known, id)),
+                Some(_) => {}
+                None => drop(rest.insert(KEEPER, &id.to_le_bytes()[..])?),
+            }
+        }
+        write.commit()?;
+        Ok(())
+    }
+
     /// One more start of this process: its incarnation, which rises with each. A disk that forgot begins from the clock,
     /// so that it does not begin below what others have heard.
     ///
--- a/crates/fleet/src/holder.rs
+++ b/crates/fleet/src/holder.rs
@@ -23,7 +23,10 @@
 /// Records told at once.
 pub const RECORDS_MOST: usize = 64;
 /// Peers at the most.
-pub const PEERS_MOST: usize = 20_000;
+pub const PEERS_MOST: usize = 64;
+/// Bytes that it tells others in a second, at the most, and saves up at the most: a whole hall that comes back behind
+/// must not have a sidecar do nothing but tell.
+pub const TELL_BYTES: f64 = 4e6;
 
 /// What a holder wants done.
 #[derive(Clone, Debug, PartialEq)]
@@ -49,6 +52,8 @@
     pub snapshots: u64,
     /// Asks that nobody answered in time.
     pub unanswered: u64,
+    /// Asks of others that were put off.
+    pub put_off: u64,
 }
 
 /// An ask under way.
@@ -74,6 +79,8 @@
     /// When a keeper last said that this view is the newest, or told what makes it so.
     confirmed: Option<Duration>,
     counts: Counts,
+    /// Bytes that it may still tell, and when that was worked out.
+    budget: (f64, Duration),
     /// The greatest incarnation heard of each keeper and peer that spoke.
     incarnations: BTreeMap<String, u64>,
 }
@@ -98,6 +105,7 @@
             gossip_at,
             confirmed,
             counts,
+            budget: (TELL_BYTES, now),
             incarnations,
         }
     }
@@ -187,7 +195,10 @@
             Said::Have { version, hash } => {
                 self.other_has(now, from, (version, hash), keeper, &mut actions)
             }
-            Said::Ask { after } => actions.push(Action::Say(from.name.clone(), self.tell(after))),
+            Said::Ask { after } => {
+                let said = self.tell_within(now, after);
+                actions.push(Action::Say(from.name.clone(), said));
+            }
             Said::Records(records) => {
                 let before = self.view.version();
                 for record in records {
@@ -231,8 +242,26 @@
                 actions.push(Action::Say(from.name.clone(), Said::Ask { after: self.view.version() }));
             }
         } else if !keeper {
-            actions.push(Action::Say(from.name.clone(), self.tell(version)));
+            let said = self.tell_within(now, version);
+            if !matches!(said, Said::Later { .. }) {
+                actions.push(Action::Say(from.name.clone(), said));
+            }
+        }
+    }
+
+    /// The same as far as its budget reaches; else when to come back.
+    fn tell_within(&mut self, now: Duration, after: Version) -> Said {
+        let said = self.tell(after);
+        let saved = TELL_BYTES * now.saturating_sub(self.budget.1).as_secs_f64();
+        self.budget = ((self.budget.0 + saved).min(TELL_BYTES), now);
+        let size = said.size() as f64;
+        // One that is larger than all that can be saved goes alone.
+        if size > self.budget.0 && self.budget.0 < TELL_BYTES {
+            self.counts.put_off += 1;
+            return Said::Later { after_ms: self.draws.random_range(500..2000) };
         }
+        self.budget.0 -= size;
+        said
     }
 
     /// What follows a version, for another one.
--- a/crates/fleet/src/keeper.rs
+++ b/crates/fleet/src/keeper.rs
@@ -427,9 +427,10 @@
 
     fn asked(&mut self, from: &Who, after: Version) -> Output {
         let answer = self.tell(after);
-        let cost = 100.0 + size(&answer) as f64;
+        let cost = 100.0 + answer.size() as f64;
         let mut output = Output::default();
-        if cost > self.budget {
+        // One that is larger than all that can be saved goes alone.
+        if cost > self.budget && self.budget < TELL_BYTES {
             self.put_off += 1;
             let after_ms = self.draws.random_range(200..1000);
             output.said.push((from.name.clone(), Said::Later { after_ms }));
@@ -673,12 +674,3 @@
     }
     entries.extend(more);
 }
-
-/// Bytes of what is said, about.
-fn size(said: &Said) -> usize {
-    match said {
-        Said::Records(records) => records.iter().map(|record| record.proposal.body.len() + 300).sum(),
-        Said::Snapshot(view) => view.bytes() + 300 * view.records().count(),
-        _ => 0,
-    }
-}
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -4,9 +4,12 @@
 //! each sidecar, bring themselves up from keepers or from one another. [`evidence`] goes the other way. [`wire`] is how
 //! any of it is said.
 
+pub mod agent;
 pub mod evidence;
 pub mod holder;
 pub mod keeper;
+pub mod members;
 pub mod record;
+pub mod seat;
 pub mod view;
 pub mod wire;
--- /dev/null
+++ b/crates/fleet/src/members.rs
@@ -0,0 +1,384 @@
+//! Who is there: membership with failure detection by foca (SWIM: probes, indirect probes, suspicion, incarnations).
+//!
+//! The host hands it datagrams and the time, and sends what it wants sent. A name is held by one process at a time: the one
+//! of the greatest incarnation. One that hears of a greater one under its own name is displaced, and says nothing more.
+
+use crate::record::TEXT_MOST;
+use foca::{
+    AccumulatingRuntime, Codec, Config, Foca, Identity, OwnedNotification, PeriodicParams, PostcardCodec,
+    State, Timer,
+};
+use rand_pcg_of_foca::Pcg32;
+use rand_pcg_of_foca::rand_core::SeedableRng;
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::num::{NonZeroU8, NonZeroU32, NonZeroUsize};
+use std::time::Duration;
+
+/// Names that are kept at the most, those of members that are down among them.
+pub const MEMBERS_MOST: usize = 20_000;
+/// Bytes of a packet at the most: with its frame it fits a datagram that no network cuts up.
+pub const PACKET_MOST: usize = 1250;
+/// One member is probed in each of these ...
+const PROBE: Duration = Duration::from_secs(1);
+/// ... and asked after by others where it has not answered after this.
+const PROBE_ANSWERS: Duration = Duration::from_millis(300);
+/// What is new is told so many members in each of these.
+const GOSSIP: Duration = Duration::from_millis(200);
+/// A member is asked whom it knows this often, and one that is down whether it is there again.
+const ANNOUNCE: Duration = Duration::from_secs(30);
+const ANNOUNCE_DOWN: Duration = Duration::from_secs(5);
+/// A name that is down is remembered for this long.
+const REMEMBER: Duration = Duration::from_secs(3600);
+/// Who knows nobody asks a seed after this, longer each time up to the most; who knows somebody asks one this often, so that
+/// two parts that lost one another meet again.
+const SEEK: Duration = Duration::from_millis(200);
+const SEEK_MOST: Duration = Duration::from_secs(5);
+/// Members that foca's settings are made for at first; they follow the fleet's size by doubling.
+const SIZE_LEAST: u32 = 8;
+
+/// What a member is.
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Eq, PartialOrd, Ord, Serialize)]
+pub enum Role {
+    /// It agrees on versions.
+    Keeper,
+    /// It acts on them.
+    Sidecar,
+}
+
+/// A member, as it is known to all.
+#[derive(Clone, Debug, Deserialize, PartialEq, Eq, PartialOrd, Ord, Serialize)]
+pub struct Member {
+    /// Its name, of its own in the fleet.
+    pub name: String,
+    /// What it is.
+    pub role: Role,
+    /// Its hall.
+    pub hall: String,
+    /// Where others reach it.
+    pub at: SocketAddr,
+    /// Its build.
+    pub build: String,
+    /// The newest format of messages that it reads.
+    pub format: u8,
+    /// Which start of it.
+    pub incarnation: u64,
+    /// How often this start of it was taken for gone and came back.
+    pub renewed: u32,
+}
+
+impl Member {
+    /// Which of two with one name is the one: the later start, and of one start the later return.
+    fn rank(&self) -> (u64, SocketAddr, u32) {
+        (self.incarnation, self.at, self.renewed)
+    }
+
+    /// Whether another start than this one holds its name, and rightly.
+    fn displaces(&self, own: &Member) -> bool {
+        self.name == own.name && (self.incarnation, self.at) > (own.incarnation, own.at)
+    }
+
+    fn is_sensible(&self) -> bool {
+        let text = |text: &str| text.len() <= TEXT_MOST;
+        !self.name.is_empty() && text(&self.name) && text(&self.hall) && text(&self.build)
+    }
+}
+
+impl Identity for Member {
+    type Addr = String;
+
+    fn renew(&self) -> Option<Member> {
+        Some(Member { renewed: self.renewed.saturating_add(1), ..self.clone() })
+    }
+
+    fn addr(&self) -> String {
+        self.name.clone()
+    }
+
+    fn win_addr_conflict(&self, adversary: &Member) -> bool {
+        self.rank() > adversary.rank()
+    }
+}
+
+/// What the host does, or should know.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Action {
+    /// Send this datagram there.
+    Send(SocketAddr, Vec<u8>),
+    /// This one is there now.
+    Up(Member),
+    /// It is not there any more.
+    Down(Member),
+    /// This process was taken for gone, and is back under the same name.
+    Renewed,
+    /// A later start holds this process's name: it is a member no more.
+    Displaced(Member),
+}
+
+/// Why a datagram is not taken.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, thiserror::Error)]
+pub enum NotHeard {
+    /// It can't be read.
+    #[error("it can't be read")]
+    Unreadable,
+    /// Somebody that it names can't be.
+    #[error("somebody that it names can't be")]
+    Senseless,
+    /// Too many names.
+    #[error("{MEMBERS_MOST} names are known")]
+    NoRoom,
+    /// It is this process's own, come back.
+    #[error("it is this process's own")]
+    Own,
+}
+
+/// The members, as one of them knows them.
+pub struct Members {
+    foca: Foca<Member, PostcardCodec, Pcg32, foca::NoCustomBroadcast>,
+    runtime: AccumulatingRuntime<Member>,
+    /// By when they are due, and a number that keeps equal ones in their order.
+    timers: BTreeMap<(Duration, u64), Timer<Member>>,
+    planned: u64,
+    seeds: Vec<Member>,
+    next_seed: usize,
+    seek_at: Duration,
+    seek_after: Duration,
+    size: u32,
+    displaced: bool,
+    now: Duration,
+}
+
+fn settings(size: u32) -> Config {
+    let some = |n: usize| NonZeroUsize::new(n).unwrap_or(NonZeroUsize::MIN);
+    let every = |frequency, n| Some(PeriodicParams { frequency, num_members: some(n) });
+    let lan = Config::new_lan(NonZeroU32::new(size).unwrap_or(NonZeroU32::MIN));
+    Config {
+        probe_period: PROBE,
+        probe_rtt: PROBE_ANSWERS,
+        remove_down_after: Some(REMEMBER),
+        max_packet_size: some(PACKET_MOST),
+        // What is told anew is told at least so often, or a small fleet learns by probes alone.
+        max_transmissions: lan.max_transmissions.max(NonZeroU8::new(4).unwrap_or(NonZeroU8::MIN)),
+        periodic_announce: every(ANNOUNCE, 1),
+        periodic_announce_to_down_members: every(ANNOUNCE_DOWN, 1),
+        periodic_gossip: every(GOSSIP, 3),
+        ..lan
+    }
+}
+
+impl Members {
+    /// One that knows nobody yet but where the seeds are: keepers, whose starts it can't know.
+    pub fn new(own: Member, seeds: &[(String, SocketAddr)], seed: u64, now: Duration) -> Members {
+        let seeds: Vec<Member> = seeds
+            .iter()
+            .filter(|(name, _)| *name != own.name)
+            .map(|(name, at)| Member {
+                name: name.clone(),
+                role: Role::Keeper,
+                hall: String::new(),
+                at: *at,
+                build: String::new(),
+                format: 0,
+                incarnation: 0,
+                renewed: 0,
+            })
+            .collect();
+        let foca = Foca::new(own, settings(SIZE_LEAST), Pcg32::seed_from_u64(seed), PostcardCodec);
+        let next_seed = seed as usize % seeds.len().max(1);
+        Members {
+            foca,
+            runtime: AccumulatingRuntime::new(),
+            timers: BTreeMap::new(),
+            planned: 0,
+            seeds,
+            next_seed,
+            // Hundreds that start at once don't ask at once.
+            seek_at: now + SEEK.mul_f64((seed % 1024) as f64 / 1024.0),
+            seek_after: SEEK,
+            size: SIZE_LEAST,
+            displaced: false,
+            now,
+        }
+    }
+
+    /// This process, as others know it.
+    pub fn own(&self) -> &Member {
+        self.foca.identity()
+    }
+
+    /// Whether a later start holds its name.
+    pub fn is_displaced(&self) -> bool {
+        self.displaced
+    }
+
+    /// Who is there, without this process; those that are suspected still are.
+    pub fn alive(&self) -> impl Iterator<Item = &Member> {
+        self.foca.iter_members().map(foca::Member::id)
+    }
+
+    /// How many are there, without this process.
+    pub fn count(&self) -> usize {
+        self.foca.num_members()
+    }
+
+    /// All names that are known, with whether they are there, suspected, or gone.
+    pub fn known(&self) -> impl Iterator<Item = (&Member, Standing)> {
+        self.foca.iter_membership_state().map(|member| {
+            let standing = match member.state() {
+                State::Alive => Standing::There,
+                State::Suspect => Standing::Suspected,
+                State::Down => Standing::Gone,
+            };
+            (member.id(), standing)
+        })
+    }
+
+    /// When it wants to be called again at the latest; never, once it is displaced.
+    pub fn next(&self) -> Option<Duration> {
+        let timer = self.timers.first_key_value().map(|((at, _), _)| *at);
+        let seeks = (!self.seeds.is_empty()).then_some(self.seek_at);
+        let next = [timer, seeks].into_iter().flatten().min();
+        if self.displaced { None } else { next }
+    }
+
+    /// Time has passed.
+    pub fn tick(&mut self, now: Duration) -> Vec<Action> {
+        self.now = self.now.max(now);
+        if self.displaced {
+            return Vec::new();
+        }
+        while let Some(entry) = self.timers.first_entry().filter(|entry| entry.key().0 <= now) {
+            let timer = entry.remove();
+            // What a timer may say is wrong is a cycle that a pause has torn; the next one is whole.
+            let _ = self.foca.handle_timer(timer, &mut self.runtime);
+            self.plan();
+        }
+        if now >= self.seek_at {
+            self.seek();
+        }
+        self.grow();
+        self.actions()
+    }
+
+    /// A datagram has come.
+    ///
+    /// # Errors
+    /// Why it is not taken.
+    pub fn heard(&mut self, now: Duration, bytes: &[u8]) -> Result<Vec<Action>, NotHeard> {
+        self.now = self.now.max(now);
+        if self.displaced {
+            return Ok(Vec::new());
+        }
+        if let Some(by) = self.looked_through(bytes)? {
+            self.displaced = true;
+            self.timers.clear();
+            return Ok(vec![Action::Displaced(by)]);
+        }
+        match self.foca.handle_data(bytes, &mut self.runtime) {
+            Ok(()) => {}
+            Err(foca::Error::DataFromOurselves) => return Err(NotHeard::Own),
+            Err(_) => return Err(NotHeard::Unreadable),
+        }
+        self.plan();
+        self.grow();
+        Ok(self.actions())
+    }
+
+    /// Says that it goes, so that nobody has to find out.
+    pub fn leave(&mut self) -> Vec<Action> {
+        if self.displaced {
+            return Vec::new();
+        }
+        self.displaced = true;
+        let _ = self.foca.leave_cluster(&mut self.runtime);
+        self.timers.clear();
+        self.actions().into_iter().filter(|action| matches!(action, Action::Send(..))).collect()
+    }
+
+    /// All that a datagram names is looked at before any of it is believed: foca would have this process declare a later
+    /// start of its own name gone, and would keep any number of names.
+    fn looked_through(&self, mut bytes: &[u8]) -> Result<Option<Member>, NotHeard> {
+        let mut codec = PostcardCodec;
+        let unreadable = |_| NotHeard::Unreadable;
+        let header: foca::Header<Member> = codec.decode_header(&mut bytes).map_err(unreadable)?;
+        let mut named = vec![header.src];
+        if let Some((count, rest)) = bytes.split_first_chunk::<2>() {
+            bytes = rest;
+            for _ in 0..u16::from_be_bytes(*count) {
+                let member: foca::Member<Member> = codec.decode_member(&mut bytes).map_err(unreadable)?;
+                named.push(member.id().clone());
+            }
+        }
+        if !named.iter().all(Member::is_sensible) {
+            return Err(NotHeard::Senseless);
+        }
+        let known = self.foca.iter_membership_state().len();
+        if known + named.len() > MEMBERS_MOST
+            && named.iter().any(|named| self.known().all(|(known, _)| known.name != named.name))
+        {
+            return Err(NotHeard::NoRoom);
+        }
+        Ok(named.into_iter().find(|named| named.displaces(self.own())))
+    }
+
+    /// Asks the next seed whom it knows.
+    fn seek(&mut self) {
+        let alone = self.count() == 0;
+        self.seek_after = if alone { (self.seek_after * 2).min(SEEK_MOST) } else { SEEK };
+        self.seek_at = self.now + if alone { self.seek_after } else { ANNOUNCE };
+        self.next_seed += 1;
+        if let Some(seed) = self.seeds.get(self.next_seed % self.seeds.len().max(1)).cloned() {
+            let _ = self.foca.announce(seed, &mut self.runtime); // an address can't be wrong before it is sent to
+            self.plan();
+        }
+    }
+
+    /// Suspicion lasts longer, and news is told more often, in a larger fleet.
+    fn grow(&mut self) {
+        let count = self.count() as u32 + 1;
+        let size = count.next_power_of_two().max(SIZE_LEAST);
+        if size != self.size && self.foca.set_config(settings(size)).is_ok() {
+            self.size = size;
+        }
+    }
+
+    fn plan(&mut self) {
+        while let Some((after, timer)) = self.runtime.to_schedule() {
+            self.planned += 1;
+            self.timers.insert((self.now + after, self.planned), timer);
+        }
+    }
+
+    fn actions(&mut self) -> Vec<Action> {
+        let mut actions = Vec::new();
+        while let Some((to, bytes)) = self.runtime.to_send() {
+            actions.push(Action::Send(to.at, bytes.to_vec()));
+        }
+        while let Some(note) = self.runtime.to_notify() {
+            match note {
+                OwnedNotification::MemberUp(member) => actions.push(Action::Up(member)),
+                OwnedNotification::MemberDown(member) => actions.push(Action::Down(member)),
+                // The same name, another start: as new, where it is there.
+                OwnedNotification::Rename(_, after) if self.alive().any(|alive| *alive == after) => {
+                    actions.push(Action::Up(after));
+                }
+                OwnedNotification::Rejoin(_) => actions.push(Action::Renewed),
+                _ => {}
+            }
+        }
+        actions
+    }
+}
+
+/// How a member stands.
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Eq, PartialOrd, Ord, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Standing {
+    /// It answers.
+    There,
+    /// It has not answered lately, to nobody who was asked.
+    Suspected,
+    /// It is taken for gone, or has said so.
+    Gone,
+}
--- a/crates/fleet/src/wire.rs
+++ b/crates/fleet/src/wire.rs
@@ -6,9 +6,10 @@
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 
-/// The format that this build writes: the first one.
-pub const FORMAT: u8 = 1;
-/// The oldest that it reads. With the next one this stays behind it by one, so that a fleet is upgraded one process at a
+/// The format that this build writes. The second has words that the first did not know, and readers who pass over words
+/// that they don't know.
+pub const FORMAT: u8 = 2;
+/// The oldest that it reads, and writes to who speaks that one: behind by one, so that a fleet is upgraded one process at a
 /// time.
 pub const FORMAT_LEAST: u8 = 1;
 /// First bytes of every message.
@@ -86,6 +87,29 @@
     Changing,
     /// It is not, and why.
     NotChanging(String),
+    /// A packet of the membership, in its library's own form.
+    Members(Vec<u8>),
+    /// Whom do you know? An operator asks.
+    ListMembers,
+}
+
+impl Said {
+    /// The format that this was first said in.
+    pub fn since(&self) -> u8 {
+        match self {
+            Said::Members(_) | Said::ListMembers => 2,
+            _ => 1,
+        }
+    }
+
+    /// Bytes of it, about: for budgets, which need no more.
+    pub fn size(&self) -> usize {
+        match self {
+            Said::Records(records) => records.iter().map(|record| record.proposal.body.len() + 300).sum(),
+            Said::Snapshot(view) => view.bytes() + 300 * view.records().count(),
+            _ => 0,
+        }
+    }
 }
 
 /// A message.
@@ -145,10 +169,10 @@
         self
     }
 
-    /// A message's bytes.
-    pub fn write(&self, message: &Message) -> Vec<u8> {
+    /// A message's bytes in a format that its reader reads.
+    pub fn write(&self, message: &Message, format: u8) -> Vec<u8> {
         let mut bytes = MAGIC.to_vec();
-        bytes.extend([FORMAT, self.writes]);
+        bytes.extend([format.clamp(FORMAT_LEAST, FORMAT), self.writes]);
         // Plain data into a growing buffer: it never fails.
         bytes.extend(postcard::to_allocvec(message).unwrap_or_default());
         let mac = self.keys.get(&self.writes).map(|key| blake3::keyed_hash(key, &bytes));
@@ -161,6 +185,14 @@
     /// # Errors
     /// Why it is dropped. The MAC is looked at before any of the words.
     pub fn read(&self, bytes: &[u8]) -> Result<Message, Dropped> {
+        self.read_format(bytes).map(|(message, _)| message)
+    }
+
+    /// The same, with the format that it was written in: who writes it reads it too.
+    ///
+    /// # Errors
+    /// Why it is dropped.
+    pub fn read_format(&self, bytes: &[u8]) -> Result<(Message, u8), Dropped> {
         if bytes.len() > MESSAGE_MOST {
             return Err(Dropped::TooLong);
         }
@@ -180,6 +212,6 @@
             postcard::take_from_bytes(&said[HEAD..]).map_err(|_| Dropped::Words)?;
         // Names are kept in tables that are bounded by their number.
         let named = (1..=TEXT_MOST).contains(&message.from.name.len());
-        if rest.is_empty() && named { Ok(message) } else { Err(Dropped::Words) }
+        if rest.is_empty() && named { Ok((message, bytes[3])) } else { Err(Dropped::Words) }
     }
 }
--- a/crates/fleet/tests/wire.rs
+++ b/crates/fleet/tests/wire.rs
@@ -35,7 +35,7 @@
 #[test]
 fn what_is_not_right_is_dropped_and_says_why() {
     let keys = Keys::one(1, KEY);
-    let sound = keys.write(&message());
+    let sound = keys.write(&message(), FORMAT);
     assert_eq!(keys.read(&sound), Ok(message()));
     let with = |at: usize, byte: u8| {
         let mut bytes = sound.clone();
@@ -62,11 +62,11 @@
         ("a format to come", with(3, FORMAT + 1), Dropped::Format),
         ("a format long gone", with(3, FORMAT_LEAST - 1), Dropped::Format),
         ("an unknown key", with(4, 2), Dropped::Key),
-        ("a wrong key", Keys::one(1, OTHER).write(&message()), Dropped::Mac),
+        ("a wrong key", Keys::one(1, OTHER).write(&message(), FORMAT), Dropped::Mac),
         ("words that are none", unread, Dropped::Words),
         ("more behind the words", longer, Dropped::Words),
-        ("a name without end", keys.write(&named("n".repeat(201))), Dropped::Words),
-        ("no name", keys.write(&named(String::new())), Dropped::Words),
+        ("a name without end", keys.write(&named("n".repeat(201)), FORMAT), Dropped::Words),
+        ("no name", keys.write(&named(String::new()), FORMAT), Dropped::Words),
         ("too long", vec![0; MESSAGE_MOST + 1], Dropped::TooLong),
     ];
     for (case, bytes, why) in cases {
@@ -93,7 +93,7 @@
         (&new, &old, false),
         (&old, &new, false),
     ] {
-        assert_eq!(to.read(&from.write(&message())).is_ok(), reads, "{from:?} to {to:?}");
+        assert_eq!(to.read(&from.write(&message(), FORMAT)).is_ok(), reads, "{from:?} to {to:?}");
     }
 }
 
@@ -154,8 +154,8 @@
         prop_assert!(sound.is_sound());
         let message = Message { from: Who { name: "k".to_owned(), incarnation: 1 }, said: Said::Snapshot(sound.clone()) };
         let keys = Keys::one(1, KEY);
-        prop_assert_eq!(keys.read(&keys.write(&message)), Ok(message.clone()));
-        let mut bytes = keys.write(&message);
+        prop_assert_eq!(keys.read(&keys.write(&message, FORMAT)), Ok(message.clone()));
+        let mut bytes = keys.write(&message, FORMAT);
         let at = at % bytes.len();
         bytes[at] ^= 1 << bit;
         prop_assert!(keys.read(&bytes).is_err());
--- a/crates/lab/src/rig.rs
+++ b/crates/lab/src/rig.rs
@@ -29,6 +29,9 @@
         /// Keep all files, logs and books there, and the history.
         #[arg(long, value_name = "DIR")]
         keep: Option<PathBuf>,
+        /// Leave the file's `[fleet]` out: its sidecars share nothing.
+        #[arg(long)]
+        without_fleet: bool,
     },
     /// Say all that is wrong with a rig's file.
     Check {
@@ -54,6 +57,9 @@
         /// Runs to shrink one failing schedule, at the most.
         #[arg(long, default_value_t = 20)]
         shrink: usize,
+        /// Play each a second time with sidecars that share nothing, and tell the difference.
+        #[arg(long)]
+        paired: bool,
     },
 }
 
@@ -85,16 +91,19 @@
             }
             Err(problem) => Ended::Wrong(problem),
         },
-        RigCommand::Run { file, seed, json, html, keep } => match read(&file) {
+        RigCommand::Run { file, seed, json, html, keep, without_fleet } => match read(&file) {
             Ok(mut spec) => {
                 spec.seed = seed.unwrap_or(spec.seed);
+                let spec = if without_fleet { spec.without_fleet() } else { spec };
                 one(spec, keep, json, html).await
             }
             Err(problem) => Ended::Wrong(problem),
         },
-        RigCommand::Campaign { file, seeds, jobs, most, out, shrink } => match (read(&file), own()) {
+        RigCommand::Campaign { file, seeds, jobs, most, out, shrink, paired } => match (read(&file), own())
+        {
             (Ok(spec), Ok(own)) => {
-                let campaign = Campaign { spec, seeds, jobs: jobs as usize, most, out, shrink, own };
+                let jobs = jobs as usize;
+                let campaign = Campaign { spec, seeds, jobs, most, out, shrink, own, paired };
                 match campaign::campaign(&campaign, |line| println!("{line}")).await {
                     Ok(done) => {
                         println!("\n{}", campaign::table(&done));
--- a/crates/rig/src/campaign.rs
+++ b/crates/rig/src/campaign.rs
@@ -11,7 +11,10 @@
 use rand_pcg::Pcg32;
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
+use statrs::distribution::{ContinuousCDF, StudentsT};
+use statrs::statistics::Statistics;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::fmt::Write as _;
 use std::ops::Range;
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
@@ -37,6 +40,8 @@
     pub shrink: usize,
     /// The lab's own program.
     pub own: PathBuf,
+    /// Each is played a second time with sidecars that share nothing.
+    pub paired: bool,
 }
 
 /// A run of a campaign.
@@ -55,12 +60,17 @@
     /// The verdict's figures.
     #[serde(skip)]
     pub verdict: Value,
+    /// Those of the same run with sidecars that share nothing, where it was played.
+    #[serde(skip)]
+    pub alone: Option<Value>,
 }
 
 /// A run that goes on.
 struct Going {
     child: Child,
     seed: u64,
+    /// With sidecars that share nothing.
+    alone: bool,
     spec: RigSpec,
     json: PathBuf,
 }
@@ -83,16 +93,25 @@
 pub async fn campaign(campaign: &Campaign, mut say: impl FnMut(&str)) -> Result<Vec<Done>, String> {
     std::fs::create_dir_all(&campaign.out).map_err(|e| format!("{}: {e}", campaign.out.display()))?;
     let began = Instant::now();
-    let mut waiting: VecDeque<u64> = campaign.seeds.clone().collect();
+    let ways: &[bool] = if campaign.paired { &[false, true] } else { &[false] };
+    let mut waiting: VecDeque<(u64, bool)> =
+        campaign.seeds.clone().flat_map(|seed| ways.iter().map(move |alone| (seed, *alone))).collect();
     let (mut going, mut done): (Vec<Going>, Vec<Done>) = Default::default();
+    let mut alone: BTreeMap<u64, Done> = BTreeMap::new();
     while !waiting.is_empty() || !going.is_empty() {
         if began.elapsed() > campaign.most && !waiting.is_empty() {
-            say(&format!("stopped after {:?}: {} seeds were not played", campaign.most, waiting.len()));
+            say(&format!("stopped after {:?}: {} runs were not made", campaign.most, waiting.len()));
             waiting.clear();
         }
         while going.len() < campaign.jobs {
-            let Some(seed) = waiting.pop_front() else { break };
-            going.push(campaign.begin(seed, drawn(&campaign.spec, seed), &format!("seed-{seed}"))?);
+            let Some((seed, alone)) = waiting.pop_front() else { break };
+            let spec = drawn(&campaign.spec, seed);
+            let (spec, name) = if alone {
+                (spec.without_fleet(), format!("seed-{seed}-alone"))
+            } else {
+                (spec, format!("seed-{seed}"))
+            };
+            going.push(campaign.begin(seed, spec, &name, alone)?);
         }
         let mut still = Vec::new();
         for mut one in going {
@@ -100,13 +119,18 @@
                 Ok(Some(_)) => {
                     let ended = one.ended();
                     let held = if ended.passed { "held" } else { "NOT HELD" };
+                    let alone_of = if one.alone { "alone" } else { "" };
                     say(&format!(
-                        "seed {:>5}  {held}  {:?}  {}",
+                        "seed {:>5}  {held}  {alone_of:5}  {:?}  {}",
                         ended.seed,
                         ended.kinds,
                         ended.broken.join("; ")
                     ));
-                    done.push(ended);
+                    if one.alone {
+                        alone.insert(ended.seed, ended);
+                    } else {
+                        done.push(ended);
+                    }
                 }
                 _ => still.push(one),
             }
@@ -114,6 +138,9 @@
         going = still;
         sleep(LOOK).await;
     }
+    for one in &mut done {
+        one.alone = alone.get(&one.seed).filter(|alone| alone.passed).map(|alone| alone.verdict.clone());
+    }
     for one in done.iter_mut().filter(|one| !one.passed) {
         if campaign.shrink > 0 && began.elapsed() < campaign.most {
             one.shrunk = campaign.shrunk(one.seed, &one.broken, &mut say).await?;
@@ -126,7 +153,7 @@
 }
 
 impl Campaign {
-    fn begin(&self, seed: u64, spec: RigSpec, name: &str) -> Result<Going, String> {
+    fn begin(&self, seed: u64, spec: RigSpec, name: &str, alone: bool) -> Result<Going, String> {
         let (file, json) = (self.out.join(format!("{name}.toml")), self.out.join(format!("{name}.json")));
         let text = text(&spec)?;
         std::fs::write(&file, text).map_err(|e| format!("{}: {e}", file.display()))?;
@@ -137,7 +164,7 @@
         let log = std::fs::File::create(self.out.join(format!("{name}.log"))).map_err(|e| e.to_string())?;
         command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(log);
         let child = command.spawn().map_err(|e| format!("{}: {e}", self.own.display()))?;
-        Ok(Going { child, seed, spec, json })
+        Ok(Going { child, seed, alone, spec, json })
     }
 
     /// A failing schedule with as little in it as still fails in the same way.
@@ -159,7 +186,8 @@
                     break;
                 }
                 runs += 1;
-                let mut going = self.begin(seed, smaller.clone(), &format!("seed-{seed}-smaller"))?;
+                let mut going =
+                    self.begin(seed, smaller.clone(), &format!("seed-{seed}-smaller"), false)?;
                 while matches!(going.child.try_wait(), Ok(None)) {
                     sleep(LOOK).await;
                 }
@@ -207,7 +235,7 @@
             }
         };
         let verdict = verdict.unwrap_or_default();
-        Done { seed: self.seed, passed, broken, kinds, shrunk: None, verdict }
+        Done { seed: self.seed, passed, broken, kinds, shrunk: None, verdict, alone: None }
     }
 }
 
@@ -373,11 +401,37 @@
         ]);
     }
     let (met, all) = pairs(done);
-    format!(
+    let mut text = format!(
         "{table}\n{} of {} runs held; {met} of {all} pairs of the kinds met were met in one run\n",
         done.iter().filter(|one| one.passed).count(),
         done.len()
-    )
+    );
+    for (name, title) in [("in_time", "in time"), ("served", "served"), ("refused", "refused")] {
+        if let Some((mean, half, n)) = difference(done, name) {
+            // To a String: it never fails.
+            let _ = writeln!(
+                text,
+                "{title}, with the fleet less without, of {n} pairs: {:+.2} points, 95% interval {:+.2} to {:+.2}",
+                mean * 100.0,
+                (mean - half) * 100.0,
+                (mean + half) * 100.0
+            );
+        }
+    }
+    text
+}
+
+/// The mean difference of a figure within the pairs, half of its 95% interval, and how many pairs there are.
+pub fn difference(done: &[Done], name: &str) -> Option<(f64, f64, usize)> {
+    let of = |verdict: &Value| verdict["figures"]["all"][name].as_f64();
+    let pairs: Vec<f64> =
+        done.iter().filter_map(|one| Some(of(&one.verdict)? - of(one.alone.as_ref()?)?)).collect();
+    if pairs.len() < 2 {
+        return None;
+    }
+    let n = pairs.len() as f64;
+    let t = StudentsT::new(0.0, 1.0, n - 1.0).ok()?.inverse_cdf(0.975);
+    Some((pairs.iter().mean(), t * pairs.iter().std_dev() / n.sqrt(), pairs.len()))
 }
 
 /// Pairs of kinds that were met in one run, of all pairs of the kinds that were met at all.
--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -8,8 +8,10 @@
 mod act;
 pub mod campaign;
 pub mod checks;
+pub mod door;
 pub mod fault;
 pub mod figures;
+pub mod fleet;
 pub mod history;
 pub mod links;
 pub mod plan;
--- a/crates/rig/src/relay.rs
+++ b/crates/rig/src/relay.rs
@@ -3,6 +3,7 @@
 //! TCP keeps what TCP keeps: of a stream nothing is missing, doubled or out of order; a lost segment shows as the pause
 //! of a retransmission. Datagrams are lost, doubled and swapped as they are.
 
+use crate::door::Door;
 use crate::links::{Link, Way};
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg32;
@@ -21,17 +22,19 @@
 use tokio::time::{Instant, sleep, sleep_until};
 
 /// Connections that the kernel holds until they are accepted.
-const BACKLOG: u32 = 1024;
+pub(crate) const BACKLOG: u32 = 1024;
 /// A lost segment comes this much later: Linux's least time until a retransmission.
 const RETRANSMIT: Duration = Duration::from_millis(200);
 /// Bytes read at once; a message may take several.
 const CHUNK: usize = 16 * 1024;
 /// Chunks under way on one connection and way, at the most: 256 KiB.
 const UNDER_WAY_MOST: usize = 16;
-/// Peers of a relay of datagrams, and datagrams that are late at once, at the most.
+/// Peers of a relay of datagrams, at the most.
 const PEERS_MOST: usize = 4096;
+/// Datagrams that are late at once, at the most.
+pub(crate) const LATE_MOST: usize = 4096;
 /// The largest datagram.
-const DATAGRAM: usize = 65_536;
+pub(crate) const DATAGRAM: usize = 65_536;
 
 /// What has passed.
 #[derive(Debug, Default)]
@@ -46,7 +49,7 @@
     pub lost: Cell<u64>,
 }
 
-fn add(cell: &Cell<u64>, n: u64) {
+pub(crate) fn add(cell: &Cell<u64>, n: u64) {
     cell.set(cell.get() + n);
 }
 
@@ -61,7 +64,7 @@
     seed: u64,
 }
 
-fn socket(at: SocketAddr) -> io::Result<TcpSocket> {
+pub(crate) fn socket(at: SocketAddr) -> io::Result<TcpSocket> {
     let socket = TcpSocket::new_v4()?;
     socket.set_reuseport(true)?;
     socket.bind(at)?;
@@ -123,9 +126,10 @@
                 accepted = listener.accept() => match accepted {
                     Ok((stream, peer)) if !plugs.iter().any(|plug| is_at(plug, peer)) => {
                         add(&self.passed.connections, 1);
-                        let this = self.clone();
+                        let Relay { to, link, passed, .. } = &*self;
+                        let connection = Connection { to: *to, link: link.clone(), passed: passed.clone() };
                         let seed = self.seed.wrapping_add(self.passed.connections.get());
-                        spawn_local(async move { this.connection(stream, seed).await });
+                        spawn_local(async move { connection.run(stream, seed).await });
                     }
                     Ok(_) => {}
                     Err(_) => sleep(Duration::from_millis(10)).await, // out of descriptors, most likely
@@ -137,8 +141,24 @@
             }
         }
     }
+}
+
+/// One connection that is relayed.
+pub(crate) struct Connection {
+    pub to: SocketAddr,
+    pub link: watch::Receiver<Link>,
+    pub passed: Rc<Passed>,
+}
+
+impl Connection {
+    /// Waits while the way is dark.
+    pub(crate) async fn passable(&self) {
+        let mut link = self.link.clone();
+        let _ = link.wait_for(|link| !link.is_dark()).await;
+    }
 
-    async fn connection(&self, client: TcpStream, seed: u64) {
+    /// Relays until one side ends.
+    pub(crate) async fn run(self, client: TcpStream, seed: u64) {
         let mut link = self.link.clone();
         let _ = client.set_nodelay(true);
         let server = match TcpStream::connect(self.to).await {
@@ -301,7 +321,7 @@
 }
 
 /// When each copy of a datagram comes; none where it is lost.
-fn copies(way: &Way, draws: &mut Pcg32) -> Vec<Duration> {
+pub(crate) fn copies(way: &Way, draws: &mut Pcg32) -> Vec<Duration> {
     let befalls = |share: f64, draws: &mut Pcg32| share > 0.0 && draws.random::<f64>() < share;
     if way.cut || way.stalls || befalls(way.loss, draws) {
         return Vec::new();
@@ -323,6 +343,8 @@
     Streams(Relay),
     /// Of datagrams.
     Datagrams(Datagrams),
+    /// Of both, for all who come.
+    Door(Box<Door>),
 }
 
 impl AnyRelay {
@@ -331,6 +353,7 @@
         match self {
             AnyRelay::Streams(relay) => relay.run().await,
             AnyRelay::Datagrams(relay) => relay.run().await,
+            AnyRelay::Door(door) => door.run().await,
         }
     }
 }
@@ -439,7 +462,7 @@
                 let _ = socket.send_to(&bytes, to).await; // who is not there loses it, as on a network
                 continue;
             }
-            if self.late.get() >= PEERS_MOST {
+            if self.late.get() >= LATE_MOST {
                 add(&self.passed.lost, 1);
                 continue;
             }
--- a/crates/rig/src/run.rs
+++ b/crates/rig/src/run.rs
@@ -1,5 +1,6 @@
 //! A run: everything is started, the schedule happens while requests come, all ends, and the history is gathered.
 
+use crate::door::{Door, Ways};
 use crate::history::{History, What, unix_us};
 use crate::links::{Holding, Link};
 use crate::plan::{Member, Plan, Role, Side};
@@ -9,7 +10,7 @@
 use crate::texts::fill;
 use rustix::process::Signal;
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashMap};
 use std::ffi::OsString;
 use std::io;
 use std::net::{Ipv4Addr, SocketAddr, TcpListener, UdpSocket};
@@ -94,6 +95,8 @@
     at: SocketAddr,
     link: watch::Sender<Link>,
     passed: Rc<Passed>,
+    /// Others come by the same address: the way is told by where they come from.
+    door: bool,
 }
 
 /// A folder that goes with its run, unless it is to stay.
@@ -195,6 +198,7 @@
         let bound = match transport {
             Transport::Tcp => TcpListener::bind(at).is_ok(),
             Transport::Udp => UdpSocket::bind(at).is_ok(),
+            Transport::Both => TcpListener::bind(at).is_ok() && UdpSocket::bind(at).is_ok(),
         };
         if bound {
             return Ok(at);
@@ -282,6 +286,9 @@
         let Some((transport, target)) = self.ports[to].get(port).copied() else {
             return Err(format!("{} has no port `{port}`", self.plan.members[to].name));
         };
+        if transport == Transport::Both {
+            return self.door(to, target);
+        }
         let mut wires = self.wires.borrow_mut();
         let known = wires.iter().find(|wire| wire.to == to && wire.from == *from && wire.target == target);
         if let Some(wire) = known {
@@ -298,23 +305,63 @@
                 let relay = Relay::new(ip, target, heard, counts, seed).map_err(failed)?;
                 (relay.address(), AnyRelay::Streams(relay))
             }
-            Transport::Udp => {
+            Transport::Udp | Transport::Both => {
                 let relay = Datagrams::new(ip, target, heard, counts, seed).map_err(failed)?;
                 (relay.address().map_err(failed)?, AnyRelay::Datagrams(relay))
             }
         };
         self.relays.borrow_mut().push(relay);
-        wires.push(Wire { from: from.clone(), to, target, at, link, passed });
+        wires.push(Wire { from: from.clone(), to, target, at, link, passed, door: false });
+        Ok(at)
+    }
+
+    /// The door of a port; made where there is none yet.
+    fn door(&self, to: usize, target: SocketAddr) -> Result<SocketAddr, String> {
+        let mut wires = self.wires.borrow_mut();
+        if let Some(known) = wires.iter().find(|wire| wire.door && wire.to == to && wire.target == target) {
+            return Ok(known.at);
+        }
+        let first = wires.len();
+        let nowhere = SocketAddr::from((Ipv4Addr::new(127, self.octet, RELAY_OCTET, 1), 0));
+        let mut way = |from: Side| {
+            let (link, passed) = (watch::Sender::new(Link::default()), Rc::<Passed>::default());
+            let heard = (link.subscribe(), passed.clone());
+            wires.push(Wire { from, to, target, at: nowhere, link, passed, door: true });
+            heard
+        };
+        let none = Side { name: String::new(), group: String::new(), hall: None, region: None };
+        let others = way(none);
+        let mut sites: Vec<(Side, _)> = Vec::new();
+        let mut known = HashMap::new();
+        for (n, member) in self.plan.members.iter().enumerate().filter(|(_, m)| m.role != Role::Endpoint) {
+            let Some((_, at)) = self.ports[n].values().next() else { continue };
+            let site = member.site(&self.plan.spec);
+            let heard = match sites.iter().find(|(known, _)| *known == site) {
+                Some((_, heard)) => heard,
+                None => {
+                    sites.push((site.clone(), way(site)));
+                    &sites[sites.len() - 1].1
+                }
+            };
+            known.insert(at.ip(), heard.clone());
+        }
+        let seed = self.plan.spec.seed.wrapping_add(first as u64 * 7919);
+        let failed = |e: io::Error| format!("a door of {}: {e}", self.plan.members[to].name);
+        let door = Door::new(nowhere, target, Ways { known, others }, seed).map_err(failed)?;
+        let at = door.address();
+        wires[first..].iter_mut().for_each(|wire| wire.at = at);
+        self.relays.borrow_mut().push(AnyRelay::Door(Box::new(door)));
         Ok(at)
     }
 
     fn start_relays(&self, tasks: &mut JoinSet<()>) {
+        let relays = self.relays.borrow().len();
         for relay in self.relays.borrow_mut().drain(..) {
             tasks.spawn_local(async move {
                 let _ = relay.run().await; // one that can't listen refuses, which the checks find
             });
         }
-        self.cost.borrow_mut().relays = self.wires.borrow().len();
+        self.cost.borrow_mut().relays = relays;
     }
 
     /// Works out anew what holds for each link.
--- a/crates/rig/src/spec.rs
+++ b/crates/rig/src/spec.rs
@@ -1,6 +1,7 @@
 //! A rig's file: who is there, what goes wrong and when, and what must hold.
 
 use crate::fault::{FaultSpec, Kind};
+use crate::fleet::FleetPart;
 use curlewhub_config::Repeat;
 use curlewhub_config::units::{Size, Span};
 use curlewhub_model::RetrySpec;
@@ -43,6 +44,9 @@
     /// Groups of any other program, such as keepers.
     #[serde(default)]
     pub processes: Vec<ProcessGroup>,
+    /// Keepers, and sidecars that hold what they decide.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub fleet: Option<FleetPart>,
     /// The classes of requests.
     pub classes: Vec<ClassSpec>,
     /// Discovery.
@@ -105,6 +109,15 @@
     Tcp,
     /// Datagrams.
     Udp,
+    /// Both, at one door that all others reach it by, whoever told them of it.
+    Both,
+}
+
+impl Transport {
+    /// Whether connections are taken there.
+    pub fn takes_streams(self) -> bool {
+        self != Transport::Udp
+    }
 }
 
 /// Endpoints that are alike.
@@ -321,7 +334,8 @@
     /// # Errors
     /// All that is wrong with it, by field; where it is no TOML of this form, the first place, with its line.
     pub fn parse(text: &str) -> Result<RigSpec, String> {
-        let spec: RigSpec = toml::from_str(text).map_err(|e| e.to_string())?;
+        let mut spec: RigSpec = toml::from_str(text).map_err(|e| e.to_string())?;
+        spec.write_fleet_out()?;
         let problems = spec.problems();
         if problems.is_empty() { Ok(spec) } else { Err(problems.join("\n")) }
     }
@@ -440,8 +454,13 @@
                 format!("processes[{n}].program"),
                 "sidecar, standin, lab, or a program that is there",
             );
-            let ready = g.ready.as_ref().is_none_or(|port| g.ports.get(port) == Some(&Transport::Tcp));
-            p.wants(ready, format!("processes[{n}].ready"), "the name of a tcp port of its");
+            let ready =
+                g.ready.as_ref().is_none_or(|port| g.ports.get(port).is_some_and(|t| t.takes_streams()));
+            p.wants(
+                ready,
+                format!("processes[{n}].ready"),
+                "the name of a port of its that takes connections",
+            );
         }
         p.wants(!self.sidecars.is_empty(), "sidecars", "at least one group");
         p.wants(!self.endpoints.is_empty(), "endpoints", "at least one group");
--- a/crates/rig/src/tell.rs
+++ b/crates/rig/src/tell.rs
@@ -2,6 +2,7 @@
 
 use crate::plan::{Member, Role, Side};
 use crate::run::Rig;
+use crate::spec::Transport;
 use crate::texts::{self, Seen, Standing, fill, lay_over};
 use rand::seq::IndexedRandom;
 use rand::{Rng, SeedableRng};
@@ -121,6 +122,13 @@
             "shared" => self.folder.join("shared").display().to_string(),
             _ => match name.split_once('.') {
                 Some(("port", port)) if self.ports[n].contains_key(port) => self.at(n, port).to_string(),
+                // Where all others reach it.
+                Some(("door", port)) => match self.ports[n].get(port) {
+                    Some((Transport::Both, _)) => {
+                        self.wire(&member.site(&self.plan.spec), n, port)?.to_string()
+                    }
+                    _ => return Err(format!("{}: `{{{name}}}` needs a port of `both`", member.name)),
+                },
                 Some((how @ ("link" | "reach"), rest)) => {
                     let (to, port) = rest.rsplit_once('.').ok_or_else(none)?;
                     let to = self.plan.members.iter().position(|m| m.name == to).ok_or_else(none)?;
--- a/crates/runtime/src/figures.rs
+++ b/crates/runtime/src/figures.rs
@@ -7,7 +7,7 @@
 //! malformed, cut off, or left by its client before its answer. A request whose class can't be told
 //! stands under the class `unknown`.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::fmt::Write;
 use std::rc::Rc;
 
@@ -57,8 +57,19 @@
     snapshot_failed: Cell<u64>,
     keys: Cell<u64>,
     keys_failed: Cell<u64>,
-    /// Of the fleet's view: version, age in milliseconds, contradictions; none where there is no fleet.
-    fleet: Cell<Option<(u64, Option<u64>, u64)>>,
+    /// What stands beside the sidecar's own: its part in a fleet, where there is one.
+    beside: RefCell<Vec<Beside>>,
+}
+
+/// A figure that another part of the process tells.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Beside {
+    /// Its name.
+    pub name: &'static str,
+    /// Its value.
+    pub value: u64,
+    /// It only rises; else it goes up and down.
+    pub counts: bool,
 }
 
 /// A request until it ends; counts it when dropped.
@@ -93,7 +104,7 @@
             snapshot_failed,
             keys,
             keys_failed,
-            fleet: Cell::new(None),
+            beside: RefCell::default(),
         })
     }
 
@@ -128,9 +139,9 @@
         }
     }
 
-    /// The fleet's view is held up to this version, was confirmed so long ago, if it was, and so much contradicted it.
-    pub fn fleet(&self, version: u64, age_ms: Option<u64>, contradictions: u64) {
-        self.fleet.set(Some((version, age_ms, contradictions)));
+    /// These stand beside from now on.
+    pub fn beside(&self, figures: Vec<Beside>) {
+        *self.beside.borrow_mut() = figures;
     }
 
     /// All figures, one a line.
@@ -156,11 +167,8 @@
         line("hosts_listed", "", hosts.listed as u64, "g");
         line("hosts_down", "", hosts.down as u64, "g");
         line("share_parts", "", u64::from(hosts.parts), "g");
-        if let Some((version, age_ms, contradictions)) = self.fleet.get() {
-            line("fleet_version", "", version, "g");
-            // Without a keeper's word since the start there is no age to tell.
-            age_ms.into_iter().for_each(|age| line("fleet_age_ms", "", age, "g"));
-            line("fleet_contradictions", "", contradictions, "c");
+        for &Beside { name, value, counts } in self.beside.borrow().iter() {
+            line(name, "", value, if counts { "c" } else { "g" });
         }
         text
     }
