--- a/crates/config/src/file.rs
+++ b/crates/config/src/file.rs
@@ -386,6 +386,7 @@
         other_key: s.optional(r, "other_key", &key),
         keepers: s.required(r, "keepers", Vec::new(), &any(tables)),
         peers: s.or(r, "peers", Vec::new(), &any("a list of tables: [[fleet.peers]]")),
+        clock_ahead_ms: s.or(r, "clock_ahead_ms", 0, &any("milliseconds")),
         joins: false,
     };
     s.finish(r);
--- a/crates/config/src/fleet.rs
+++ b/crates/config/src/fleet.rs
@@ -32,6 +32,9 @@
     /// Others that are asked where no keeper is reached.
     #[serde(default)]
     pub peers: Vec<PeerConfig>,
+    /// For trials: the wall clock that its fleet's part reads is set off by so many milliseconds.
+    #[serde(default)]
+    pub clock_ahead_ms: i64,
     /// This keeper joins a fleet that there is: it has a number that no keeper ever had, and an empty folder.
     #[serde(default)]
     pub joins: bool,
--- a/crates/curlewhub/src/cli.rs
+++ b/crates/curlewhub/src/cli.rs
@@ -145,6 +145,28 @@
         #[command(subcommand)]
         change: KeepersChange,
     },
+    /// Have a record of any kind decided, as it is: for those who try a build that knows more kinds than this one.
+    #[command(hide = true)]
+    Propose {
+        /// A keeper's or follower's file (TOML).
+        #[arg(long, value_name = "FILE")]
+        config: PathBuf,
+        /// Its key.
+        #[arg(long)]
+        key: String,
+        /// Its kind, by number.
+        #[arg(long)]
+        kind: u16,
+        /// Its body.
+        #[arg(long, default_value = "")]
+        body: String,
+        /// Who.
+        #[arg(long, default_value = "operator")]
+        by: String,
+        /// Why.
+        #[arg(long, default_value = "")]
+        why: String,
+    },
     /// Have a note decided, which changes nothing: whether the keepers decide, and who acts on it, shows by it.
     Note {
         /// A keeper's or follower's file (TOML).
--- a/crates/curlewhub/src/fleet.rs
+++ b/crates/curlewhub/src/fleet.rs
@@ -5,10 +5,10 @@
 use comfy_table::Table;
 use curlewhub_balance::{Outcome, ZoneId};
 use curlewhub_config::{Config, Log, LogFormat};
+use curlewhub_fleet::acted::Acted;
 use curlewhub_fleet::evidence::{Ended, Witness};
 use curlewhub_fleet::members::Standing as MemberStands;
-use curlewhub_fleet::record::{Kind, Proposal};
-use curlewhub_fleet::view::View;
+use curlewhub_fleet::record::{Hash, Kind, Proposal};
 use curlewhub_fleet_node::call::{Described, Known, change, describe, members, propose};
 use curlewhub_fleet_node::config::FleetConfig;
 use curlewhub_fleet_node::{Acts, Manner, Standing, follow, keep};
@@ -55,6 +55,14 @@
                 Err(problem) => failed(&problem),
             }
         }),
+        FleetCommand::Propose { config, key, kind, body, by, why } => asked(config, async |config| {
+            let (id, kind) = (rand::random(), Kind(*kind));
+            let (key, by, why, body) = (key.clone(), by.clone(), why.clone(), body.clone().into_bytes());
+            match propose(config, &Proposal { id, key, kind, body, by, why, only_after: None }).await {
+                Ok(version) => say(&format!("decided as version {version}\n")),
+                Err(problem) => failed(&problem),
+            }
+        }),
         FleetCommand::Note { config, text, by, why, every } => asked(config, async |config| {
             let decided = note(config, text, by, why).await;
             match (every, decided) {
@@ -97,9 +105,9 @@
 struct Says;
 
 impl Acts for Says {
-    fn acts(&mut self, view: &View) {
-        let (version, records) = (view.version().0, view.records().count());
-        info!(version, hash = ?view.hash(), records, "fleet: acts on");
+    fn acts(&mut self, acted: &Acted, hash: Hash) {
+        let (version, records) = (acted.version().0, acted.records().count());
+        info!(version, ?hash, records, "fleet: acts on");
     }
 
     fn stands(&mut self, _: Standing) {}
@@ -131,18 +139,19 @@
 struct Holds(Rc<Figures>);
 
 impl Acts for Holds {
-    fn acts(&mut self, view: &View) {
-        Says.acts(view);
+    fn acts(&mut self, acted: &Acted, hash: Hash) {
+        Says.acts(acted, hash);
     }
 
     fn stands(&mut self, standing: Standing) {
-        let Standing { version, age, counts, members, traffic: (said, heard) } = standing;
+        let Standing { version, age, counts, not_taken, members, traffic: (said, heard) } = standing;
         let gauge = |name, value| Beside { name, value, counts: false };
         let count = |name, value| Beside { name, value, counts: true };
         let mut figures = vec![gauge("fleet_version", version)];
         // Without a keeper's word since the start there is no age to tell.
         figures.extend(age.map(|age| gauge("fleet_age_ms", age.as_millis() as u64)));
         figures.extend([
+            gauge("fleet_not_taken", not_taken as u64),
             gauge("fleet_members", members as u64),
             count("fleet_contradictions", counts.contradictions),
             count("fleet_unanswered", counts.unanswered),
--- a/crates/curlewhub/tests/keepers.rs
+++ b/crates/curlewhub/tests/keepers.rs
@@ -62,6 +62,66 @@
         Keepers { folder, running: Vec::new() }
     }
 
+    /// Starts a follower of the first three under this name; its file is `file`, its log `file.log`, and `more` stands at the
+    /// head of it.
+    fn follow(&mut self, name: &str, file: &str, more: &str) {
+        let part = 1 + (std::process::id() % 250) as u8;
+        let path = self.folder.join(format!("{file}.toml"));
+        // A file that is there already names its address.
+        let before = std::fs::read_to_string(&path).unwrap_or_default();
+        let known = before.lines().find(|line| line.starts_with("listen")).map(str::to_owned);
+        let listen = known.unwrap_or_else(|| {
+            let at = TcpListener::bind((Ipv4Addr::new(127, 81, part, 9), 0)).unwrap().local_addr().unwrap();
+            format!("listen = \"{at}\"")
+        });
+        let state = self.folder.join(file);
+        let first = std::fs::read_to_string(self.folder.join("k1-first.toml")).unwrap();
+        let key = first.lines().find(|line| line.starts_with("key")).unwrap();
+        let keepers = &first[first.find("[[keepers]]").unwrap()..];
+        let head = format!("name = {name:?}\n{listen}\nstate_dir = {state:?}\n");
+        let key = if more.contains("key =") { "" } else { key };
+        std::fs::write(&path, format!("{head}{more}\n{key}\n{keepers}")).unwrap();
+        let log = std::fs::File::options()
+            .create(true)
+            .append(true)
+            .open(self.folder.join(format!("{file}.log")));
+        let mut command = program(&["fleet", "follow", "--config", path.to_str().unwrap(), "--log-json"]);
+        self.running.push((id_of(file), command.stderr(log.unwrap()).spawn().unwrap()));
+    }
+
+    /// Waits until a follower's log has a line with all of these.
+    fn until_logged(&self, file: &str, wanted: &[&str]) {
+        let path = self.folder.join(format!("{file}.log"));
+        let began = Instant::now();
+        loop {
+            let text = std::fs::read_to_string(&path).unwrap_or_default();
+            if text.lines().any(|line| wanted.iter().all(|part| line.contains(part))) {
+                return;
+            }
+            assert!(began.elapsed() < PATIENCE, "{file} never said {wanted:?}: {text}");
+            std::thread::sleep(Duration::from_millis(50));
+        }
+    }
+
+    /// How a member stands, by the keepers: its incarnation, and whether it is there.
+    fn member(&self, name: &str) -> Option<(u64, bool)> {
+        let listed: Value = serde_json::from_slice(&self.call(&["members", "--json"]).stdout).ok()?;
+        let member = listed["members"].as_array()?.iter().find(|member| member["name"] == name)?;
+        Some((member["incarnation"].as_u64()?, member["standing"] == "there"))
+    }
+
+    fn until_member(&self, name: &str, holds: impl Fn(Option<(u64, bool)>) -> bool) -> Option<(u64, bool)> {
+        let began = Instant::now();
+        loop {
+            let member = self.member(name);
+            if holds(member) {
+                return member;
+            }
+            assert!(began.elapsed() < PATIENCE, "{name}: {member:?}");
+            std::thread::sleep(Duration::from_millis(50));
+        }
+    }
+
     fn file(&self, name: &str) -> String {
         self.folder.join(name).display().to_string()
     }
@@ -119,6 +179,11 @@
     }
 }
 
+/// Followers are told apart from keepers by numbers of their own.
+fn id_of(file: &str) -> u64 {
+    1000 + file.bytes().map(u64::from).sum::<u64>()
+}
+
 fn keeper(status: &Value, n: usize) -> &Value {
     &status["keepers"][n]
 }
@@ -226,3 +291,92 @@
     assert_eq!(output.status.code(), Some(1));
     assert!(String::from_utf8_lossy(&output.stderr).contains("state_dir"));
 }
+
+#[test]
+fn a_record_that_no_follower_understands_stops_nobody() {
+    let mut all = Keepers::new("poison");
+    (1..=3).for_each(|id| all.start(id, &format!("k{id}-first.toml")));
+    all.follow("s1", "s1", "");
+    all.until_done(&["note", "before"]);
+    all.until_done(&["propose", "--key", "hall/a", "--kind", "999", "--body", "of a newer build"]);
+    all.until_done(&["note", "after"]);
+    all.until_logged("s1", &["not acted on", "\"version\":2", "hall/a", "kind 999"]);
+    all.until_logged("s1", &["acts on", "\"version\":3"]);
+    // One that starts with it on its disk goes on too.
+    all.end(id_of("s1"));
+    all.follow("s1", "s1", "");
+    all.until_done(&["note", "again"]);
+    all.until_logged("s1", &["acts on", "\"version\":4"]);
+}
+
+#[test]
+fn a_key_is_changed_on_running_processes_one_at_a_time() {
+    let mut all = Keepers::new("key");
+    std::fs::write(all.folder.join("key-2"), "b3".repeat(32)).unwrap();
+    (1..=3).for_each(|id| all.start(id, &format!("k{id}-first.toml")));
+    all.follow("s1", "s1", "");
+    all.until_done(&["note", "0"]);
+    let (old, new) = (all.file("key"), all.file("key-2"));
+    let first = format!("key = {{ number = 1, file = {old:?} }}");
+    // All read both; then all write the new one; then the old one goes. Each is restarted by itself, and notes are decided
+    // and acted on in between.
+    let steps = [
+        format!("key = {{ number = 1, file = {old:?} }}\nother_key = {{ number = 2, file = {new:?} }}"),
+        format!("key = {{ number = 2, file = {new:?} }}\nother_key = {{ number = 1, file = {old:?} }}"),
+        format!("key = {{ number = 2, file = {new:?} }}"),
+    ];
+    let mut before = first;
+    let mut version = 1;
+    for step in steps {
+        for id in 1..=3 {
+            let path = all.folder.join(format!("k{id}.toml"));
+            let text = std::fs::read_to_string(&path).unwrap();
+            std::fs::write(&path, text.replace(&before, &step)).unwrap();
+            all.end(id);
+            all.start(id, &format!("k{id}.toml"));
+            all.until_done(&["note", "while it is changed"]);
+            version += 1;
+        }
+        all.end(id_of("s1"));
+        all.follow("s1", "s1", &step);
+        all.until_logged("s1", &["acts on", &format!("\"version\":{version}")]);
+        before = step;
+    }
+}
+
+#[test]
+fn of_two_processes_with_one_name_one_is_a_member_and_one_that_forgot_is_not_kept_out_by_its_ghost() {
+    let mut all = Keepers::new("names");
+    (1..=3).for_each(|id| all.start(id, &format!("k{id}-first.toml")));
+    all.follow("twin", "first", "");
+    let (first, _) = all.until_member("twin", |member| member.is_some_and(|(_, there)| there)).unwrap();
+    all.follow("twin", "second", "");
+    let later =
+        all.until_member("twin", |member| member.is_some_and(|(incarnation, _)| incarnation > first));
+    all.until_logged("first", &["a later process has this name"]);
+    // The first follows on all the same.
+    let said = all.until_done(&["note", "for both"]);
+    assert!(said.contains("version 1"), "{said}");
+    all.until_logged("first", &["acts on", "\"version\":1"]);
+    all.until_logged("second", &["acts on", "\"version\":1"]);
+    // The second loses its disk, and its clock goes back an hour: what is remembered of it is its own ghost.
+    all.end(id_of("second"));
+    std::fs::remove_dir_all(all.folder.join("second")).unwrap();
+    all.follow("twin", "second", "clock_ahead_ms = -3600000");
+    let (before, _) = later.unwrap();
+    all.until_member("twin", |member| member.is_some_and(|(now, there)| now > before && there));
+    all.until_logged("second", &["an earlier start counted itself higher"]);
+}
+
+#[test]
+fn a_keeper_does_not_begin_on_the_folder_of_another() {
+    let mut all = Keepers::new("folder");
+    (1..=3).for_each(|id| all.start(id, &format!("k{id}-first.toml")));
+    all.until_done(&["note", "one"]);
+    (1..=2).for_each(|id| all.end(id));
+    std::fs::copy(all.folder.join("k1/keeper.redb"), all.folder.join("k2/keeper.redb")).unwrap();
+    let output = program(&["keeper", "--config", &all.file("k2-first.toml")]).output().unwrap();
+    let said = String::from_utf8_lossy(&output.stderr).into_owned();
+    assert_eq!(output.status.code(), Some(1), "{said}");
+    assert!(said.contains("the folder of keeper 1"), "{said}");
+}
--- /dev/null
+++ b/crates/fleet-model/src/fleet.rs
@@ -0,0 +1,718 @@
+//! The run: takes what is to come in its order, and lets it happen.
+
+use crate::net::{Net, Place, Side};
+use crate::rules::Rules;
+use curlewhub_fleet::agent::{self, Agent, Begin};
+use curlewhub_fleet::evidence::{Calls, Digest};
+use curlewhub_fleet::keeper::{Keeper, Kept, TICK};
+use curlewhub_fleet::members::{Member, Members, Role};
+use curlewhub_fleet::record::{Kind, Proposal, Version};
+use curlewhub_fleet::seat::{self, Seat};
+use curlewhub_fleet::view::View;
+use curlewhub_fleet::wire::{FORMAT, Message, Said, Who};
+use hdrhistogram::Histogram;
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg32;
+use std::cmp::Reverse;
+use std::collections::{BinaryHeap, HashMap};
+use std::net::{Ipv4Addr, SocketAddr};
+use std::rc::Rc;
+use std::time::Duration;
+
+/// Messages that wait for one process, at the most, as in the program's inboxes.
+const INBOX_MOST: usize = 8192;
+/// A frame's bytes beside its words: length, format, key's number and MAC.
+const FRAME: u64 = 41;
+/// The clock at the start.
+const EPOCH: Duration = Duration::from_secs(100);
+/// The proposer's name; it is no process, and reaches every keeper.
+const OPERATOR: &str = "operator";
+
+/// What dealing with messages costs a process, on a core of its own.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Cost {
+    /// For each message.
+    pub message: Duration,
+    /// For each KiB of it.
+    pub kib: Duration,
+}
+
+impl Default for Cost {
+    /// What was measured of the program is in `docs/fleet.md`.
+    fn default() -> Self {
+        Cost { message: Duration::from_micros(12), kib: Duration::from_micros(4) }
+    }
+}
+
+/// A fleet.
+#[derive(Clone, Debug)]
+pub struct Spec {
+    /// The halls' regions, by number.
+    pub halls: Vec<usize>,
+    /// The keepers' halls, by number.
+    pub keepers: Vec<usize>,
+    /// So many of them, the last, are none of the first keepers: they join a fleet that there is, once they are started.
+    pub joining: usize,
+    /// The sidecars' halls.
+    pub sidecars: Vec<usize>,
+    /// Sidecars are members too; without, they know nobody but keepers, which saves memory in the largest fleets.
+    pub members: bool,
+    /// Sidecars tell evidence of all halls.
+    pub evidence: bool,
+    /// The network at the start.
+    pub net: Net,
+    /// What messages cost keepers and sidecars.
+    pub cost: Cost,
+}
+
+impl Spec {
+    /// Keepers in three halls of one region, and sidecars in the same.
+    pub fn small(keepers: usize, sidecars: usize) -> Spec {
+        let turn = |count: usize| (0..count).map(|n| n % 3).collect();
+        Spec {
+            halls: vec![0; 3],
+            keepers: turn(keepers),
+            joining: 0,
+            sidecars: turn(sidecars),
+            members: true,
+            evidence: false,
+            net: Net::default(),
+            cost: Cost::default(),
+        }
+    }
+
+    /// Halls in regions, keepers in as many different ones as there are, and sidecars in all in turn.
+    pub fn wide(regions: usize, halls_each: usize, keepers: usize, sidecars: usize) -> Spec {
+        let halls: Vec<usize> = (0..regions * halls_each).map(|hall| hall % regions).collect();
+        let turn = |count: usize| (0..count).map(|n| n % halls.len()).collect();
+        Spec { keepers: turn(keepers), sidecars: turn(sidecars), halls, ..Spec::small(0, 0) }
+    }
+}
+
+/// What runs in a process.
+enum Runs {
+    Keeper(Box<Seat>),
+    Sidecar(Box<Agent>),
+}
+
+/// What a process's disk has.
+#[derive(Clone, Debug, Default)]
+struct Disk {
+    kept: Kept,
+    view: View,
+    incarnation: u64,
+}
+
+struct Node {
+    name: String,
+    place: Place,
+    at: SocketAddr,
+    runs: Option<Runs>,
+    disk: Disk,
+    paused: bool,
+    /// Which start of it; what was planned for an earlier one is void.
+    start: u32,
+    /// Which of its wakes is the one.
+    wake: u64,
+    wakes_at: Duration,
+    busy_until: Duration,
+    waiting: usize,
+    /// How long it has been at work.
+    worked: Duration,
+}
+
+enum Ev {
+    /// It is there, and is dealt with once its process is free.
+    Comes {
+        to: usize,
+        start: u32,
+        from: Rc<Who>,
+        said: Rc<Said>,
+        bytes: u64,
+    },
+    Dealt {
+        to: usize,
+        start: u32,
+        from: Rc<Who>,
+        said: Rc<Said>,
+    },
+    Wake {
+        node: usize,
+        wake: u64,
+    },
+    /// A sidecar tells what it sees.
+    Tells {
+        node: usize,
+        start: u32,
+        sequence: u64,
+    },
+}
+
+/// What has passed.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Passed {
+    /// Messages.
+    pub messages: u64,
+    /// Bytes, frames among them.
+    pub bytes: u64,
+    /// Messages that found no room at their process.
+    pub dropped: u64,
+}
+
+/// How long versions took to be held.
+#[derive(Clone, Debug)]
+pub struct Times {
+    after: Histogram<u64>,
+}
+
+impl Times {
+    /// A part of all, 0 to 1: within how long they were held.
+    pub fn at(&self, q: f64) -> Duration {
+        Duration::from_micros(self.after.value_at_quantile(q))
+    }
+
+    /// How many.
+    pub fn count(&self) -> u64 {
+        self.after.len()
+    }
+}
+
+/// What befalls one process.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Trouble {
+    /// It is gone; its disk has what it wrote.
+    Crash,
+    /// It is gone, and its disk with it.
+    Forget,
+    /// It stands still, and hears what came meanwhile once it goes on.
+    Pause,
+    /// It goes on, or is started again.
+    Heal,
+}
+
+/// A fleet that runs.
+pub struct Fleet {
+    spec: Spec,
+    seed: u64,
+    now: Duration,
+    draws: Pcg32,
+    queue: BinaryHeap<Reverse<(Duration, u64)>>,
+    events: HashMap<u64, Ev>,
+    planned: u64,
+    nodes: Vec<Node>,
+    numbers: HashMap<String, usize>,
+    ats: HashMap<SocketAddr, usize>,
+    operator: Rc<Who>,
+    proposals: u64,
+    /// When the last of what was said on a stream comes, by its two sides: it keeps its order.
+    streams: HashMap<(usize, usize), Duration>,
+    /// The network, which may be changed at any time.
+    pub net: Net,
+    /// A keeper that has written dies before it has said anything, in this part of all cases.
+    pub dies_written: f64,
+    /// What must hold.
+    pub rules: Rules,
+    /// What has passed since the start, or since it was last set to nothing.
+    pub passed: Passed,
+    /// Sidecars' times from a version's decision to holding it.
+    pub times: Times,
+}
+
+fn address(node: usize) -> SocketAddr {
+    SocketAddr::from((Ipv4Addr::from(0x0a00_0000 + node as u32), 7400))
+}
+
+impl Fleet {
+    /// All are started; nothing has passed yet.
+    pub fn new(spec: Spec, seed: u64) -> Fleet {
+        let count = spec.keepers.len() + spec.sidecars.len();
+        let node = |n: usize| {
+            let keepers = spec.keepers.len();
+            let (name, hall) = match n.checked_sub(keepers) {
+                None => (format!("keeper-{}", n + 1), spec.keepers[n]),
+                Some(sidecar) => (format!("sidecar-{sidecar}"), spec.sidecars[sidecar]),
+            };
+            let place = Place { node: n, hall, region: spec.halls[hall] };
+            let first = keepers - spec.joining;
+            let ids: Vec<u64> = (1..=first as u64).collect();
+            let kept = if n < first { Keeper::first(&ids) } else { Kept::default() };
+            Node {
+                name,
+                place,
+                at: address(n),
+                runs: None,
+                disk: Disk { kept, ..Disk::default() },
+                paused: false,
+                start: 0,
+                wake: 0,
+                wakes_at: Duration::MAX,
+                busy_until: Duration::ZERO,
+                waiting: 0,
+                worked: Duration::ZERO,
+            }
+        };
+        let nodes: Vec<Node> = (0..count).map(node).collect();
+        let numbers = nodes.iter().enumerate().map(|(n, node)| (node.name.clone(), n)).collect();
+        let ats = nodes.iter().enumerate().map(|(n, node)| (node.at, n)).collect();
+        let net = spec.net.clone();
+        let after = Histogram::new_with_bounds(1, 3_600_000_000, 3);
+        let mut fleet = Fleet {
+            spec,
+            seed,
+            now: EPOCH,
+            draws: Pcg32::seed_from_u64(seed),
+            queue: BinaryHeap::new(),
+            events: HashMap::new(),
+            planned: 0,
+            nodes,
+            numbers,
+            ats,
+            operator: Rc::new(Who { name: OPERATOR.to_owned(), incarnation: 1 }),
+            proposals: 0,
+            streams: HashMap::new(),
+            net,
+            dies_written: 0.0,
+            rules: Rules::default(),
+            passed: Passed::default(),
+            times: Times { after: after.unwrap_or_else(|_| unreachable!("the bounds are sound")) },
+        };
+        let joining = fleet.keepers() - fleet.spec.joining..fleet.keepers();
+        (0..count).filter(|n| !joining.contains(n)).for_each(|n| fleet.start(n));
+        fleet
+    }
+
+    /// The time since the start.
+    pub fn now(&self) -> Duration {
+        self.now - EPOCH
+    }
+
+    /// Processes: keepers first.
+    pub fn count(&self) -> usize {
+        self.nodes.len()
+    }
+
+    /// Keepers.
+    pub fn keepers(&self) -> usize {
+        self.spec.keepers.len()
+    }
+
+    /// Whether a process runs.
+    pub fn runs(&self, node: usize) -> bool {
+        self.nodes[node].runs.is_some()
+    }
+
+    /// A keeper that runs.
+    pub fn seat(&self, node: usize) -> Option<&Seat> {
+        match &self.nodes[node].runs {
+            Some(Runs::Keeper(seat)) => Some(seat),
+            _ => None,
+        }
+    }
+
+    /// A sidecar's part that runs.
+    pub fn agent(&self, node: usize) -> Option<&Agent> {
+        match &self.nodes[node].runs {
+            Some(Runs::Sidecar(agent)) => Some(agent),
+            _ => None,
+        }
+    }
+
+    /// How long a process has been at work.
+    pub fn worked(&self, node: usize) -> Duration {
+        self.nodes[node].worked
+    }
+
+    /// The keeper that leads, if one does; of several, that of the latest term.
+    pub fn leader(&self) -> Option<usize> {
+        let leads = |n: &usize| self.seat(*n).is_some_and(|seat| seat.keeper.leads());
+        (0..self.keepers()).filter(leads).max_by_key(|n| self.seat(*n).map(|seat| seat.keeper.term()))
+    }
+
+    /// What a process holds.
+    pub fn version(&self, node: usize) -> Version {
+        match &self.nodes[node].runs {
+            Some(Runs::Keeper(seat)) => seat.keeper.view().version(),
+            Some(Runs::Sidecar(agent)) => agent.view().version(),
+            None => self.nodes[node].disk.view.version(),
+        }
+    }
+
+    /// Starts a process, with what its disk has.
+    pub fn start(&mut self, n: usize) {
+        let (seed, now) = (self.draws.random(), self.now);
+        let keepers: Vec<(String, SocketAddr)> =
+            self.nodes[..self.keepers()].iter().map(|node| (node.name.clone(), node.at)).collect();
+        let node = &mut self.nodes[n];
+        node.start += 1;
+        node.disk.incarnation += 1;
+        (node.paused, node.waiting, node.busy_until) = (false, 0, now);
+        let own = Member {
+            name: node.name.clone(),
+            role: if n < keepers.len() { Role::Keeper } else { Role::Sidecar },
+            hall: format!("hall-{}", node.place.hall),
+            at: node.at,
+            build: String::new(),
+            format: FORMAT,
+            incarnation: node.disk.incarnation,
+            renewed: 0,
+        };
+        node.runs = Some(if n < keepers.len() {
+            let id = n as u64 + 1;
+            // What its own disk kept is read again.
+            let keeper = Keeper::new(id, &node.disk.kept, seed, now);
+            let Ok(keeper) = keeper else {
+                node.runs = None;
+                return self.rules.broken.push(format!(
+                    "{} can't begin: {:?}",
+                    self.nodes[n].name,
+                    keeper.err()
+                ));
+            };
+            let names = keepers.iter().zip(1..).map(|((name, _), id)| (id, name.clone())).collect();
+            let members = Members::new(own, &keepers, seed, now);
+            Runs::Keeper(Box::new(Seat::new(keeper, members, names)))
+        } else {
+            let begin = Begin { own, keepers, peers: Vec::new(), view: node.disk.view.clone(), seed };
+            let mut agent = Agent::new(begin, now);
+            if self.spec.members {
+                agent.join(now);
+            }
+            Runs::Sidecar(Box::new(agent))
+        });
+        if self.spec.evidence && n >= self.keepers() {
+            let start = self.nodes[n].start;
+            let after = Duration::from_millis(500).mul_f64(self.draws.random());
+            self.plan(now + after, Ev::Tells { node: n, start, sequence: 1 });
+        }
+        self.plan_wake(n);
+    }
+
+    /// Something befalls a process.
+    pub fn befalls(&mut self, n: usize, trouble: Trouble) {
+        let node = &mut self.nodes[n];
+        match trouble {
+            Trouble::Crash => node.runs = None,
+            Trouble::Forget => {
+                node.runs = None;
+                let incarnation = node.disk.incarnation;
+                node.disk = Disk { incarnation, ..Disk::default() };
+            }
+            Trouble::Pause => node.paused = node.runs.is_some(),
+            Trouble::Heal if node.runs.is_none() => self.start(n),
+            Trouble::Heal => {
+                node.paused = false;
+                self.plan_wake(n);
+            }
+        }
+    }
+
+    /// Nothing is cut, lost or late any more, and all run.
+    pub fn heal(&mut self) {
+        self.net = Net { delays: self.net.delays, ..Net::default() };
+        self.dies_written = 0.0;
+        (0..self.count()).for_each(|n| self.befalls(n, Trouble::Heal));
+    }
+
+    /// Cuts what passes from the one to the other.
+    pub fn cut(&mut self, from: Side, to: Side) {
+        self.net.cuts.insert((from, to));
+    }
+
+    /// Proposes something to a keeper; its id.
+    pub fn propose(&mut self, to: usize) -> u64 {
+        self.proposals += 1;
+        let id = self.proposals;
+        let (key, by) = (format!("note/{}", id % 5), OPERATOR.to_owned());
+        let (kind, body, why) = (Kind::NOTE, vec![id as u8; 40], String::new());
+        self.propose_this(to, Proposal { id, key, kind, body, by, why, only_after: None });
+        id
+    }
+
+    /// Proposes to whoever leads, or to any keeper.
+    pub fn propose_anywhere(&mut self) -> u64 {
+        let to = self.leader().unwrap_or_else(|| self.draws.random_range(0..self.keepers()));
+        self.propose(to)
+    }
+
+    /// Proposes this to a keeper.
+    pub fn propose_this(&mut self, to: usize, proposal: Proposal) {
+        let (from, start) = (self.operator.clone(), self.nodes[to].start);
+        let at = self.now + Duration::from_micros(500);
+        self.plan(at, Ev::Comes { to, start, from, said: Rc::new(Said::Propose(proposal)), bytes: 200 });
+    }
+
+    /// Lets so much time pass.
+    pub fn run(&mut self, lasts: Duration) {
+        let end = self.now + lasts;
+        while let Some(Reverse((at, number))) = self.queue.peek().copied().filter(|next| next.0.0 <= end) {
+            self.queue.pop();
+            self.now = self.now.max(at);
+            if let Some(event) = self.events.remove(&number) {
+                self.happen(event);
+            }
+        }
+        self.now = end;
+    }
+
+    /// Lets time pass until something holds; whether it came to that.
+    pub fn run_until(&mut self, within: Duration, mut holds: impl FnMut(&Fleet) -> bool) -> bool {
+        let end = self.now + within;
+        while self.now < end {
+            if holds(self) {
+                return true;
+            }
+            self.run(Duration::from_millis(10).min(end - self.now));
+        }
+        holds(self)
+    }
+
+    fn plan(&mut self, at: Duration, event: Ev) {
+        self.planned += 1;
+        self.queue.push(Reverse((at, self.planned)));
+        self.events.insert(self.planned, event);
+    }
+
+    /// Plans the next time that a process wants to be called.
+    fn plan_wake(&mut self, n: usize) {
+        let now = self.now;
+        let node = &mut self.nodes[n];
+        let at = match &node.runs {
+            None => return,
+            // Keepers are ticked by their host, evenly.
+            Some(Runs::Keeper(_)) => now + TICK,
+            Some(Runs::Sidecar(agent)) => agent.next().max(now),
+        };
+        // One that is planned early enough looks again by itself.
+        if node.wakes_at <= at && node.wakes_at > now {
+            return;
+        }
+        node.wake += 1;
+        node.wakes_at = at;
+        let wake = node.wake;
+        self.plan(at, Ev::Wake { node: n, wake });
+    }
+
+    fn happen(&mut self, event: Ev) {
+        match event {
+            Ev::Comes { to, start, from, said, bytes } => self.comes(to, start, from, said, bytes),
+            Ev::Dealt { to, start, from, said } => self.dealt(to, start, &from, &said),
+            Ev::Wake { node, wake } => self.woken(node, wake),
+            Ev::Tells { node, start, sequence } => self.tells(node, start, sequence),
+        }
+    }
+
+    /// It waits for its process, which deals with one after another.
+    fn comes(&mut self, to: usize, start: u32, from: Rc<Who>, said: Rc<Said>, bytes: u64) {
+        let (now, cost) = (self.now, self.spec.cost);
+        let node = &mut self.nodes[to];
+        if node.runs.is_none() || node.start != start {
+            return;
+        }
+        if node.waiting >= INBOX_MOST {
+            self.passed.dropped += 1;
+            return;
+        }
+        let takes = cost.message + cost.kib.mul_f64(bytes as f64 / 1024.0);
+        node.waiting += 1;
+        node.worked += takes;
+        node.busy_until = node.busy_until.max(now) + takes;
+        let at = node.busy_until;
+        self.plan(at, Ev::Dealt { to, start, from, said });
+    }
+
+    fn dealt(&mut self, to: usize, start: u32, from: &Who, said: &Said) {
+        let now = self.now;
+        let node = &mut self.nodes[to];
+        if node.start != start {
+            return;
+        }
+        if node.paused {
+            // It lies there until the process goes on.
+            let (from, said) = (Rc::new(from.clone()), Rc::new(said.clone()));
+            return self.plan(now + TICK, Ev::Dealt { to, start, from, said });
+        }
+        node.waiting = node.waiting.saturating_sub(1);
+        match &mut node.runs {
+            None => {}
+            Some(Runs::Keeper(seat)) => {
+                let output = seat.heard(now, from, said.clone());
+                let dies = self.dies_written > 0.0 && self.draws.random::<f64>() < self.dies_written;
+                self.of_keeper(to, output, dies);
+            }
+            Some(Runs::Sidecar(agent)) => {
+                let actions = agent.heard(now, from, said.clone());
+                self.of_sidecar(to, actions);
+                self.plan_wake(to);
+            }
+        }
+    }
+
+    fn woken(&mut self, n: usize, wake: u64) {
+        let (now, unix_ms) = (self.now, self.now.as_millis() as u64);
+        let node = &mut self.nodes[n];
+        if node.wake != wake || node.paused {
+            return;
+        }
+        node.wakes_at = Duration::MAX;
+        match &mut node.runs {
+            None => return,
+            Some(Runs::Keeper(seat)) => {
+                let output = seat.tick(now, unix_ms);
+                self.of_keeper(n, output, false);
+            }
+            Some(Runs::Sidecar(agent)) => {
+                let actions = agent.tick(now);
+                self.of_sidecar(n, actions);
+            }
+        }
+        self.plan_wake(n);
+    }
+
+    /// A sidecar's calls into all halls, as they are when all is well.
+    fn tells(&mut self, n: usize, start: u32, sequence: u64) {
+        let node = &self.nodes[n];
+        let Some(Runs::Sidecar(agent)) = node.runs.as_ref().filter(|_| node.start == start) else { return };
+        if !node.paused {
+            let calls = Calls { asked: 3.0, served: 3.0, ..Calls::default() };
+            let rows = (0..self.spec.halls.len()).map(|hall| (format!("hall-{hall}"), calls)).collect();
+            let digest = Digest { sequence, hall: format!("hall-{}", node.place.hall), over_ms: 500, rows };
+            let actions = agent.tell(&digest);
+            self.of_sidecar(n, actions);
+        }
+        let again = self.now + Duration::from_millis(500);
+        self.plan(again, Ev::Tells { node: n, start, sequence: sequence + 1 });
+    }
+
+    /// Writes what a keeper wants kept, and only then says what it says; it may die between.
+    fn of_keeper(&mut self, n: usize, output: seat::Output, dies: bool) {
+        let (now, name) = (self.now, self.nodes[n].name.clone());
+        let seat::Output { keeper, whispers, outlives, .. } = output;
+        outlives.into_iter().for_each(|incarnation| self.nodes[n].disk.incarnation = incarnation);
+        self.nodes[n].disk.kept.take(&keeper.persist);
+        for record in &keeper.applied {
+            self.rules.applied(now, &name, record);
+        }
+        let ends = self.seat(n).and_then(Seat::ends).is_some();
+        if dies || ends {
+            self.nodes[n].runs = None;
+            return;
+        }
+        let from = self.who(n);
+        for (to, bytes) in keeper.agreement {
+            self.say(n, to as usize - 1, &from, Said::Agreement(bytes), true);
+        }
+        for (to, said) in keeper.said {
+            match (self.numbers.get(&to).copied(), &said) {
+                (Some(to), _) => self.say(n, to, &from, said, true),
+                (None, Said::Decided { id, version }) => self.rules.told(*id, *version),
+                (None, _) => {}
+            }
+        }
+        for (to, said) in whispers {
+            self.whisper(n, to, &from, said);
+        }
+    }
+
+    fn of_sidecar(&mut self, n: usize, actions: Vec<agent::Action>) {
+        let now = self.now;
+        let (before, after) = (self.nodes[n].disk.view.version(), self.version(n));
+        if after != before
+            && let Some(Runs::Sidecar(agent)) = &self.nodes[n].runs
+        {
+            let view = agent.view().clone();
+            self.rules.holds(&self.nodes[n].name, before, after, view.hash());
+            self.nodes[n].disk.view = view;
+            for (_, (_, decided)) in self.rules.contents.range(before.next()..=after) {
+                let took = now.saturating_sub(*decided).as_micros() as u64;
+                self.times.after.saturating_record(took.max(1));
+            }
+        }
+        let from = self.who(n);
+        for action in actions {
+            match action {
+                agent::Action::Say(to, at, said) => {
+                    let by_at = at.and_then(|at| self.ats.get(&at).copied());
+                    if let Some(to) = self.numbers.get(&to).copied().or(by_at) {
+                        self.say(n, to, &from, said, true);
+                    }
+                }
+                agent::Action::Whisper(to, said) => self.whisper(n, to, &from, said),
+                agent::Action::Outlives(incarnation) => self.nodes[n].disk.incarnation = incarnation,
+                _ => {}
+            }
+        }
+    }
+
+    fn who(&self, n: usize) -> Rc<Who> {
+        let node = &self.nodes[n];
+        Rc::new(Who { name: node.name.clone(), incarnation: node.disk.incarnation })
+    }
+
+    fn whisper(&mut self, from: usize, to: SocketAddr, who: &Rc<Who>, said: Said) {
+        if let Some(to) = self.ats.get(&to).copied() {
+            self.say(from, to, who, said, false);
+        }
+    }
+
+    fn say(&mut self, from: usize, to: usize, who: &Rc<Who>, said: Said, stream: bool) {
+        if to >= self.nodes.len() {
+            return;
+        }
+        let words = size(&Message { from: (**who).clone(), said: said.clone() });
+        let bytes = words + FRAME;
+        self.passed.messages += 1;
+        self.passed.bytes += bytes;
+        let (here, there) = (self.nodes[from].place, self.nodes[to].place);
+        let copies = self.net.copies(&here, &there, &mut self.draws);
+        let (said, start) = (Rc::new(said), self.nodes[to].start);
+        // What breaks streams breaks their order too.
+        let ordered = stream && self.net.late.is_zero();
+        for after in copies {
+            let mut at = self.now + after;
+            if ordered {
+                let last = self.streams.entry((from, to)).or_default();
+                at = at.max(*last);
+                *last = at;
+            }
+            let (from, said) = (who.clone(), said.clone());
+            self.plan(at, Ev::Comes { to, start, from, said, bytes });
+        }
+    }
+
+    /// Versions that are held by whoever runs.
+    pub fn versions(&self) -> std::collections::BTreeSet<Version> {
+        (0..self.count()).filter(|n| self.runs(*n)).map(|n| self.version(n)).collect()
+    }
+
+    /// The seed that replays this run.
+    pub fn seed(&self) -> u64 {
+        self.seed
+    }
+
+    /// What was planned altogether: a measure of a run, the same for a seed.
+    pub fn planned(&self) -> u64 {
+        self.planned
+    }
+
+    /// What a process's disk has kept of the agreement: entries.
+    pub fn entries(&self, keeper: usize) -> usize {
+        self.nodes[keeper].disk.kept.entries.len()
+    }
+
+    /// Has a keeper added or removed, by the one that leads.
+    ///
+    /// # Errors
+    /// It does not lead, or the change makes no sense.
+    pub fn change(&mut self, leader: usize, keeper: u64, add: bool) -> Result<(), String> {
+        let Some(Runs::Keeper(seat)) = &mut self.nodes[leader].runs else {
+            return Err("it is no keeper that runs".to_owned());
+        };
+        let keeper = seat.keeper.change(keeper, add).map_err(|e| e.to_string())?;
+        self.of_keeper(leader, seat::Output { keeper, ..seat::Output::default() }, false);
+        Ok(())
+    }
+}
+
+fn size(message: &Message) -> u64 {
+    postcard::experimental::serialized_size(message).unwrap_or_default() as u64
+}
--- a/crates/fleet-node/src/follower.rs
+++ b/crates/fleet-node/src/follower.rs
@@ -3,11 +3,12 @@
 use crate::config::{FleetConfig, keys};
 use crate::kept::ViewFile;
 use crate::links::Links;
+use curlewhub_fleet::acted::{Acted, Came, NotTaken};
 use curlewhub_fleet::agent::{Action, Agent, Begin};
 use curlewhub_fleet::evidence::Witness;
 use curlewhub_fleet::holder::Counts;
 use curlewhub_fleet::members::{Member, Role};
-use curlewhub_fleet::record::Version;
+use curlewhub_fleet::record::{Hash, Record};
 use curlewhub_fleet::view::View;
 use curlewhub_fleet::wire::{FORMAT, Who};
 use std::cell::RefCell;
@@ -40,6 +41,8 @@
     pub age: Option<Duration>,
     /// What could not be taken.
     pub counts: Counts,
+    /// Keys whose newest record is not acted on.
+    pub not_taken: usize,
     /// Members that it knows of, itself among them; 0 until it is one.
     pub members: usize,
     /// Bytes that it has said to its fleet, and heard.
@@ -48,8 +51,15 @@
 
 /// What a follower's process does with it.
 pub trait Acts {
-    /// The view is this one from now on.
-    fn acts(&mut self, view: &View);
+    /// Whether this build understands a record, and finds it sound: else what held of its key before holds on.
+    ///
+    /// # Errors
+    /// Why it is not acted on.
+    fn check(record: &Record) -> Result<(), NotTaken> {
+        curlewhub_fleet::acted::check(record)
+    }
+    /// This is acted on from now on; `hash` is that of its version.
+    fn acts(&mut self, acted: &Acted, hash: Hash);
     /// It stands like this; told every half second.
     fn stands(&mut self, standing: Standing);
 }
@@ -64,8 +74,10 @@
     pub witness: Option<Rc<RefCell<Witness>>>,
 }
 
-fn unix_ms() -> u64 {
-    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis() as u64
+/// The wall clock, as this process is told to read it.
+pub(crate) fn unix_ms(config: &FleetConfig) -> u64 {
+    let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis() as u64;
+    now.saturating_add_signed(config.clock_ahead_ms)
 }
 
 /// Both of its doors: streams, and datagrams at the same port.
@@ -107,7 +119,7 @@
     /// What is being written down, by a thread of its own: no disk holds traffic up.
     keeping: Option<Keeping>,
     /// What it acts on.
-    acted: Version,
+    acted: Acted,
     began: Instant,
     witness: Option<Rc<RefCell<Witness>>>,
     to: &'a mut A,
@@ -127,9 +139,9 @@
     let at = |e: &dyn std::fmt::Display| format!("state_dir: {}: {e}", config.state_dir.display());
     let file = ViewFile::open(&config.state_dir).map_err(|e| at(&e))?;
     // A folder that can't be written to is no reason not to follow: it is only of use after a start.
-    let incarnation = file.incarnation(unix_ms()).unwrap_or_else(|problem| {
+    let incarnation = file.incarnation(unix_ms(config)).unwrap_or_else(|problem| {
         warn!(%problem, "fleet: the view can't be kept");
-        unix_ms()
+        unix_ms(config)
     });
     let view = file.view().unwrap_or_else(|problem| {
         // As one that was never there: what it had comes again.
@@ -149,11 +161,10 @@
     let addresses = keepers.iter().cloned().collect();
     let links = Links::new(ACCEPTED_MOST, who, keys, config.listen.ip(), addresses, inbox);
     info!(version = view.version().0, hash = ?view.hash(), incarnation, "fleet: following");
-    to.acts(&view);
-    let acted = view.version();
     let own = own(config, Role::Sidecar, incarnation);
     let agent = Agent::new(Begin { own, keepers, peers, view, seed: rand::random() }, Duration::ZERO);
     let (began, witness, failing, keeping) = (Instant::now(), manner.witness, false, None);
+    let acted = Acted::default();
     let mut follower = Follower {
         config,
         agent,
@@ -167,6 +178,7 @@
         witness,
         to,
     };
+    follower.act(&follower.agent.view().clone(), true);
     if let Some(doors) = doors {
         follower.open(doors);
     }
@@ -176,8 +188,10 @@
     loop {
         let next = tokio::time::Instant::from_std(began + follower.agent.next());
         let late = follower.keeping.as_ref().map_or(next, |keeping| keeping.acts_at);
-        let waits =
-            follower.keeping.as_ref().is_some_and(|keeping| keeping.view.version() > follower.acted);
+        let waits = follower
+            .keeping
+            .as_ref()
+            .is_some_and(|keeping| keeping.view.version() > follower.acted.version());
         let keeps = follower.keeping.is_some();
         let actions = tokio::select! {
             () = sleep_until(next) => follower.agent.tick(began.elapsed()),
@@ -189,7 +203,7 @@
                 Vec::new()
             }
             () = sleep_until(late), if waits => {
-                follower.act(follower.agent.view().clone());
+                follower.act(&follower.agent.view().clone(), false);
                 Vec::new()
             }
             _ = turns.tick() => follower.turn().await,
@@ -219,7 +233,8 @@
         let members = self.agent.members().map_or(0, |members| members.count() + 1);
         let traffic = (self.links.traffic.out.get(), self.links.traffic.come.get());
         let (age, counts) = (self.agent.age(now), self.agent.counts());
-        self.to.stands(Standing { version, age, counts, members, traffic });
+        let not_taken = self.acted.not_taken().count();
+        self.to.stands(Standing { version, age, counts, not_taken, members, traffic });
         if !self.listens
             && let Ok(doors) = listen(self.config).await
         {
@@ -245,6 +260,15 @@
                     let Member { name, hall, incarnation, .. } = member;
                     debug!(name, hall, incarnation, "fleet: a member is gone");
                 }
+                Action::Outlives(incarnation) => {
+                    info!(
+                        incarnation,
+                        "fleet: an earlier start counted itself higher; going on by this number"
+                    );
+                    self.links.is(incarnation);
+                    let file = self.file.clone();
+                    spawn_blocking(move || file.incarnation(incarnation)); // for the next start; not waited for
+                }
                 Action::Renewed => info!("fleet: taken for gone, and back"),
                 Action::Displaced(by) => {
                     let incarnation = by.incarnation;
@@ -283,17 +307,23 @@
         }
         self.failing = done.is_err();
         let Some(keeping) = self.keeping.take() else { return };
-        self.act(keeping.view);
-        if self.agent.view().version() > self.acted {
+        self.act(&keeping.view, false);
+        if self.agent.view().version() > self.acted.version() {
             self.keep();
         }
     }
 
-    fn act(&mut self, view: View) {
-        if view.version() > self.acted {
-            self.acted = view.version();
-            self.to.acts(&view);
+    fn act(&mut self, view: &View, first: bool) {
+        if view.version() <= self.acted.version() && !first {
+            return;
+        }
+        for came in self.acted.take(view, A::check) {
+            if let Came::NotTaken(record, why) = came {
+                let (version, key) = (record.version.0, &record.proposal.key);
+                warn!(version, key, %why, "fleet: not acted on");
+            }
         }
+        self.to.acts(&self.acted, view.hash());
     }
 }
 
--- a/crates/fleet-node/src/keeper.rs
+++ b/crates/fleet-node/src/keeper.rs
@@ -3,7 +3,7 @@
 use crate::call::Described;
 use crate::call::{Known, Listed};
 use crate::config::{FleetConfig, keys};
-use crate::follower::{listen, own};
+use crate::follower::{listen, own, unix_ms};
 use crate::links::Links;
 use crate::store::Store;
 use curlewhub_fleet::keeper::{Keeper, TICK};
@@ -12,7 +12,7 @@
 use curlewhub_fleet::wire::{Message, Said, Who};
 use std::pin::pin;
 use std::rc::Rc;
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant};
 use tokio::sync::mpsc;
 use tokio::task::spawn_local;
 use tokio::time::{MissedTickBehavior, interval};
@@ -25,10 +25,6 @@
 /// Messages dealt with before what they want kept is synced, at the most: one sync for many.
 const AT_ONCE: usize = 64;
 
-fn unix_ms() -> u64 {
-    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis() as u64
-}
-
 struct Process {
     seat: Seat,
     store: Store,
@@ -53,7 +49,7 @@
     std::fs::create_dir_all(&config.state_dir).map_err(|e| at(&e))?;
     let store = Store::open(&config.state_dir.join("keeper.redb")).map_err(|e| at(&e))?;
     store.is_of(id).map_err(|e| at(&e))?;
-    let incarnation = store.incarnation(unix_ms()).map_err(|e| at(&e))?;
+    let incarnation = store.incarnation(unix_ms(config)).map_err(|e| at(&e))?;
     let ids: Vec<u64> = config.keepers.iter().map(|keeper| keeper.id).collect();
     let kept = match store.kept().map_err(|e| at(&e))? {
         Some(kept) => kept,
@@ -95,7 +91,7 @@
                 return process.carry_out(vec![output]);
             }
             _ = ticks.tick() => {
-                let output = process.seat.tick(process.began.elapsed(), unix_ms());
+                let output = process.seat.tick(process.began.elapsed(), unix_ms(config));
                 process.carry_out(vec![output])?;
             }
             Some(message) = heard.recv() => {
@@ -161,7 +157,8 @@
     }
 
     fn say(&self, output: Output) {
-        let Output { keeper, whispers, up, down } = output;
+        let Output { keeper, whispers, up, down, outlives } = output;
+        outlives.into_iter().for_each(|incarnation| self.links.is(incarnation));
         for (to, bytes) in keeper.agreement {
             if let Some(name) = self.seat.name(to) {
                 self.links.say(name, None, Said::Agreement(bytes));
--- a/crates/fleet-node/src/links.rs
+++ b/crates/fleet-node/src/links.rs
@@ -78,7 +78,7 @@
 
 /// All connections of a process.
 pub struct Links {
-    who: Who,
+    who: RefCell<Who>,
     keys: Keys,
     /// What is connected and sent from.
     from: IpAddr,
@@ -117,7 +117,7 @@
         let (dialled, accepted, open, older, reads, datagrams, drops, traffic) = Default::default();
         let large = Semaphore::new(LARGE_ALL_KIB);
         Rc::new(Links {
-            who,
+            who: RefCell::new(who),
             keys,
             from,
             addresses,
@@ -135,10 +135,15 @@
         })
     }
 
+    /// It counts its own start by this number from now on.
+    pub fn is(&self, incarnation: u64) {
+        self.who.borrow_mut().incarnation = incarnation;
+    }
+
     /// Says something to another one: on a connection of its own where its address is known, else on the one on which
     /// it has spoken. What finds no room is lost.
     pub fn say(self: &Rc<Self>, to: &str, at: Option<SocketAddr>, said: Said) {
-        let message = Message { from: self.who.clone(), said };
+        let message = Message { from: self.who.borrow().clone(), said };
         let keeper = self.addresses.get(to).copied();
         // Who is no keeper is answered where it has spoken, and dialled only otherwise.
         if keeper.is_none()
@@ -166,7 +171,7 @@
     /// Says something in a datagram, once there is a socket for them.
     pub fn whisper(&self, to: SocketAddr, said: Said) {
         let Some(socket) = self.datagrams.borrow().clone() else { return };
-        let bytes = self.keys.write(&Message { from: self.who.clone(), said }, FORMAT);
+        let bytes = self.keys.write(&Message { from: self.who.borrow().clone(), said }, FORMAT);
         if bytes.len() <= DATAGRAM_MOST && socket.try_send_to(&bytes, to).is_ok() {
             add(&self.traffic.out, bytes.len());
         }
--- a/crates/fleet/src/agent.rs
+++ b/crates/fleet/src/agent.rs
@@ -55,6 +55,8 @@
     Renewed,
     /// A later start holds this process's name: it is a member no more, and follows on.
     Displaced(Member),
+    /// It counts its own start by this number from now on.
+    Outlives(u64),
 }
 
 /// A sidecar's part.
@@ -179,6 +181,7 @@
                 }
                 members::Action::Renewed => Action::Renewed,
                 members::Action::Displaced(by) => Action::Displaced(by),
+                members::Action::Outlives(incarnation) => Action::Outlives(incarnation),
             });
         }
         if draw {
--- a/crates/fleet/src/evidence.rs
+++ b/crates/fleet/src/evidence.rs
@@ -171,8 +171,10 @@
             return Err(NotTaken::Senseless);
         }
         match self.newest.get(&from.name) {
-            Some((incarnation, _, known)) => {
-                if (from.incarnation, digest.sequence) <= (*incarnation, known.sequence) {
+            Some((incarnation, at, known)) => {
+                // One that says nothing any more keeps nobody from saying something.
+                let fresh = now.saturating_sub(*at) <= FRESH;
+                if fresh && (from.incarnation, digest.sequence) <= (*incarnation, known.sequence) {
                     return Err(NotTaken::Old);
                 }
             }
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -4,6 +4,7 @@
 //! each sidecar, bring themselves up from keepers or from one another. [`evidence`] goes the other way. [`wire`] is how
 //! any of it is said.
 
+pub mod acted;
 pub mod agent;
 pub mod evidence;
 pub mod holder;
--- a/crates/fleet/src/members.rs
+++ b/crates/fleet/src/members.rs
@@ -5,8 +5,8 @@
 
 use crate::record::TEXT_MOST;
 use foca::{
-    AccumulatingRuntime, Codec, Config, Foca, Identity, OwnedNotification, PeriodicParams, PostcardCodec,
-    State, Timer,
+    AccumulatingRuntime, Codec, Config, Foca, Header, Identity, Message, OwnedNotification, PeriodicParams,
+    PostcardCodec, State, Timer,
 };
 use rand_pcg_of_foca::Pcg32;
 use rand_pcg_of_foca::rand_core::SeedableRng;
@@ -27,7 +27,7 @@
 /// What is new is told so many members in each of these.
 const GOSSIP: Duration = Duration::from_millis(200);
 /// A member is asked whom it knows this often, and one that is down whether it is there again.
-const ANNOUNCE: Duration = Duration::from_secs(30);
+const ANNOUNCE: Duration = Duration::from_secs(10);
 const ANNOUNCE_DOWN: Duration = Duration::from_secs(5);
 /// A name that is down is remembered for this long.
 const REMEMBER: Duration = Duration::from_secs(3600);
@@ -35,6 +35,11 @@
 /// two parts that lost one another meet again.
 const SEEK: Duration = Duration::from_millis(200);
 const SEEK_MOST: Duration = Duration::from_secs(5);
+/// One that is taken for gone comes back after this, longer each time up to the most, and as before once it was there for
+/// so long: two parts that meet again take one another for gone a few times over.
+const BACK: Duration = Duration::from_millis(100);
+const BACK_MOST: Duration = Duration::from_secs(3);
+const BACK_ANEW: Duration = Duration::from_secs(10);
 /// Members that foca's settings are made for at first; they follow the fleet's size by doubling.
 const SIZE_LEAST: u32 = 8;
 
@@ -74,9 +79,17 @@
         (self.incarnation, self.at, self.renewed)
     }
 
-    /// Whether another start than this one holds its name, and rightly.
+    /// Whether another process than this one holds its name, and rightly.
     fn displaces(&self, own: &Member) -> bool {
-        self.name == own.name && (self.incarnation, self.at) > (own.incarnation, own.at)
+        self.name == own.name
+            && self.at != own.at
+            && (self.incarnation, self.at) > (own.incarnation, own.at)
+    }
+
+    /// Whether it is what others remember of an earlier start at the very address of this one, which counted itself higher: its
+    /// disk has forgotten that, and its clock went back.
+    fn is_ghost_of(&self, own: &Member) -> bool {
+        self.name == own.name && self.at == own.at && self.incarnation > own.incarnation
     }
 
     fn is_sensible(&self) -> bool {
@@ -88,8 +101,9 @@
 impl Identity for Member {
     type Addr = String;
 
+    /// Not by itself: a process whose name another one holds would come back at once, as often as it is told that it is gone.
     fn renew(&self) -> Option<Member> {
-        Some(Member { renewed: self.renewed.saturating_add(1), ..self.clone() })
+        None
     }
 
     fn addr(&self) -> String {
@@ -114,6 +128,8 @@
     Renewed,
     /// A later start holds this process's name: it is a member no more.
     Displaced(Member),
+    /// It counts its own start higher than others remember an earlier one: by this number from now on.
+    Outlives(u64),
 }
 
 /// Why a datagram is not taken.
@@ -146,6 +162,10 @@
     seek_after: Duration,
     size: u32,
     displaced: bool,
+    /// It is taken for gone, and comes back then.
+    back_at: Option<Duration>,
+    back_after: Duration,
+    back_last: Duration,
     now: Duration,
 }
 
@@ -198,6 +218,9 @@
             seek_after: SEEK,
             size: SIZE_LEAST,
             displaced: false,
+            back_at: None,
+            back_after: BACK,
+            back_last: now,
             now,
         }
     }
@@ -238,7 +261,7 @@
     pub fn next(&self) -> Option<Duration> {
         let timer = self.timers.first_key_value().map(|((at, _), _)| *at);
         let seeks = (!self.seeds.is_empty()).then_some(self.seek_at);
-        let next = [timer, seeks].into_iter().flatten().min();
+        let next = [timer, seeks, self.back_at].into_iter().flatten().min();
         if self.displaced { None } else { next }
     }
 
@@ -254,6 +277,9 @@
             let _ = self.foca.handle_timer(timer, &mut self.runtime);
             self.plan();
         }
+        if self.back_at.is_some_and(|at| now >= at) {
+            self.come_back();
+        }
         if now >= self.seek_at {
             self.seek();
         }
@@ -261,6 +287,19 @@
         self.actions()
     }
 
+    fn come_back(&mut self) {
+        self.back_at = None;
+        let anew = self.now >= self.back_last + BACK_ANEW;
+        self.back_after = if anew { BACK } else { (self.back_after * 3 / 2).min(BACK_MOST) };
+        self.back_last = self.now;
+        let own = self.own().clone();
+        let renewed = Member { renewed: own.renewed.saturating_add(1), ..own };
+        if self.foca.change_identity(renewed, &mut self.runtime).is_ok() {
+            self.plan();
+            self.seek_at = self.now;
+        }
+    }
+
     /// A datagram has come.
     ///
     /// # Errors
@@ -270,10 +309,22 @@
         if self.displaced {
             return Ok(Vec::new());
         }
-        if let Some(by) = self.looked_through(bytes)? {
-            self.displaced = true;
-            self.timers.clear();
-            return Ok(vec![Action::Displaced(by)]);
+        match self.looked_through(bytes)? {
+            Named::Sound => {}
+            Named::Displaces(by) => {
+                self.displaced = true;
+                self.timers.clear();
+                return Ok(vec![Action::Displaced(by)]);
+            }
+            Named::Ghost(ghost) => return Ok(self.outlive(&ghost)),
+            Named::Displaced { from, by } => {
+                let told = self.tell_of(from, by);
+                return Ok(told.into_iter().collect());
+            }
+        }
+        if self.back_at.is_some() {
+            // Two that take one another for gone would tell one another so without end.
+            return Ok(Vec::new());
         }
         match self.foca.handle_data(bytes, &mut self.runtime) {
             Ok(()) => {}
@@ -298,10 +349,10 @@
 
     /// All that a datagram names is looked at before any of it is believed: foca would have this process declare a later
     /// start of its own name gone, and would keep any number of names.
-    fn looked_through(&self, mut bytes: &[u8]) -> Result<Option<Member>, NotHeard> {
+    fn looked_through(&self, mut bytes: &[u8]) -> Result<Named, NotHeard> {
         let mut codec = PostcardCodec;
         let unreadable = |_| NotHeard::Unreadable;
-        let header: foca::Header<Member> = codec.decode_header(&mut bytes).map_err(unreadable)?;
+        let header: Header<Member> = codec.decode_header(&mut bytes).map_err(unreadable)?;
         let mut named = vec![header.src];
         if let Some((count, rest)) = bytes.split_first_chunk::<2>() {
             bytes = rest;
@@ -319,7 +370,41 @@
         {
             return Err(NotHeard::NoRoom);
         }
-        Ok(named.into_iter().find(|named| named.displaces(self.own())))
+        if let Some(by) = named.iter().find(|named| named.displaces(self.own())) {
+            return Ok(Named::Displaces(by.clone()));
+        }
+        if let Some(ghost) = named.iter().filter(|named| named.is_ghost_of(self.own())).max() {
+            return Ok(Named::Ghost(ghost.clone()));
+        }
+        let from = named.swap_remove(0);
+        let by = self.known().find(|(known, _)| known.displaces(&from)).map(|(known, _)| known.clone());
+        Ok(by.map_or(Named::Sound, |by| Named::Displaced { from, by }))
+    }
+
+    fn outlive(&mut self, ghost: &Member) -> Vec<Action> {
+        let incarnation = ghost.incarnation.saturating_add(1);
+        let own = Member { incarnation, renewed: 0, ..self.own().clone() };
+        if self.foca.change_identity(own, &mut self.runtime).is_err() {
+            return Vec::new();
+        }
+        self.back_at = None;
+        self.seek_at = self.now;
+        self.plan();
+        let mut actions = vec![Action::Outlives(incarnation)];
+        actions.extend(self.actions());
+        actions
+    }
+
+    /// Tells one whose name a later start holds who that is; foca would only tell it that it is gone.
+    fn tell_of(&self, from: Member, by: Member) -> Option<Action> {
+        let (at, mut codec, mut bytes) = (from.at, PostcardCodec, Vec::new());
+        let src_incarnation = Default::default();
+        let header =
+            Header { src: self.own().clone(), src_incarnation, dst: from, message: Message::Gossip };
+        codec.encode_header(&header, &mut bytes).ok()?;
+        bytes.extend(1_u16.to_be_bytes());
+        codec.encode_member(&foca::Member::alive(by), &mut bytes).ok()?;
+        Some(Action::Send(at, bytes))
     }
 
     /// Asks the next seed whom it knows.
@@ -363,7 +448,10 @@
                 OwnedNotification::Rename(_, after) if self.alive().any(|alive| *alive == after) => {
                     actions.push(Action::Up(after));
                 }
-                OwnedNotification::Rejoin(_) => actions.push(Action::Renewed),
+                OwnedNotification::Defunct if !self.displaced && self.back_at.is_none() => {
+                    self.back_at = Some(self.now + self.back_after);
+                }
+                OwnedNotification::Active if self.own().renewed > 0 => actions.push(Action::Renewed),
                 _ => {}
             }
         }
@@ -371,6 +459,20 @@
     }
 }
 
+/// What a packet's names come to.
+enum Named {
+    Sound,
+    /// This one holds this process's name.
+    Displaces(Member),
+    /// This one is remembered of this process itself.
+    Ghost(Member),
+    /// Who has sent it has lost its name to this one.
+    Displaced {
+        from: Member,
+        by: Member,
+    },
+}
+
 /// How a member stands.
 #[derive(Clone, Copy, Debug, Deserialize, PartialEq, Eq, PartialOrd, Ord, Serialize)]
 #[serde(rename_all = "snake_case")]
--- a/crates/fleet/src/seat.rs
+++ b/crates/fleet/src/seat.rs
@@ -21,6 +21,8 @@
     pub up: Vec<Member>,
     /// Who is not any more.
     pub down: Vec<Member>,
+    /// It counts its own start by this number from now on.
+    pub outlives: Option<u64>,
 }
 
 /// Why a keeper must end.
@@ -139,6 +141,7 @@
                 members::Action::Up(member) => output.up.push(member),
                 members::Action::Down(member) => output.down.push(member),
                 members::Action::Renewed => {}
+                members::Action::Outlives(incarnation) => output.outlives = Some(incarnation),
                 members::Action::Displaced(by) => {
                     self.displaced = Some(Ends::Displaced(by.incarnation, by.name));
                 }
--- a/crates/fleet/src/view.rs
+++ b/crates/fleet/src/view.rs
@@ -8,6 +8,10 @@
 pub const KEYS_MOST: usize = 4096;
 /// Bytes of all bodies at the most.
 pub const BYTES_MOST: usize = 16 << 20;
+/// Beside these there is room for small bodies: plans must not keep a hall from being left.
+pub const SMALL_BYTES: usize = 2 << 20;
+/// So small.
+pub const SMALL: usize = 4096;
 /// Records kept behind the view for who is a little behind.
 pub const TAIL_MOST: usize = 1024;
 /// Bytes of those at the most.
@@ -102,7 +106,9 @@
         let more = held.is_none() && self.records.len() >= KEYS_MOST;
         let before = held.map_or(0, |known| known.proposal.body.len());
         let bytes = self.bytes() - before + record.proposal.body.len();
-        if more || bytes > BYTES_MOST { Err(Refused::NoRoom) } else { Ok(()) }
+        let small = record.proposal.body.len() <= SMALL;
+        let most = BYTES_MOST + if small { SMALL_BYTES } else { 0 };
+        if more || bytes > most { Err(Refused::NoRoom) } else { Ok(()) }
     }
 
     /// Takes the next record.
@@ -128,7 +134,7 @@
         };
         ends && self.records.iter().all(each)
             && self.records.len() <= KEYS_MOST
-            && self.bytes() <= BYTES_MOST
+            && self.bytes() <= BYTES_MOST + SMALL_BYTES
     }
 }
 
--- a/crates/fleet/src/wire.rs
+++ b/crates/fleet/src/wire.rs
@@ -15,7 +15,7 @@
 /// First bytes of every message.
 const MAGIC: [u8; 3] = *b"CHF";
 /// The largest message, in bytes: a snapshot of a whole view and a little.
-pub const MESSAGE_MOST: usize = crate::view::BYTES_MOST + (4 << 20);
+pub const MESSAGE_MOST: usize = crate::view::BYTES_MOST + crate::view::SMALL_BYTES + (6 << 20);
 const HEAD: usize = MAGIC.len() + 2;
 const MAC: usize = 32;
 
--- /dev/null
+++ b/crates/fleet/tests/members.rs
@@ -0,0 +1,178 @@
+//! Membership as it is lied to: two processes with one name, names without end, packets that are none.
+
+use curlewhub_fleet::members::{Action, Member, Members, NotHeard, PACKET_MOST, Role};
+use proptest::prelude::*;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+fn member(name: &str, incarnation: u64, port: u16) -> Member {
+    Member {
+        name: name.to_owned(),
+        role: Role::Sidecar,
+        hall: "a".to_owned(),
+        at: SocketAddr::from(([127, 0, 0, 1], port)),
+        build: "1".to_owned(),
+        format: 2,
+        incarnation,
+        renewed: 0,
+    }
+}
+
+/// Members that reach one another at once, by their addresses.
+struct Group {
+    now: Duration,
+    members: Vec<Members>,
+    seen: Vec<(usize, Action)>,
+}
+
+impl Group {
+    /// All know where the first is.
+    fn new(all: &[Member]) -> Group {
+        let seeds = [(all[0].name.clone(), all[0].at)];
+        let one = |(n, own): (usize, &Member)| Members::new(own.clone(), &seeds, n as u64, Duration::ZERO);
+        let members = all.iter().enumerate().map(one).collect();
+        Group { now: Duration::ZERO, members, seen: Vec::new() }
+    }
+
+    fn run(&mut self, lasts: Duration) {
+        let end = self.now + lasts;
+        while self.now < end {
+            self.now += Duration::from_millis(50);
+            let mut sent = Vec::new();
+            for n in 0..self.members.len() {
+                let actions = self.members[n].tick(self.now);
+                self.take(n, actions, &mut sent);
+            }
+            while let Some((to, bytes)) = sent.pop() {
+                assert!(bytes.len() <= PACKET_MOST, "{}", bytes.len());
+                if let Some(n) = self.members.iter().position(|m| m.own().at == to) {
+                    let actions = self.members[n].heard(self.now, &bytes).unwrap_or_default();
+                    self.take(n, actions, &mut sent);
+                }
+            }
+        }
+    }
+
+    fn take(&mut self, n: usize, actions: Vec<Action>, sent: &mut Vec<(SocketAddr, Vec<u8>)>) {
+        for action in actions {
+            match action {
+                Action::Send(to, bytes) => sent.push((to, bytes)),
+                other => self.seen.push((n, other)),
+            }
+        }
+    }
+
+    fn incarnation(&self, by: usize, name: &str) -> Option<u64> {
+        self.members[by].alive().find(|member| member.name == name).map(|member| member.incarnation)
+    }
+}
+
+#[test]
+fn of_two_processes_with_one_name_the_later_start_is_the_one_for_all_and_for_good() {
+    // Whichever of the two joins first.
+    for order in [[5, 9], [9, 5]] {
+        let mut group = Group::new(&[
+            member("a", 1, 1),
+            member("b", 1, 2),
+            member("twin", order[0], 3),
+            member("c", 1, 4),
+            member("twin", order[1], 5),
+        ]);
+        group.run(Duration::from_secs(40));
+        let (older, later) = if order[0] < order[1] { (2, 4) } else { (4, 2) };
+        assert!(group.members[older].is_displaced() && !group.members[later].is_displaced(), "{order:?}");
+        assert_eq!(group.members[older].next(), None, "it says nothing more");
+        for by in [0, 1, 3] {
+            assert_eq!(group.incarnation(by, "twin"), Some(9), "{order:?}: at {by}");
+        }
+        let told = |(n, action): &(usize, Action)| *n == older && matches!(action, Action::Displaced(_));
+        assert_eq!(group.seen.iter().filter(|seen| told(seen)).count(), 1);
+        // No fight: the later one was not taken for gone again and again.
+        let renewed = group.seen.iter().filter(|seen| seen.1 == Action::Renewed).count();
+        assert!(renewed <= 2, "{order:?}: renewed {renewed} times");
+    }
+}
+
+#[test]
+fn who_leaves_is_gone_at_once_and_a_restarted_name_is_there_again() {
+    let mut group = Group::new(&[member("a", 1, 1), member("b", 1, 2), member("c", 1, 3)]);
+    group.run(Duration::from_secs(5));
+    assert_eq!(group.incarnation(0, "c"), Some(1));
+    let mut sent = Vec::new();
+    let actions = group.members[2].leave();
+    group.take(2, actions, &mut sent);
+    assert!(!sent.is_empty(), "it says so");
+    for (to, bytes) in sent {
+        let n = group.members.iter().position(|m| m.own().at == to).unwrap();
+        group.members[n].heard(group.now, &bytes).unwrap();
+    }
+    group.run(Duration::from_secs(1));
+    assert_eq!((group.incarnation(0, "c"), group.incarnation(1, "c")), (None, None));
+    let seeds = [("a".to_owned(), member("a", 1, 1).at)];
+    group.members[2] = Members::new(member("c", 2, 3), &seeds, 3, group.now);
+    group.run(Duration::from_secs(5));
+    assert_eq!((group.incarnation(0, "c"), group.incarnation(1, "c")), (Some(2), Some(2)));
+}
+
+#[test]
+fn one_whose_disk_forgot_and_whose_clock_went_back_is_not_kept_out_by_its_own_ghost() {
+    let mut group = Group::new(&[member("a", 1, 1), member("b", 1, 2), member("c", 900, 3)]);
+    group.run(Duration::from_secs(5));
+    let seeds = [("a".to_owned(), member("a", 1, 1).at)];
+    group.members[2] = Members::new(member("c", 7, 3), &seeds, 3, group.now);
+    group.run(Duration::from_secs(20));
+    let at = group.incarnation(1, "c");
+    assert!(at > Some(900), "{at:?}");
+    assert_eq!((group.incarnation(0, "c"), group.members[2].own().incarnation), (at, at.unwrap()));
+    assert!(group.seen.iter().any(|seen| seen.1 == Action::Outlives(at.unwrap())));
+}
+
+#[test]
+fn names_that_cannot_be_are_not_taken() {
+    let mut own = Members::new(member("own", 5, 1), &[], 1, Duration::ZERO);
+    let now = Duration::from_secs(1);
+    let announce = |by: Member| {
+        let seeds = [("own".to_owned(), own.own().at)];
+        let told = Members::new(by, &seeds, 1, Duration::ZERO).tick(now);
+        told.into_iter().find_map(|action| match action {
+            Action::Send(_, bytes) => Some(bytes),
+            _ => None,
+        })
+    };
+    // Who announces itself, and what comes of it; nobody is there afterwards that may not be.
+    let cases = [
+        (member("", 1, 2), Err(NotHeard::Senseless)),
+        (member(&"n".repeat(201), 1, 2), Err(NotHeard::Senseless)),
+        (Member { hall: "h".repeat(201), ..member("b", 1, 2) }, Err(NotHeard::Senseless)),
+        (Member { build: "h".repeat(201), ..member("b", 1, 2) }, Err(NotHeard::Senseless)),
+        (member("own", 4, 2), Err(NotHeard::Own)),
+        (member("b", 1, 2), Ok(1)),
+    ];
+    let packets: Vec<_> = cases.iter().map(|(by, _)| announce(by.clone())).collect();
+    for ((by, wanted), packet) in cases.into_iter().zip(packets) {
+        // One with a name like that can't be made to announce itself where it is not to be told of.
+        let Some(packet) = packet else { continue };
+        let heard = own.heard(now, &packet).map(|_| own.count());
+        assert_eq!(heard, wanted, "{by:?}");
+    }
+    assert_eq!(own.heard(now, b"noise"), Err(NotHeard::Unreadable));
+}
+
+proptest! {
+    #[test]
+    fn no_packet_brings_it_down(bytes in prop::collection::vec(any::<u8>(), 0..300), flip in 0..2000_usize) {
+        let mut own = Members::new(member("own", 5, 1), &[], 1, Duration::ZERO);
+        let _ = own.heard(Duration::from_secs(1), &bytes);
+        // One bit off a sound one.
+        let seeds = [("own".to_owned(), own.own().at)];
+        let told = Members::new(member("b", 1, 2), &seeds, 1, Duration::ZERO).tick(Duration::from_secs(1));
+        for action in told {
+            if let Action::Send(_, mut packet) = action {
+                let at = flip % (packet.len() * 8);
+                packet[at / 8] ^= 1 << (at % 8);
+                let _ = own.heard(Duration::from_secs(1), &packet);
+            }
+        }
+        own.tick(Duration::from_secs(60));
+    }
+}
