Tell evidence by what became of calls, at a pace that keepers bear, and scale the fleet's model

Need: digests told calls as numbers of eight bytes for every hall, twice a second whatever the fleet's size; nothing in them told a busy hall from one that is gone, and a silent hall showed only once attempts had timed out.

Calls are counted by how they ended, and those that are out longer than any should be are told before they end. What is well is told once a second, what is lost at once; keepers have sidecars tell more seldom where they are many. `curlewhub-lab fleet-scale` plays a fleet's own processes at any size.

--- a/crates/curlewhub/src/fleet.rs
+++ b/crates/curlewhub/src/fleet.rs
@@ -3,7 +3,7 @@
 use crate::cli::{Exit, FleetCommand, KeepersChange, Process};
 use crate::logs::Logs;
 use comfy_table::Table;
-use curlewhub_balance::{Outcome, ZoneId};
+use curlewhub_balance::{ClassId, Outcome, ZoneId};
 use curlewhub_config::{Config, Log, LogFormat};
 use curlewhub_fleet::acted::Acted;
 use curlewhub_fleet::evidence::{Ended, Witness};
@@ -13,7 +13,7 @@
 use curlewhub_fleet_node::config::FleetConfig;
 use curlewhub_fleet_node::{Acts, Manner, Standing, follow, keep};
 use curlewhub_runtime::figures::{Beside, Figures};
-use curlewhub_runtime::sight::{Blind, Sight};
+use curlewhub_runtime::sight::{Attempt, Blind, Sight};
 use serde_json::json;
 use std::cell::RefCell;
 use std::fmt::Write as _;
@@ -21,7 +21,7 @@
 use std::path::Path;
 use std::pin::Pin;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::oneshot;
 use tokio::task::{JoinHandle, LocalSet, spawn_local};
@@ -116,22 +116,27 @@
 /// A sidecar's part in its fleet: what its driver sees goes to the keepers, and what they decide is held here.
 pub struct Member {
     witness: Rc<RefCell<Witness>>,
-    /// The halls' names by number.
-    halls: Vec<String>,
+    began: Instant,
 }
 
 impl Sight for Member {
-    fn ended(&self, zone: &dyn Fn() -> Option<ZoneId>, outcome: Outcome, took: Duration) {
+    fn began(&self, attempt: Attempt, class: ClassId, zone: &dyn Fn() -> Option<ZoneId>) {
+        if let Some(zone) = zone() {
+            let (hall, class) = (zone.0 as usize, class.0);
+            self.witness.borrow_mut().began(self.began.elapsed(), (attempt.0.0, attempt.1.0), hall, class);
+        }
+    }
+
+    fn ended(&self, attempt: Attempt, outcome: Outcome, took: Duration) {
         let how = match outcome {
             Outcome::Ok => Ended::Served,
-            Outcome::TimedOut | Outcome::ConnectFailed => Ended::Silent,
-            Outcome::Error | Outcome::Full | Outcome::Reset => Ended::Refused,
-            // They say nothing of the endpoint.
-            Outcome::Cancelled | Outcome::Moot => return,
+            Outcome::TimedOut => Ended::Silent,
+            Outcome::ConnectFailed | Outcome::Reset => Ended::Gone,
+            Outcome::Full => Ended::Full,
+            Outcome::Error => Ended::Error,
+            Outcome::Cancelled | Outcome::Moot => Ended::Moot,
         };
-        if let Some(hall) = zone().and_then(|zone| self.halls.get(zone.0 as usize)) {
-            self.witness.borrow_mut().ended(hall, how, took);
-        }
+        self.witness.borrow_mut().ended((attempt.0.0, attempt.1.0), how, took);
     }
 }
 
@@ -184,8 +189,10 @@
     let Some(fleet) = config.fleet.clone() else { return Joined { sight: Rc::new(Blind), leave: None } };
     let halls = config.names.areas.clone();
     let hall = halls.get(config.settings.zone.0 as usize).map_or("", |hall| hall);
-    let witness = Rc::new(RefCell::new(Witness::new(hall)));
-    let (manner, figures) = (Manner { beside: true, witness: Some(witness.clone()) }, figures.clone());
+    let witness = Rc::new(RefCell::new(Witness::new(hall, halls.clone())));
+    let began = Instant::now();
+    let (manner, figures) =
+        (Manner { beside: true, witness: Some((witness.clone(), began)) }, figures.clone());
     let (leave, leaves) = oneshot::channel::<()>();
     let left = spawn_local(async move {
         let leaves = async {
@@ -197,7 +204,7 @@
             error!(problem, "fleet: not joined; going on alone");
         }
     });
-    Joined { sight: Rc::new(Member { witness, halls }), leave: Some((leave, left)) }
+    Joined { sight: Rc::new(Member { witness, began }), leave: Some((leave, left)) }
 }
 
 fn say(text: &str) -> Exit {
--- a/crates/fleet-model/src/fleet.rs
+++ b/crates/fleet-model/src/fleet.rs
@@ -9,7 +9,7 @@
 use curlewhub_fleet::record::{Kind, Proposal, Version};
 use curlewhub_fleet::seat::{self, Seat};
 use curlewhub_fleet::view::View;
-use curlewhub_fleet::wire::{FORMAT, Message, Said, Who};
+use curlewhub_fleet::wire::{FORMAT, Said, Who};
 use hdrhistogram::Histogram;
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg32;
@@ -115,6 +115,9 @@
     /// Which of its wakes is the one.
     wake: u64,
     wakes_at: Duration,
+    /// Digests of this start.
+    sequence: u64,
+    told_at: Duration,
     busy_until: Duration,
     waiting: usize,
     /// How long it has been at work.
@@ -140,12 +143,6 @@
         node: usize,
         wake: u64,
     },
-    /// A sidecar tells what it sees.
-    Tells {
-        node: usize,
-        start: u32,
-        sequence: u64,
-    },
 }
 
 /// What has passed.
@@ -165,6 +162,13 @@
     after: Histogram<u64>,
 }
 
+impl Default for Times {
+    fn default() -> Self {
+        let after = Histogram::new_with_bounds(1, 3_600_000_000, 3);
+        Times { after: after.unwrap_or_else(|_| unreachable!("the bounds are sound")) }
+    }
+}
+
 impl Times {
     /// A part of all, 0 to 1: within how long they were held.
     pub fn at(&self, q: f64) -> Duration {
@@ -246,6 +250,8 @@
                 start: 0,
                 wake: 0,
                 wakes_at: Duration::MAX,
+                sequence: 0,
+                told_at: Duration::ZERO,
                 busy_until: Duration::ZERO,
                 waiting: 0,
                 worked: Duration::ZERO,
@@ -255,7 +261,6 @@
         let numbers = nodes.iter().enumerate().map(|(n, node)| (node.name.clone(), n)).collect();
         let ats = nodes.iter().enumerate().map(|(n, node)| (node.at, n)).collect();
         let net = spec.net.clone();
-        let after = Histogram::new_with_bounds(1, 3_600_000_000, 3);
         let mut fleet = Fleet {
             spec,
             seed,
@@ -274,7 +279,7 @@
             dies_written: 0.0,
             rules: Rules::default(),
             passed: Passed::default(),
-            times: Times { after: after.unwrap_or_else(|_| unreachable!("the bounds are sound")) },
+            times: Times::default(),
         };
         let joining = fleet.keepers() - fleet.spec.joining..fleet.keepers();
         (0..count).filter(|n| !joining.contains(n)).for_each(|n| fleet.start(n));
@@ -345,7 +350,7 @@
         let node = &mut self.nodes[n];
         node.start += 1;
         node.disk.incarnation += 1;
-        (node.paused, node.waiting, node.busy_until) = (false, 0, now);
+        (node.paused, node.waiting, node.busy_until, node.sequence) = (false, 0, now, 0);
         let own = Member {
             name: node.name.clone(),
             role: if n < keepers.len() { Role::Keeper } else { Role::Sidecar },
@@ -379,11 +384,6 @@
             }
             Runs::Sidecar(Box::new(agent))
         });
-        if self.spec.evidence && n >= self.keepers() {
-            let start = self.nodes[n].start;
-            let after = Duration::from_millis(500).mul_f64(self.draws.random());
-            self.plan(now + after, Ev::Tells { node: n, start, sequence: 1 });
-        }
         self.plan_wake(n);
     }
 
@@ -497,7 +497,6 @@
             Ev::Comes { to, start, from, said, bytes } => self.comes(to, start, from, said, bytes),
             Ev::Dealt { to, start, from, said } => self.dealt(to, start, &from, &said),
             Ev::Wake { node, wake } => self.woken(node, wake),
-            Ev::Tells { node, start, sequence } => self.tells(node, start, sequence),
         }
     }
 
@@ -568,19 +567,22 @@
         self.plan_wake(n);
     }
 
-    /// A sidecar's calls into all halls, as they are when all is well.
-    fn tells(&mut self, n: usize, start: u32, sequence: u64) {
-        let node = &self.nodes[n];
-        let Some(Runs::Sidecar(agent)) = node.runs.as_ref().filter(|_| node.start == start) else { return };
-        if !node.paused {
-            let calls = Calls { asked: 3.0, served: 3.0, ..Calls::default() };
-            let rows = (0..self.spec.halls.len()).map(|hall| (format!("hall-{hall}"), calls)).collect();
-            let digest = Digest { sequence, hall: format!("hall-{}", node.place.hall), over_ms: 500, rows };
-            let actions = agent.tell(&digest);
+    /// A sidecar's calls into all halls, as they are when all is well: that is told once a second at the most.
+    fn tells(&mut self, n: usize) {
+        let over = self.now.saturating_sub(self.nodes[n].told_at);
+        if over < Duration::from_secs(1) {
+            return;
+        }
+        self.nodes[n].told_at = self.now;
+        let hall = format!("hall-{}", self.nodes[n].place.hall);
+        let calls = Calls { served: 3, took_ms: 40, ..Calls::default() };
+        let rows = (0..self.spec.halls.len()).map(|hall| (format!("hall-{hall}"), calls)).collect();
+        self.nodes[n].sequence += 1;
+        let (sequence, over_ms) = (self.nodes[n].sequence, over.as_millis() as u32);
+        if let Some(Runs::Sidecar(agent)) = &self.nodes[n].runs {
+            let actions = agent.tell(&Digest { sequence, hall, over_ms, rows });
             self.of_sidecar(n, actions);
         }
-        let again = self.now + Duration::from_millis(500);
-        self.plan(again, Ev::Tells { node: n, start, sequence: sequence + 1 });
     }
 
     /// Writes what a keeper wants kept, and only then says what it says; it may die between.
@@ -637,6 +639,7 @@
                     }
                 }
                 agent::Action::Whisper(to, said) => self.whisper(n, to, &from, said),
+                agent::Action::Tell if self.spec.evidence => self.tells(n),
                 agent::Action::Outlives(incarnation) => self.nodes[n].disk.incarnation = incarnation,
                 _ => {}
             }
@@ -658,7 +661,7 @@
         if to >= self.nodes.len() {
             return;
         }
-        let words = size(&Message { from: (**who).clone(), said: said.clone() });
+        let words = size(who, &said);
         let bytes = words + FRAME;
         self.passed.messages += 1;
         self.passed.bytes += bytes;
@@ -713,6 +716,7 @@
     }
 }
 
-fn size(message: &Message) -> u64 {
-    postcard::experimental::serialized_size(message).unwrap_or_default() as u64
+/// As a message of the two.
+fn size(who: &Who, said: &Said) -> u64 {
+    postcard::experimental::serialized_size(&(who, said)).unwrap_or_default() as u64
 }
--- a/crates/fleet-node/src/follower.rs
+++ b/crates/fleet-node/src/follower.rs
@@ -29,7 +29,7 @@
 /// What is decided is written down before it is acted on, so that no start goes back behind it; but a disk that takes
 /// longer than this is not waited for.
 const KEEP_MOST: Duration = Duration::from_millis(100);
-/// What was seen is told this often, and what another process holds is asked for again.
+/// How it stands is told this often, and an address that another process holds is asked for again.
 const TURN: Duration = Duration::from_millis(500);
 
 /// How a follower stands, for whoever reports it.
@@ -70,8 +70,8 @@
     /// Another process of the same name may still hold its address, as a sidecar's predecessor does: it follows without
     /// one until it comes free. Else that is an error.
     pub beside: bool,
-    /// What its process sees, if it is to be told.
-    pub witness: Option<Rc<RefCell<Witness>>>,
+    /// What its process sees, if it is to be told, and when the clock of that began.
+    pub witness: Option<(Rc<RefCell<Witness>>, Instant)>,
 }
 
 /// The wall clock, as this process is told to read it.
@@ -121,7 +121,7 @@
     /// What it acts on.
     acted: Acted,
     began: Instant,
-    witness: Option<Rc<RefCell<Witness>>>,
+    witness: Option<(Rc<RefCell<Witness>>, Instant)>,
     to: &'a mut A,
 }
 
@@ -206,7 +206,10 @@
                 follower.act(&follower.agent.view().clone(), false);
                 Vec::new()
             }
-            _ = turns.tick() => follower.turn().await,
+            _ = turns.tick() => {
+                follower.turn().await;
+                Vec::new()
+            }
             () = &mut leave => {
                 let actions = follower.agent.leave();
                 follower.carry_out(actions);
@@ -227,7 +230,7 @@
     }
 
     /// What is done twice a second.
-    async fn turn(&mut self) -> Vec<Action> {
+    async fn turn(&mut self) {
         let now = self.began.elapsed();
         let version = self.agent.view().version().0;
         let members = self.agent.members().map_or(0, |members| members.count() + 1);
@@ -240,7 +243,11 @@
         {
             self.open(doors);
         }
-        let digest = self.witness.as_ref().and_then(|witness| witness.borrow_mut().digest(TURN));
+    }
+
+    fn tell(&self) -> Vec<Action> {
+        let digest =
+            self.witness.as_ref().and_then(|(witness, began)| witness.borrow_mut().digest(began.elapsed()));
         digest.map(|digest| self.agent.tell(&digest)).unwrap_or_default()
     }
 
@@ -249,6 +256,10 @@
         for action in actions {
             match action {
                 Action::Say(to, at, said) => self.links.say(&to, at, said),
+                Action::Tell => {
+                    let told = self.tell();
+                    self.carry_out(told);
+                }
                 Action::Whisper(to, said) => self.links.whisper(to, said),
                 Action::Up(member) => {
                     self.links.member(&member.name, Some(member.format));
--- a/crates/fleet/src/agent.rs
+++ b/crates/fleet/src/agent.rs
@@ -4,7 +4,7 @@
 //! in the program, queues in the model and the checker.
 
 use crate::evidence::Digest;
-use crate::holder::{self, Counts, Holder};
+use crate::holder::{self, Counts, Holder, PACE};
 use crate::members::{self, Member, Members, Role};
 use crate::record::Record;
 use crate::view::View;
@@ -57,6 +57,8 @@
     Displaced(Member),
     /// It counts its own start by this number from now on.
     Outlives(u64),
+    /// What its calls have shown may be told now, by [`Agent::tell`].
+    Tell,
 }
 
 /// A sidecar's part.
@@ -68,6 +70,7 @@
     /// Peers that the holder speaks to, and where they are.
     peers: BTreeMap<String, SocketAddr>,
     peers_at: Duration,
+    tells_at: Duration,
     draws: Pcg32,
     /// Packets of the membership that were not taken, by why.
     pub not_heard: BTreeMap<members::NotHeard, u64>,
@@ -82,7 +85,8 @@
         let peers: BTreeMap<String, SocketAddr> = begin.peers.iter().cloned().collect();
         holder.peers(peers.keys().cloned().collect());
         let (members, not_heard) = Default::default();
-        Agent { begin, holder, members, peers, peers_at: now + PEERS_ANEW, draws, not_heard }
+        let (peers_at, tells_at) = (now + PEERS_ANEW, now + PACE.mul_f64(draws.random()));
+        Agent { begin, holder, members, peers, peers_at, tells_at, draws, not_heard }
     }
 
     /// It is reached under its name from now on, and a member.
@@ -115,7 +119,8 @@
     /// When it wants to be called again at the latest.
     pub fn next(&self) -> Duration {
         let members = self.members.as_ref().and_then(Members::next);
-        members.into_iter().fold(self.holder.next().min(self.peers_at), Duration::min)
+        let own = self.holder.next().min(self.peers_at).min(self.tells_at);
+        members.into_iter().fold(own, Duration::min)
     }
 
     /// Time has passed.
@@ -128,6 +133,11 @@
         if now >= self.peers_at {
             self.draw_peers(now);
         }
+        if now >= self.tells_at {
+            actions.push(Action::Tell);
+            let pace = self.holder.pace().mul_f64(self.draws.random_range(0.9..1.1));
+            self.tells_at = now + pace;
+        }
         let told = self.holder.tick(now);
         self.of_holder(told, &mut actions);
         actions
@@ -152,9 +162,8 @@
 
     /// What its calls have shown goes to every keeper: each sums for itself, whoever leads.
     pub fn tell(&self, digest: &Digest) -> Vec<Action> {
-        let to = |(name, _): &(String, SocketAddr)| {
-            Action::Say(name.clone(), None, Said::Evidence(digest.clone()))
-        };
+        let to =
+            |(name, _): &(String, SocketAddr)| Action::Say(name.clone(), None, Said::Saw(digest.clone()));
         self.begin.keepers.iter().map(to).collect()
     }
 
--- a/crates/fleet/src/evidence.rs
+++ b/crates/fleet/src/evidence.rs
@@ -3,7 +3,7 @@
 use crate::record::TEXT_MOST;
 use crate::wire::Who;
 use serde::{Deserialize, Serialize};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashMap};
 use std::time::Duration;
 
 /// Rows of a digest at the most: halls that one sidecar calls into.
@@ -14,21 +14,82 @@
 pub const FRESH: Duration = Duration::from_secs(3);
 /// Calls that one sidecar adds to a sum at the most, over one digest's time: a busy one, or a liar, weighs no more
 /// than so many calls of others.
-pub const CALLS_MOST: f64 = 20.0;
+pub const CALLS_MOST: u32 = 20;
 
 /// What became of the calls into one hall, in a digest's time.
-#[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq, Serialize)]
+#[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq, Eq, Serialize)]
 pub struct Calls {
-    /// Attempts that ended.
-    pub asked: f64,
     /// Served in time.
-    pub served: f64,
-    /// Without an answer: timed out, or never connected.
-    pub silent: f64,
-    /// Refused or reset.
-    pub refused: f64,
-    /// Served, and slower than usual.
-    pub slow: f64,
+    pub served: u32,
+    /// Of these, slower than usual.
+    pub slow: u32,
+    /// Turned away unseen, as a busy endpoint does.
+    pub full: u32,
+    /// Answered with an error.
+    pub error: u32,
+    /// Never connected, or the connection broke.
+    pub gone: u32,
+    /// Given up without an answer, and not counted as overdue before.
+    pub silent: u32,
+    /// Still out after longer than any should be: each once.
+    pub overdue: u32,
+    /// Of those, served after all.
+    pub back: u32,
+    /// Milliseconds that the served ones took, together.
+    pub took_ms: u32,
+}
+
+impl Calls {
+    /// Calls of which something is known.
+    pub fn known(&self) -> u32 {
+        let Calls { served, full, error, gone, silent, overdue, back, .. } = *self;
+        (served + full + error + gone + silent + overdue).saturating_sub(back)
+    }
+
+    /// Of these, lost: nobody there, or nobody answers. A hall that turns calls away, or answers with errors, is there.
+    pub fn lost(&self) -> u32 {
+        (self.gone + self.silent + self.overdue).saturating_sub(self.back)
+    }
+
+    fn is_sensible(&self) -> bool {
+        let Calls { served, slow, full, error, gone, silent, overdue, back, .. } = *self;
+        // More than this no process has out in a digest's time; sums of them stay far from any bound.
+        let all = [served, full, error, gone, silent, overdue];
+        all.iter().all(|n| *n <= 10_000_000) && slow <= served && back <= served
+    }
+
+    fn add(&mut self, other: &Calls) {
+        let sum = |a: &mut u32, b: u32| *a = a.saturating_add(b);
+        sum(&mut self.served, other.served);
+        sum(&mut self.slow, other.slow);
+        sum(&mut self.full, other.full);
+        sum(&mut self.error, other.error);
+        sum(&mut self.gone, other.gone);
+        sum(&mut self.silent, other.silent);
+        sum(&mut self.overdue, other.overdue);
+        sum(&mut self.back, other.back);
+        sum(&mut self.took_ms, other.took_ms);
+    }
+
+    /// No more than so many calls of it, in the same proportions.
+    pub fn capped(&self, most: u32) -> Calls {
+        let known = self.known();
+        if known <= most {
+            return *self;
+        }
+        let part = |n: u32| (u64::from(n) * u64::from(most) / u64::from(known)) as u32;
+        Calls {
+            served: part(self.served),
+            slow: part(self.slow),
+            full: part(self.full),
+            error: part(self.error),
+            gone: part(self.gone),
+            silent: part(self.silent),
+            overdue: part(self.overdue),
+            back: part(self.back),
+            took_ms: part(self.took_ms),
+        }
+    }
 }
 
 /// A sidecar's digest.
@@ -40,10 +101,19 @@
     pub hall: String,
     /// The time that it is over, in milliseconds.
     pub over_ms: u32,
-    /// By hall.
+    /// By hall, those alone into which there were calls.
     pub rows: BTreeMap<String, Calls>,
 }
 
+/// A digest as builds of the first format tell it: it is read, and says nothing.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct OldDigest {
+    sequence: u64,
+    hall: String,
+    over_ms: u32,
+    rows: BTreeMap<String, [f64; 5]>,
+}
+
 /// Why a digest is not taken.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, thiserror::Error)]
 pub enum NotTaken {
@@ -58,98 +128,141 @@
     NoRoom,
 }
 
-impl Calls {
-    fn is_sensible(&self) -> bool {
-        let Calls { asked, served, silent, refused, slow } = *self;
-        let all = [asked, served, silent, refused, slow];
-        let ended = served + silent + refused;
-        all.iter().all(|n| n.is_finite() && *n >= 0.0) && slow <= served && ended <= asked * 1.001 + 1e-6
-    }
-
-    fn add(&mut self, other: &Calls, weight: f64) {
-        self.asked += other.asked * weight;
-        self.served += other.served * weight;
-        self.silent += other.silent * weight;
-        self.refused += other.refused * weight;
-        self.slow += other.slow * weight;
-    }
-}
-
 /// How a call ended, for a witness.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Ended {
     /// Served.
     Served,
-    /// Without an answer: timed out, or never connected.
+    /// Turned away unseen.
+    Full,
+    /// Answered with an error.
+    Error,
+    /// Never connected, or the connection broke.
+    Gone,
+    /// Without an answer in time.
     Silent,
-    /// Turned away, reset, or answered with an error.
-    Refused,
+    /// Called off: it says nothing.
+    Moot,
 }
 
-/// A served call that takes over this multiple of the mean is slow.
+/// A served call that takes over this multiple of its class's mean is slow.
 const SLOW_MULTIPLE: f64 = 3.0;
+/// One that is out for over this multiple of it is overdue, and for over this time at the least.
+const OVERDUE_MULTIPLE: f64 = 5.0;
+const OVERDUE_LEAST: Duration = Duration::from_millis(250);
 /// Weight of one served call in that mean.
 const MEAN_WEIGHT: f64 = 0.05;
+/// Where nothing is lost, turned away or failing, what was seen is told this often at the most.
+const CALM: Duration = Duration::from_secs(1);
+/// Calls that are watched while they are out, and classes, at the most; others are seen only as they end.
+const OUT_MOST: usize = 4096;
+const CLASSES_MOST: usize = 64;
+
+const OUT_FOR: Duration = Duration::from_secs(120);
+
+/// A call that is out.
+#[derive(Clone, Copy, Debug)]
+struct Out {
+    hall: usize,
+    class: usize,
+    since: Duration,
+    overdue: bool,
+}
 
 /// A sidecar's own calls, until they are told.
 #[derive(Clone, Debug)]
 pub struct Witness {
     hall: String,
     sequence: u64,
-    rows: BTreeMap<String, Calls>,
-    mean_s: f64,
+    /// The halls' names, by number.
+    halls: Vec<String>,
+    rows: Vec<Calls>,
+    out: HashMap<(u64, u32), Out>,
+    /// By class: how long one that is served takes, in seconds.
+    means: Vec<f64>,
+    told_at: Duration,
 }
 
 impl Witness {
-    /// One in this hall, which has seen nothing.
-    pub fn new(hall: &str) -> Witness {
-        Witness { hall: hall.to_owned(), sequence: 0, rows: BTreeMap::new(), mean_s: 0.0 }
+    /// One in this hall, which has seen nothing; of more halls than a digest has rows the later ones are left out.
+    pub fn new(hall: &str, mut halls: Vec<String>) -> Witness {
+        halls.truncate(ROWS_MOST);
+        let rows = vec![Calls::default(); halls.len()];
+        let (out, means, told_at) = Default::default();
+        Witness { hall: hall.to_owned(), sequence: 0, halls, rows, out, means, told_at }
     }
 
-    /// A call into a hall has ended. Of more halls than a digest has rows the later ones are left out.
-    pub fn ended(&mut self, hall: &str, how: Ended, took: Duration) {
-        if !self.rows.contains_key(hall) {
-            if self.rows.len() >= ROWS_MOST {
-                return;
-            }
-            self.rows.insert(hall.to_owned(), Calls::default());
+    /// A call goes out: into a hall, of a class, by their numbers. `call` tells it from all others that are out.
+    pub fn began(&mut self, now: Duration, call: (u64, u32), hall: usize, class: usize) {
+        if hall < self.halls.len() && self.out.len() < OUT_MOST {
+            let class = class.min(CLASSES_MOST - 1);
+            self.out.insert(call, Out { hall, class, since: now, overdue: false });
         }
-        let Some(calls) = self.rows.get_mut(hall) else { return };
-        calls.asked += 1.0;
+    }
+
+    /// It has ended so, after this long.
+    pub fn ended(&mut self, call: (u64, u32), how: Ended, took: Duration) {
+        let Some(out) = self.out.remove(&call) else { return };
+        let row = &mut self.rows[out.hall];
         match how {
-            Ended::Silent => calls.silent += 1.0,
-            Ended::Refused => calls.refused += 1.0,
+            Ended::Full => row.full += 1,
+            Ended::Error => row.error += 1,
+            Ended::Gone => row.gone += 1,
+            Ended::Silent => row.silent += u32::from(!out.overdue),
+            Ended::Moot => {}
             Ended::Served => {
-                calls.served += 1.0;
-                let took = took.as_secs_f64();
-                if self.mean_s > 0.0 && took > self.mean_s * SLOW_MULTIPLE {
-                    calls.slow += 1.0;
+                row.served += 1;
+                row.back += u32::from(out.overdue);
+                row.took_ms = row.took_ms.saturating_add(took.as_millis() as u32);
+                if self.means.len() <= out.class {
+                    self.means.resize(out.class + 1, 0.0);
                 }
-                self.mean_s += if self.mean_s > 0.0 { MEAN_WEIGHT * (took - self.mean_s) } else { took };
+                let (mean, took) = (&mut self.means[out.class], took.as_secs_f64());
+                row.slow += u32::from(*mean > 0.0 && took > *mean * SLOW_MULTIPLE);
+                *mean += if *mean > 0.0 { MEAN_WEIGHT * (took - *mean) } else { took };
             }
         }
     }
 
-    /// What was seen since the last one; none where that is nothing.
-    pub fn digest(&mut self, over: Duration) -> Option<Digest> {
-        let rows = std::mem::take(&mut self.rows);
+    /// What was seen since the last one; none where that is nothing, or where all is well and was told lately.
+    pub fn digest(&mut self, now: Duration) -> Option<Digest> {
+        // One whose end was never told, for whatever reason, is not watched for ever.
+        self.out.retain(|_, out| now.saturating_sub(out.since) < OUT_FOR);
+        let means = &self.means;
+        for out in self.out.values_mut().filter(|out| !out.overdue) {
+            let mean = means.get(out.class).copied().unwrap_or_default();
+            let most = OVERDUE_LEAST.max(Duration::from_secs_f64(mean * OVERDUE_MULTIPLE));
+            if now.saturating_sub(out.since) > most {
+                out.overdue = true;
+                self.rows[out.hall].overdue += 1;
+            }
+        }
+        let over = now.saturating_sub(self.told_at);
+        let calm = |row: &Calls| row.lost() + row.full + row.error + row.back == 0;
+        if over < CALM && self.rows.iter().all(calm) {
+            return None;
+        }
+        let rows = std::mem::replace(&mut self.rows, vec![Calls::default(); self.halls.len()]);
+        let rows = self.halls.iter().zip(rows).filter(|(_, row)| *row != Calls::default());
+        let rows: BTreeMap<String, Calls> = rows.map(|(hall, row)| (hall.clone(), row)).collect();
         if rows.is_empty() {
             return None;
         }
         self.sequence += 1;
+        self.told_at = now;
         let over_ms = u32::try_from(over.as_millis()).unwrap_or(u32::MAX);
         Some(Digest { sequence: self.sequence, hall: self.hall.clone(), over_ms, rows })
     }
 }
 
 /// What is known of one pair of halls.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Pair {
     /// Sums over the witnesses, capped for each.
     pub calls: Calls,
     /// Sidecars that have called lately.
     pub witnesses: u32,
-    /// Of these, to whom most calls fell silent or were refused.
+    /// Of these, to whom most calls were lost.
     pub losing: u32,
 }
 
@@ -194,11 +307,11 @@
         let mut pairs: BTreeMap<(&str, &str), Pair> = BTreeMap::new();
         let fresh = self.newest.values().filter(|(_, at, _)| now.saturating_sub(*at) <= FRESH);
         for (_, _, digest) in fresh {
-            for (to, calls) in digest.rows.iter().filter(|(_, calls)| calls.asked > 0.0) {
+            for (to, calls) in digest.rows.iter().filter(|(_, calls)| calls.known() > 0) {
                 let pair = pairs.entry((&digest.hall, to)).or_default();
-                pair.calls.add(calls, (CALLS_MOST / calls.asked).min(1.0));
+                pair.calls.add(&calls.capped(CALLS_MOST));
                 pair.witnesses += 1;
-                pair.losing += u32::from(calls.silent + calls.refused > calls.asked / 2.0);
+                pair.losing += u32::from(calls.lost() > calls.known() / 2);
             }
         }
         pairs
@@ -214,8 +327,8 @@
 mod tests {
     use super::*;
 
-    fn digest(sequence: u64, asked: f64, silent: f64) -> Digest {
-        let calls = Calls { asked, served: asked - silent, silent, ..Calls::default() };
+    fn digest(sequence: u64, asked: u32, silent: u32) -> Digest {
+        let calls = Calls { served: asked.saturating_sub(silent), silent, ..Calls::default() };
         let rows = [("b".to_owned(), calls)].into();
         Digest { sequence, hall: "a".to_owned(), over_ms: 500, rows }
     }
@@ -236,45 +349,78 @@
             (2, 2, Ok(())),
         ];
         for (incarnation, sequence, wanted) in cases {
-            let taken = evidence.heard(now, &who("s", incarnation), digest(sequence, 4.0, 0.0));
+            let taken = evidence.heard(now, &who("s", incarnation), digest(sequence, 4, 0));
             assert_eq!(taken, wanted, "{incarnation} {sequence}");
         }
-        for (asked, silent) in [(f64::NAN, 0.0), (-1.0, 0.0), (3.0, 4.0)] {
-            let taken = evidence.heard(now, &who("s", 3), digest(1, asked, silent));
-            assert_eq!(taken, Err(NotTaken::Senseless), "{asked} {silent}");
+        for calls in [
+            Calls { served: 20_000_000, ..Calls::default() },
+            Calls { served: 1, slow: 2, ..Calls::default() },
+            Calls { served: 1, back: 2, ..Calls::default() },
+        ] {
+            let rows = [("b".to_owned(), calls)].into();
+            let taken = evidence.heard(now, &who("s", 3), Digest { rows, ..digest(1, 1, 0) });
+            assert_eq!(taken, Err(NotTaken::Senseless), "{calls:?}");
         }
+        // What is too old to say anything keeps nobody from saying something.
+        assert_eq!(evidence.heard(now + FRESH * 2, &who("s", 1), digest(1, 4, 0)), Ok(()));
     }
 
     #[test]
     fn a_witness_tells_each_call_once() {
-        let (mut witness, ms) = (Witness::new("a"), Duration::from_millis);
-        assert_eq!(witness.digest(ms(500)), None, "nothing was seen");
+        let halls = ["a", "b", "c"].map(str::to_owned).to_vec();
+        let (mut witness, ms) = (Witness::new("a", halls), Duration::from_millis);
+        assert_eq!(witness.digest(ms(2000)), None, "nothing was seen");
+        // Hall, how, after how long.
         let calls = [
-            ("b", Ended::Served, 10),
-            ("b", Ended::Served, 90),
-            ("b", Ended::Silent, 500),
-            ("c", Ended::Refused, 1),
+            (1, Ended::Served, 10),
+            (1, Ended::Served, 90),
+            (1, Ended::Silent, 500),
+            (2, Ended::Gone, 1),
+            (2, Ended::Moot, 1),
+            (9, Ended::Served, 1),
         ];
-        calls.iter().for_each(|(hall, how, took)| witness.ended(hall, *how, ms(*took)));
-        let digest = witness.digest(ms(500)).unwrap();
-        let b = Calls { asked: 3.0, served: 2.0, silent: 1.0, slow: 1.0, ..Calls::default() };
-        assert_eq!((digest.rows["b"], digest.rows["c"].refused, digest.sequence), (b, 1.0, 1));
-        assert_eq!(witness.digest(ms(500)), None, "each is told once");
-        (0..ROWS_MOST + 9).for_each(|n| witness.ended(&n.to_string(), Ended::Served, ms(1)));
-        assert_eq!(witness.digest(ms(500)).unwrap().rows.len(), ROWS_MOST);
+        for (n, (hall, how, took)) in calls.iter().enumerate() {
+            witness.began(ms(0), (n as u64, 0), *hall, 0);
+            witness.ended((n as u64, 0), *how, ms(*took));
+        }
+        let digest = witness.digest(ms(2500)).unwrap();
+        let b = Calls { served: 2, silent: 1, slow: 1, took_ms: 100, ..Calls::default() };
+        assert_eq!((digest.rows["b"], digest.rows["c"].gone, digest.sequence), (b, 1, 1));
+        assert_eq!(witness.digest(ms(5000)), None, "each is told once");
+        // What is well is told after a while.
+        witness.began(ms(5000), (9, 0), 1, 0);
+        witness.ended((9, 0), Ended::Served, ms(10));
+        assert_eq!(witness.digest(ms(3400)), None);
+        assert_eq!(witness.digest(ms(3500)).unwrap().over_ms, 1000);
+    }
+
+    #[test]
+    fn a_call_that_is_out_too_long_is_told_before_it_ends_and_taken_back_if_it_is_served() {
+        for (how, back, silent) in [(Ended::Served, 1, 0), (Ended::Silent, 0, 0)] {
+            let (mut witness, ms) = (Witness::new("a", vec!["b".to_owned()]), Duration::from_millis);
+            witness.began(ms(0), (1, 0), 0, 0);
+            assert_eq!(witness.digest(ms(200)), None, "not yet");
+            let told = |digest: Option<Digest>| digest.map(|digest| digest.rows["b"]);
+            let first = told(witness.digest(ms(300))).unwrap();
+            assert_eq!((first.overdue, first.lost(), first.known()), (1, 1, 1));
+            assert_eq!(witness.digest(ms(600)), None, "once");
+            witness.ended((1, 0), how, ms(700));
+            let then = told(witness.digest(ms(800))).unwrap_or_default();
+            assert_eq!((then.back, then.silent, then.lost()), (back, silent, 0), "{how:?}");
+        }
     }
 
     #[test]
     fn a_liar_weighs_no_more_than_a_bounded_number_of_calls_and_one_witness() {
         let (mut evidence, now) = (Evidence::default(), Duration::from_secs(9));
         for n in 0..9 {
-            evidence.heard(now, &who(&format!("s{n}"), 1), digest(1, 10.0, 0.0)).unwrap();
+            evidence.heard(now, &who(&format!("s{n}"), 1), digest(1, 10, 0)).unwrap();
         }
-        evidence.heard(now, &who("liar", 1), digest(1, 1e9, 1e9)).unwrap();
+        evidence.heard(now, &who("liar", 1), digest(1, 9_000_000, 9_000_000)).unwrap();
         let pairs = evidence.pairs(now);
         let pair = pairs[&("a", "b")];
         assert_eq!((pair.witnesses, pair.losing), (10, 1));
-        assert!(pair.calls.silent <= CALLS_MOST && pair.calls.served == 90.0, "{pair:?}");
+        assert!(pair.calls.silent <= CALLS_MOST && pair.calls.served == 90, "{pair:?}");
         assert!(evidence.pairs(now + FRESH * 2).is_empty(), "old evidence is none");
     }
 }
--- a/crates/fleet/src/holder.rs
+++ b/crates/fleet/src/holder.rs
@@ -10,8 +10,12 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-/// A keeper is asked at least this often, and tells what follows for a little longer than that.
-pub const RENEW: Duration = Duration::from_secs(1);
+/// What is seen is told this often where no keeper wants it more seldom.
+pub const PACE: Duration = Duration::from_millis(250);
+/// No keeper may want it more seldom than this.
+pub const PACE_MOST: Duration = Duration::from_secs(10);
+/// A keeper is asked once in so many paces, and tells what follows for a little longer than that.
+pub const RENEW_PACES: u32 = 4;
 /// A peer is told this often how far one is.
 pub const GOSSIP: Duration = Duration::from_millis(500);
 /// One that does not answer is given up after this ...
@@ -79,6 +83,8 @@
     /// When a keeper last said that this view is the newest, or told what makes it so.
     confirmed: Option<Duration>,
     counts: Counts,
+    /// How often keepers want to be told, and asked.
+    pace: Duration,
     /// Bytes that it may still tell, and when that was worked out.
     budget: (f64, Duration),
     /// The greatest incarnation heard of each keeper and peer that spoke.
@@ -90,7 +96,7 @@
     pub fn new(view: View, keepers: Vec<String>, seed: u64, now: Duration) -> Holder {
         let mut draws = Pcg32::seed_from_u64(seed);
         // Hundreds that start at once ask one after another.
-        let ask_at = now + RENEW.mul_f64(draws.random::<f64>());
+        let ask_at = now + (PACE * RENEW_PACES).mul_f64(draws.random::<f64>());
         let gossip_at = now + GOSSIP.mul_f64(draws.random::<f64>());
         let (tail, peers, asked, failures, confirmed, counts, incarnations) = Default::default();
         Holder {
@@ -105,6 +111,7 @@
             gossip_at,
             confirmed,
             counts,
+            pace: PACE,
             budget: (TELL_BYTES, now),
             incarnations,
         }
@@ -120,6 +127,11 @@
         self.confirmed.map(|at| now.saturating_sub(at))
     }
 
+    /// How often what is seen is to be told.
+    pub fn pace(&self) -> Duration {
+        self.pace
+    }
+
     /// What could not be taken.
     pub fn counts(&self) -> Counts {
         self.counts
@@ -210,6 +222,9 @@
                 let taken = self.replace(view, &mut actions);
                 self.came(now, answers, keeper && taken);
             }
+            Said::Pace { every_ms } if keeper => {
+                self.pace = Duration::from_millis(every_ms.into()).clamp(PACE, PACE_MOST);
+            }
             Said::Later { after_ms } if answers => {
                 self.wait(now);
                 self.ask_at =
@@ -282,7 +297,8 @@
         }
         if answers {
             (self.asked, self.failures) = (None, 0);
-            self.ask_at = now + RENEW.mul_f64(self.draws.random_range(0.75..=1.0));
+            let renew = self.pace * RENEW_PACES;
+            self.ask_at = now + renew.mul_f64(self.draws.random_range(0.75..=1.0));
         }
     }
 
--- a/crates/fleet/src/keeper.rs
+++ b/crates/fleet/src/keeper.rs
@@ -4,7 +4,7 @@
 //! be kept, and only then sends what is to be said.
 
 use crate::evidence::{Evidence, NotTaken};
-use crate::holder::{RECORDS_MOST, RENEW};
+use crate::holder::{PACE, PACE_MOST, RECORDS_MOST, RENEW_PACES};
 use crate::record::{Proposal, Record, Version};
 use crate::view::{Refused, Tail, View};
 use crate::wire::{Said, Who};
@@ -37,6 +37,9 @@
 const IDS_MOST: usize = 1024;
 /// Holders that are told what follows, at the most.
 const TOLD_MOST: usize = 20_000;
+/// Digests that a keeper takes in a second: of a larger fleet each sidecar tells more seldom, and still hundreds tell in the
+/// time in which a hall is judged.
+const DIGESTS_PER_S: f64 = 2000.0;
 /// Bytes that a keeper tells holders in a second, at the most, and saves up at the most.
 const TELL_BYTES: f64 = 16e6;
 
@@ -200,6 +203,8 @@
     budget: f64,
     draws: Pcg32,
     forgot: bool,
+    /// Sidecars were told to tell more seldom, and are to be told when they need not any more.
+    paced: bool,
     /// Messages of the agreement that could not be read or did not fit.
     pub unread: u64,
     /// Asks that were put off.
@@ -319,6 +324,7 @@
             budget: TELL_BYTES,
             draws,
             forgot: false,
+            paced: false,
             unread,
             put_off,
             not_taken,
@@ -414,7 +420,7 @@
     pub fn heard(&mut self, from: &Who, said: Said) -> Output {
         match said {
             Said::Ask { after } => self.asked(from, after),
-            Said::Evidence(digest) => {
+            Said::Saw(digest) => {
                 if let Err(why) = self.evidence.heard(self.now, from, digest) {
                     *self.not_taken.entry(why).or_default() += 1;
                 }
@@ -438,12 +444,26 @@
         }
         self.budget -= cost;
         if self.told.len() < TOLD_MOST || self.told.contains_key(&from.name) {
-            self.told.insert(from.name.clone(), self.now + RENEW * 3 / 2);
+            self.told.insert(from.name.clone(), self.now + self.pace() * RENEW_PACES * 3 / 2);
+        }
+        let pace = self.pace();
+        self.paced |= pace > PACE;
+        if self.paced {
+            let every_ms = pace.as_millis() as u32;
+            output.said.push((from.name.clone(), Said::Pace { every_ms }));
         }
         output.said.push((from.name.clone(), answer));
         output
     }
 
+    /// How often each of the sidecars that are known may tell.
+    fn pace(&self) -> Duration {
+        let wanted = Duration::from_secs_f64(self.evidence.sidecars() as f64 / DIGESTS_PER_S);
+        // In whole steps, so that it does not change with every sidecar.
+        let steps = wanted.as_millis().div_ceil(PACE.as_millis()) as u32;
+        (PACE * steps).clamp(PACE, PACE_MOST)
+    }
+
     fn tell(&self, after: Version) -> Said {
         let view = &self.state.view;
         if after >= view.version() {
--- a/crates/fleet/src/wire.rs
+++ b/crates/fleet/src/wire.rs
@@ -1,6 +1,6 @@
 //! What processes of a fleet say to one another: a format, a key's number, the words, and a MAC over all of it.
 
-use crate::evidence::Digest;
+use crate::evidence::{Digest, OldDigest};
 use crate::record::{Hash, Proposal, Record, TEXT_MOST, Version};
 use crate::view::View;
 use serde::{Deserialize, Serialize};
@@ -52,8 +52,8 @@
         /// After how long.
         after_ms: u32,
     },
-    /// What I see.
-    Evidence(Digest),
+    /// What builds of the first format see.
+    Evidence(OldDigest),
     /// Please decide this.
     Propose(Proposal),
     /// It is decided, as this version.
@@ -91,13 +91,20 @@
     Members(Vec<u8>),
     /// Whom do you know? An operator asks.
     ListMembers,
+    /// Tell me what you see no oftener than this, and ask me four times as seldom.
+    Pace {
+        /// In milliseconds.
+        every_ms: u32,
+    },
+    /// What I see.
+    Saw(Digest),
 }
 
 impl Said {
     /// The format that this was first said in.
     pub fn since(&self) -> u8 {
         match self {
-            Said::Members(_) | Said::ListMembers => 2,
+            Said::Members(_) | Said::ListMembers | Said::Pace { .. } | Said::Saw(_) => 2,
             _ => 1,
         }
     }
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -3,6 +3,7 @@
 
 pub mod chart;
 pub mod demo;
+pub mod fleet_scale;
 pub mod load;
 pub mod paper;
 pub mod rig;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -3,6 +3,7 @@
 use clap::{Parser, Subcommand};
 use curlewhub_lab::chart::Chart;
 use curlewhub_lab::demo;
+use curlewhub_lab::fleet_scale;
 use curlewhub_lab::load::{self, Arrivals, Look, Mix, Plan};
 use curlewhub_lab::paper;
 use curlewhub_lab::rig::{self, Ended, RigCommand};
@@ -55,6 +56,8 @@
         #[arg(long, value_name = "FILE")]
         html: Option<PathBuf>,
     },
+    /// Play a fleet's own processes at many sizes in simulated time: how versions spread, and what that costs.
+    FleetScale(fleet_scale::Scale),
     /// Make load, and account for every request.
     Load {
         /// A sidecar; may come often.
@@ -292,6 +295,10 @@
                 Err(problem) => failed(&problem),
             }
         }
+        Command::FleetScale(scale) => {
+            println!("{}", fleet_scale::scale(&scale));
+            ExitCode::SUCCESS
+        }
         Command::Rig(command) => block_on(async { ended(rig::rig(command).await) }),
         Command::Mix => match toml::to_string(&Mix::default()) {
             Ok(text) => {
--- a/crates/runtime/src/driver.rs
+++ b/crates/runtime/src/driver.rs
@@ -340,8 +340,7 @@
             micros = elapsed.as_micros() as u64,
             "attempt ended"
         );
-        let zone = || self.balancer.place(endpoint).map(|(zone, _)| zone);
-        self.sight.ended(&zone, outcome, elapsed);
+        self.sight.ended((id, attempt), outcome, elapsed);
         if outcome == Outcome::TimedOut {
             self.outbound.close_unheard(endpoint, sent);
         }
@@ -512,6 +511,11 @@
         let (cancel, mut cancelled) = oneshot::channel();
         open.tries.push(Try { endpoint, sent: now, cancel: Some(cancel) });
         open.out += 1;
+        // While a body still comes no endpoint takes any time over it.
+        if open.coming.is_none() {
+            let zone = || self.balancer.place(endpoint).map(|(zone, _)| zone);
+            self.sight.began((id, attempt), open.class, &zone);
+        }
         let request = open.forward.request(address, open.coming.unwrap_or(until - now));
         let mut deadline = open.deadline.subscribe();
         let (outbound, inbox) = (self.outbound.clone(), self.inbox.clone());
--- a/crates/runtime/src/sight.rs
+++ b/crates/runtime/src/sight.rs
@@ -1,17 +1,23 @@
 //! The one narrow interface towards a fleet: what the driver's own calls show goes out here, and nothing comes back by it.
 
-use curlewhub_balance::{Outcome, ZoneId};
+use curlewhub_balance::{AttemptNo, ClassId, Outcome, RequestId, ZoneId};
 use std::time::Duration;
 
-/// Sees how attempts end.
+/// An attempt, told from all others that are out.
+pub type Attempt = (RequestId, AttemptNo);
+
+/// Sees how attempts go out and end.
 pub trait Sight {
-    /// An attempt has ended so, after this long. Its zone is looked up only where somebody sees.
-    fn ended(&self, zone: &dyn Fn() -> Option<ZoneId>, outcome: Outcome, took: Duration);
+    /// One goes out, of this class. Its zone is looked up only where somebody sees.
+    fn began(&self, attempt: Attempt, class: ClassId, zone: &dyn Fn() -> Option<ZoneId>);
+    /// It has ended so, after this long.
+    fn ended(&self, attempt: Attempt, outcome: Outcome, took: Duration);
 }
 
 /// Sees nothing: where there is no fleet.
 pub struct Blind;
 
 impl Sight for Blind {
-    fn ended(&self, _: &dyn Fn() -> Option<ZoneId>, _: Outcome, _: Duration) {}
+    fn began(&self, _: Attempt, _: ClassId, _: &dyn Fn() -> Option<ZoneId>) {}
+    fn ended(&self, _: Attempt, _: Outcome, _: Duration) {}
 }
