--- a/crates/fleet-node/src/follower.rs
+++ b/crates/fleet-node/src/follower.rs
@@ -136,8 +136,7 @@
     leave: impl Future<Output = ()>,
 ) -> Result<(), String> {
     let keys = keys(config)?;
-    let at = |e: &dyn std::fmt::Display| format!("state_dir: {}: {e}", config.state_dir.display());
-    let file = ViewFile::open(&config.state_dir).map_err(|e| at(&e))?;
+    let file = ViewFile::new(&config.state_dir);
     // A folder that can't be written to is no reason not to follow: it is only of use after a start.
     let incarnation = file.incarnation(unix_ms(config)).unwrap_or_else(|problem| {
         warn!(%problem, "fleet: the view can't be kept");
--- a/crates/fleet-node/src/kept.rs
+++ b/crates/fleet-node/src/kept.rs
@@ -23,13 +23,9 @@
 }
 
 impl ViewFile {
-    /// In this folder, which is made.
-    ///
-    /// # Errors
-    /// It can't be.
-    pub fn open(folder: &Path) -> io::Result<ViewFile> {
-        std::fs::create_dir_all(folder)?;
-        Ok(ViewFile { folder: folder.to_owned() })
+    /// In this folder, which is made once something is to be kept: one that can't be made now may be later.
+    pub fn new(folder: &Path) -> ViewFile {
+        ViewFile { folder: folder.to_owned() }
     }
 
     fn path(&self) -> PathBuf {
@@ -38,6 +34,7 @@
 
     /// Held while it is read and replaced, by whichever process; ends with the process.
     fn lock(&self) -> io::Result<File> {
+        std::fs::create_dir_all(&self.folder)?;
         let file = File::options().create(true).append(true).open(self.folder.join("fleet-view.lock"))?;
         file.lock()?;
         Ok(file)
--- a/crates/rig/src/run.rs
+++ b/crates/rig/src/run.rs
@@ -440,6 +440,7 @@
         }
         let (start, ready) = self.start_of(n, how);
         let incarnation = process.start(&start)?;
+        process.on_second.set(how.beside.is_some_and(|at| at == self.at(n, "operator-2")));
         self.note(name, incarnation, What::Started);
         let began = Instant::now();
         while !ready.is().await {
