--- a/crates/fleet-node/tests/store.rs
+++ b/crates/fleet-node/tests/store.rs
@@ -153,7 +153,7 @@
 #[test]
 fn a_kept_view_is_read_beside_who_keeps_it_and_is_never_replaced_by_an_older_one() {
     let folder = Folder::new("view");
-    let (old, new) = (ViewFile::open(&folder.0).unwrap(), ViewFile::open(&folder.0).unwrap());
+    let (old, new) = (ViewFile::new(&folder.0), ViewFile::new(&folder.0));
     assert_eq!(old.view().unwrap(), View::default());
     assert_eq!(old.incarnation(1000).unwrap(), 1000);
     old.keep(&view(15)).unwrap();
--- a/crates/runtime/src/handover.rs
+++ b/crates/runtime/src/handover.rs
@@ -50,6 +50,8 @@
 const SHARE_TIME: Duration = Duration::from_millis(400);
 /// What the process before has learnt comes within this: its successor's yes is due.
 const LEARN_TIME: Duration = Duration::from_millis(700);
+/// A folder that could not be written to is tried again after this.
+const BIND_AGAIN: Duration = Duration::from_secs(1);
 /// How often the first process looks at what it holds, once it has a successor.
 const SPARE_CHECK: Duration = Duration::from_millis(100);
 /// Descriptors that an ending process may hold beyond those it has: its open requests still need
@@ -256,13 +258,7 @@
 
     /// Hands over to whoever comes, until the process ends.
     pub async fn offer(self: Rc<Self>, bans: Rc<Bans>, lifecycle: Rc<Lifecycle>, outbound: Rc<Outbound>) {
-        let listener = match self.bind() {
-            Ok(listener) => listener,
-            Err(e) => {
-                let path = self.path();
-                return warn!(path = %path.display(), error = %e, "no handover; a successor has to share the port");
-            }
-        };
+        let Some(listener) = self.bound().await else { return };
         loop {
             let stream = match listener.accept().await {
                 Ok((stream, _)) => stream,
@@ -307,6 +303,27 @@
         }
     }
 
+    /// Its socket, as soon as its folder lets it be: one that can't be written to now may be later. Never once another
+    /// process has put its own there.
+    async fn bound(&self) -> Option<UnixListener> {
+        let mut told = false;
+        loop {
+            match self.bind() {
+                Ok(listener) => return Some(listener),
+                Err(e) => {
+                    let path = self.path();
+                    if !std::mem::replace(&mut told, true) {
+                        warn!(path = %path.display(), error = %e, "no handover; a successor has to share the port");
+                    }
+                    sleep(BIND_AGAIN).await;
+                    if path.exists() {
+                        return None;
+                    }
+                }
+            }
+        }
+    }
+
     /// Lets the successor have what this process no longer holds.
     async fn give_way(&self, link: &Link, lifecycle: &Lifecycle, outbound: &Outbound) {
         let mut told = 0;
