--- a/crates/config/src/file.rs
+++ b/crates/config/src/file.rs
@@ -3,7 +3,7 @@
 use crate::config::{
     Config, ENDPOINT_CONNECTIONS_MOST, LEAST_MEMORY_MB, LEAST_SOCKETS, LOG_PER_SECOND, Log, Named, Names,
 };
-use crate::fleet::{FleetConfig, KeyConfig};
+use crate::fleet::{FleetConfig, KeyConfig, PlacesConfig};
 use crate::list::{List, State, Target};
 use crate::problem::{Problem, Problems};
 use crate::reader::{Effective, Override, Reader, Section, any, only};
@@ -386,6 +386,7 @@
         other_key: s.optional(r, "other_key", &key),
         keepers: s.required(r, "keepers", Vec::new(), &any(tables)),
         peers: s.or(r, "peers", Vec::new(), &any("a list of tables: [[fleet.peers]]")),
+        places: s.or(r, "places", PlacesConfig::default(), &any("a table: [fleet.places]")),
         clock_ahead_ms: s.or(r, "clock_ahead_ms", 0, &any("milliseconds")),
         joins: false,
     };
--- a/crates/fleet-model/src/fleet.rs
+++ b/crates/fleet-model/src/fleet.rs
@@ -575,7 +575,7 @@
         }
         self.nodes[n].told_at = self.now;
         let hall = format!("hall-{}", self.nodes[n].place.hall);
-        let calls = Calls { served: 3, took_ms: 40, ..Calls::default() };
+        let calls = Calls { served: 3, took_ms: 40, usual_ms: 40, ..Calls::default() };
         let rows = (0..self.spec.halls.len()).map(|hall| (format!("hall-{hall}"), calls)).collect();
         self.nodes[n].sequence += 1;
         let (sequence, over_ms) = (self.nodes[n].sequence, over.as_millis() as u32);
--- a/crates/fleet/src/evidence.rs
+++ b/crates/fleet/src/evidence.rs
@@ -35,8 +35,14 @@
     pub overdue: u32,
     /// Of those, served after all.
     pub back: u32,
-    /// Milliseconds that the served ones took, together.
+    /// Milliseconds that the served ones took, together ...
     pub took_ms: u32,
+    /// ... and that they would have, had each taken what its class usually takes anywhere.
+    pub usual_ms: u32,
+    /// Probes that were answered, by anything at all.
+    pub there: u32,
+    /// Probes that were not.
+    pub not_there: u32,
 }
 
 impl Calls {
@@ -54,7 +60,7 @@
     fn is_sensible(&self) -> bool {
         let Calls { served, slow, full, error, gone, silent, overdue, back, .. } = *self;
         // More than this no process has out in a digest's time; sums of them stay far from any bound.
-        let all = [served, full, error, gone, silent, overdue];
+        let all = [served, full, error, gone, silent, overdue, self.there, self.not_there];
         all.iter().all(|n| *n <= 10_000_000) && slow <= served && back <= served
     }
 
@@ -69,6 +75,9 @@
         sum(&mut self.overdue, other.overdue);
         sum(&mut self.back, other.back);
         sum(&mut self.took_ms, other.took_ms);
+        sum(&mut self.usual_ms, other.usual_ms);
+        sum(&mut self.there, other.there);
+        sum(&mut self.not_there, other.not_there);
     }
 
     /// No more than so many calls of it, in the same proportions.
@@ -88,6 +97,8 @@
             overdue: part(self.overdue),
             back: part(self.back),
             took_ms: part(self.took_ms),
+            usual_ms: part(self.usual_ms),
+            ..*self
         }
     }
 }
@@ -150,8 +161,9 @@
 /// One that is out for over this multiple of it is overdue, and for over this time at the least.
 const OVERDUE_MULTIPLE: f64 = 5.0;
 const OVERDUE_LEAST: Duration = Duration::from_millis(250);
-/// Weight of one served call in that mean.
-const MEAN_WEIGHT: f64 = 0.05;
+/// Weight of one served call in that mean, once there were many: so little that a hall that turns slow is seen before its
+/// slowness is what is usual.
+const MEAN_WEIGHT: f64 = 0.005;
 /// Where nothing is lost, turned away or failing, what was seen is told this often at the most.
 const CALM: Duration = Duration::from_secs(1);
 /// Calls that are watched while they are out, and classes, at the most; others are seen only as they end.
@@ -178,8 +190,8 @@
     halls: Vec<String>,
     rows: Vec<Calls>,
     out: HashMap<(u64, u32), Out>,
-    /// By class: how long one that is served takes, in seconds.
-    means: Vec<f64>,
+    /// By class: how long one that is served takes, in seconds, and how many were.
+    means: Vec<(f64, u32)>,
     told_at: Duration,
 }
 
@@ -215,22 +227,31 @@
                 row.back += u32::from(out.overdue);
                 row.took_ms = row.took_ms.saturating_add(took.as_millis() as u32);
                 if self.means.len() <= out.class {
-                    self.means.resize(out.class + 1, 0.0);
+                    self.means.resize(out.class + 1, (0.0, 0));
                 }
-                let (mean, took) = (&mut self.means[out.class], took.as_secs_f64());
-                row.slow += u32::from(*mean > 0.0 && took > *mean * SLOW_MULTIPLE);
-                *mean += if *mean > 0.0 { MEAN_WEIGHT * (took - *mean) } else { took };
+                let ((mean, seen), took) = (&mut self.means[out.class], took.as_secs_f64());
+                row.slow += u32::from(*seen > 0 && took > *mean * SLOW_MULTIPLE);
+                *seen = seen.saturating_add(1);
+                *mean += MEAN_WEIGHT.max(1.0 / f64::from(*seen)) * (took - *mean);
+                row.usual_ms = row.usual_ms.saturating_add((*mean * 1e3).round() as u32);
             }
         }
     }
 
+    /// A probe into a hall has ended.
+    pub fn probed(&mut self, hall: usize, answered: bool) {
+        if let Some(row) = self.rows.get_mut(hall) {
+            *if answered { &mut row.there } else { &mut row.not_there } += 1;
+        }
+    }
+
     /// What was seen since the last one; none where that is nothing, or where all is well and was told lately.
     pub fn digest(&mut self, now: Duration) -> Option<Digest> {
         // One whose end was never told, for whatever reason, is not watched for ever.
         self.out.retain(|_, out| now.saturating_sub(out.since) < OUT_FOR);
         let means = &self.means;
         for out in self.out.values_mut().filter(|out| !out.overdue) {
-            let mean = means.get(out.class).copied().unwrap_or_default();
+            let mean = means.get(out.class).map_or(0.0, |(mean, _)| *mean);
             let most = OVERDUE_LEAST.max(Duration::from_secs_f64(mean * OVERDUE_MULTIPLE));
             if now.saturating_sub(out.since) > most {
                 out.overdue = true;
@@ -238,7 +259,8 @@
             }
         }
         let over = now.saturating_sub(self.told_at);
-        let calm = |row: &Calls| row.lost() + row.full + row.error + row.back == 0;
+        let calm =
+            |row: &Calls| row.lost() + row.full + row.error + row.back + row.there + row.not_there == 0;
         if over < CALM && self.rows.iter().all(calm) {
             return None;
         }
@@ -384,7 +406,7 @@
             witness.ended((n as u64, 0), *how, ms(*took));
         }
         let digest = witness.digest(ms(2500)).unwrap();
-        let b = Calls { served: 2, silent: 1, slow: 1, took_ms: 100, ..Calls::default() };
+        let b = Calls { served: 2, silent: 1, slow: 1, took_ms: 100, usual_ms: 60, ..Calls::default() };
         assert_eq!((digest.rows["b"], digest.rows["c"].gone, digest.sequence), (b, 1, 1));
         assert_eq!(witness.digest(ms(5000)), None, "each is told once");
         // What is well is told after a while.
--- a/crates/fleet/src/keeper.rs
+++ b/crates/fleet/src/keeper.rs
@@ -29,6 +29,8 @@
 const COMPACT_AFTER: u64 = 512;
 /// Entries left behind a snapshot for a keeper a little behind.
 const COMPACT_LEAVES: u64 = 128;
+/// Answers of a majority count for so long.
+const CONFIRMED: Duration = Duration::from_millis(300);
 /// A proposal that is not decided after this is told so; it may be all the same, later.
 const DECIDE_MOST: Duration = Duration::from_secs(3);
 /// Proposals under way at one keeper, at the most.
@@ -203,6 +205,8 @@
     budget: f64,
     draws: Pcg32,
     forgot: bool,
+    /// When each other keeper last answered this one as the leader of its term.
+    answered: BTreeMap<u64, Duration>,
     /// Sidecars were told to tell more seldom, and are to be told when they need not any more.
     paced: bool,
     /// Messages of the agreement that could not be read or did not fit.
@@ -324,6 +328,7 @@
             budget: TELL_BYTES,
             draws,
             forgot: false,
+            answered: BTreeMap::new(),
             paced: false,
             unread,
             put_off,
@@ -351,6 +356,16 @@
         self.node.raft.state == StateRole::Leader
     }
 
+    /// Whether a majority has answered it as their leader of late: one that was paused, or cut off, may still think that it
+    /// leads.
+    pub fn is_confirmed(&self, now: Duration) -> bool {
+        let of_late = |id: &&u64| {
+            **id == self.id || self.answered.get(id).is_some_and(|at| now.saturating_sub(*at) <= CONFIRMED)
+        };
+        let there = self.keepers().iter().filter(of_late).count();
+        self.leads() && there * 2 > self.keepers().len()
+    }
+
     /// The leader's number, as far as it knows; 0 for none.
     pub fn leader(&self) -> u64 {
         self.node.raft.leader_id
@@ -397,6 +412,13 @@
                 return Output::default();
             }
             Ok(message) if message.to == self.id => {
+                let answers = matches!(
+                    message.get_msg_type(),
+                    MessageType::MsgHeartbeatResponse | MessageType::MsgAppendResponse
+                );
+                if answers && message.term == self.node.raft.term && self.leads() {
+                    self.answered.insert(message.from, self.now);
+                }
                 if self.node.step(message).is_err() {
                     self.unread += 1;
                 }
--- a/crates/fleet/src/wire.rs
+++ b/crates/fleet/src/wire.rs
@@ -98,6 +98,24 @@
     },
     /// What I see.
     Saw(Digest),
+    /// Probe this hall so often, and tell what you see.
+    ProbeHall {
+        /// The hall.
+        hall: String,
+        /// Probes, each of another endpoint where there are so many.
+        count: u32,
+    },
+    /// You may send so many calls a second into these halls.
+    Granted {
+        /// The term of the keeper that says so.
+        term: u64,
+        /// The digest by which it was asked ...
+        of: u64,
+        /// ... and for how long from then on.
+        for_ms: u32,
+        /// By hall.
+        rates: Vec<(String, f64)>,
+    },
 }
 
 impl Said {
@@ -105,6 +123,7 @@
     pub fn since(&self) -> u8 {
         match self {
             Said::Members(_) | Said::ListMembers | Said::Pace { .. } | Said::Saw(_) => 2,
+            Said::ProbeHall { .. } | Said::Granted { .. } => 2,
             _ => 1,
         }
     }
--- /dev/null
+++ b/crates/locality/src/signals.rs
@@ -0,0 +1,366 @@
+//! What evidence shows of halls, by pair: from the sidecars of one hall into another.
+//!
+//! Each pair has a sequential test: every call moves a sum by the logarithm of how much likelier it is in a dark hall than
+//! in a sound one, never below zero (Page's CUSUM). It alarms as soon as the calls since the last good ones can't be
+//! chance, whether they come at a thousand a second or at ten; its false alarms are rarer than `exp(-alarm)` a call.
+
+use curlewhub_config::fleet::PlacesConfig;
+use curlewhub_fleet::evidence::{CALLS_MOST, Calls, Digest};
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+/// What is older than this says nothing of a hall any more.
+pub const FRESH: Duration = Duration::from_millis(1500);
+/// A sum rises no further than this part above the alarm: what is well again is seen soon.
+const SUM_MOST: f64 = 1.5;
+/// Seconds in which rates and times are forgotten to a third.
+const FADES_S: f64 = 2.0;
+/// The same for the part that is lost just now.
+const QUICK_S: f64 = 0.5;
+/// The same for what a hall is when all is well, which its loss must not change.
+const BEFORE_FADES_S: f64 = 30.0;
+/// What takes so many times as long as before does not count towards what was before.
+const SLOW_FROM: f64 = 2.0;
+/// Sidecars of a pair that are remembered, at the most.
+const WORDS_MOST: usize = 20_000;
+
+/// A rate that fades.
+#[derive(Clone, Copy, Debug, Default)]
+struct Rate {
+    sum: f64,
+    at: Duration,
+}
+
+impl Rate {
+    fn read(&self, now: Duration, fades_s: f64) -> f64 {
+        self.sum * (-now.saturating_sub(self.at).as_secs_f64() / fades_s).exp()
+    }
+
+    fn add(&mut self, now: Duration, n: f64, fades_s: f64) {
+        (self.sum, self.at) = (self.read(now, fades_s) + n, now.max(self.at));
+    }
+}
+
+/// What a sidecar said last of a pair.
+#[derive(Clone, Copy, Debug)]
+struct Word {
+    at: Duration,
+    /// Most of its calls, or probes where it made none, were lost.
+    loses: bool,
+    /// Most were answered with errors.
+    errs: bool,
+}
+
+/// A pair of halls.
+#[derive(Clone, Debug, Default)]
+struct Pair {
+    lost: f64,
+    failed: f64,
+    words: BTreeMap<String, Word>,
+    /// When calls, and not only probes, were last heard of.
+    called: Option<Duration>,
+    /// When a sidecar last said that most of its calls are served.
+    well: Option<Duration>,
+    /// When anything was heard.
+    heard: Option<Duration>,
+}
+
+/// What a hall's calls come to, from all others.
+#[derive(Clone, Copy, Debug, Default)]
+struct Seen {
+    served: Rate,
+    took_ms: Rate,
+    usual_ms: Rate,
+    lost: Rate,
+    full: Rate,
+    /// Answered, and lost, of very late.
+    quick: (Rate, Rate),
+    before: Rate,
+    before_took: Rate,
+    before_usual: Rate,
+    since: Option<Duration>,
+}
+
+/// What one pair shows.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Shows {
+    /// Calls are served, or nothing speaks against it.
+    Well,
+    /// Something does, and not enough.
+    Unsure,
+    /// Nobody is there, or nobody answers.
+    Dark,
+    /// All is answered with errors.
+    Failing,
+}
+
+/// How a hall is now.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Now {
+    /// Calls that it serves in a second.
+    pub calls_per_s: f64,
+    /// How long these take, as a multiple of what is usual anywhere.
+    pub stretch: f64,
+    /// Calls a second that are lost there.
+    pub lost_per_s: f64,
+    /// The part of them that is lost just now, 0 to 1.
+    pub lost: f64,
+    /// Calls a second that are turned away.
+    pub full_per_s: f64,
+    /// What it was over the last half minute in which it served.
+    pub before_per_s: f64,
+    /// The same.
+    pub before_stretch: f64,
+}
+
+/// Who stands for what a hall shows.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Witnesses {
+    /// Sidecars that have said something of it lately.
+    pub all: u32,
+    /// Of these, those that lose by it.
+    pub losing: u32,
+    /// The halls of those.
+    pub halls: BTreeSet<String>,
+}
+
+/// All evidence of late.
+#[derive(Clone, Debug, Default)]
+pub struct Signals {
+    pairs: BTreeMap<(String, String), Pair>,
+    halls: BTreeMap<String, Seen>,
+    /// Calls of each sidecar, of all halls: what it needs.
+    needs: BTreeMap<String, (Rate, String)>,
+}
+
+impl Signals {
+    /// A digest of a sidecar.
+    pub fn saw(&mut self, now: Duration, name: &str, digest: &Digest, rules: &PlacesConfig) {
+        // Calls are rare where a sidecar's are: each counts, but no sidecar's for more than a few.
+        for (to, calls) in &digest.rows {
+            let pair = self.pairs.entry((digest.hall.clone(), to.clone())).or_default();
+            pair.saw(now, name, calls, rules);
+            let seen = self.halls.entry(to.clone()).or_default();
+            seen.saw(now, calls, !pair.is_bad(rules));
+        }
+        let known: u32 = digest.rows.values().map(Calls::known).sum();
+        if self.needs.len() < WORDS_MOST || self.needs.contains_key(name) {
+            let (need, hall) = self.needs.entry(name.to_owned()).or_default();
+            need.add(now, f64::from(known), FADES_S);
+            hall.clone_from(&digest.hall);
+        }
+    }
+
+    /// What is of nobody any more goes; called now and then.
+    pub fn forget(&mut self, now: Duration) {
+        let old = |at: Duration| now.saturating_sub(at) > FRESH * 20;
+        for pair in self.pairs.values_mut() {
+            pair.words.retain(|_, word| !old(word.at));
+        }
+        self.pairs.retain(|_, pair| !pair.words.is_empty());
+        self.needs.retain(|_, (need, _)| !old(need.at));
+    }
+
+    /// Halls that anything is known of.
+    pub fn halls(&self) -> impl Iterator<Item = &str> {
+        self.halls.keys().map(String::as_str)
+    }
+
+    /// Halls whose sidecars have said something of this one lately, what that shows, and when they said the last of it.
+    pub fn of<'a>(
+        &'a self,
+        now: Duration,
+        to: &'a str,
+        rules: &'a PlacesConfig,
+    ) -> impl Iterator<Item = (&'a str, Shows, Duration)> {
+        let pairs = self.pairs.iter().filter(move |((_, other), _)| other == to);
+        pairs.filter_map(move |((from, _), pair)| {
+            let (shows, at) = pair.shows(now, rules)?;
+            Some((&from[..], shows, at))
+        })
+    }
+
+    /// Who stands for what a hall shows: of all halls, or of one.
+    pub fn witnesses(&self, now: Duration, to: &str, from: Option<&str>) -> Witnesses {
+        let mut witnesses = Witnesses::default();
+        for ((hall, other), pair) in &self.pairs {
+            if other != to || from.is_some_and(|from| from != hall) {
+                continue;
+            }
+            let fresh = pair.words.values().filter(|word| now.saturating_sub(word.at) <= FRESH);
+            for word in fresh {
+                witnesses.all += 1;
+                if word.loses || word.errs {
+                    witnesses.losing += 1;
+                    witnesses.halls.insert(hall.clone());
+                }
+            }
+        }
+        witnesses
+    }
+
+    /// Whether the sidecars of a hall are served by any other hall than this one, and have said so since then.
+    pub fn is_served_elsewhere(
+        &self,
+        now: Duration,
+        from: &str,
+        but: &str,
+        since: Duration,
+        rules: &PlacesConfig,
+    ) -> bool {
+        let pairs = self.pairs.iter().filter(|((hall, to), _)| hall == from && to != but);
+        pairs
+            .filter_map(|(_, pair)| pair.shows(now, rules))
+            .any(|(shows, at)| shows == Shows::Well && at >= since)
+    }
+
+    /// How a hall is now.
+    pub fn now(&self, now: Duration, hall: &str) -> Now {
+        let Some(seen) = self.halls.get(hall) else { return Now::default() };
+        // A sum that fades to a third in so many seconds holds so many seconds' worth, once it has run for a while.
+        let ran = seen.since.map_or(0.0, |since| now.saturating_sub(since).as_secs_f64());
+        let worth = |fades: f64| fades * (1.0 - (-ran / fades).exp());
+        let per_s = |sum: f64, fades: f64| sum / worth(fades).max(0.25);
+        let multiple = |took: f64, usual: f64| if usual > 0.01 { took / usual } else { 1.0 };
+        let read = |rate: Rate| rate.read(now, FADES_S);
+        // What it was does not fade with time, but with what comes after.
+        Now {
+            calls_per_s: per_s(read(seen.served), FADES_S),
+            stretch: multiple(read(seen.took_ms), read(seen.usual_ms)),
+            lost_per_s: per_s(read(seen.lost), FADES_S),
+            lost: {
+                let (answered, lost) = (seen.quick.0.read(now, QUICK_S), seen.quick.1.read(now, QUICK_S));
+                if answered + lost > 0.0 { lost / (answered + lost) } else { 0.0 }
+            },
+            full_per_s: per_s(read(seen.full), FADES_S),
+            before_per_s: per_s(seen.before.sum, BEFORE_FADES_S),
+            before_stretch: multiple(seen.before_took.sum, seen.before_usual.sum),
+        }
+    }
+
+    /// What each sidecar needs, in calls a second, and its hall.
+    pub fn needs(&self, now: Duration) -> impl Iterator<Item = (&str, &str, f64)> + Clone {
+        self.needs
+            .iter()
+            .map(move |(name, (need, hall))| (&name[..], &hall[..], need.read(now, FADES_S) / FADES_S))
+    }
+
+    /// What one sidecar needs.
+    pub fn need(&self, now: Duration, name: &str) -> f64 {
+        self.needs.get(name).map_or(0.0, |(need, _)| need.read(now, FADES_S) / FADES_S)
+    }
+
+    /// What was seen of a hall counts no more: it begins anew, as it has just been left or returned to.
+    pub fn begin_anew(&mut self, hall: &str) {
+        self.pairs.iter_mut().filter(|((_, to), _)| to == hall).for_each(|(_, pair)| pair.begin_anew());
+    }
+
+    /// The same of one way.
+    pub fn begin_way_anew(&mut self, from: &str, to: &str) {
+        self.pairs.get_mut(&(from.to_owned(), to.to_owned())).into_iter().for_each(Pair::begin_anew);
+    }
+}
+
+impl Pair {
+    fn begin_anew(&mut self) {
+        *self = Pair::default();
+    }
+
+    fn saw(&mut self, now: Duration, name: &str, calls: &Calls, rules: &PlacesConfig) {
+        let calls = calls.capped(CALLS_MOST);
+        let (known, lost) = (calls.known(), calls.lost());
+        // Who answers probes may still answer no calls: probes speak only where no calls do.
+        let probes = calls.there + calls.not_there;
+        let alone = known == 0 && self.called.is_none_or(|at| now.saturating_sub(at) > FRESH);
+        let (lost, answered) = match known {
+            0 if alone => (calls.not_there.min(CALLS_MOST), calls.there.min(CALLS_MOST)),
+            0 => (0, 0),
+            _ => (lost, known - lost.min(known)),
+        };
+        if known > 0 {
+            self.called = Some(now);
+        }
+        let weight = |bad: u32, good: u32| {
+            let (p0, p1) = (rules.sound_loses, rules.dark_loses);
+            f64::from(bad) * (p1 / p0).ln() + f64::from(good) * ((1.0 - p1) / (1.0 - p0)).ln()
+        };
+        let most = rules.alarm * SUM_MOST;
+        self.lost = (self.lost + weight(lost, answered)).clamp(0.0, most);
+        // What is lost says nothing of errors, one way or the other.
+        self.failed =
+            (self.failed + weight(calls.error, answered - calls.error.min(answered))).clamp(0.0, most);
+        if known + probes > 0 && (self.words.len() < WORDS_MOST || self.words.contains_key(name)) {
+            let heard = lost + answered;
+            let word = Word {
+                at: now,
+                loses: heard > 0 && lost * 2 > heard,
+                errs: calls.error * 2 > known.max(1),
+            };
+            // One that probes beside its calls has its calls' word stand.
+            if known > 0 || alone {
+                self.heard = Some(now);
+                if heard > 0 && !word.loses && !word.errs {
+                    self.well = Some(now);
+                }
+                self.words.insert(name.to_owned(), word);
+            }
+        }
+    }
+
+    fn is_bad(&self, rules: &PlacesConfig) -> bool {
+        self.lost > rules.alarm / 4.0 || self.failed > rules.alarm / 4.0
+    }
+
+    /// None where nothing was heard lately.
+    fn shows(&self, now: Duration, rules: &PlacesConfig) -> Option<(Shows, Duration)> {
+        if !self.is_bad(rules) {
+            // Thousands of words need not be counted where nothing speaks against it.
+            let fresh = |at: &Duration| now.saturating_sub(*at) <= FRESH;
+            let heard = self.heard.filter(fresh)?;
+            return Some(self.well.filter(fresh).map_or((Shows::Unsure, heard), |at| (Shows::Well, at)));
+        }
+        let fresh = self.words.values().filter(|word| now.saturating_sub(word.at) <= FRESH);
+        let (mut all, mut losing, mut erring, mut last) = (0, 0, 0, Duration::ZERO);
+        for word in fresh {
+            (all, last) = (all + 1, last.max(word.at));
+            losing += u32::from(word.loses);
+            erring += u32::from(word.errs);
+        }
+        if all == 0 {
+            return None;
+        }
+        // A majority of its sidecars, so that none of them decides by how much it calls.
+        let shows = if self.lost >= rules.alarm && losing * 2 > all {
+            Shows::Dark
+        } else if self.failed >= rules.alarm && erring * 2 > all {
+            Shows::Failing
+        } else {
+            Shows::Unsure
+        };
+        Some((shows, last))
+    }
+}
+
+impl Seen {
+    fn saw(&mut self, now: Duration, calls: &Calls, well: bool) {
+        self.since.get_or_insert(now);
+        let (served, took) = (f64::from(calls.served), f64::from(calls.took_ms));
+        let usual = f64::from(calls.usual_ms);
+        self.served.add(now, served, FADES_S);
+        self.took_ms.add(now, took, FADES_S);
+        self.usual_ms.add(now, usual, FADES_S);
+        self.lost.add(now, f64::from(calls.lost()), FADES_S);
+        self.quick.0.add(now, f64::from(calls.known().saturating_sub(calls.lost())), QUICK_S);
+        self.quick.1.add(now, f64::from(calls.lost()), QUICK_S);
+        self.full.add(now, f64::from(calls.full), FADES_S);
+        // What is slow now is not what it was before.
+        let before =
+            if self.before_usual.sum > 0.0 { self.before_took.sum / self.before_usual.sum } else { 1.0 };
+        let usual_for_it = took <= usual * before.max(0.1) * SLOW_FROM || self.before.sum < 10.0;
+        if well && served > 0.0 && usual_for_it {
+            self.before.add(now, served, BEFORE_FADES_S);
+            self.before_took.add(now, took, BEFORE_FADES_S);
+            self.before_usual.add(now, usual, BEFORE_FADES_S);
+        }
+    }
+}
