--- a/crates/balance/src/balance.rs
+++ b/crates/balance/src/balance.rs
@@ -6,18 +6,20 @@
 
 mod attempts;
 mod choice;
+mod facts;
 mod learning;
 mod members;
 mod share;
 mod snapshot;
 
-pub use share::Portion;
+pub use facts::Portion;
 pub use snapshot::{AGE_MOST, EndpointSnapshot, Snapshot};
 
 use crate::held::{Held, Kind, Walk};
 use crate::stats::{Draws, Fading, LATENCY_FIRST, Latency, UNHURRIED_FIRST};
 use crate::types::*;
 use crate::uses::Uses;
+use crate::zones::Zones;
 use std::collections::{HashMap, HashSet};
 use std::time::Duration;
 
@@ -140,6 +142,7 @@
     pools: [Vec<usize>; 4],
     requests: HashMap<RequestId, Pending>,
     held: Held,
+    zones: Zones,
     /// Heat that three quarters of the endpoints share, and not half, or a zone lost would pass for it.
     common_heat: f64,
     /// Of the own zone and of all others together: a crowded zone must not shut the others.
@@ -210,6 +213,7 @@
             pools: Default::default(),
             requests: HashMap::new(),
             held: Held::default(),
+            zones: Zones::default(),
             common_heat: 0.0,
             windows: [Window { size: 1.0, out: 0, opening: true }; 2],
             share: 1.0,
@@ -258,21 +262,12 @@
                 }
                 None => {}
             },
+            Event::Zones(rights) => self.on_zones(now, rights, out),
             Event::Ban { endpoint, on } => self.on_ban(now, endpoint, on, out),
             Event::ProbeEnded { .. } | Event::PeerMessage { .. } => {}
         }
     }
 
-    /// Things remembered: endpoints, requests, timers. Stays in proportion to what is going on.
-    pub fn remembered(&self) -> usize {
-        self.endpoints.len() + self.requests.len() + self.timers.len() + self.held.len()
-    }
-
-    /// Where an endpoint is.
-    pub fn place(&self, id: EndpointId) -> Option<(ZoneId, CellId)> {
-        self.index.get(&id).map(|&i| (self.endpoints[i].info.zone, self.endpoints[i].info.cell))
-    }
-
     fn set_timer(&mut self, after: Duration, timer: Timer, out: &mut Vec<Action>) {
         self.next_timer += 1;
         let token = TimerToken(self.next_timer);
@@ -295,11 +290,6 @@
         self.heat.set(now, (self.heat(now) + heat).min(HEAT_MOST));
     }
 
-    /// It took a call so lately that it can't have begun to drain for longer than drains stay untold.
-    fn answered_lately(&self, now: Duration) -> bool {
-        self.heard.is_some_and(|at| now <= at + DRAIN_UNTOLD)
-    }
-
     fn heat(&self, now: Duration) -> f64 {
         let heat = self.heat.read(now, HEAT_SECONDS);
         if heat < HEAT_LEAST { 0.0 } else { heat }
--- a/crates/balance/src/balance/attempts.rs
+++ b/crates/balance/src/balance/attempts.rs
@@ -93,7 +93,8 @@
         let Some(pending) = self.requests.get(&id).filter(|p| !p.settled()) else { return };
         let spent = pending.attempts.len() as u32 >= self.settings.limits.max_attempts;
         // A held repeat may have outlived the time in which its key is remembered: ask again here.
-        let spent = spent || pending.deadline <= now || self.too_late(now, pending);
+        let spent =
+            spent || pending.deadline <= now || self.too_late(now, pending) || self.is_stuck(pending);
         if spent || !self.may_repeat(now, id) {
             return self.give_up(id, out);
         }
@@ -105,6 +106,14 @@
         self.send(now, id, i, out);
     }
 
+    /// Whether it may go only where its job may have run, and nothing may go there.
+    fn is_stuck(&self, pending: &Pending) -> bool {
+        let (semantics, elsewhere) =
+            (self.settings.classes[pending.class].semantics, (ZoneId(!0), CellId(!0)));
+        let stays = |ran: &Earlier| !semantics.may_follow((ran.zone, ran.cell), elsewhere);
+        pending.may_have_run().any(|ran| stays(&ran) && !self.zones.is_open(ran.zone))
+    }
+
     /// Whether the answer to a request that has waited, untried or worth nothing late, would come after the
     /// objective or the deadline, were it sent now.
     fn too_late(&self, now: Duration, pending: &Pending) -> bool {
@@ -128,6 +137,7 @@
             idle = Duration::ZERO;
         }
         endpoint.in_flight += 1;
+        self.zones.sent(now, endpoint.info.zone);
         // A body that still comes keeps no server busy: it is in flight there, but fills no window.
         self.windows[side].out += u32::from(!pending.coming);
         (endpoint.cold_tokens, endpoint.cold_at) = (cold_tokens - 1.0, now);
--- a/crates/balance/src/balance/choice.rs
+++ b/crates/balance/src/balance/choice.rs
@@ -141,8 +141,11 @@
     fn allowed(&self, now: Duration, i: usize, pending: &Pending) -> bool {
         let endpoint = &self.endpoints[i];
         let overspent = self.warmth(now, i) < 1.0 && self.cold_tokens(now, i) < 1.0;
-        let unknown = self.blind && !endpoint.answered_lately(now);
-        let barred = overspent || unknown || (now < endpoint.rests_until && self.warm > REST_MOST);
+        // So lately that it can't have begun to drain for longer than drains stay untold.
+        let unknown = self.blind && endpoint.heard.is_none_or(|at| now > at + DRAIN_UNTOLD);
+        let closed = !self.zones.may(now, endpoint.info.zone, pending.arrived);
+        let barred =
+            closed || overspent || unknown || (now < endpoint.rests_until && self.warm > REST_MOST);
         if barred || !endpoint.is_ready() || self.load(now, i) + 1.0 > self.room(now, i) {
             return false;
         }
--- /dev/null
+++ b/crates/balance/src/balance/facts.rs
@@ -0,0 +1,39 @@
+//! What others may ask of a balancer, and what goes from one to another. Decides nothing.
+
+use super::{Balancer, RETRY_SAVED};
+use crate::types::{CellId, EndpointId, ZoneId};
+use serde::{Deserialize, Serialize};
+
+/// What goes along with a share that is given.
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Portion {
+    /// The giver's windows, own zone and others, and whether they still open.
+    pub(super) windows: [(f64, bool); 2],
+    /// Retries saved up.
+    pub(super) retries: f64,
+}
+
+impl Portion {
+    /// Whether a balancer could have given it.
+    pub fn is_sound(&self) -> bool {
+        let window = |(size, _): &(f64, bool)| size.is_finite() && *size >= 0.0;
+        self.windows.iter().all(window) && (0.0..=RETRY_SAVED).contains(&self.retries)
+    }
+}
+
+impl Balancer {
+    /// Things remembered: endpoints, requests, timers. Stays in proportion to what is going on.
+    pub fn remembered(&self) -> usize {
+        self.endpoints.len() + self.requests.len() + self.timers.len() + self.held.len()
+    }
+
+    /// Where an endpoint is.
+    pub fn place(&self, id: EndpointId) -> Option<(ZoneId, CellId)> {
+        self.index.get(&id).map(|&i| (self.endpoints[i].info.zone, self.endpoints[i].info.cell))
+    }
+
+    /// The share that this balancer may use, 0 to 1.
+    pub fn share(&self) -> f64 {
+        self.share
+    }
+}
--- a/crates/balance/src/balance/members.rs
+++ b/crates/balance/src/balance/members.rs
@@ -109,6 +109,23 @@
         }
     }
 
+    /// What may go into zones. What is out to one that is dark now ends, and goes on as its class permits.
+    pub(super) fn on_zones(&mut self, now: Duration, rights: ZoneRights, out: &mut Vec<Action>) {
+        let dark = self.zones.set(now, rights, self.draws.uniform());
+        self.choose_part(now);
+        let ends = |a: &Attempt| a.fate == Fate::Out && dark.contains(&a.zone);
+        let mut lost: Vec<(RequestId, AttemptNo)> = Vec::new();
+        for (&id, pending) in
+            self.requests.iter().filter(|(_, p)| !p.settled() && self.settings.limits.cancelling)
+        {
+            let outs = pending.attempts.iter().enumerate().filter(|(_, a)| ends(a));
+            lost.extend(outs.map(|(n, _)| (id, AttemptNo(n as u32))));
+        }
+        lost.sort_unstable();
+        out.extend(lost.into_iter().map(|(request, attempt)| Action::Cancel { request, attempt }));
+        self.release_held(now, out);
+    }
+
     /// What this balancer may do of what each of a few could at an endpoint that all share: many meet it
     /// seldom, and would each learn too late that all of them together have filled it.
     pub(super) fn of_few(&self) -> f64 {
@@ -130,7 +147,8 @@
     /// golden ratio: so parts cover it evenly, also for those of one zone, however they are numbered. The own
     /// zone's endpoints are parted among its own callers: what all balancers would leave of it is soon full.
     pub(super) fn choose_part(&mut self, now: Duration) {
-        let ready = self.endpoints.iter().enumerate().filter(|(_, e)| e.is_ready());
+        let usable = |e: &Endpoint| e.is_ready() && self.zones.is_open(e.info.zone);
+        let ready = self.endpoints.iter().enumerate().filter(|(_, e)| usable(e));
         let mut ring: Vec<_> = ready.map(|(i, e)| (e.info.zone, e.info.id, i)).collect();
         ring.sort();
         self.pools = Default::default();
--- a/crates/balance/src/balance/share.rs
+++ b/crates/balance/src/balance/share.rs
@@ -4,34 +4,11 @@
 //! takes the mean of both by weight. So `share * window`, summed over both processes, stays what it was when
 //! parts move, and answers change it by what they would change one process's.
 
-use super::{Balancer, RETRY_SAVED};
+use super::{Balancer, Portion, RETRY_SAVED};
 use crate::types::Action;
-use serde::{Deserialize, Serialize};
 use std::time::Duration;
 
-/// What goes along with a share that is given.
-#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Serialize)]
-pub struct Portion {
-    /// The giver's windows, own zone and others, and whether they still open.
-    windows: [(f64, bool); 2],
-    /// Retries saved up.
-    retries: f64,
-}
-
-impl Portion {
-    /// Whether a balancer could have given it.
-    pub fn is_sound(&self) -> bool {
-        let window = |(size, _): &(f64, bool)| size.is_finite() && *size >= 0.0;
-        self.windows.iter().all(window) && (0.0..=RETRY_SAVED).contains(&self.retries)
-    }
-}
-
 impl Balancer {
-    /// The share that this balancer may use, 0 to 1.
-    pub fn share(&self) -> f64 {
-        self.share
-    }
-
     /// Another process holds everything: this one begins with nothing.
     pub fn holds_nothing(&mut self, now: Duration) {
         self.set_share(now, 0.0);
--- a/crates/balance/src/lib.rs
+++ b/crates/balance/src/lib.rs
@@ -24,6 +24,7 @@
 mod stats;
 mod types;
 mod uses;
+mod zones;
 
 pub use balance::{AGE_MOST, Balancer, EndpointSnapshot, Portion, Snapshot};
 pub use names::EndpointNames;
--- a/crates/balance/src/types.rs
+++ b/crates/balance/src/types.rs
@@ -431,6 +431,8 @@
         /// Out of use, rather than back.
         on: bool,
     },
+    /// What may go into zones from now on, all of them; a zone that is not named is open.
+    Zones(ZoneRights),
     /// A message from another balancer of this tier.
     PeerMessage {
         /// The sender's number.
@@ -440,6 +442,29 @@
     },
 }
 
+/// What may go into zones, by zone.
+pub type ZoneRights = Vec<(ZoneId, ZoneRight)>;
+
+/// What may go into a zone.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum ZoneRight {
+    /// Anything.
+    Open,
+    /// This part of the requests, 0 to 1.
+    Part(f64),
+    /// So many calls a second until then, and nothing from then on.
+    Rate {
+        /// Calls a second.
+        per_s: f64,
+        /// On the module's clock.
+        until: Duration,
+    },
+    /// Nothing new; what is out goes on.
+    Closed,
+    /// Nothing new, and what is out there goes elsewhere as its class permits: nobody answers.
+    Dark,
+}
+
 /// A request as it arrives.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Request {
--- a/crates/curlewhub/src/cli.rs
+++ b/crates/curlewhub/src/cli.rs
@@ -145,6 +145,33 @@
         #[command(subcommand)]
         change: KeepersChange,
     },
+    /// Print how halls stand: served, left, returning, and what is seen of each.
+    Halls {
+        /// A keeper's or follower's file (TOML).
+        #[arg(long, value_name = "FILE")]
+        config: PathBuf,
+        /// Print JSON.
+        #[arg(long)]
+        json: bool,
+    },
+    /// Leave a hall or region by hand, return to it, hold it as it is, or let it go by itself again.
+    #[command(subcommand)]
+    Hall(HallCommand),
+    /// Stop all automatic moves of halls; --off lets them go on.
+    Freeze {
+        /// A keeper's or follower's file (TOML).
+        #[arg(long, value_name = "FILE")]
+        config: PathBuf,
+        /// Go on.
+        #[arg(long)]
+        off: bool,
+        /// Why.
+        #[arg(long)]
+        why: String,
+        /// Who.
+        #[arg(long, default_value = "operator")]
+        by: String,
+    },
     /// Have a record of any kind decided, as it is: for those who try a build that knows more kinds than this one.
     #[command(hide = true)]
     Propose {
@@ -186,6 +213,38 @@
     },
 }
 
+/// What is done with a hall or region by hand.
+#[derive(Debug, Subcommand)]
+pub enum HallCommand {
+    /// Leave it, at once: what is out there is finished, and nothing new goes.
+    Leave(HallWords),
+    /// Return to it, by steps.
+    Return(HallWords),
+    /// It stays as it is.
+    Hold(HallWords),
+    /// It goes by itself again.
+    Release(HallWords),
+}
+
+/// Of which, and why.
+#[derive(Args, Debug)]
+pub struct HallWords {
+    /// The hall or region.
+    pub name: String,
+    /// A keeper's or follower's file (TOML).
+    #[arg(long, value_name = "FILE")]
+    pub config: PathBuf,
+    /// Why.
+    #[arg(long)]
+    pub why: String,
+    /// Who.
+    #[arg(long, default_value = "operator")]
+    pub by: String,
+    /// It holds for so long, and ends by itself unless it is said again.
+    #[arg(long = "for", value_name = "TIME", default_value = "1h", value_parser = humantime::parse_duration)]
+    pub lasts: Duration,
+}
+
 /// A change of the keepers.
 #[derive(Debug, Subcommand)]
 pub enum KeepersChange {
--- a/crates/curlewhub/src/fleet.rs
+++ b/crates/curlewhub/src/fleet.rs
@@ -1,17 +1,21 @@
 //! The fleet's processes and calls: `curlewhub keeper`, `curlewhub fleet ...`.
 
-use crate::cli::{Exit, FleetCommand, KeepersChange, Process};
+use crate::cli::{Exit, FleetCommand, HallCommand, HallWords, KeepersChange, Process};
 use crate::logs::Logs;
 use comfy_table::Table;
-use curlewhub_balance::{ClassId, Outcome, ZoneId};
+use curlewhub_balance::{ClassId, Outcome, ZoneId, ZoneRight};
 use curlewhub_config::{Config, Log, LogFormat};
 use curlewhub_fleet::acted::Acted;
 use curlewhub_fleet::evidence::{Ended, Witness};
 use curlewhub_fleet::members::Standing as MemberStands;
 use curlewhub_fleet::record::{Hash, Kind, Proposal};
-use curlewhub_fleet_node::call::{Described, Known, change, describe, members, propose};
+use curlewhub_fleet_node::call::{Described, Known, change, describe, halls, members, propose};
 use curlewhub_fleet_node::config::FleetConfig;
 use curlewhub_fleet_node::{Acts, Manner, Standing, follow, keep};
+use curlewhub_locality::part::Right;
+use curlewhub_locality::places::{ByHand, FREEZE, Freeze, HAND, Hand, State};
+use curlewhub_runtime::clock::Clock;
+use curlewhub_runtime::events::Command;
 use curlewhub_runtime::figures::{Beside, Figures};
 use curlewhub_runtime::sight::{Attempt, Blind, Sight};
 use serde_json::json;
@@ -21,8 +25,9 @@
 use std::path::Path;
 use std::pin::Pin;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::mpsc::UnboundedSender;
 use tokio::sync::oneshot;
 use tokio::task::{JoinHandle, LocalSet, spawn_local};
 use tokio::time::{MissedTickBehavior, interval, timeout};
@@ -56,12 +61,25 @@
             }
         }),
         FleetCommand::Propose { config, key, kind, body, by, why } => asked(config, async |config| {
-            let (id, kind) = (rand::random(), Kind(*kind));
-            let (key, by, why, body) = (key.clone(), by.clone(), why.clone(), body.clone().into_bytes());
-            match propose(config, &Proposal { id, key, kind, body, by, why, only_after: None }).await {
-                Ok(version) => say(&format!("decided as version {version}\n")),
-                Err(problem) => failed(&problem),
-            }
+            decide(config, key, Kind(*kind), body.clone().into_bytes(), by, why).await
+        }),
+        FleetCommand::Halls { config, json } => asked(config, async |config| halls_of(config, *json).await),
+        FleetCommand::Hall(command) => {
+            let (what, HallWords { config, name, why, by, lasts }) = match command {
+                HallCommand::Leave(words) => (Hand::Leave, words),
+                HallCommand::Return(words) => (Hand::Return, words),
+                HallCommand::Hold(words) => (Hand::Hold, words),
+                HallCommand::Release(words) => (Hand::Release, words),
+            };
+            let until_ms = unix_ms() + lasts.as_millis() as u64;
+            asked(config, async |config| {
+                let body = serde_json::to_vec(&ByHand { what, until_ms }).unwrap_or_default();
+                decide(config, &format!("{HAND}{name}"), Kind::PLACE, body, by, why).await
+            })
+        }
+        FleetCommand::Freeze { config, off, why, by } => asked(config, async |config| {
+            let body = serde_json::to_vec(&Freeze { on: !off }).unwrap_or_default();
+            decide(config, FREEZE, Kind::FREEZE, body, by, why).await
         }),
         FleetCommand::Note { config, text, by, why, every } => asked(config, async |config| {
             let decided = note(config, text, by, why).await;
@@ -74,6 +92,65 @@
     }
 }
 
+fn unix_ms() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis() as u64
+}
+
+/// Has a record decided, and says as which version.
+async fn decide(config: &FleetConfig, key: &str, kind: Kind, body: Vec<u8>, by: &str, why: &str) -> Exit {
+    let (id, key, by, why) = (rand::random(), key.to_owned(), by.to_owned(), why.to_owned());
+    match propose(config, &Proposal { id, key, kind, body, by, why, only_after: None }).await {
+        Ok(version) => say(&format!("decided as version {version}\n")),
+        Err(problem) => failed(&problem),
+    }
+}
+
+async fn halls_of(config: &FleetConfig, json: bool) -> Exit {
+    let said = match halls(config).await {
+        Ok(said) => said,
+        Err(problem) => return failed(&problem),
+    };
+    if json {
+        return say(&(json!(said).to_string() + "\n"));
+    }
+    let mut table = Table::new();
+    table.load_preset(comfy_table::presets::NOTHING);
+    table.set_header([
+        "hall", "region", "stands", "calls/s", "bore/s", "lost", "takes", "tell", "lose", "why",
+    ]);
+    for hall in &said.halls {
+        let stands = match hall.state {
+            State::Serving => "serving".to_owned(),
+            State::Leaving(part) => format!("leaving, {:.0}% goes there", part * 100.0),
+            State::Left => "left".to_owned(),
+            State::Returning(rate) => {
+                format!("returning, {:.1} of {rate:.1}/s granted", hall.granted_per_s)
+            }
+        };
+        table.add_row([
+            hall.name.clone(),
+            hall.region.clone(),
+            if hall.by_hand { format!("{stands}, by hand") } else { stands },
+            format!("{:.1}", hall.calls_per_s),
+            format!("{:.1}", hall.bore_per_s),
+            format!("{:.0}%", hall.lost * 100.0),
+            format!("{:.2} times", hall.stretch),
+            hall.witnesses.to_string(),
+            hall.losing.to_string(),
+            hall.why.clone(),
+        ]);
+    }
+    let mut text = format!("{table}\n");
+    for (from, cut) in &said.cut {
+        for (to, why) in cut {
+            let _ = writeln!(text, "from {from} to {to}: {why}"); // to a String: it never fails
+        }
+    }
+    let leads = if said.leads { "which leads" } else { "which does not lead" };
+    let _ = writeln!(text, "as of version {}, by {}, {leads}", said.version, said.by);
+    say(&text)
+}
+
 async fn note(config: &FleetConfig, text: &str, by: &str, why: &str) -> Result<u64, String> {
     let (key, kind, body) = ("note".to_owned(), Kind::NOTE, text.as_bytes().to_vec());
     let (id, by, why, only_after) = (rand::random(), by.to_owned(), why.to_owned(), None);
@@ -138,16 +215,80 @@
         };
         self.witness.borrow_mut().ended((attempt.0.0, attempt.1.0), how, took);
     }
+
+    fn probed(&self, zone: ZoneId, answered: bool) {
+        self.witness.borrow_mut().probed(zone.0 as usize, answered);
+    }
 }
 
+/// Probes of a hall are given up after this.
+const PROBE_MOST: Duration = Duration::from_millis(300);
+
 /// Holds what is decided, in a sidecar.
-struct Holds(Rc<Figures>);
+struct Holds {
+    figures: Rc<Figures>,
+    commands: UnboundedSender<Command>,
+    clock: Clock,
+    /// The halls' names by number.
+    halls: Vec<String>,
+    /// Halls that nothing new may go into just now.
+    closed: u64,
+    /// What the log says of that.
+    told: String,
+}
+
+impl Holds {
+    fn zone(&self, hall: &str) -> Option<ZoneId> {
+        self.halls.iter().position(|known| known == hall).map(|zone| ZoneId(zone as u32))
+    }
+}
 
 impl Acts for Holds {
     fn acts(&mut self, acted: &Acted, hash: Hash) {
         Says.acts(acted, hash);
     }
 
+    fn may(&mut self, now: Duration, rights: &[(String, Right)]) {
+        let zoned = rights.iter().filter_map(|(hall, right)| {
+            let right = match *right {
+                Right::Open => ZoneRight::Open,
+                Right::Part(part) => ZoneRight::Part(part),
+                // The same moment on the module's clock, which is as steady.
+                Right::Rate(per_s, until) => {
+                    ZoneRight::Rate { per_s, until: self.clock.now() + until.saturating_sub(now) }
+                }
+                Right::Closed => ZoneRight::Closed,
+                Right::Dark => ZoneRight::Dark,
+            };
+            Some((self.zone(hall)?, right))
+        });
+        let zoned = zoned.collect();
+        let closed = |(_, right): &&(String, Right)| matches!(right, Right::Closed | Right::Dark);
+        self.closed = rights.iter().filter(closed).count() as u64;
+        let _ = self.commands.send(Command::Zones(zoned)); // fails only while the process ends
+        let told = |(hall, right): &(String, Right)| match right {
+            Right::Open => None,
+            Right::Part(part) => Some(format!("{hall}: {:.0}%", part * 100.0)),
+            Right::Rate(..) => Some(format!("{hall}: returning")),
+            Right::Closed => Some(format!("{hall}: closed")),
+            Right::Dark => Some(format!("{hall}: dark")),
+        };
+        let held: Vec<String> = rights.iter().filter_map(told).collect();
+        let held = if held.is_empty() { "all open".to_owned() } else { held.join(", ") };
+        // A rate is renewed some times a second; that it is one is what a person wants to know.
+        if held != self.told {
+            info!(halls = held, "fleet: may");
+            self.told = held;
+        }
+    }
+
+    fn probe(&mut self, hall: &str, count: u32) {
+        if let Some(zone) = self.zone(hall) {
+            // It fails only while the process ends.
+            let _ = self.commands.send(Command::ProbeZone { zone, count, within: PROBE_MOST });
+        }
+    }
+
     fn stands(&mut self, standing: Standing) {
         let Standing { version, age, counts, not_taken, members, traffic: (said, heard) } = standing;
         let gauge = |name, value| Beside { name, value, counts: false };
@@ -157,13 +298,14 @@
         figures.extend(age.map(|age| gauge("fleet_age_ms", age.as_millis() as u64)));
         figures.extend([
             gauge("fleet_not_taken", not_taken as u64),
+            gauge("fleet_halls_closed", self.closed),
             gauge("fleet_members", members as u64),
             count("fleet_contradictions", counts.contradictions),
             count("fleet_unanswered", counts.unanswered),
             count("fleet_said_bytes", said),
             count("fleet_heard_bytes", heard),
         ]);
-        self.0.beside(figures);
+        self.figures.beside(figures);
     }
 }
 
@@ -185,14 +327,20 @@
 }
 
 /// Takes a sidecar into its fleet, where it is told of one. A fleet that can't be joined keeps no sidecar from serving.
-pub fn join(config: &Config, figures: &Rc<Figures>) -> Joined {
+pub fn join(
+    config: &Config,
+    figures: &Rc<Figures>,
+    commands: &UnboundedSender<Command>,
+    clock: Clock,
+) -> Joined {
     let Some(fleet) = config.fleet.clone() else { return Joined { sight: Rc::new(Blind), leave: None } };
     let halls = config.names.areas.clone();
     let hall = halls.get(config.settings.zone.0 as usize).map_or("", |hall| hall);
     let witness = Rc::new(RefCell::new(Witness::new(hall, halls.clone())));
     let began = Instant::now();
-    let (manner, figures) =
-        (Manner { beside: true, witness: Some((witness.clone(), began)) }, figures.clone());
+    let manner = Manner { beside: true, witness: Some((witness.clone(), began)), halls: halls.clone() };
+    let (figures, commands) = (figures.clone(), commands.clone());
+    let mut holds = Holds { figures, commands, clock, halls, closed: 0, told: String::new() };
     let (leave, leaves) = oneshot::channel::<()>();
     let left = spawn_local(async move {
         let leaves = async {
@@ -200,7 +348,7 @@
                 std::future::pending().await
             }
         };
-        if let Err(problem) = follow(&fleet, manner, &mut Holds(figures), leaves).await {
+        if let Err(problem) = follow(&fleet, manner, &mut holds, leaves).await {
             error!(problem, "fleet: not joined; going on alone");
         }
     });
--- a/crates/curlewhub/src/serve.rs
+++ b/crates/curlewhub/src/serve.rs
@@ -103,6 +103,7 @@
         inbox.clone(),
     );
     let listing = Listing::new(config.names.clone());
+    let fleet_commands = commands.clone();
     let learnt = Learnt::new(
         clock,
         fingerprint(&config.settings),
@@ -134,7 +135,7 @@
     let (folder, zones) = (&config.state_dir, &config.names.areas);
     let keyed = Keyed::open(folder, config.listen, &config.settings, zones, figures.clone(), clock.now());
     let (bans_held, life) = (bans.clone(), lifecycle.clone());
-    let fleet = crate::fleet::join(&config, &figures);
+    let fleet = crate::fleet::join(&config, &figures, &fleet_commands, clock);
     let sight = fleet.sight.clone();
     let parts =
         Parts { outbound: outbound.clone(), listing, bans: bans_held, lifecycle: life, keyed, sight };
--- a/crates/fleet-node/src/call.rs
+++ b/crates/fleet-node/src/call.rs
@@ -5,6 +5,7 @@
 use curlewhub_fleet::members::{Member, Standing};
 use curlewhub_fleet::record::{Proposal, Record};
 use curlewhub_fleet::wire::{FORMAT, FORMAT_LEAST, Message, Said, Who};
+use curlewhub_locality::places::State;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -102,6 +103,56 @@
     pub members: Vec<Known>,
 }
 
+/// How halls stand, by a keeper.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Halls {
+    /// Who says so.
+    pub by: String,
+    /// It leads.
+    pub leads: bool,
+    /// As of this version.
+    pub version: u64,
+    /// By name.
+    pub halls: Vec<HallStands>,
+    /// Ways that are cut, and why: from, to.
+    pub cut: BTreeMap<String, BTreeMap<String, String>>,
+}
+
+/// How a hall stands, and what is seen of it.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct HallStands {
+    /// Its name.
+    pub name: String,
+    /// Its region, if it is in one.
+    pub region: String,
+    /// How it stands.
+    pub state: State,
+    /// Why.
+    pub why: String,
+    /// An operator has it so.
+    pub by_hand: bool,
+    /// Calls that it serves in a second ...
+    pub calls_per_s: f64,
+    /// ... as a multiple of the time that they usually take ...
+    pub stretch: f64,
+    /// ... and the part that is lost just now.
+    pub lost: f64,
+    /// Calls a second that it bore before it was left, or has of late.
+    pub bore_per_s: f64,
+    /// Calls a second that are granted into it, while it returns.
+    pub granted_per_s: f64,
+    /// Sidecars that tell of it.
+    pub witnesses: u32,
+    /// Of these, those that lose by it.
+    pub losing: u32,
+}
+
+impl Halls {
+    pub(crate) fn to_json(&self) -> String {
+        serde_json::to_string(self).unwrap_or_default() // finite numbers and text: it never fails
+    }
+}
+
 /// A member that is known, and how it stands.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct Known {
@@ -200,6 +251,27 @@
     all
 }
 
+/// How halls stand: the word of the keeper that leads, or else of any.
+///
+/// # Errors
+/// No keeper is reached, with what each said.
+pub async fn halls(config: &FleetConfig) -> Result<Halls, String> {
+    let (mut best, mut problems): (Option<Halls>, Vec<String>) = (None, Vec::new());
+    for keeper in &config.keepers {
+        let said = match call(config, keeper.address, Said::ListHalls, ANSWER_MOST).await {
+            Ok(Said::Described(text)) => serde_json::from_str::<Halls>(&text).map_err(|e| e.to_string()),
+            Ok(_) => Err("another answer".to_owned()),
+            Err(problem) => Err(problem),
+        };
+        match said {
+            Ok(said) if said.leads => return Ok(said),
+            Ok(said) => drop(best.get_or_insert(said)),
+            Err(problem) => problems.push(format!("{}: {problem}", keeper.name)),
+        }
+    }
+    best.ok_or_else(|| problems.join("\n"))
+}
+
 /// Proposes something to the keepers, one after another, until it is decided: the version.
 ///
 /// # Errors
--- a/crates/fleet-node/src/follower.rs
+++ b/crates/fleet-node/src/follower.rs
@@ -8,9 +8,13 @@
 use curlewhub_fleet::evidence::Witness;
 use curlewhub_fleet::holder::Counts;
 use curlewhub_fleet::members::{Member, Role};
-use curlewhub_fleet::record::{Hash, Record};
+use curlewhub_fleet::record::{Hash, Kind, Record};
 use curlewhub_fleet::view::View;
 use curlewhub_fleet::wire::{FORMAT, Who};
+use curlewhub_locality::machine::Moved;
+use curlewhub_locality::part::{self, Part, Right};
+use curlewhub_locality::places;
+use curlewhub_locality::side::{self, Side};
 use std::cell::RefCell;
 use std::pin::pin;
 use std::rc::Rc;
@@ -56,10 +60,19 @@
     /// # Errors
     /// Why it is not acted on.
     fn check(record: &Record) -> Result<(), NotTaken> {
-        curlewhub_fleet::acted::check(record)
+        match record.proposal.kind {
+            Kind::PLACE | Kind::FREEZE => {
+                places::check(record).map_err(|why| NotTaken::Senseless(why.to_string()))
+            }
+            _ => curlewhub_fleet::acted::check(record),
+        }
     }
     /// This is acted on from now on; `hash` is that of its version.
     fn acts(&mut self, acted: &Acted, hash: Hash);
+    /// This may go into halls from now on; a time of it is on a clock that reads `now`.
+    fn may(&mut self, _now: Duration, _rights: &[(String, Right)]) {}
+    /// A hall is to be probed so often.
+    fn probe(&mut self, _hall: &str, _count: u32) {}
     /// It stands like this; told every half second.
     fn stands(&mut self, standing: Standing);
 }
@@ -72,6 +85,8 @@
     pub beside: bool,
     /// What its process sees, if it is to be told, and when the clock of that began.
     pub witness: Option<(Rc<RefCell<Witness>>, Instant)>,
+    /// The halls that its process calls into: what may go there is told it.
+    pub halls: Vec<String>,
 }
 
 /// The wall clock, as this process is told to read it.
@@ -111,7 +126,7 @@
 
 struct Follower<'a, A: Acts> {
     config: &'a FleetConfig,
-    agent: Agent,
+    side: Side,
     links: Rc<Links>,
     file: ViewFile,
     listens: bool,
@@ -162,22 +177,15 @@
     info!(version = view.version().0, hash = ?view.hash(), incarnation, "fleet: following");
     let own = own(config, Role::Sidecar, incarnation);
     let agent = Agent::new(Begin { own, keepers, peers, view, seed: rand::random() }, Duration::ZERO);
+    let part = (!manner.halls.is_empty())
+        .then(|| Part::new(&config.name, &config.hall, manner.halls, config.places.clone()));
+    let side = Side::new(agent, part, Duration::ZERO);
     let (began, witness, failing, keeping) = (Instant::now(), manner.witness, false, None);
     let acted = Acted::default();
-    let mut follower = Follower {
-        config,
-        agent,
-        links,
-        file,
-        listens: false,
-        failing,
-        keeping,
-        acted,
-        began,
-        witness,
-        to,
-    };
-    follower.act(&follower.agent.view().clone(), true);
+    let mut follower =
+        Follower { config, side, links, file, listens: false, failing, keeping, acted, began, witness, to };
+    let first = follower.act(&follower.side.agent.view().clone(), true);
+    follower.carry_out(first);
     if let Some(doors) = doors {
         follower.open(doors);
     }
@@ -185,7 +193,7 @@
     turns.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let mut leave = pin!(leave);
     loop {
-        let next = tokio::time::Instant::from_std(began + follower.agent.next());
+        let next = tokio::time::Instant::from_std(began + follower.side.next());
         let late = follower.keeping.as_ref().map_or(next, |keeping| keeping.acts_at);
         let waits = follower
             .keeping
@@ -193,25 +201,23 @@
             .is_some_and(|keeping| keeping.view.version() > follower.acted.version());
         let keeps = follower.keeping.is_some();
         let actions = tokio::select! {
-            () = sleep_until(next) => follower.agent.tick(began.elapsed()),
+            () = sleep_until(next) => follower.side.tick(began.elapsed()),
             Some(message) = heard.recv() => {
-                follower.agent.heard(began.elapsed(), &message.from, message.said)
+                follower.side.heard(began.elapsed(), &message.from, message.said)
             }
             done = kept(&mut follower.keeping), if keeps => {
-                follower.kept(done);
-                Vec::new()
+                follower.kept(done)
             }
             () = sleep_until(late), if waits => {
-                follower.act(&follower.agent.view().clone(), false);
-                Vec::new()
+                follower.act(&follower.side.agent.view().clone(), false)
             }
             _ = turns.tick() => {
                 follower.turn().await;
                 Vec::new()
             }
             () = &mut leave => {
-                let actions = follower.agent.leave();
-                follower.carry_out(actions);
+                let actions = follower.side.agent.leave();
+                follower.carry_out(actions.into_iter().map(side::Action::Fleet).collect());
                 return Ok(());
             }
         };
@@ -225,16 +231,16 @@
         self.listens = true;
         spawn_local(self.links.clone().listen(streams));
         spawn_local(self.links.clone().overhear(datagrams));
-        self.agent.join(self.began.elapsed());
+        self.side.agent.join(self.began.elapsed());
     }
 
     /// What is done twice a second.
     async fn turn(&mut self) {
         let now = self.began.elapsed();
-        let version = self.agent.view().version().0;
-        let members = self.agent.members().map_or(0, |members| members.count() + 1);
+        let version = self.side.agent.view().version().0;
+        let members = self.side.agent.members().map_or(0, |members| members.count() + 1);
         let traffic = (self.links.traffic.out.get(), self.links.traffic.come.get());
-        let (age, counts) = (self.agent.age(now), self.agent.counts());
+        let (age, counts) = (self.side.agent.age(now), self.side.agent.counts());
         let not_taken = self.acted.not_taken().count();
         self.to.stands(Standing { version, age, counts, not_taken, members, traffic });
         if !self.listens
@@ -244,55 +250,21 @@
         }
     }
 
-    fn tell(&self) -> Vec<Action> {
-        let digest =
-            self.witness.as_ref().and_then(|(witness, began)| witness.borrow_mut().digest(began.elapsed()));
-        digest.map(|digest| self.agent.tell(&digest)).unwrap_or_default()
+    fn tell(&mut self) -> Vec<side::Action> {
+        let renews = self.side.renews();
+        let digest = self
+            .witness
+            .as_ref()
+            .and_then(|(witness, began)| witness.borrow_mut().digest(began.elapsed(), renews));
+        digest.map(|digest| self.side.tell(self.began.elapsed(), &digest)).unwrap_or_default()
     }
 
-    fn carry_out(&mut self, actions: Vec<Action>) {
+    fn carry_out(&mut self, actions: Vec<side::Action>) {
         let mut changed = false;
         for action in actions {
             match action {
-                Action::Say(to, at, said) => self.links.say(&to, at, said),
-                Action::Tell => {
-                    let told = self.tell();
-                    self.carry_out(told);
-                }
-                Action::Whisper(to, said) => self.links.whisper(to, said),
-                Action::Up(member) => {
-                    self.links.member(&member.name, Some(member.format));
-                    let Member { name, hall, incarnation, .. } = member;
-                    debug!(name, hall, incarnation, "fleet: a member is there");
-                }
-                Action::Down(member) => {
-                    self.links.member(&member.name, None);
-                    let Member { name, hall, incarnation, .. } = member;
-                    debug!(name, hall, incarnation, "fleet: a member is gone");
-                }
-                Action::Outlives(incarnation) => {
-                    info!(
-                        incarnation,
-                        "fleet: an earlier start counted itself higher; going on by this number"
-                    );
-                    self.links.is(incarnation);
-                    let file = self.file.clone();
-                    spawn_blocking(move || file.incarnation(incarnation)); // for the next start; not waited for
-                }
-                Action::Renewed => info!("fleet: taken for gone, and back"),
-                Action::Displaced(by) => {
-                    let incarnation = by.incarnation;
-                    warn!(incarnation, at = %by.at, "fleet: a later process has this name; following on, and no member");
-                }
-                Action::Applied(record) => {
-                    let key = &record.proposal.key;
-                    info!(version = record.version.0, hash = ?record.hash(), key, "fleet: applied");
-                    changed = true;
-                }
-                Action::Replaced(view) => {
-                    info!(version = view.version().0, hash = ?view.hash(), "fleet: replaced by a snapshot");
-                    changed = true;
-                }
+                side::Action::Fleet(action) => changed |= self.of_fleet(action),
+                side::Action::Halls(action) => self.of_halls(action),
             }
         }
         if changed && self.keeping.is_none() {
@@ -300,15 +272,76 @@
         }
     }
 
+    /// Whether the view is another one now.
+    fn of_fleet(&mut self, action: Action) -> bool {
+        match action {
+            Action::Say(to, at, said) => self.links.say(&to, at, said),
+            Action::Tell => {
+                let told = self.tell();
+                self.carry_out(told);
+            }
+            Action::Whisper(to, said) => self.links.whisper(to, said),
+            Action::Up(member) => {
+                self.links.member(&member.name, Some(member.format));
+                let Member { name, hall, incarnation, .. } = member;
+                debug!(name, hall, incarnation, "fleet: a member is there");
+            }
+            Action::Down(member) => {
+                self.links.member(&member.name, None);
+                let Member { name, hall, incarnation, .. } = member;
+                debug!(name, hall, incarnation, "fleet: a member is gone");
+            }
+            Action::Outlives(incarnation) => {
+                info!(
+                    incarnation,
+                    "fleet: an earlier start counted itself higher; going on by this number"
+                );
+                self.links.is(incarnation);
+                let file = self.file.clone();
+                spawn_blocking(move || file.incarnation(incarnation)); // for the next start; not waited for
+            }
+            Action::Renewed => info!("fleet: taken for gone, and back"),
+            Action::Displaced(by) => {
+                let incarnation = by.incarnation;
+                warn!(incarnation, at = %by.at, "fleet: a later process has this name; following on, and no member");
+            }
+            Action::Applied(record) => {
+                let key = &record.proposal.key;
+                info!(version = record.version.0, hash = ?record.hash(), key, "fleet: applied");
+                return true;
+            }
+            Action::Replaced(view) => {
+                info!(version = view.version().0, hash = ?view.hash(), "fleet: replaced by a snapshot");
+                return true;
+            }
+        }
+        false
+    }
+
+    fn of_halls(&mut self, action: part::Action) {
+        match action {
+            part::Action::Rights(rights) => {
+                let now = self.began.elapsed();
+                self.to.may(now, &rights);
+            }
+            part::Action::Probe(hall, count) => self.to.probe(&hall, count),
+            part::Action::Alone(true) => warn!("fleet: no keeper for long; halls go by own calls"),
+            part::Action::Alone(false) => info!("fleet: halls go by what keepers decide"),
+            part::Action::Moved(Moved { hall, from, to, why }) => {
+                info!(hall, ?from, ?to, why, "fleet: hall moved by own calls");
+            }
+        }
+    }
+
     /// Writes the view down; once that is done, or takes too long, it is acted on.
     fn keep(&mut self) {
-        let (file, view) = (self.file.clone(), self.agent.view().clone());
+        let (file, view) = (self.file.clone(), self.side.agent.view().clone());
         let written = view.clone();
         let done = spawn_blocking(move || file.keep(&written));
         self.keeping = Some(Keeping { view, done, acts_at: tokio::time::Instant::now() + KEEP_MOST });
     }
 
-    fn kept(&mut self, done: std::io::Result<()>) {
+    fn kept(&mut self, done: std::io::Result<()>) -> Vec<side::Action> {
         if let Err(problem) = &done
             && !self.failing
         {
@@ -316,16 +349,17 @@
             warn!(%problem, "fleet: the view can't be kept");
         }
         self.failing = done.is_err();
-        let Some(keeping) = self.keeping.take() else { return };
-        self.act(&keeping.view, false);
-        if self.agent.view().version() > self.acted.version() {
+        let Some(keeping) = self.keeping.take() else { return Vec::new() };
+        let actions = self.act(&keeping.view, false);
+        if self.side.agent.view().version() > self.acted.version() {
             self.keep();
         }
+        actions
     }
 
-    fn act(&mut self, view: &View, first: bool) {
+    fn act(&mut self, view: &View, first: bool) -> Vec<side::Action> {
         if view.version() <= self.acted.version() && !first {
-            return;
+            return Vec::new();
         }
         for came in self.acted.take(view, A::check) {
             if let Came::NotTaken(record, why) = came {
@@ -333,7 +367,9 @@
                 warn!(version, key, %why, "fleet: not acted on");
             }
         }
+        let actions = self.side.acts(self.began.elapsed(), &self.acted);
         self.to.acts(&self.acted, view.hash());
+        actions
     }
 }
 
--- a/crates/fleet-node/src/keeper.rs
+++ b/crates/fleet-node/src/keeper.rs
@@ -1,7 +1,7 @@
 //! A keeper's process: the agreement's ticks and messages, its disk, and what it says.
 
 use crate::call::Described;
-use crate::call::{Known, Listed};
+use crate::call::{HallStands, Halls, Known, Listed};
 use crate::config::{FleetConfig, keys};
 use crate::follower::{listen, own, unix_ms};
 use crate::links::Links;
@@ -10,6 +10,10 @@
 use curlewhub_fleet::members::{Member, Members, Role, Standing};
 use curlewhub_fleet::seat::{Output, Seat};
 use curlewhub_fleet::wire::{Message, Said, Who};
+use curlewhub_locality::keeping::Keeping;
+use curlewhub_locality::machine::Moved;
+use curlewhub_locality::warden::Warden;
+use std::collections::BTreeSet;
 use std::pin::pin;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -26,7 +30,7 @@
 const AT_ONCE: usize = 64;
 
 struct Process {
-    seat: Seat,
+    keeping: Keeping,
     store: Store,
     links: Rc<Links>,
     began: Instant,
@@ -78,8 +82,9 @@
     let names = config.keepers.iter().map(|keeper| (keeper.id, keeper.name.clone())).collect();
     let version = keeper.view().version();
     info!(keeper = id, incarnation, version = version.0, "fleet: keeping");
-    let seat = Seat::new(keeper, members, names);
-    let mut process = Process { seat, store, links, began: Instant::now(), leader: 0 };
+    let warden = Warden::new(&config.name, config.places.clone());
+    let keeping = Keeping::new(Seat::new(keeper, members, names), warden);
+    let mut process = Process { keeping, store, links, began: Instant::now(), leader: 0 };
     let mut ticks = interval(TICK);
     // After a pause one tick is enough: it must hear before it asks for votes.
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
@@ -87,17 +92,17 @@
     loop {
         tokio::select! {
             () = &mut leave => {
-                let output = process.seat.leave();
-                return process.carry_out(vec![output]);
+                let outputs = process.keeping.leave();
+                return process.carry_out(outputs);
             }
             _ = ticks.tick() => {
-                let output = process.seat.tick(process.began.elapsed(), unix_ms(config));
-                process.carry_out(vec![output])?;
+                let outputs = process.keeping.tick(process.began.elapsed(), unix_ms(config));
+                process.carry_out(outputs)?;
             }
             Some(message) = heard.recv() => {
-                let mut outputs = vec![process.heard(message)];
+                let mut outputs = process.heard(message);
                 while outputs.len() < AT_ONCE && let Ok(message) = heard.try_recv() {
-                    outputs.push(process.heard(message));
+                    outputs.extend(process.heard(message));
                 }
                 process.carry_out(outputs)?;
             }
@@ -106,25 +111,26 @@
 }
 
 impl Process {
-    fn heard(&mut self, message: Message) -> Output {
+    fn heard(&mut self, message: Message) -> Vec<Output> {
         let Message { from, said } = message;
         match said {
-            Said::Describe => says(from.name, Said::Described(self.described().to_json())),
-            Said::ListMembers => says(from.name, Said::Described(self.listed().to_json())),
-            Said::Change { keeper, add } => match self.change(keeper, add, &from.name) {
+            Said::Describe => vec![says(from.name, Said::Described(self.described().to_json()))],
+            Said::ListMembers => vec![says(from.name, Said::Described(self.listed().to_json()))],
+            Said::ListHalls => vec![says(from.name, Said::Described(self.halls().to_json()))],
+            Said::Change { keeper, add } => vec![match self.change(keeper, add, &from.name) {
                 Ok(output) => output,
                 Err(problem) => says(from.name, Said::NotChanging(problem)),
-            },
-            said => self.seat.heard(self.began.elapsed(), &from, said),
+            }],
+            said => self.keeping.heard(self.began.elapsed(), &from, said),
         }
     }
 
     fn change(&mut self, keeper: u64, add: bool, by: &str) -> Result<Output, String> {
         // Others could not reach one that they don't name.
-        if add && self.seat.name(keeper).is_none() {
-            return Err(format!("`keepers` of {} does not name {keeper}", self.seat.own().name));
+        if add && self.keeping.seat.name(keeper).is_none() {
+            return Err(format!("`keepers` of {} does not name {keeper}", self.keeping.seat.own().name));
         }
-        let keeper_output = self.seat.keeper.change(keeper, add).map_err(|e| e.to_string())?;
+        let keeper_output = self.keeping.seat.keeper.change(keeper, add).map_err(|e| e.to_string())?;
         info!(keeper, add, by, "fleet: keepers change");
         let mut output = Output { keeper: keeper_output, ..Output::default() };
         output.keeper.said.push((by.to_owned(), Said::Changing));
@@ -133,7 +139,7 @@
 
     /// First all is on disk, then all is said.
     fn carry_out(&mut self, outputs: Vec<Output>) -> Result<(), String> {
-        if let Some(why) = self.seat.ends() {
+        if let Some(why) = self.keeping.ends() {
             error!(problem = %why, "fleet: ending");
             return Err(why.to_string());
         }
@@ -144,14 +150,17 @@
                 return Err(problem.to_string());
             }
         }
+        for Moved { hall, from, to, why } in std::mem::take(&mut self.keeping.moves) {
+            info!(hall, ?from, ?to, why, "fleet: a hall is to move");
+        }
         for output in outputs {
             self.say(output);
         }
-        let leader = self.seat.keeper.leader();
+        let leader = self.keeping.seat.keeper.leader();
         if leader != self.leader {
             self.leader = leader;
-            let name = self.seat.name(leader).unwrap_or("nobody");
-            info!(leader = name, term = self.seat.keeper.term(), "fleet: leader");
+            let name = self.keeping.seat.name(leader).unwrap_or("nobody");
+            info!(leader = name, term = self.keeping.seat.keeper.term(), "fleet: leader");
         }
         Ok(())
     }
@@ -160,7 +169,7 @@
         let Output { keeper, whispers, up, down, outlives } = output;
         outlives.into_iter().for_each(|incarnation| self.links.is(incarnation));
         for (to, bytes) in keeper.agreement {
-            if let Some(name) = self.seat.name(to) {
+            if let Some(name) = self.keeping.seat.name(to) {
                 self.links.say(name, None, Said::Agreement(bytes));
             }
         }
@@ -186,8 +195,40 @@
         }
     }
 
+    fn halls(&self) -> Halls {
+        let (now, warden) = (self.began.elapsed(), &self.keeping.warden);
+        let machine = warden.machine();
+        let of = |name: &str| {
+            let (seen, held) = (machine.signals.now(now, name), machine.places().halls.get(name));
+            let witnesses = machine.signals.witnesses(now, name, None);
+            HallStands {
+                name: name.to_owned(),
+                region: machine.region(name).unwrap_or_default().to_owned(),
+                state: machine.places().state(name),
+                why: held.map_or(String::new(), |held| held.why.clone()),
+                by_hand: held.is_some_and(|held| held.by_hand),
+                calls_per_s: seen.calls_per_s,
+                stretch: seen.stretch,
+                lost: seen.lost,
+                bore_per_s: held.map_or(seen.before_per_s, |held| held.before.calls_per_s),
+                granted_per_s: warden.grants().out(now, name),
+                witnesses: witnesses.all,
+                losing: witnesses.losing,
+            }
+        };
+        let known = machine.signals.halls().chain(machine.places().halls.keys().map(String::as_str));
+        let names: BTreeSet<&str> = known.collect();
+        Halls {
+            by: self.keeping.seat.own().name.clone(),
+            leads: self.keeping.seat.keeper.leads(),
+            version: self.keeping.seat.keeper.view().version().0,
+            halls: names.into_iter().map(of).collect(),
+            cut: machine.places().cut.clone(),
+        }
+    }
+
     fn listed(&self) -> Listed {
-        let members = self.seat.members();
+        let members = self.keeping.seat.members();
         let of = |member: &Member, standing| Known { member: member.clone(), standing };
         let mut all: Vec<Known> = members.known().map(|(member, standing)| of(member, standing)).collect();
         all.push(of(members.own(), Standing::There));
@@ -196,7 +237,7 @@
     }
 
     fn described(&self) -> Described {
-        let (seat, keeper, own) = (&self.seat, &self.seat.keeper, self.seat.own());
+        let (seat, keeper, own) = (&self.keeping.seat, &self.keeping.seat.keeper, self.keeping.seat.own());
         let traffic = &self.links.traffic;
         Described {
             name: own.name.clone(),
--- a/crates/fleet/src/agent.rs
+++ b/crates/fleet/src/agent.rs
@@ -96,6 +96,11 @@
             .get_or_insert_with(|| Members::new(self.begin.own.clone(), &seeds, self.draws.random(), now));
     }
 
+    /// The keepers' names.
+    pub fn keepers(&self) -> impl Iterator<Item = &str> {
+        self.begin.keepers.iter().map(|(name, _)| &name[..])
+    }
+
     /// What it holds.
     pub fn view(&self) -> &View {
         self.holder.view()
--- a/crates/fleet/src/keeper.rs
+++ b/crates/fleet/src/keeper.rs
@@ -3,7 +3,7 @@
 //! The host gives it ticks, messages and proposals, and after each takes its [`Output`]: it writes and syncs what is to
 //! be kept, and only then sends what is to be said.
 
-use crate::evidence::{Evidence, NotTaken};
+use crate::evidence::{Digest, Evidence, NotTaken};
 use crate::holder::{PACE, PACE_MOST, RECORDS_MOST, RENEW_PACES};
 use crate::record::{Proposal, Record, Version};
 use crate::view::{Refused, Tail, View};
@@ -443,9 +443,7 @@
         match said {
             Said::Ask { after } => self.asked(from, after),
             Said::Saw(digest) => {
-                if let Err(why) = self.evidence.heard(self.now, from, digest) {
-                    *self.not_taken.entry(why).or_default() += 1;
-                }
+                self.takes(from, &digest);
                 Output::default()
             }
             Said::Propose(proposal) => self.propose(&from.name, proposal),
@@ -453,6 +451,15 @@
         }
     }
 
+    /// Whether a sidecar's digest is taken; why not is counted.
+    pub fn takes(&mut self, from: &Who, digest: &Digest) -> bool {
+        let taken = self.evidence.heard(self.now, from, digest);
+        if let Err(why) = taken {
+            *self.not_taken.entry(why).or_default() += 1;
+        }
+        taken.is_ok()
+    }
+
     fn asked(&mut self, from: &Who, after: Version) -> Output {
         let answer = self.tell(after);
         let cost = 100.0 + answer.size() as f64;
--- a/crates/fleet/src/wire.rs
+++ b/crates/fleet/src/wire.rs
@@ -116,6 +116,8 @@
         /// By hall.
         rates: Vec<(String, f64)>,
     },
+    /// How do halls stand? An operator asks.
+    ListHalls,
 }
 
 impl Said {
@@ -123,7 +125,7 @@
     pub fn since(&self) -> u8 {
         match self {
             Said::Members(_) | Said::ListMembers | Said::Pace { .. } | Said::Saw(_) => 2,
-            Said::ProbeHall { .. } | Said::Granted { .. } => 2,
+            Said::ProbeHall { .. } | Said::Granted { .. } | Said::ListHalls => 2,
             _ => 1,
         }
     }
--- a/crates/locality/src/signals.rs
+++ b/crates/locality/src/signals.rs
@@ -19,6 +19,8 @@
 const QUICK_S: f64 = 0.5;
 /// The same for what a hall is when all is well, which its loss must not change.
 const BEFORE_FADES_S: f64 = 30.0;
+/// A sidecar loses by a hall once so many of its calls there were lost in a row.
+const STREAK: u32 = 3;
 /// What takes so many times as long as before does not count towards what was before.
 const SLOW_FROM: f64 = 2.0;
 /// Sidecars of a pair that are remembered, at the most.
@@ -76,6 +78,9 @@
     /// Answered, and lost, of very late.
     quick: (Rate, Rate),
     before: Rate,
+    /// Seconds over which that is.
+    before_s: Rate,
+    before_at: Duration,
     before_took: Rate,
     before_usual: Rate,
     since: Option<Duration>,
@@ -233,7 +238,7 @@
                 if answered + lost > 0.0 { lost / (answered + lost) } else { 0.0 }
             },
             full_per_s: per_s(read(seen.full), FADES_S),
-            before_per_s: per_s(seen.before.sum, BEFORE_FADES_S),
+            before_per_s: seen.before.sum / seen.before_s.sum.max(0.25),
             before_stretch: multiple(seen.before_took.sum, seen.before_usual.sum),
         }
     }
@@ -269,12 +274,13 @@
     fn saw(&mut self, now: Duration, name: &str, calls: &Calls, rules: &PlacesConfig) {
         let calls = calls.capped(CALLS_MOST);
         let (known, lost) = (calls.known(), calls.lost());
-        // Who answers probes may still answer no calls: probes speak only where no calls do.
+        // Who answers probes may still answer no calls: that they are answered says something only where no calls speak. That
+        // they are not says as much as a lost call.
         let probes = calls.there + calls.not_there;
         let alone = known == 0 && self.called.is_none_or(|at| now.saturating_sub(at) > FRESH);
+        let alone = alone || (known == 0 && calls.not_there > calls.there);
         let (lost, answered) = match known {
-            0 if alone => (calls.not_there.min(CALLS_MOST), calls.there.min(CALLS_MOST)),
-            0 => (0, 0),
+            0 => (calls.not_there.min(CALLS_MOST), if alone { calls.there.min(CALLS_MOST) } else { 0 }),
             _ => (lost, known - lost.min(known)),
         };
         if known > 0 {
@@ -285,7 +291,10 @@
             f64::from(bad) * (p1 / p0).ln() + f64::from(good) * ((1.0 - p1) / (1.0 - p0)).ln()
         };
         let most = rules.alarm * SUM_MOST;
-        self.lost = (self.lost + weight(lost, answered)).clamp(0.0, most);
+        // In their order, as far as it is known: a streak of lost ones came last.
+        let streak = if known > 0 { calls.streak.min(lost) } else { 0 };
+        self.lost = (self.lost + weight(lost - streak, answered)).clamp(0.0, most);
+        self.lost = (self.lost + weight(streak, 0)).clamp(0.0, most);
         // What is lost says nothing of errors, one way or the other.
         self.failed =
             (self.failed + weight(calls.error, answered - calls.error.min(answered))).clamp(0.0, most);
@@ -293,14 +302,17 @@
             let heard = lost + answered;
             let word = Word {
                 at: now,
-                loses: heard > 0 && lost * 2 > heard,
+                loses: heard > 0 && (lost * 2 > heard || streak >= STREAK),
                 errs: calls.error * 2 > known.max(1),
             };
             // One that probes beside its calls has its calls' word stand.
             if known > 0 || alone {
                 self.heard = Some(now);
-                if heard > 0 && !word.loses && !word.errs {
-                    self.well = Some(now);
+                if heard > 0 && streak == 0 && !word.loses && !word.errs {
+                    // What is told of a while speaks of its last call that was served, and not of now.
+                    let ago =
+                        if known > 0 { Duration::from_millis(calls.ago_ms.into()) } else { Duration::ZERO };
+                    self.well = self.well.max(Some(now.saturating_sub(ago)));
                 }
                 self.words.insert(name.to_owned(), word);
             }
@@ -357,7 +369,11 @@
         let before =
             if self.before_usual.sum > 0.0 { self.before_took.sum / self.before_usual.sum } else { 1.0 };
         let usual_for_it = took <= usual * before.max(0.1) * SLOW_FROM || self.before.sum < 10.0;
+        let passed = now.saturating_sub(self.before_at).as_secs_f64();
+        self.before_at = now;
         if well && served > 0.0 && usual_for_it {
+            // Time in which nothing was told of it well is none of that time.
+            self.before_s.add(now, if passed > 2.0 { 0.0 } else { passed }, BEFORE_FADES_S);
             self.before.add(now, served, BEFORE_FADES_S);
             self.before_took.add(now, took, BEFORE_FADES_S);
             self.before_usual.add(now, usual, BEFORE_FADES_S);
--- a/crates/runtime/src/driver.rs
+++ b/crates/runtime/src/driver.rs
@@ -15,7 +15,7 @@
 use super::timers::Timers;
 use curlewhub_balance::{
     Action, AttemptEnded, AttemptNo, Balancer, ClassId, EndpointId, EndpointInfo, EndpointState, Event,
-    Membership, Outcome, RequestId, TimerToken,
+    Membership, Outcome, RequestId, TimerToken, ZoneId,
 };
 use std::collections::{HashMap, HashSet, VecDeque};
 use std::net::SocketAddr;
@@ -24,7 +24,7 @@
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender};
 use tokio::sync::{oneshot, watch};
 use tokio::task::spawn_local;
-use tokio::time::{Instant, sleep_until};
+use tokio::time::{Instant, sleep_until, timeout};
 use tracing::{debug, error, info, warn};
 
 /// A start that lies ahead by less is put down to clocks that differ a little.
@@ -91,6 +91,8 @@
     lifecycle: Rc<Lifecycle>,
     keyed: Keyed,
     sight: Rc<dyn Sight>,
+    /// Probes of zones so far.
+    probes: usize,
     /// Their ids.
     banned: HashSet<EndpointId>,
     /// With the processes beside this one.
@@ -126,6 +128,7 @@
             lifecycle,
             keyed,
             sight,
+            probes: 0,
             banned: HashSet::new(),
             sharing: Sharing::default(),
             calls,
@@ -229,6 +232,8 @@
                 let _ =
                     told.send(Hosts { listed: self.addresses.len(), down, parts: self.sharing.parts() });
             }
+            Command::Zones(rights) => self.handle(Event::Zones(rights)),
+            Command::ProbeZone { zone, count, within } => self.probe_zone(zone, count, within),
             Command::Learnt(told) => drop(told.send(self.balancer.snapshot(self.clock.now()))),
             Command::Beside { link, before, say } => {
                 self.share(|sharing, module| sharing.beside(link, before, say, module));
@@ -544,6 +549,31 @@
         });
     }
 
+    /// Probes some endpoints of a zone, others each time.
+    fn probe_zone(&mut self, zone: ZoneId, count: u32, within: Duration) {
+        let usable = |id: &EndpointId| {
+            !self.banned.contains(id) && self.balancer.place(*id).is_some_and(|(place, _)| place == zone)
+        };
+        let mut there: Vec<EndpointId> = self.addresses.keys().copied().filter(usable).collect();
+        there.sort_unstable();
+        if there.is_empty() {
+            // Nobody is listed there: as good as nobody who answers.
+            (0..count).for_each(|_| self.sight.probed(zone, false));
+        }
+        for _ in 0..there.len().min(count as usize) {
+            self.probes = self.probes.wrapping_add(1);
+            let endpoint = there[self.probes % there.len()];
+            let (outbound, address, sight) =
+                (self.outbound.clone(), self.addresses[&endpoint], self.sight.clone());
+            spawn_local(async move {
+                let ended =
+                    timeout(within, outbound.probe(endpoint, address)).await.map(|ended| ended.outcome);
+                // Whatever it says, somebody is there who says it.
+                sight.probed(zone, matches!(ended, Ok(Outcome::Ok | Outcome::Error | Outcome::Full)));
+            });
+        }
+    }
+
     /// Gives a request its final answer, unless it has had one.
     fn finish(&mut self, id: RequestId, answer: Answer) {
         let Some(open) = self.requests.get_mut(&id) else { return };
--- a/crates/runtime/src/events.rs
+++ b/crates/runtime/src/events.rs
@@ -3,7 +3,9 @@
 
 use crate::figures::Hosts;
 use crate::streaming::{AnswerBody, Payload};
-use curlewhub_balance::{AttemptNo, EndpointId, Membership, Outcome, Portion, RequestId, Snapshot};
+use curlewhub_balance::{
+    AttemptNo, EndpointId, Membership, Outcome, Portion, RequestId, Snapshot, ZoneId, ZoneRights,
+};
 use curlewhub_config::list::Target;
 use hyper::body::Bytes;
 use hyper::header::{self, HeaderName, HeaderValue};
@@ -59,6 +61,17 @@
         /// Told once that holds and is on disk, or why it isn't so.
         told: oneshot::Sender<Result<(), &'static str>>,
     },
+    /// This may go into zones from now on.
+    Zones(ZoneRights),
+    /// Probe so many endpoints of a zone; one that has not answered within the time counts as not there.
+    ProbeZone {
+        /// The zone.
+        zone: ZoneId,
+        /// How many.
+        count: u32,
+        /// The time.
+        within: Duration,
+    },
     /// Another process of this sidecar is there.
     Beside {
         /// The number of the connection to it.
