--- a/crates/fleet/src/evidence.rs
+++ b/crates/fleet/src/evidence.rs
@@ -442,6 +442,7 @@
         let digest = witness.digest(ms(2500), false).unwrap();
         let b = Calls {
             served: 2,
+            ago_ms: 2410,
             silent: 1,
             streak: 1,
             slow: 1,
--- a/crates/locality/src/machine.rs
+++ b/crates/locality/src/machine.rs
@@ -23,6 +23,8 @@
 const PROBE_AGAIN: Duration = Duration::from_millis(250);
 /// One that is suspect for longer than this, and not more, is probed so seldom.
 const SUSPECT_MOST: Duration = Duration::from_secs(2);
+/// One that answers is probed so many times as often, for the few probes that let calls in.
+const ANSWERING: u32 = 4;
 /// Halls whose sidecars probe one that is suspect, at the most.
 const PROBING_HALLS: usize = 3;
 /// A step of a return is judged by so many calls, or after so long.
@@ -656,7 +658,9 @@
             return;
         }
         let apart = Duration::from_secs_f64(f64::from(PROBES_EACH) / self.rules.probes);
-        probes.next = now + apart;
+        // Once it answers, whether it goes on to is seen soon.
+        let answers = probes.last.last() == Some(&true);
+        probes.next = now + if answers { apart / ANSWERING } else { apart };
         let halls: Vec<&Vec<String>> = world
             .sidecars
             .iter()
