Play halls left by keepers on the rig and in the model, and judge each move by its sidecars

Need: a move was in keepers' logs alone; nobody could say which sidecar acted on it when, and the model knew no fleet at all.

The rig's history has what each sidecar may (from its own log), its report a row for each move: decided, first and last act, calls after it.

--- a/crates/fleet-model/src/fleet.rs
+++ b/crates/fleet-model/src/fleet.rs
@@ -2,14 +2,22 @@
 
 use crate::net::{Net, Place, Side};
 use crate::rules::Rules;
+use curlewhub_config::fleet::PlacesConfig;
+use curlewhub_fleet::acted::{Acted, NotTaken};
 use curlewhub_fleet::agent::{self, Agent, Begin};
-use curlewhub_fleet::evidence::{Calls, Digest};
+use curlewhub_fleet::evidence::{Calls, Digest, Ended, Witness};
 use curlewhub_fleet::keeper::{Keeper, Kept, TICK};
 use curlewhub_fleet::members::{Member, Members, Role};
 use curlewhub_fleet::record::{Kind, Proposal, Version};
 use curlewhub_fleet::seat::{self, Seat};
 use curlewhub_fleet::view::View;
 use curlewhub_fleet::wire::{FORMAT, Said, Who};
+use curlewhub_locality::keeping::Keeping;
+use curlewhub_locality::machine::Moved;
+use curlewhub_locality::part::{self, Part, Right};
+use curlewhub_locality::places;
+use curlewhub_locality::side;
+use curlewhub_locality::warden::Warden;
 use hdrhistogram::Histogram;
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg32;
@@ -44,6 +52,17 @@
     }
 }
 
+/// What sidecars tell.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Evidence {
+    /// Nothing.
+    None,
+    /// Calls into all halls, as they are when all is well.
+    Well,
+    /// What the host has them see: [`Fleet::began`] and [`Fleet::ended`].
+    Seen,
+}
+
 /// A fleet.
 #[derive(Clone, Debug)]
 pub struct Spec {
@@ -57,8 +76,10 @@
     pub sidecars: Vec<usize>,
     /// Sidecars are members too; without, they know nobody but keepers, which saves memory in the largest fleets.
     pub members: bool,
-    /// Sidecars tell evidence of all halls.
-    pub evidence: bool,
+    /// What sidecars tell.
+    pub evidence: Evidence,
+    /// How halls are left, and returned to.
+    pub rules: PlacesConfig,
     /// The network at the start.
     pub net: Net,
     /// What messages cost keepers and sidecars.
@@ -75,7 +96,8 @@
             joining: 0,
             sidecars: turn(sidecars),
             members: true,
-            evidence: false,
+            evidence: Evidence::None,
+            rules: PlacesConfig::default(),
             net: Net::default(),
             cost: Cost::default(),
         }
@@ -91,8 +113,15 @@
 
 /// What runs in a process.
 enum Runs {
-    Keeper(Box<Seat>),
-    Sidecar(Box<Agent>),
+    Keeper(Box<Keeping>),
+    Sidecar(Box<Sidecar>),
+}
+
+/// What runs in a sidecar.
+struct Sidecar {
+    side: side::Side,
+    witness: Witness,
+    acted: Acted,
 }
 
 /// What a process's disk has.
@@ -220,6 +249,17 @@
     pub passed: Passed,
     /// Sidecars' times from a version's decision to holding it.
     pub times: Times,
+    /// What sidecars may send into halls from now on, by number, since it was last taken.
+    pub rights: Vec<(usize, Vec<(usize, Right)>)>,
+    /// Probes that sidecars are to make, since they were last taken: sidecar, hall, how many.
+    pub probes: Vec<(usize, usize, u32)>,
+    /// Moves that keepers have proposed, and when.
+    pub moves: Vec<(Duration, Moved)>,
+}
+
+/// The name of a hall.
+pub fn hall_name(hall: usize) -> String {
+    format!("hall-{hall}")
 }
 
 fn address(node: usize) -> SocketAddr {
@@ -280,6 +320,9 @@
             rules: Rules::default(),
             passed: Passed::default(),
             times: Times::default(),
+            rights: Vec::new(),
+            probes: Vec::new(),
+            moves: Vec::new(),
         };
         let joining = fleet.keepers() - fleet.spec.joining..fleet.keepers();
         (0..count).filter(|n| !joining.contains(n)).for_each(|n| fleet.start(n));
@@ -309,19 +352,56 @@
     /// A keeper that runs.
     pub fn seat(&self, node: usize) -> Option<&Seat> {
         match &self.nodes[node].runs {
-            Some(Runs::Keeper(seat)) => Some(seat),
+            Some(Runs::Keeper(keeping)) => Some(&keeping.seat),
             _ => None,
         }
     }
 
-    /// A sidecar's part that runs.
+    /// A keeper that runs, with its part in halls.
+    pub fn keeping(&self, node: usize) -> Option<&Keeping> {
+        match &self.nodes[node].runs {
+            Some(Runs::Keeper(keeping)) => Some(keeping),
+            _ => None,
+        }
+    }
+
+    /// A sidecar's part in the fleet that runs.
     pub fn agent(&self, node: usize) -> Option<&Agent> {
+        self.part(node).map(|side| &side.agent)
+    }
+
+    /// A sidecar's side that runs.
+    pub fn part(&self, node: usize) -> Option<&side::Side> {
         match &self.nodes[node].runs {
-            Some(Runs::Sidecar(agent)) => Some(agent),
+            Some(Runs::Sidecar(sidecar)) => Some(&sidecar.side),
             _ => None,
         }
     }
 
+    /// A sidecar's call goes out, as its host sees it, so long after the start; the sidecar is counted without the keepers.
+    pub fn began(&mut self, at: Duration, sidecar: usize, call: (u64, u32), hall: usize, class: usize) {
+        let (now, n) = (EPOCH + at, self.keepers() + sidecar);
+        if let Some(Runs::Sidecar(sidecar)) = &mut self.nodes[n].runs {
+            sidecar.witness.began(now, call, hall, class);
+        }
+    }
+
+    /// It has ended.
+    pub fn ended(&mut self, sidecar: usize, call: (u64, u32), how: Ended, took: Duration) {
+        let n = self.keepers() + sidecar;
+        if let Some(Runs::Sidecar(sidecar)) = &mut self.nodes[n].runs {
+            sidecar.witness.ended(call, how, took);
+        }
+    }
+
+    /// A probe that was ordered was answered, or not.
+    pub fn probed(&mut self, sidecar: usize, hall: usize, answered: bool) {
+        let n = self.keepers() + sidecar;
+        if let Some(Runs::Sidecar(sidecar)) = &mut self.nodes[n].runs {
+            sidecar.witness.probed(hall, answered);
+        }
+    }
+
     /// How long a process has been at work.
     pub fn worked(&self, node: usize) -> Duration {
         self.nodes[node].worked
@@ -336,8 +416,8 @@
     /// What a process holds.
     pub fn version(&self, node: usize) -> Version {
         match &self.nodes[node].runs {
-            Some(Runs::Keeper(seat)) => seat.keeper.view().version(),
-            Some(Runs::Sidecar(agent)) => agent.view().version(),
+            Some(Runs::Keeper(keeping)) => keeping.seat.keeper.view().version(),
+            Some(Runs::Sidecar(sidecar)) => sidecar.side.agent.view().version(),
             None => self.nodes[node].disk.view.version(),
         }
     }
@@ -354,7 +434,7 @@
         let own = Member {
             name: node.name.clone(),
             role: if n < keepers.len() { Role::Keeper } else { Role::Sidecar },
-            hall: format!("hall-{}", node.place.hall),
+            hall: hall_name(node.place.hall),
             at: node.at,
             build: String::new(),
             format: FORMAT,
@@ -374,16 +454,26 @@
                 ));
             };
             let names = keepers.iter().zip(1..).map(|((name, _), id)| (id, name.clone())).collect();
+            let warden = Warden::new(&own.name, self.spec.rules.clone());
             let members = Members::new(own, &keepers, seed, now);
-            Runs::Keeper(Box::new(Seat::new(keeper, members, names)))
+            Runs::Keeper(Box::new(Keeping::new(Seat::new(keeper, members, names), warden)))
         } else {
+            let halls: Vec<String> = (0..self.spec.halls.len()).map(hall_name).collect();
+            let seen = self.spec.evidence == Evidence::Seen;
+            let (name, hall, rules) = (&own.name, &own.hall, self.spec.rules.clone());
+            let part = seen.then(|| Part::new(name, hall, halls.clone(), rules));
+            let witness = Witness::new(hall, halls);
             let begin = Begin { own, keepers, peers: Vec::new(), view: node.disk.view.clone(), seed };
             let mut agent = Agent::new(begin, now);
             if self.spec.members {
                 agent.join(now);
             }
-            Runs::Sidecar(Box::new(agent))
+            let side = side::Side::new(agent, part, now);
+            Runs::Sidecar(Box::new(Sidecar { side, witness, acted: Acted::default() }))
         });
+        if n >= self.keepers() {
+            self.act(n);
+        }
         self.plan_wake(n);
     }
 
@@ -441,6 +531,16 @@
         self.plan(at, Ev::Comes { to, start, from, said: Rc::new(Said::Propose(proposal)), bytes: 200 });
     }
 
+    /// When something is to happen next, since the start.
+    pub fn next(&self) -> Option<Duration> {
+        self.queue.peek().map(|Reverse((at, _))| at.saturating_sub(EPOCH))
+    }
+
+    /// Lets time pass until then, since the start.
+    pub fn run_to(&mut self, at: Duration) {
+        self.run(at.saturating_sub(self.now()));
+    }
+
     /// Lets so much time pass.
     pub fn run(&mut self, lasts: Duration) {
         let end = self.now + lasts;
@@ -480,7 +580,7 @@
             None => return,
             // Keepers are ticked by their host, evenly.
             Some(Runs::Keeper(_)) => now + TICK,
-            Some(Runs::Sidecar(agent)) => agent.next().max(now),
+            Some(Runs::Sidecar(sidecar)) => sidecar.side.next().max(now),
         };
         // One that is planned early enough looks again by itself.
         if node.wakes_at <= at && node.wakes_at > now {
@@ -533,13 +633,13 @@
         node.waiting = node.waiting.saturating_sub(1);
         match &mut node.runs {
             None => {}
-            Some(Runs::Keeper(seat)) => {
-                let output = seat.heard(now, from, said.clone());
+            Some(Runs::Keeper(keeping)) => {
+                let outputs = keeping.heard(now, from, said.clone());
                 let dies = self.dies_written > 0.0 && self.draws.random::<f64>() < self.dies_written;
-                self.of_keeper(to, output, dies);
+                self.of_keeper(to, outputs, dies);
             }
-            Some(Runs::Sidecar(agent)) => {
-                let actions = agent.heard(now, from, said.clone());
+            Some(Runs::Sidecar(sidecar)) => {
+                let actions = sidecar.side.heard(now, from, said.clone());
                 self.of_sidecar(to, actions);
                 self.plan_wake(to);
             }
@@ -555,94 +655,145 @@
         node.wakes_at = Duration::MAX;
         match &mut node.runs {
             None => return,
-            Some(Runs::Keeper(seat)) => {
-                let output = seat.tick(now, unix_ms);
-                self.of_keeper(n, output, false);
+            Some(Runs::Keeper(keeping)) => {
+                let outputs = keeping.tick(now, unix_ms);
+                self.of_keeper(n, outputs, false);
             }
-            Some(Runs::Sidecar(agent)) => {
-                let actions = agent.tick(now);
+            Some(Runs::Sidecar(sidecar)) => {
+                let actions = sidecar.side.tick(now);
                 self.of_sidecar(n, actions);
             }
         }
         self.plan_wake(n);
     }
 
-    /// A sidecar's calls into all halls, as they are when all is well: that is told once a second at the most.
+    /// What a sidecar has seen, or would when all is well: that is told once a second at the most.
     fn tells(&mut self, n: usize) {
-        let over = self.now.saturating_sub(self.nodes[n].told_at);
-        if over < Duration::from_secs(1) {
+        let (now, hall, halls) = (self.now, self.nodes[n].place.hall, self.spec.halls.len());
+        let over = now.saturating_sub(self.nodes[n].told_at);
+        let Some(Runs::Sidecar(sidecar)) = &mut self.nodes[n].runs else { return };
+        let digest = match self.spec.evidence {
+            Evidence::None => None,
+            Evidence::Seen => sidecar.witness.digest(now, sidecar.side.renews()),
+            Evidence::Well if over < Duration::from_secs(1) => None,
+            Evidence::Well => {
+                let calls = Calls { served: 3, took_ms: 40, usual_ms: 40, ..Calls::default() };
+                let rows = (0..halls).map(|hall| (hall_name(hall), calls)).collect();
+                (self.nodes[n].told_at, self.nodes[n].sequence) = (now, self.nodes[n].sequence + 1);
+                let (sequence, over_ms) = (self.nodes[n].sequence, over.as_millis() as u32);
+                Some(Digest { sequence, hall: hall_name(hall), over_ms, rows })
+            }
+        };
+        let (Some(digest), Some(Runs::Sidecar(sidecar))) = (digest, &mut self.nodes[n].runs) else {
             return;
-        }
-        self.nodes[n].told_at = self.now;
-        let hall = format!("hall-{}", self.nodes[n].place.hall);
-        let calls = Calls { served: 3, took_ms: 40, usual_ms: 40, ..Calls::default() };
-        let rows = (0..self.spec.halls.len()).map(|hall| (format!("hall-{hall}"), calls)).collect();
-        self.nodes[n].sequence += 1;
-        let (sequence, over_ms) = (self.nodes[n].sequence, over.as_millis() as u32);
-        if let Some(Runs::Sidecar(agent)) = &self.nodes[n].runs {
-            let actions = agent.tell(&Digest { sequence, hall, over_ms, rows });
-            self.of_sidecar(n, actions);
-        }
+        };
+        let actions = sidecar.side.tell(now, &digest);
+        self.of_sidecar(n, actions);
+    }
+
+    /// What a sidecar holds is acted on: in the model its disk takes no time.
+    fn act(&mut self, n: usize) {
+        let now = self.now;
+        let Some(Runs::Sidecar(sidecar)) = &mut self.nodes[n].runs else { return };
+        sidecar.acted.take(sidecar.side.agent.view(), |record| match record.proposal.kind {
+            Kind::PLACE | Kind::FREEZE => {
+                places::check(record).map_err(|why| NotTaken::Senseless(why.to_string()))
+            }
+            _ => curlewhub_fleet::acted::check(record),
+        });
+        let actions = sidecar.side.acts(now, &sidecar.acted);
+        self.of_sidecar(n, actions);
     }
 
     /// Writes what a keeper wants kept, and only then says what it says; it may die between.
-    fn of_keeper(&mut self, n: usize, output: seat::Output, dies: bool) {
+    fn of_keeper(&mut self, n: usize, outputs: Vec<seat::Output>, dies: bool) {
         let (now, name) = (self.now, self.nodes[n].name.clone());
-        let seat::Output { keeper, whispers, outlives, .. } = output;
-        outlives.into_iter().for_each(|incarnation| self.nodes[n].disk.incarnation = incarnation);
-        self.nodes[n].disk.kept.take(&keeper.persist);
-        for record in &keeper.applied {
-            self.rules.applied(now, &name, record);
+        for output in &outputs {
+            self.nodes[n].disk.kept.take(&output.keeper.persist);
+            for record in &output.keeper.applied {
+                self.rules.applied(now, &name, record);
+            }
+            if let Some(incarnation) = output.outlives {
+                self.nodes[n].disk.incarnation = incarnation;
+            }
         }
-        let ends = self.seat(n).and_then(Seat::ends).is_some();
+        if let Some(Runs::Keeper(keeping)) = &mut self.nodes[n].runs {
+            let since = now - EPOCH;
+            self.moves.extend(std::mem::take(&mut keeping.moves).into_iter().map(|moved| (since, moved)));
+        }
+        let ends = self.keeping(n).and_then(Keeping::ends).is_some();
         if dies || ends {
             self.nodes[n].runs = None;
             return;
         }
         let from = self.who(n);
-        for (to, bytes) in keeper.agreement {
-            self.say(n, to as usize - 1, &from, Said::Agreement(bytes), true);
-        }
-        for (to, said) in keeper.said {
-            match (self.numbers.get(&to).copied(), &said) {
-                (Some(to), _) => self.say(n, to, &from, said, true),
-                (None, Said::Decided { id, version }) => self.rules.told(*id, *version),
-                (None, _) => {}
+        for seat::Output { keeper, whispers, .. } in outputs {
+            for (to, bytes) in keeper.agreement {
+                self.say(n, to as usize - 1, &from, Said::Agreement(bytes), true);
+            }
+            for (to, said) in keeper.said {
+                match (self.numbers.get(&to).copied(), &said) {
+                    (Some(to), _) => self.say(n, to, &from, said, true),
+                    (None, Said::Decided { id, version }) => self.rules.told(*id, *version),
+                    (None, _) => {}
+                }
+            }
+            for (to, said) in whispers {
+                self.whisper(n, to, &from, said);
             }
         }
-        for (to, said) in whispers {
-            self.whisper(n, to, &from, said);
+    }
+
+    fn of_sidecar(&mut self, n: usize, actions: Vec<side::Action>) {
+        let (number, from) = (n - self.keepers(), self.who(n));
+        for action in actions {
+            match action {
+                side::Action::Fleet(action) => self.of_agent(n, &from, action),
+                side::Action::Halls(part::Action::Rights(rights)) => {
+                    let rights =
+                        rights.iter().enumerate().map(|(hall, (_, right))| (hall, *right)).collect();
+                    self.rights.push((number, rights));
+                }
+                side::Action::Halls(part::Action::Probe(hall, count)) => {
+                    let hall = (0..self.spec.halls.len()).find(|known| hall_name(*known) == hall);
+                    self.probes.extend(hall.map(|hall| (number, hall, count)));
+                }
+                side::Action::Halls(_) => {}
+            }
         }
+        self.holds(n);
     }
 
-    fn of_sidecar(&mut self, n: usize, actions: Vec<agent::Action>) {
+    /// What a sidecar has come to hold is on its disk, and acted on.
+    fn holds(&mut self, n: usize) {
         let now = self.now;
         let (before, after) = (self.nodes[n].disk.view.version(), self.version(n));
-        if after != before
-            && let Some(Runs::Sidecar(agent)) = &self.nodes[n].runs
-        {
-            let view = agent.view().clone();
-            self.rules.holds(&self.nodes[n].name, before, after, view.hash());
-            self.nodes[n].disk.view = view;
-            for (_, (_, decided)) in self.rules.contents.range(before.next()..=after) {
-                let took = now.saturating_sub(*decided).as_micros() as u64;
-                self.times.after.saturating_record(took.max(1));
-            }
+        if after == before {
+            return;
         }
-        let from = self.who(n);
-        for action in actions {
-            match action {
-                agent::Action::Say(to, at, said) => {
-                    let by_at = at.and_then(|at| self.ats.get(&at).copied());
-                    if let Some(to) = self.numbers.get(&to).copied().or(by_at) {
-                        self.say(n, to, &from, said, true);
-                    }
+        let Some(Runs::Sidecar(sidecar)) = &self.nodes[n].runs else { return };
+        let view = sidecar.side.agent.view().clone();
+        self.rules.holds(&self.nodes[n].name, before, after, view.hash());
+        self.nodes[n].disk.view = view;
+        for (_, (_, decided)) in self.rules.contents.range(before.next()..=after) {
+            let took = now.saturating_sub(*decided).as_micros() as u64;
+            self.times.after.saturating_record(took.max(1));
+        }
+        self.act(n);
+    }
+
+    fn of_agent(&mut self, n: usize, from: &Rc<Who>, action: agent::Action) {
+        match action {
+            agent::Action::Say(to, at, said) => {
+                let by_at = at.and_then(|at| self.ats.get(&at).copied());
+                if let Some(to) = self.numbers.get(&to).copied().or(by_at) {
+                    self.say(n, to, from, said, true);
                 }
-                agent::Action::Whisper(to, said) => self.whisper(n, to, &from, said),
-                agent::Action::Tell if self.spec.evidence => self.tells(n),
-                agent::Action::Outlives(incarnation) => self.nodes[n].disk.incarnation = incarnation,
-                _ => {}
             }
+            agent::Action::Whisper(to, said) => self.whisper(n, to, from, said),
+            agent::Action::Outlives(incarnation) => self.nodes[n].disk.incarnation = incarnation,
+            agent::Action::Tell => self.tells(n),
+            _ => {}
         }
     }
 
@@ -707,11 +858,11 @@
     /// # Errors
     /// It does not lead, or the change makes no sense.
     pub fn change(&mut self, leader: usize, keeper: u64, add: bool) -> Result<(), String> {
-        let Some(Runs::Keeper(seat)) = &mut self.nodes[leader].runs else {
+        let Some(Runs::Keeper(keeping)) = &mut self.nodes[leader].runs else {
             return Err("it is no keeper that runs".to_owned());
         };
-        let keeper = seat.keeper.change(keeper, add).map_err(|e| e.to_string())?;
-        self.of_keeper(leader, seat::Output { keeper, ..seat::Output::default() }, false);
+        let keeper = keeping.seat.keeper.change(keeper, add).map_err(|e| e.to_string())?;
+        self.of_keeper(leader, vec![seat::Output { keeper, ..seat::Output::default() }], false);
         Ok(())
     }
 }
--- a/crates/fleet-model/src/lib.rs
+++ b/crates/fleet-model/src/lib.rs
@@ -19,6 +19,6 @@
 mod net;
 mod rules;
 
-pub use fleet::{Cost, Fleet, Passed, Spec, Times, Trouble};
+pub use fleet::{Cost, Evidence, Fleet, Passed, Spec, Times, Trouble, hall_name};
 pub use net::{Delays, Net, Place, Side};
 pub use rules::Rules;
--- a/crates/lab/src/fleet_scale.rs
+++ b/crates/lab/src/fleet_scale.rs
@@ -1,7 +1,7 @@
 //! `curlewhub-lab fleet-scale`: a fleet's own processes at sizes that no machine holds as processes, in simulated time.
 
 use comfy_table::{Table, presets};
-use curlewhub_fleet_model::{Fleet, Spec};
+use curlewhub_fleet_model::{Evidence, Fleet, Spec};
 use rayon::prelude::*;
 use std::time::Duration;
 
@@ -119,7 +119,7 @@
     let (regions, halls) = (usize::from(scale.regions), usize::from(scale.halls));
     let spec = Spec {
         members: size <= scale.members,
-        evidence: true,
+        evidence: Evidence::Well,
         ..Spec::wide(regions, halls, usize::from(scale.keepers), size)
     };
     let mut fleet = Fleet::new(spec, seed);
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -40,10 +40,10 @@
 pub use curlewhub_config::Repeat;
 pub use retry::{End, RetrySpec, pick};
 pub use scenario::{
-    ArrivalSpec, Carry, ClassSpec, EndpointsSpec, FaultSpec, NetworkSpec, Point, ReplacementSpec, Scenario,
-    Spread, TenantSpec, Trouble, Way,
+    ArrivalSpec, Carry, ClassSpec, EndpointsSpec, FaultSpec, FleetSpec, NetworkSpec, Point,
+    ReplacementSpec, Scenario, Spread, TenantSpec, Trouble, Way,
 };
-pub use tally::{Outcome, Second, TenantOutcome, Totals};
+pub use tally::{Move, Outcome, Second, TenantOutcome, Totals};
 
 /// Plays a scenario once.
 pub fn run(scenario: &Scenario, seed: u64) -> Outcome {
--- a/crates/model/src/scenario.rs
+++ b/crates/model/src/scenario.rs
@@ -4,9 +4,11 @@
 use crate::retry::RetrySpec;
 use curlewhub_balance::{Class, Group, Limits, Rules, Semantics, Settings, Tenant, ZoneId};
 use curlewhub_config::Repeat;
+use curlewhub_config::fleet::PlacesConfig;
 use curlewhub_config::units::Span;
 use curlewhub_standins::spec::MachineSpec;
 use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 /// More sidecars or endpoints are a mistake in a file rather than a fleet.
@@ -67,6 +69,27 @@
     /// Replacements of sidecars' processes.
     #[serde(default)]
     pub replacements: Vec<ReplacementSpec>,
+    /// Keepers, and sidecars that go by what they decide of halls.
+    #[serde(default)]
+    pub fleet: Option<FleetSpec>,
+}
+
+/// A fleet.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct FleetSpec {
+    /// The keepers' halls.
+    pub keepers: Vec<String>,
+    /// Each region's halls.
+    #[serde(default)]
+    pub regions: BTreeMap<String, Vec<String>>,
+    /// How halls are left, and returned to.
+    #[serde(default)]
+    pub places: PlacesConfig,
+    /// Sidecars know one another; without, which saves memory in the largest fleets, they are not known to be there either, and
+    /// witnesses are not asked for more than have told.
+    #[serde(default = "yes")]
+    pub members: bool,
 }
 
 fn rest() -> Span {
@@ -394,6 +417,16 @@
         for hall in halls.flatten().filter(|hall| !self.halls.contains(hall)) {
             problems.push(format!("hall: `{hall}` is not among `halls`"));
         }
+        if let Some(fleet) = &self.fleet {
+            for hall in fleet.keepers.iter().chain(fleet.regions.values().flatten()) {
+                if !self.halls.contains(hall) {
+                    problems.push(format!("fleet: `{hall}` is not among `halls`"));
+                }
+            }
+            if !(1..=9).contains(&fleet.keepers.len()) {
+                problems.push("fleet.keepers: allowed: 1 to 9".to_owned());
+            }
+        }
         for (field, allowed) in self.clients.problems() {
             problems.push(format!("clients.{field}: allowed: {allowed}"));
         }
--- a/crates/model/src/tally.rs
+++ b/crates/model/src/tally.rs
@@ -2,6 +2,7 @@
 
 use crate::clients::Call;
 use crate::retry::End;
+use curlewhub_locality::machine::Moved;
 use hdrhistogram::Histogram;
 use serde::Serialize;
 use std::time::Duration;
@@ -103,6 +104,27 @@
     pub tenants: Vec<TenantOutcome>,
     /// Events played.
     pub events: u64,
+    /// Moves of halls by keepers, where there are any.
+    #[serde(skip_serializing_if = "Vec::is_empty")]
+    pub moves: Vec<Move>,
+    /// Attempts by hall in each tenth of a second, where there is a fleet.
+    #[serde(skip_serializing_if = "Vec::is_empty")]
+    pub sent: Vec<Vec<u32>>,
+}
+
+/// A move of a hall.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct Move {
+    /// When, in seconds.
+    pub at_s: f64,
+    /// Which hall, by its number.
+    pub hall: String,
+    /// How it stood, and is to stand.
+    pub from: String,
+    /// The same.
+    pub to: String,
+    /// Why.
+    pub why: String,
 }
 
 impl Outcome {
@@ -149,6 +171,8 @@
     latency: Histogram<u64>,
     tenants: Vec<TenantOutcome>,
     over_share_worth: f64,
+    /// By tenth of a second and hall; none without a fleet.
+    sent: Vec<Vec<u32>>,
 }
 
 impl Tally {
@@ -165,6 +189,17 @@
             latency: histogram(),
             tenants: scenario.tenants.iter().map(tenant).collect(),
             over_share_worth: scenario.over_share_worth,
+            sent: match scenario.fleet {
+                Some(_) => vec![vec![0; scenario.halls.len()]; seconds.max(1) * 10],
+                None => Vec::new(),
+            },
+        }
+    }
+
+    /// An attempt is sent into a hall.
+    pub(crate) fn sent(&mut self, at: Duration, hall: usize) {
+        if let Some(sent) = self.sent.get_mut((at.as_millis() / 100) as usize) {
+            sent[hall] += 1;
         }
     }
 
@@ -215,7 +250,7 @@
         }
     }
 
-    pub(crate) fn outcome(self, events: u64) -> Outcome {
+    pub(crate) fn outcome(self, events: u64, moves: Vec<(Duration, Moved)>) -> Outcome {
         let ms = |latency: &Histogram<u64>, quantile| match latency.len() {
             0 => 0.0,
             _ => latency.value_at_quantile(quantile) as f64 / 1000.0,
@@ -230,7 +265,15 @@
         let seconds: Vec<Second> = self.seconds.iter().map(second).collect();
         let totals = seconds.iter().fold(Totals::default(), |sum, second| sum.plus(&second.totals));
         let (p50_ms, p99_ms) = (ms(&self.latency, 0.5), ms(&self.latency, 0.99));
-        Outcome { totals, p50_ms, p99_ms, seconds, tenants: self.tenants, events }
+        let moved = |(at, moved): (Duration, Moved)| Move {
+            at_s: at.as_secs_f64(),
+            hall: moved.hall,
+            from: format!("{:?}", moved.from),
+            to: format!("{:?}", moved.to),
+            why: moved.why,
+        };
+        let moves = moves.into_iter().map(moved).collect();
+        Outcome { totals, p50_ms, p99_ms, seconds, tenants: self.tenants, events, moves, sent: self.sent }
     }
 }
 
--- a/crates/model/src/world.rs
+++ b/crates/model/src/world.rs
@@ -2,6 +2,7 @@
 
 mod callers;
 mod fleet;
+mod halls;
 mod processes;
 mod sidecars;
 
@@ -14,7 +15,7 @@
 use crate::tally::{Outcome as Brought, Tally};
 use curlewhub_balance::{
     Action, AttemptEnded, AttemptNo, CellId, ClassId, Earlier, EndpointId, EndpointInfo, Event, Membership,
-    Outcome, Request, RequestId, Snapshot, TenantId, TimerToken, ZoneId,
+    Outcome, Request, RequestId, Snapshot, TenantId, TimerToken, ZoneId, ZoneRights,
 };
 use curlewhub_config::Repeat;
 use curlewhub_keys::{Entry, Memory};
@@ -22,7 +23,7 @@
 use curlewhub_standins::machine::{Happened, Machine, Offered};
 use rand::Rng;
 use rand_pcg::Pcg32;
-use std::collections::{BTreeSet, HashMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::time::Duration;
 
 /// The modules' clock at the start: theirs is Unix time, and things lie before the start.
@@ -55,6 +56,8 @@
     Killed(usize),
     Shares { old: usize, new: usize },
     SecondEnds(usize),
+    Fleet(u64),
+    Probed { sidecar: usize, hall: usize, answered: bool },
 }
 
 struct Endpoint {
@@ -96,6 +99,10 @@
     next_flight: u64,
     /// By hall, how many cuts lose what goes in, and what goes out.
     cuts: Vec<(u32, u32)>,
+    /// Keepers, and sidecars' agents, where there are any.
+    beside: Option<halls::Beside>,
+    /// What each sidecar may send into halls, by what its fleet last said.
+    rights: Vec<ZoneRights>,
     tally: Tally,
 }
 
@@ -117,9 +124,12 @@
             flights: HashMap::new(),
             next_flight: 0,
             cuts: vec![(0, 0); scenario.halls.len()],
+            beside: halls::fleet(scenario, seed),
+            rights: vec![ZoneRights::default(); scenario.sidecars as usize],
             tally: Tally::new(scenario),
         };
         world.furnish();
+        world.plan_look();
         world
     }
 
@@ -174,6 +184,10 @@
         self.processes.push(Process::new(decider, sidecar, hall));
         let list = (0..self.endpoints.len()).map(|endpoint| self.entry(endpoint)).collect();
         self.module(number, Event::Membership(Membership::Full(list)));
+        // A successor's view is that of its forerunner's disk.
+        if !self.rights[sidecar].is_empty() {
+            self.module(number, Event::Zones(self.rights[sidecar].clone()));
+        }
         number
     }
 
@@ -198,7 +212,8 @@
         for call in open {
             self.close(call, End::Unanswered);
         }
-        self.tally.outcome(self.queue.planned())
+        let moves = self.beside.map_or(Vec::new(), |beside| beside.fleet.moves);
+        self.tally.outcome(self.queue.planned(), moves)
     }
 
     fn happen(&mut self, event: Ev) {
@@ -236,6 +251,8 @@
             Ev::Killed(process) => self.kill(process),
             Ev::Shares { old, new } => self.share(old, new),
             Ev::SecondEnds(second) => self.gauge(second),
+            Ev::Fleet(look) => self.look_at_fleet(look),
+            Ev::Probed { sidecar, hall, answered } => self.probed(sidecar, hall, answered),
         }
     }
 
--- a/crates/model/src/world/fleet.rs
+++ b/crates/model/src/world/fleet.rs
@@ -154,7 +154,7 @@
                 .into_iter()
                 .filter(|(_, spared)| spared != way)
                 .for_each(|c| change(c.0));
-            return;
+            return self.cut_fleet(hall);
         }
         let there =
             |endpoint: &&usize| hall.is_none_or(|hall| self.endpoints[**endpoint].hall as usize == hall);
--- a/crates/model/src/world/sidecars.rs
+++ b/crates/model/src/world/sidecars.rs
@@ -98,6 +98,8 @@
         let crosses = host.hall != self.endpoints[place].hall;
         let hall = host.hall;
         self.flights.insert(id, flight);
+        self.witness_began(process, request.0, number, place);
+        self.tally.sent(now - EPOCH, self.endpoints[place].hall as usize);
         self.note(process, request.0, call, place);
         if let Some(call) = self.calls.get(&call) {
             let totals = self.tally.at(call.born);
@@ -180,6 +182,7 @@
             open.tries[number.0 as usize] = None;
         }
         self.outcome_of_key(process, request, call, outcome);
+        self.witness_ended(process, request, number, outcome, self.now - sent);
         if outcome == Outcome::Ok {
             let now = self.now;
             self.processes[process].leave(endpoint, now);
--- a/crates/rig/src/checks.rs
+++ b/crates/rig/src/checks.rs
@@ -486,6 +486,14 @@
         Judged::Spread => {
             (worst(&|loss| left(loss).and(loss.spread_s)), losses.iter().map(|l| l.calls).sum())
         }
+        Judged::Moves => {
+            let within = |at: f64| (from.0.as_secs_f64()..to.0.as_secs_f64()).contains(&at);
+            let moved = figures.moves.iter().filter(|one| within(one.at_s)).count();
+            // What it has seen are the keepers that could have moved something.
+            let keepers =
+                plan.of(Role::Other).filter(|(_, m)| m.side.group == crate::fleet::KEEPER).count();
+            (Some(moved as f64), keepers as u64)
+        }
         Judged::Flips => {
             (worst(&|loss| Some(loss.flips_most as f64)), losses.iter().map(|l| l.calls).sum())
         }
--- a/crates/rig/src/figures.rs
+++ b/crates/rig/src/figures.rs
@@ -119,6 +119,9 @@
     /// How the fleet's versions spread, where there are any.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub spread: Option<crate::versions::Spread>,
+    /// Moves of halls, where there are any.
+    #[serde(skip_serializing_if = "Vec::is_empty")]
+    pub moves: Vec<crate::versions::Move>,
     /// What it cost.
     pub cost: Cost,
 }
@@ -152,6 +155,7 @@
         stamps_ms: stamps(entries),
         kib,
         spread: crate::versions::spread(entries),
+        moves: crate::versions::moves(entries),
         cost,
     }
 }
--- a/crates/rig/src/fleet.rs
+++ b/crates/rig/src/fleet.rs
@@ -12,7 +12,7 @@
 /// The name of the keepers' group, and of the port that all of the fleet listen on.
 pub const KEEPER: &str = "keeper";
 const PORT: &str = "fleet";
-const OPERATOR: &str = "operator";
+pub(crate) const OPERATOR: &str = "operator";
 
 /// A fleet.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
--- a/crates/rig/src/history.rs
+++ b/crates/rig/src/history.rs
@@ -88,6 +88,24 @@
         version: u64,
         /// Its content, where it is told.
         hash: Option<Rc<str>>,
+        /// Its key, where it is told.
+        key: Option<Rc<str>>,
+    },
+    /// A keeper has a hall move.
+    Moved {
+        /// Which.
+        hall: Rc<str>,
+        /// How it stood.
+        from: Rc<str>,
+        /// How it is to stand.
+        to: Rc<str>,
+        /// Why.
+        why: String,
+    },
+    /// Halls that nothing new of a sidecar may go into from now on.
+    May {
+        /// These.
+        closed: Vec<Rc<str>>,
     },
     /// A line of a log.
     Log {
@@ -270,7 +288,23 @@
         }
         if let (Some(event), Some(version)) = (message.strip_prefix("fleet: "), line["version"].as_u64()) {
             let (event, hash) = (self.name(event), line["hash"].as_str().map(|hash| self.name(hash)));
-            self.add(at, process, incarnation, What::Version { event, version, hash });
+            let key = line["key"].as_str().map(|key| self.name(key));
+            self.add(at, process, incarnation, What::Version { event, version, hash, key });
+            return Some(());
+        }
+        if message == "fleet: a hall is to move" {
+            let mut text = |name: &str| Some(self.name(line[name].as_str()?));
+            let (hall, from, to) = (text("hall")?, text("from")?, text("to")?);
+            let why = line["why"].as_str()?.to_owned();
+            self.add(at, process, incarnation, What::Moved { hall, from, to, why });
+            return Some(());
+        }
+        if message == "fleet: may" {
+            let halls = line["halls"].as_str()?.split(", ");
+            let closed =
+                halls.filter_map(|hall| hall.strip_suffix(": dark").or(hall.strip_suffix(": closed")));
+            let closed = closed.map(|hall| self.name(hall)).collect();
+            self.add(at, process, incarnation, What::May { closed });
             return Some(());
         }
         let level = line["level"].as_str().unwrap_or_default();
--- a/crates/rig/src/report.rs
+++ b/crates/rig/src/report.rs
@@ -5,6 +5,7 @@
 use crate::history::{Entry, What};
 use crate::plan::{Member, Plan, Role};
 use crate::run::Ran;
+use crate::versions::Move;
 use comfy_table::{Table, presets};
 use maud::{DOCTYPE, Markup, PreEscaped, html};
 use std::collections::{BTreeMap, BTreeSet};
@@ -89,6 +90,32 @@
     [held.to_owned(), check.name.clone(), check.seen.to_string(), check.worst.clone()]
 }
 
+const MOVE_HEAD: [&str; 7] =
+    ["moved at s", "hall", "from", "to", "version", "acted ms, first to last, by", "why"];
+
+fn move_row(one: &Move) -> [String; 7] {
+    let ms = |value: Option<f64>| value.map_or("-".to_owned(), |value| format!("{value:.0}"));
+    [
+        format!("{:.2}", one.at_s),
+        one.hall.clone(),
+        short(&one.from),
+        short(&one.to),
+        one.version.map_or("-".to_owned(), |version| version.to_string()),
+        format!("{} to {} by {}", ms(one.first_ms), ms(one.last_ms), one.acted),
+        one.why.clone(),
+    ]
+}
+
+/// A state with no more of its number than a person reads.
+fn short(state: &str) -> String {
+    match state.split_once('.') {
+        Some((whole, rest)) if state.ends_with(')') => {
+            format!("{whole}.{})", &rest[..rest.len().min(2) - 1])
+        }
+        _ => state.to_owned(),
+    }
+}
+
 /// The verdict as tables.
 pub fn table(plan: &Plan, verdict: &Verdict) -> String {
     let mut text = format!("{}, seed {}\n\n", plan.spec.name, plan.spec.seed);
@@ -101,6 +128,9 @@
     if !verdict.figures.losses.is_empty() {
         add(LOSS_HEAD.to_vec(), verdict.figures.losses.iter().map(|loss| loss_row(loss).into()).collect());
     }
+    if !verdict.figures.moves.is_empty() {
+        add(MOVE_HEAD.to_vec(), verdict.figures.moves.iter().map(|one| move_row(one).into()).collect());
+    }
     add(
         vec!["", "check", "seen", "the worst"],
         verdict.checks.iter().map(|check| check_row(check).into()).collect(),
@@ -194,6 +224,10 @@
                          its end. Who calls in its last second has never left. A flip is a call after a second without." }
                     (rows(&LOSS_HEAD, figures.losses.iter().map(loss_row).collect::<Vec<_>>().iter().map(|row| &row[..])))
                 }
+                @if !figures.moves.is_empty() {
+                    h2 { "Halls, as keepers moved them" }
+                    (rows(&MOVE_HEAD, figures.moves.iter().map(move_row).collect::<Vec<_>>().iter().map(|row| &row[..])))
+                }
                 h2 { "Calls by hall" }
                 (sends_plot(&ran.plan, entries, verdict, &scale))
                 h2 { "Processes" }
--- a/crates/rig/src/spec.rs
+++ b/crates/rig/src/spec.rs
@@ -283,6 +283,8 @@
     Spread,
     /// The most times that one sidecar came back into a lost hall.
     Flips,
+    /// Moves of halls by keepers, by `from` and `to`.
+    Moves,
 }
 
 /// The space that schedules are drawn from.
--- a/crates/rig/src/versions.rs
+++ b/crates/rig/src/versions.rs
@@ -3,7 +3,7 @@
 use crate::checks::Check;
 use crate::fault::{Kind, StateIs};
 use crate::history::{Entry, Micros, What};
-use crate::plan::Plan;
+use crate::plan::{Plan, Role};
 use serde::Serialize;
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -28,6 +28,69 @@
     pub gap_ms: f64,
 }
 
+/// A move of a hall, and how it was followed.
+#[derive(Clone, Debug, Serialize)]
+pub struct Move {
+    /// When it was proposed, in seconds.
+    pub at_s: f64,
+    /// The hall.
+    pub hall: String,
+    /// How it stood.
+    pub from: String,
+    /// How it was to stand.
+    pub to: String,
+    /// Why.
+    pub why: String,
+    /// The version that it became, if it did.
+    pub version: Option<u64>,
+    /// From its proposal until the first follower acted on it ...
+    pub first_ms: Option<f64>,
+    /// ... and until the last one did.
+    pub last_ms: Option<f64>,
+    /// Followers that acted on it, or on a later one, while it was the newest or within a second of that.
+    pub acted: u64,
+}
+
+/// Moves of halls, in order.
+pub fn moves(entries: &[Entry]) -> Vec<Move> {
+    let told = Told::new(entries);
+    let places: Vec<(Micros, u64)> = (entries.iter())
+        .filter_map(|entry| match &entry.what {
+            What::Version { event, version, key: Some(key), .. }
+                if &**event == "decided" && &**key == "places" =>
+            {
+                Some((entry.at, *version))
+            }
+            _ => None,
+        })
+        .collect();
+    let one = |entry: &Entry| {
+        let What::Moved { hall, from, to, why } = &entry.what else { return None };
+        // It is decided within a second or not at all; each keeper tells of it.
+        let decided = places.iter().find(|(at, _)| (entry.at..entry.at + 1_000_000).contains(at));
+        let version = decided.map(|(_, version)| *version);
+        let mut acted: Vec<Micros> = Vec::new();
+        for acts in told.acts.values() {
+            let first = acts.iter().find(|(at, _, acted)| Some(*acted) >= version && *at >= entry.at);
+            acted.extend(first.filter(|_| version.is_some()).map(|(at, ..)| *at - entry.at));
+        }
+        acted.retain(|after| *after < 2_000_000);
+        let ms = |after: Option<&Micros>| after.map(|after| *after as f64 / 1e3);
+        Some(Move {
+            at_s: entry.at as f64 / 1e6,
+            hall: hall.to_string(),
+            from: from.to_string(),
+            to: to.to_string(),
+            why: why.clone(),
+            version,
+            first_ms: ms(acted.iter().min()),
+            last_ms: ms(acted.iter().max()),
+            acted: acted.len() as u64,
+        })
+    };
+    entries.iter().filter_map(one).collect()
+}
+
 /// What each process says of versions, in order.
 struct Told<'a> {
     decided: BTreeMap<u64, Micros>,
@@ -89,10 +152,55 @@
 /// The checks of versions; none where no process tells of any.
 pub fn checks(plan: &Plan, entries: &[Entry]) -> Vec<Check> {
     let told = Told::new(entries);
-    if told.decided.is_empty() && told.acts.is_empty() {
+    // Without notes nothing need ever be decided.
+    let decides = plan.spec.processes.iter().any(|group| group.name == crate::fleet::OPERATOR);
+    if told.decided.is_empty() && (told.acts.is_empty() || !decides) {
         return Vec::new();
     }
-    vec![one_content(entries), never_back(plan, &told), all_newest(plan, &told)]
+    let mut checks = vec![one_content(entries), never_back(plan, &told), all_newest(plan, &told)];
+    checks.extend(nothing_into_left(plan, entries));
+    checks
+}
+
+/// New calls into halls that their sidecar itself says nothing may go into; none where no hall was left.
+fn nothing_into_left(plan: &Plan, entries: &[Entry]) -> Option<Check> {
+    let halls: BTreeMap<&str, &str> = plan
+        .of(Role::Endpoint)
+        .filter_map(|(_, member)| Some((&member.name[..], member.side.hall.as_deref()?)))
+        .collect();
+    // By process: what was closed from when on, and, sorted below, when it called where.
+    type Closed<'a> = Vec<(Micros, Vec<&'a str>)>;
+    let mut closed: BTreeMap<(&str, u32), Closed<'_>> = BTreeMap::new();
+    let mut calls: Vec<(&Entry, &str, Micros)> = Vec::new();
+    for entry in entries {
+        match &entry.what {
+            What::May { closed: halls } => {
+                let halls = halls.iter().map(|hall| &**hall).collect();
+                closed.entry((&entry.process, entry.incarnation)).or_default().push((entry.at, halls));
+            }
+            What::Attempt { endpoint, sent, .. } => {
+                calls.extend(halls.get(&**endpoint).map(|hall| (entry, *hall, *sent)));
+            }
+            _ => {}
+        }
+    }
+    if closed.values().flatten().all(|(_, halls)| halls.is_empty()) {
+        return None;
+    }
+    let blur = plan.spec.blur.0.as_micros() as Micros;
+    let (mut seen, mut worst) = (0, None);
+    for (entry, hall, sent) in calls {
+        let Some(told) = closed.get(&(&*entry.process, entry.incarnation)) else { continue };
+        let Some(at) = told.iter().rposition(|(at, _)| *at <= sent) else { continue };
+        seen += 1;
+        let (since, halls) = &told[at];
+        if halls.contains(&hall) && sent > since + blur {
+            let ms = (sent - since) / 1000;
+            let text = format!("{} called into {hall} {ms} ms after it was closed to it", entry.process);
+            worst = worst.or(Some((text, sent, &*entry.process)));
+        }
+    }
+    Some(check("nothing new into a hall that its sidecar has left", seen, worst))
 }
 
 fn check(name: &str, seen: u64, worst: Option<(String, Micros, &str)>) -> Check {
@@ -180,9 +288,12 @@
         for (ms, process, incarnation, event, version, hash) in told {
             let what = match *event {
                 "started" => What::Started,
-                event => {
-                    What::Version { event: event.into(), version: *version, hash: Some((*hash).into()) }
-                }
+                event => What::Version {
+                    event: event.into(),
+                    version: *version,
+                    hash: Some((*hash).into()),
+                    key: None,
+                },
             };
             history.add(ms * 1000, process, *incarnation, what);
         }
