Leave a tier of a hall for itself, say what a move would do, and hold grants to their budget

Need: a hall whose lower tier alone is gone was half lost and half served, and so never left; an operator could not see what a move would do; that grants never come to more than a hall's budget was argued and not tried; a successor began to send before it knew what it must not.

A hall's tiers are places of their own (`hall-b/1`), told apart by who calls them. A slow hall is left no further than the others take without turning calls away. A start waits for the view on its disk. A name that is no hall is refused with those that are.

--- a/crates/config/src/file.rs
+++ b/crates/config/src/file.rs
@@ -151,6 +151,13 @@
     check(r, &settings);
     let hall = zones.get(settings.zone.0 as usize).map_or("", |hall| hall);
     let fleet = fleet(r, root, &name, hall, &state_dir);
+    if fleet.is_some() && zones.iter().any(|zone| zone.contains('/')) {
+        r.problem_at(
+            "zones",
+            "in a fleet a hall's tiers go by its name, `/` and a number",
+            "names without `/`",
+        );
+    }
     Config {
         name,
         listen,
--- a/crates/config/src/fleet.rs
+++ b/crates/config/src/fleet.rs
@@ -170,6 +170,7 @@
         let once: BTreeSet<&&String> = named.iter().collect();
         let cases = [
             (once.len() == named.len(), "regions", "each hall in one region"),
+            (named.iter().all(|hall| !hall.contains('/')), "regions", "names of halls without `/`"),
             (part(self.sound_loses), "sound_loses", "over 0, below 1"),
             (
                 part(self.dark_loses) && self.dark_loses > self.sound_loses,
--- a/crates/curlewhub/src/cli.rs
+++ b/crates/curlewhub/src/cli.rs
@@ -235,11 +235,14 @@
     #[arg(long, value_name = "FILE")]
     pub config: PathBuf,
     /// Why.
-    #[arg(long)]
-    pub why: String,
+    #[arg(long, required_unless_present = "dry_run")]
+    pub why: Option<String>,
     /// Who.
     #[arg(long, default_value = "operator")]
     pub by: String,
+    /// Say only what it would do to each other hall.
+    #[arg(long)]
+    pub dry_run: bool,
     /// It holds for so long, and ends by itself unless it is said again.
     #[arg(long = "for", value_name = "TIME", default_value = "1h", value_parser = humantime::parse_duration)]
     pub lasts: Duration,
--- a/crates/curlewhub/src/fleet.rs
+++ b/crates/curlewhub/src/fleet.rs
@@ -3,38 +3,26 @@
 use crate::cli::{Exit, FleetCommand, HallCommand, HallWords, KeepersChange, Process};
 use crate::logs::Logs;
 use comfy_table::Table;
-use curlewhub_balance::{ClassId, Outcome, ZoneId, ZoneRight};
-use curlewhub_config::{Config, Log, LogFormat};
+use curlewhub_config::{Log, LogFormat};
 use curlewhub_fleet::acted::Acted;
-use curlewhub_fleet::evidence::{Ended, Witness};
 use curlewhub_fleet::members::Standing as MemberStands;
 use curlewhub_fleet::record::{Hash, Kind, Proposal};
-use curlewhub_fleet_node::call::{Described, Known, change, describe, halls, members, propose};
+use curlewhub_fleet_node::call::{Described, Halls, Known, change, describe, halls, members, propose};
 use curlewhub_fleet_node::config::FleetConfig;
 use curlewhub_fleet_node::{Acts, Manner, Standing, follow, keep};
-use curlewhub_locality::part::Right;
 use curlewhub_locality::places::{ByHand, FREEZE, Freeze, HAND, Hand, State};
-use curlewhub_runtime::clock::Clock;
-use curlewhub_runtime::events::Command;
-use curlewhub_runtime::figures::{Beside, Figures};
-use curlewhub_runtime::sight::{Attempt, Blind, Sight};
+use curlewhub_locality::room::Plan;
 use serde_json::json;
-use std::cell::RefCell;
+use std::collections::BTreeSet;
 use std::fmt::Write as _;
 use std::io::Write as _;
 use std::path::Path;
 use std::pin::Pin;
-use std::rc::Rc;
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tokio::signal::unix::{SignalKind, signal};
-use tokio::sync::mpsc::UnboundedSender;
-use tokio::sync::oneshot;
-use tokio::task::{JoinHandle, LocalSet, spawn_local};
-use tokio::time::{MissedTickBehavior, interval, timeout};
-use tracing::{error, info};
-
-/// A process that ends waits so long for its last word to its fleet.
-const LEAVE_MOST: Duration = Duration::from_millis(100);
+use tokio::task::LocalSet;
+use tokio::time::{MissedTickBehavior, interval};
+use tracing::info;
 
 /// Keeps, until told to end.
 pub fn keeper(process: &Process, begin: bool) -> Exit {
@@ -65,17 +53,13 @@
         }),
         FleetCommand::Halls { config, json } => asked(config, async |config| halls_of(config, *json).await),
         FleetCommand::Hall(command) => {
-            let (what, HallWords { config, name, why, by, lasts }) = match command {
+            let (what, words) = match command {
                 HallCommand::Leave(words) => (Hand::Leave, words),
                 HallCommand::Return(words) => (Hand::Return, words),
                 HallCommand::Hold(words) => (Hand::Hold, words),
                 HallCommand::Release(words) => (Hand::Release, words),
             };
-            let until_ms = unix_ms() + lasts.as_millis() as u64;
-            asked(config, async |config| {
-                let body = serde_json::to_vec(&ByHand { what, until_ms }).unwrap_or_default();
-                decide(config, &format!("{HAND}{name}"), Kind::PLACE, body, by, why).await
-            })
+            asked(&words.config, async |config| by_hand(config, what, words).await)
         }
         FleetCommand::Freeze { config, off, why, by } => asked(config, async |config| {
             let body = serde_json::to_vec(&Freeze { on: !off }).unwrap_or_default();
@@ -105,6 +89,76 @@
     }
 }
 
+/// An operator's word on a hall, a region or a hall's tier, or what it would do.
+async fn by_hand(config: &FleetConfig, what: Hand, words: &HallWords) -> Exit {
+    let HallWords { name, why, by, lasts, dry_run, .. } = words;
+    let said = match halls(config).await {
+        Ok(said) => said,
+        Err(problem) => return failed(&problem),
+    };
+    let Some(plan) = said.leave(name) else {
+        let regions: BTreeSet<&str> = said.halls.iter().map(|hall| &hall.region[..]).collect();
+        let known =
+            said.halls.iter().map(|hall| &hall.name[..]).chain(regions).filter(|name| !name.is_empty());
+        let known: Vec<&str> = known.collect();
+        return failed(&format!(
+            "`{name}` is no hall or region of this fleet; known: {}",
+            known.join(", ")
+        ));
+    };
+    if *dry_run {
+        return would(&said, what, &plan);
+    }
+    let until_ms = unix_ms() + lasts.as_millis() as u64;
+    let body = serde_json::to_vec(&ByHand { what, until_ms }).unwrap_or_default();
+    let why = why.as_deref().unwrap_or_default();
+    decide(config, &format!("{HAND}{name}"), Kind::PLACE, body, by, why).await
+}
+
+/// Says what an operator's word would do.
+fn would(said: &Halls, what: Hand, plan: &Plan) -> Exit {
+    let left = plan.left.join(", ");
+    let of = said.halls.iter().filter(|hall| plan.left.contains(&hall.name));
+    let stands = |is: fn(State) -> bool| {
+        let names: Vec<&str> =
+            of.clone().filter(|hall| is(hall.state)).map(|hall| &hall.name[..]).collect();
+        if names.is_empty() { "none".to_owned() } else { names.join(", ") }
+    };
+    let back = stands(|state| state == State::Left);
+    match what {
+        Hand::Hold => return say(&format!("{left}: would stay as they are, whatever is seen\n")),
+        Hand::Release => return say(&format!("{left}: would go by themselves again\n")),
+        Hand::Return => {
+            return say(&format!("would be returned to by steps, as they are left now: {back}\n"));
+        }
+        Hand::Leave => {}
+    }
+    let mut table = Table::new();
+    table.load_preset(comfy_table::presets::NOTHING);
+    table.set_header(["stays", "calls/s", "then/s", "has borne/s", ""]);
+    for after in &plan.after {
+        let over = after.over();
+        table.add_row([
+            after.name.clone(),
+            format!("{:.1}", after.calls_per_s),
+            format!("{:.1}", after.then_per_s),
+            format!("{:.1}", after.most_per_s),
+            if over > 1.0 { format!("{over:.2} times what it has borne") } else { String::new() },
+        ]);
+    }
+    let mut text = format!("{left}: {:.1} calls a second would go elsewhere", plan.moves_per_s);
+    if plan.refused_per_s > 0.0 {
+        // To a String: it never fails.
+        let _ = write!(text, ", and {:.1} be refused, as nothing else has their tier", plan.refused_per_s);
+    }
+    let (stays, floor) = (plan.stays * 100.0, said.floor * 100.0);
+    let _ = write!(text, "\n{stays:.0}% of what was borne stays");
+    if plan.stays < said.floor {
+        let _ = write!(text, ", less than the {floor:.0}% of which nothing is left by itself");
+    }
+    say(&format!("{text}\n{table}\n"))
+}
+
 async fn halls_of(config: &FleetConfig, json: bool) -> Exit {
     let said = match halls(config).await {
         Ok(said) => said,
@@ -179,7 +233,7 @@
 }
 
 /// What a follower does with a view for now: it says that it acts on it.
-struct Says;
+pub(crate) struct Says;
 
 impl Acts for Says {
     fn acts(&mut self, acted: &Acted, hash: Hash) {
@@ -190,171 +244,6 @@
     fn stands(&mut self, _: Standing) {}
 }
 
-/// A sidecar's part in its fleet: what its driver sees goes to the keepers, and what they decide is held here.
-pub struct Member {
-    witness: Rc<RefCell<Witness>>,
-    began: Instant,
-}
-
-impl Sight for Member {
-    fn began(&self, attempt: Attempt, class: ClassId, zone: &dyn Fn() -> Option<ZoneId>) {
-        if let Some(zone) = zone() {
-            let (hall, class) = (zone.0 as usize, class.0);
-            self.witness.borrow_mut().began(self.began.elapsed(), (attempt.0.0, attempt.1.0), hall, class);
-        }
-    }
-
-    fn ended(&self, attempt: Attempt, outcome: Outcome, took: Duration) {
-        let how = match outcome {
-            Outcome::Ok => Ended::Served,
-            Outcome::TimedOut => Ended::Silent,
-            Outcome::ConnectFailed | Outcome::Reset => Ended::Gone,
-            Outcome::Full => Ended::Full,
-            Outcome::Error => Ended::Error,
-            Outcome::Cancelled | Outcome::Moot => Ended::Moot,
-        };
-        self.witness.borrow_mut().ended((attempt.0.0, attempt.1.0), how, took);
-    }
-
-    fn probed(&self, zone: ZoneId, answered: bool) {
-        self.witness.borrow_mut().probed(zone.0 as usize, answered);
-    }
-}
-
-/// Probes of a hall are given up after this.
-const PROBE_MOST: Duration = Duration::from_millis(300);
-
-/// Holds what is decided, in a sidecar.
-struct Holds {
-    figures: Rc<Figures>,
-    commands: UnboundedSender<Command>,
-    clock: Clock,
-    /// The halls' names by number.
-    halls: Vec<String>,
-    /// Halls that nothing new may go into just now.
-    closed: u64,
-    /// What the log says of that.
-    told: String,
-}
-
-impl Holds {
-    fn zone(&self, hall: &str) -> Option<ZoneId> {
-        self.halls.iter().position(|known| known == hall).map(|zone| ZoneId(zone as u32))
-    }
-}
-
-impl Acts for Holds {
-    fn acts(&mut self, acted: &Acted, hash: Hash) {
-        Says.acts(acted, hash);
-    }
-
-    fn may(&mut self, now: Duration, rights: &[(String, Right)]) {
-        let zoned = rights.iter().filter_map(|(hall, right)| {
-            let right = match *right {
-                Right::Open => ZoneRight::Open,
-                Right::Part(part) => ZoneRight::Part(part),
-                // The same moment on the module's clock, which is as steady.
-                Right::Rate(per_s, until) => {
-                    ZoneRight::Rate { per_s, until: self.clock.now() + until.saturating_sub(now) }
-                }
-                Right::Closed => ZoneRight::Closed,
-                Right::Dark => ZoneRight::Dark,
-            };
-            Some((self.zone(hall)?, right))
-        });
-        let zoned = zoned.collect();
-        let closed = |(_, right): &&(String, Right)| matches!(right, Right::Closed | Right::Dark);
-        self.closed = rights.iter().filter(closed).count() as u64;
-        let _ = self.commands.send(Command::Zones(zoned)); // fails only while the process ends
-        let told = |(hall, right): &(String, Right)| match right {
-            Right::Open => None,
-            Right::Part(part) => Some(format!("{hall}: {:.0}%", part * 100.0)),
-            Right::Rate(..) => Some(format!("{hall}: returning")),
-            Right::Closed => Some(format!("{hall}: closed")),
-            Right::Dark => Some(format!("{hall}: dark")),
-        };
-        let held: Vec<String> = rights.iter().filter_map(told).collect();
-        let held = if held.is_empty() { "all open".to_owned() } else { held.join(", ") };
-        // A rate is renewed some times a second; that it is one is what a person wants to know.
-        if held != self.told {
-            info!(halls = held, "fleet: may");
-            self.told = held;
-        }
-    }
-
-    fn probe(&mut self, hall: &str, count: u32) {
-        if let Some(zone) = self.zone(hall) {
-            // It fails only while the process ends.
-            let _ = self.commands.send(Command::ProbeZone { zone, count, within: PROBE_MOST });
-        }
-    }
-
-    fn stands(&mut self, standing: Standing) {
-        let Standing { version, age, counts, not_taken, members, traffic: (said, heard) } = standing;
-        let gauge = |name, value| Beside { name, value, counts: false };
-        let count = |name, value| Beside { name, value, counts: true };
-        let mut figures = vec![gauge("fleet_version", version)];
-        // Without a keeper's word since the start there is no age to tell.
-        figures.extend(age.map(|age| gauge("fleet_age_ms", age.as_millis() as u64)));
-        figures.extend([
-            gauge("fleet_not_taken", not_taken as u64),
-            gauge("fleet_halls_closed", self.closed),
-            gauge("fleet_members", members as u64),
-            count("fleet_contradictions", counts.contradictions),
-            count("fleet_unanswered", counts.unanswered),
-            count("fleet_said_bytes", said),
-            count("fleet_heard_bytes", heard),
-        ]);
-        self.figures.beside(figures);
-    }
-}
-
-/// What a sidecar has of its fleet.
-pub struct Joined {
-    /// What its driver is to tell.
-    pub sight: Rc<dyn Sight>,
-    leave: Option<(oneshot::Sender<()>, JoinHandle<()>)>,
-}
-
-impl Joined {
-    /// Says that this process goes, so that nobody has to find that out.
-    pub async fn leave(self) {
-        if let Some((leave, left)) = self.leave {
-            let _ = leave.send(());
-            let _ = timeout(LEAVE_MOST, left).await; // who has not heard it finds out
-        }
-    }
-}
-
-/// Takes a sidecar into its fleet, where it is told of one. A fleet that can't be joined keeps no sidecar from serving.
-pub fn join(
-    config: &Config,
-    figures: &Rc<Figures>,
-    commands: &UnboundedSender<Command>,
-    clock: Clock,
-) -> Joined {
-    let Some(fleet) = config.fleet.clone() else { return Joined { sight: Rc::new(Blind), leave: None } };
-    let halls = config.names.areas.clone();
-    let hall = halls.get(config.settings.zone.0 as usize).map_or("", |hall| hall);
-    let witness = Rc::new(RefCell::new(Witness::new(hall, halls.clone())));
-    let began = Instant::now();
-    let manner = Manner { beside: true, witness: Some((witness.clone(), began)), halls: halls.clone() };
-    let (figures, commands) = (figures.clone(), commands.clone());
-    let mut holds = Holds { figures, commands, clock, halls, closed: 0, told: String::new() };
-    let (leave, leaves) = oneshot::channel::<()>();
-    let left = spawn_local(async move {
-        let leaves = async {
-            if leaves.await.is_err() {
-                std::future::pending().await
-            }
-        };
-        if let Err(problem) = follow(&fleet, manner, &mut holds, leaves).await {
-            error!(problem, "fleet: not joined; going on alone");
-        }
-    });
-    Joined { sight: Rc::new(Member { witness, began }), leave: Some((leave, left)) }
-}
-
 fn say(text: &str) -> Exit {
     let _ = std::io::stdout().write_all(text.as_bytes()); // a reader that has gone is no failure
     Exit::Done
--- a/crates/curlewhub/src/lib.rs
+++ b/crates/curlewhub/src/lib.rs
@@ -5,6 +5,7 @@
 mod ctl;
 mod fleet;
 mod logs;
+mod member;
 mod serve;
 mod snapshot;
 
--- a/crates/curlewhub/src/serve.rs
+++ b/crates/curlewhub/src/serve.rs
@@ -135,7 +135,7 @@
     let (folder, zones) = (&config.state_dir, &config.names.areas);
     let keyed = Keyed::open(folder, config.listen, &config.settings, zones, figures.clone(), clock.now());
     let (bans_held, life) = (bans.clone(), lifecycle.clone());
-    let fleet = crate::fleet::join(&config, &figures, &fleet_commands, clock);
+    let mut fleet = crate::member::join(&config, &figures, &fleet_commands, clock);
     let sight = fleet.sight.clone();
     let parts =
         Parts { outbound: outbound.clone(), listing, bans: bans_held, lifecycle: life, keyed, sight };
@@ -148,6 +148,7 @@
     if let Some(talk) = before {
         handover.follow(talk);
     }
+    fleet.begun().await;
     let mut serving = pin!(inbound.serve(listener, handover.clone()));
     let mut offered = pin!(async {
         if let Some(discovery) = discovery.filter(|_| succeeds) {
--- a/crates/fleet-model/src/fleet.rs
+++ b/crates/fleet-model/src/fleet.rs
@@ -249,7 +249,7 @@
     pub passed: Passed,
     /// Sidecars' times from a version's decision to holding it.
     pub times: Times,
-    /// What sidecars may send into halls from now on, by number, since it was last taken.
+    /// What sidecars may send into halls from now on, by number, since it was last taken; times are since the start.
     pub rights: Vec<(usize, Vec<(usize, Right)>)>,
     /// Probes that sidecars are to make, since they were last taken: sidecar, hall, how many.
     pub probes: Vec<(usize, usize, u32)>,
@@ -750,8 +750,15 @@
             match action {
                 side::Action::Fleet(action) => self.of_agent(n, &from, action),
                 side::Action::Halls(part::Action::Rights(rights)) => {
-                    let rights =
-                        rights.iter().enumerate().map(|(hall, (_, right))| (hall, *right)).collect();
+                    let since_start = |right: Right| match right {
+                        Right::Rate(rate, until) => Right::Rate(rate, until.saturating_sub(EPOCH)),
+                        right => right,
+                    };
+                    let rights = rights
+                        .iter()
+                        .enumerate()
+                        .map(|(hall, (_, right))| (hall, since_start(*right)))
+                        .collect();
                     self.rights.push((number, rights));
                 }
                 side::Action::Halls(part::Action::Probe(hall, count)) => {
--- a/crates/fleet-node/src/call.rs
+++ b/crates/fleet-node/src/call.rs
@@ -6,6 +6,7 @@
 use curlewhub_fleet::record::{Proposal, Record};
 use curlewhub_fleet::wire::{FORMAT, FORMAT_LEAST, Message, Said, Who};
 use curlewhub_locality::places::State;
+use curlewhub_locality::room::{self, Place, Plan};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -116,6 +117,9 @@
     pub halls: Vec<HallStands>,
     /// Ways that are cut, and why: from, to.
     pub cut: BTreeMap<String, BTreeMap<String, String>>,
+    /// By themselves halls are left only while this part of what was borne stays, 0 to 1.
+    #[serde(default)]
+    pub floor: f64,
 }
 
 /// How a hall stands, and what is seen of it.
@@ -139,6 +143,9 @@
     pub lost: f64,
     /// Calls a second that it bore before it was left, or has of late.
     pub bore_per_s: f64,
+    /// The most calls a second that it was seen to bear, within hours.
+    #[serde(default)]
+    pub most_per_s: f64,
     /// Calls a second that are granted into it, while it returns.
     pub granted_per_s: f64,
     /// Sidecars that tell of it.
@@ -148,6 +155,18 @@
 }
 
 impl Halls {
+    /// What leaving a hall, a region or a hall's tier would do to the others; none where there is none of that name.
+    pub fn leave(&self, name: &str) -> Option<Plan> {
+        let place = |hall: &HallStands| Place {
+            name: hall.name.clone(),
+            region: hall.region.clone(),
+            state: hall.state,
+            calls_per_s: hall.calls_per_s,
+            most_per_s: hall.most_per_s,
+        };
+        room::leave(&self.halls.iter().map(place).collect::<Vec<_>>(), name)
+    }
+
     pub(crate) fn to_json(&self) -> String {
         serde_json::to_string(self).unwrap_or_default() // finite numbers and text: it never fails
     }
--- a/crates/fleet-node/src/keeper.rs
+++ b/crates/fleet-node/src/keeper.rs
@@ -211,19 +211,24 @@
                 stretch: seen.stretch,
                 lost: seen.lost,
                 bore_per_s: held.map_or(seen.before_per_s, |held| held.before.calls_per_s),
+                most_per_s: seen.most_per_s,
                 granted_per_s: warden.grants().out(now, name),
                 witnesses: witnesses.all,
                 losing: witnesses.losing,
             }
         };
         let known = machine.signals.halls().chain(machine.places().halls.keys().map(String::as_str));
-        let names: BTreeSet<&str> = known.collect();
+        let regions = machine.rules().regions.values().flatten().map(String::as_str);
+        let members = self.keeping.seat.members().alive().map(|member| &member.hall[..]);
+        let names: BTreeSet<&str> =
+            known.chain(regions).chain(members).filter(|name| !name.is_empty()).collect();
         Halls {
             by: self.keeping.seat.own().name.clone(),
             leads: self.keeping.seat.keeper.leads(),
             version: self.keeping.seat.keeper.view().version().0,
             halls: names.into_iter().map(of).collect(),
             cut: machine.places().cut.clone(),
+            floor: machine.rules().floor,
         }
     }
 
--- a/crates/locality/src/grants.rs
+++ b/crates/locality/src/grants.rs
@@ -4,7 +4,7 @@
 //! is granted and has not ended never comes to more than the hall's budget, whoever restarts, pauses or is lost meanwhile:
 //! a sidecar counts its grant's time from when it asked, and the keeper from when it answered.
 
-use crate::places::{Places, State};
+use crate::places::{Places, State, tier_of};
 use curlewhub_config::fleet::PlacesConfig;
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -54,7 +54,7 @@
         }
     }
 
-    /// What all sidecars need now: names, halls, calls a second. Called some times a second, and not for each grant.
+    /// What all sidecars need now: names, places, calls a second. Called some times a second, and not for each grant.
     pub fn need<'a>(
         &mut self,
         now: Duration,
@@ -66,7 +66,8 @@
         self.needs.clear();
         for hall in places.halls.keys().filter(|hall| returning(hall)) {
             let own = needs.clone().any(|(_, of, need)| of == hall && need > 0.0);
-            let sum = needs.clone().filter(|(_, of, _)| !own || of == hall).map(|(_, _, need)| need).sum();
+            let may = |of: &str| if own { of == hall } else { tier_of(of) == tier_of(hall) };
+            let sum = needs.clone().filter(|(_, of, _)| may(of)).map(|(_, _, need)| need).sum();
             self.needs.insert(hall.clone(), Needs { own, sum });
         }
         for (hall, out) in &mut self.out {
@@ -78,7 +79,7 @@
         }
     }
 
-    /// What one sidecar of a hall, with its need, may send a second into each returning hall, until `rules.grant` after it
+    /// What one sidecar of a place, with its need, may send a second into each returning hall, until `rules.grant` after it
     /// asked.
     pub fn grant(
         &mut self,
@@ -94,7 +95,7 @@
         for (hall, held) in &places.halls {
             let State::Returning(budget) = held.state else { continue };
             let Some(needs) = self.needs.get(hall).filter(|needs| needs.sum > 0.0) else { continue };
-            if needs.own && of != hall {
+            if (needs.own && of != hall) || tier_of(of) != tier_of(hall) {
                 continue;
             }
             let grants = self.out.entry(hall.clone()).or_default().entry(name.to_owned()).or_default();
--- a/crates/locality/src/machine.rs
+++ b/crates/locality/src/machine.rs
@@ -3,7 +3,7 @@
 //! One machine for both ways of going: at the keeper that leads, on all sidecars' evidence, its moves become versions; in a
 //! sidecar that has lost the keepers, on its own calls, its moves are its own. It reads no clock and draws nothing.
 
-use crate::places::{Before, Hall, Hand, Places, State};
+use crate::places::{Before, Hall, Hand, Places, State, hall_of, tier_of};
 use crate::signals::{Shows, Signals};
 use curlewhub_config::fleet::PlacesConfig;
 use curlewhub_fleet::evidence::Digest;
@@ -146,6 +146,7 @@
 
     /// The region of a hall, if it is in one.
     pub fn region(&self, hall: &str) -> Option<&str> {
+        let hall = hall_of(hall);
         let found = self.rules.regions.iter().find(|(_, halls)| halls.iter().any(|one| one == hall));
         found.map(|(region, _)| &region[..])
     }
@@ -268,9 +269,19 @@
         all.into_iter().collect()
     }
 
+    /// The sidecars that call the tier of a place, by their halls.
+    fn callers<'a>(&self, world: &'a World, to: &str) -> BTreeMap<&'a str, Vec<&'a String>> {
+        let of = |names: &'a Vec<String>| -> Vec<&'a String> {
+            names.iter().filter(|name| self.signals.calls(name, to)).collect()
+        };
+        let halls = world.sidecars.iter().map(|(hall, names)| (&hall[..], of(names)));
+        halls.filter(|(_, names)| !names.is_empty()).collect()
+    }
+
     fn hand<'a>(&self, hall: &str, world: &'a World) -> Option<(Hand, &'a str)> {
         let of = |name: &str| world.hands.get(name).map(|(hand, why)| (*hand, &why[..]));
-        of(hall).or_else(|| self.region(hall).and_then(of)).filter(|(hand, _)| *hand != Hand::Release)
+        let named = of(hall).or_else(|| of(hall_of(hall))).or_else(|| self.region(hall).and_then(of));
+        named.filter(|(hand, _)| *hand != Hand::Release)
     }
 
     /// How a hall is to stand next, and why; none where it stays.
@@ -340,6 +351,9 @@
         }
         let why =
             format!("takes {:.1} times as long as before", seen.stretch / seen.before_stretch.max(0.01));
+        if self.others_are_strained(now, hall) {
+            return None;
+        }
         self.may_leave(now, hall, places).then_some((State::Leaving(0.5), why))
     }
 
@@ -358,6 +372,12 @@
         let before = self.places.halls.get(hall).map_or(1.0, |held| held.before.stretch);
         let (stood, step) = (self.stood(now, hall), self.rules.slow_for.0);
         let stretch = self.signals.now(now, hall).stretch / before.max(0.01);
+        if self.others_are_strained(now, hall) {
+            // What was shifted is more than those that stay bear: a slow hall serves more than a refusal does.
+            let more = part * 2.0;
+            let next = if more >= 1.0 { State::Serving } else { State::Leaving(more) };
+            return (stood >= step / 2).then(|| (next, "the others are at what they bear".to_owned()));
+        }
         if self.is_slow(now, hall, before) {
             let less = (part / 2.0).max(PART_LEAST);
             let why = format!("still takes {stretch:.1} times as long as before");
@@ -395,6 +415,7 @@
         let another = |other: &String| {
             *other != *hall
                 && matches!(places.state(other), State::Returning(_))
+                && tier_of(other) == tier_of(hall)
                 && region.as_deref() == self.region(other)
         };
         if region.is_some() && places.halls.keys().any(another) {
@@ -402,7 +423,7 @@
         }
         self.probe(now, "", hall, world, wants);
         let probes = self.probes.get(&(String::new(), hall.to_owned()))?;
-        let there = sidecars(world);
+        let there = self.callers(world, hall).values().map(Vec::len).sum::<usize>();
         let good = probes.good(self.rules.probes_good as usize, there.min(2))?;
         // Half a hall that is back bears half of what it bore.
         let first = self.first_step(hall);
@@ -489,8 +510,10 @@
         let ill = *self.since(hall).ill.get_or_insert(now);
         let well = shows.iter().any(|(_, shows, at)| *shows == Shows::Well && *at >= ill + SAID_SINCE);
         let witnesses = self.signals.witnesses(now, hall, None);
-        let enough = witnesses.losing as usize >= (self.rules.witnesses as usize).min(sidecars(world))
-            && witnesses.halls.len() >= (self.rules.halls_of_witnesses as usize).min(halls(world));
+        let callers = self.callers(world, hall);
+        let there = callers.values().map(Vec::len).sum();
+        let enough = witnesses.losing as usize >= (self.rules.witnesses as usize).min(there)
+            && witnesses.halls.len() >= (self.rules.halls_of_witnesses as usize).min(callers.len());
         // All ways into it together: where its own sidecars have few calls, or have left it by their own calls, none alone would
         // come to the alarm for long.
         let merged = self.signals.merged(now, hall, &self.rules);
@@ -508,11 +531,11 @@
         if self.since(hall).probed.is_none_or(|at| now >= at + again) {
             self.since(hall).probed = Some(now);
             let said: BTreeSet<&str> = shows.iter().map(|(from, ..)| &from[..]).collect();
-            let silent = world.sidecars.iter().filter(|(from, _)| !said.contains(&from[..]));
-            let first = silent.chain(world.sidecars.iter().filter(|(from, _)| said.contains(&from[..])));
+            let silent = callers.iter().filter(|(from, _)| !said.contains(*from));
+            let first = silent.chain(callers.iter().filter(|(from, _)| said.contains(*from)));
             for (_, names) in first.take(PROBING_HALLS) {
                 for name in turn(names, world.turn, PROBERS) {
-                    wants.push(Wants::Probe(name.clone(), hall.to_owned(), PROBES_EACH));
+                    wants.push(Wants::Probe(name.to_string(), hall.to_owned(), PROBES_EACH));
                 }
             }
         }
@@ -524,7 +547,8 @@
         let others: Vec<f64> = self
             .signals
             .halls()
-            .filter(|other| *other != hall && self.places.state(other) == State::Serving)
+            .filter(|other| *other != hall && tier_of(other) == tier_of(hall))
+            .filter(|other| self.places.state(other) == State::Serving)
             .map(|other| self.signals.now(now, other))
             .filter(|other| other.calls_per_s > 0.5)
             .map(|other| other.stretch)
@@ -543,6 +567,20 @@
         now.saturating_sub(at) >= lasts
     }
 
+    /// Whether the other places of its tier are at what they bear, all together: they turn calls away, or each takes longer
+    /// than before.
+    fn others_are_strained(&self, now: Duration, hall: &str) -> bool {
+        let others = self.signals.halls().filter(|other| *other != hall && tier_of(other) == tier_of(hall));
+        let others = others.filter(|other| self.places.state(other) == State::Serving);
+        let (mut calls, mut full, mut strained, mut all) = (0.0, 0.0, 0, 0);
+        for seen in others.map(|other| self.signals.now(now, other)) {
+            (calls, full) = (calls + seen.calls_per_s + seen.full_per_s, full + seen.full_per_s);
+            strained += usize::from(seen.stretch > STRETCH_GOOD * seen.before_stretch.max(0.01));
+            all += 1;
+        }
+        full > FULL_GOOD * calls || (all > 0 && strained == all)
+    }
+
     /// Whether a hall may be left beside those that are: some hall must serve, and enough room stay.
     fn may_leave(&self, now: Duration, hall: &str, places: &Places) -> bool {
         let weight = |name: &str| {
@@ -551,16 +589,17 @@
         };
         let is_left =
             |name: &str| name == hall || matches!(places.state(name), State::Left | State::Leaving(_));
-        let all: BTreeSet<&str> =
-            self.signals.halls().chain(self.rules.regions.values().flatten().map(String::as_str)).collect();
-        let sum: f64 = all.iter().map(|name| weight(name)).sum();
-        let stays: f64 = all.iter().filter(|name| !is_left(name)).map(|name| weight(name)).sum();
+        let named = self.rules.regions.values().flatten().map(String::as_str);
+        let all: BTreeSet<&str> = self.signals.halls().chain(named).collect();
+        let same = || all.iter().filter(|name| tier_of(name) == tier_of(hall));
+        let sum: f64 = same().map(|name| weight(name)).sum();
+        let stays: f64 = same().filter(|name| !is_left(name)).map(|name| weight(name)).sum();
         // Since it is ill, and not before: else a tier that fails below all halls would have the first of them left.
         let since =
             self.since.get(hall).and_then(|since| since.ill).map_or(Duration::ZERO, |ill| ill + SAID_SINCE);
-        let serves = all.iter().any(|name| !is_left(name) && self.is_sound(now, name, since));
-        // Halls of one region count as one.
-        let group = |name: &str| self.region(name).unwrap_or(name).to_owned();
+        let serves = same().any(|name| !is_left(name) && self.is_sound(now, name, since));
+        // Halls of one region count as one, and so do the tiers in a hall.
+        let group = |name: &str| self.region(name).unwrap_or_else(|| hall_of(name)).to_owned();
         let groups: BTreeSet<String> =
             all.iter().filter(|name| is_left(name)).map(|name| group(name)).collect();
         serves && stays >= self.rules.floor * sum && groups.len() <= self.rules.at_once as usize
@@ -596,7 +635,7 @@
                 continue;
             }
             self.probe(now, &from, &to, world, wants);
-            let there = world.sidecars.get(&from).map_or(0, Vec::len);
+            let there = self.callers(world, &to).get(&from[..]).map_or(0, Vec::len);
             let probes = self.probes.get(&(from.clone(), to.clone()));
             let good = probes.and_then(|probes| probes.good(self.rules.probes_good as usize, there.min(2)));
             if good.is_some() || there == 0 {
@@ -625,14 +664,16 @@
             let others = self
                 .halls(world)
                 .into_iter()
-                .filter(|other| *other != to && next.state(other) == State::Serving);
+                .filter(|other| *other != to && tier_of(other) == tier_of(&to))
+                .filter(|other| next.state(other) == State::Serving);
             let sound = others.into_iter().any(|other| self.is_sound(now, &other, ill + SAID_SINCE));
             if !sound || !shows.iter().any(well) {
                 continue;
             }
+            let callers = self.callers(world, &to);
             for (from, shows, _) in &shows {
                 let dark = matches!(shows, Shows::Dark | Shows::Failing);
-                let there = world.sidecars.get(from).map_or(0, Vec::len);
+                let there = callers.get(&from[..]).map_or(0, Vec::len);
                 let witnesses = self.signals.witnesses(now, &to, Some(from));
                 let enough = witnesses.losing as usize >= (self.rules.witnesses as usize).min(there.max(1));
                 let since = ill + SAID_SINCE;
@@ -661,15 +702,15 @@
         // Once it answers, whether it goes on to is seen soon.
         let answers = probes.last.last() == Some(&true);
         probes.next = now + if answers { apart / ANSWERING } else { apart };
-        let halls: Vec<&Vec<String>> = world
-            .sidecars
+        let callers = self.callers(world, to);
+        let halls: Vec<&Vec<&String>> = callers
             .iter()
-            .filter(|(hall, _)| from.is_empty() || *hall == from)
+            .filter(|(hall, _)| from.is_empty() || **hall == from)
             .map(|(_, names)| names)
             .collect();
         let Some(names) = halls.get(world.turn as usize % halls.len().max(1)) else { return };
         for name in turn(names, world.turn / halls.len() as u64, 1) {
-            wants.push(Wants::Probe(name.clone(), to.to_owned(), PROBES_EACH));
+            wants.push(Wants::Probe(name.to_string(), to.to_owned(), PROBES_EACH));
         }
     }
 
@@ -745,18 +786,10 @@
     }
 }
 
-fn sidecars(world: &World) -> usize {
-    world.sidecars.values().map(Vec::len).sum()
-}
-
-fn halls(world: &World) -> usize {
-    world.sidecars.values().filter(|names| !names.is_empty()).count()
-}
-
 /// So many of these whose turn it is.
-fn turn(names: &[String], turn: u64, count: usize) -> impl Iterator<Item = &String> {
+fn turn<'a>(names: &'a [&'a String], turn: u64, count: usize) -> impl Iterator<Item = &'a String> {
     let begin = (turn as usize).wrapping_mul(count) % names.len().max(1);
-    names.iter().cycle().skip(begin).take(count.min(names.len()))
+    names.iter().copied().cycle().skip(begin).take(count.min(names.len()))
 }
 
 fn median(mut all: Vec<f64>) -> Option<f64> {
--- a/crates/locality/src/places.rs
+++ b/crates/locality/src/places.rs
@@ -14,6 +14,22 @@
 /// Halls at the most.
 pub const HALLS_MOST: usize = 1000;
 
+/// A tier's endpoints in a hall, which are left and returned to as one. Those of the clients' tier go by the hall's name, those of
+/// the tiers below by it and their tier's number: `hall-b/1`.
+pub fn place(hall: &str, tier: u32) -> String {
+    if tier == 0 { hall.to_owned() } else { format!("{hall}/{tier}") }
+}
+
+/// The hall that a place is in.
+pub fn hall_of(place: &str) -> &str {
+    place.split_once('/').map_or(place, |(hall, _)| hall)
+}
+
+/// The tier of a place.
+pub fn tier_of(place: &str) -> u32 {
+    place.split_once('/').and_then(|(_, tier)| tier.parse().ok()).unwrap_or_default()
+}
+
 /// How a hall stands.
 #[derive(Clone, Copy, Debug, Deserialize, PartialEq, Serialize)]
 #[serde(rename_all = "snake_case")]
--- a/crates/locality/src/signals.rs
+++ b/crates/locality/src/signals.rs
@@ -4,6 +4,7 @@
 //! in a sound one, never below zero (Page's CUSUM). It alarms as soon as the calls since the last good ones can't be
 //! chance, whether they come at a thousand a second or at ten; its false alarms are rarer than `exp(-alarm)` a call.
 
+use crate::places::{place, tier_of};
 use curlewhub_config::fleet::PlacesConfig;
 use curlewhub_fleet::evidence::{CALLS_MOST, Calls, Digest};
 use std::collections::{BTreeMap, BTreeSet};
@@ -19,6 +20,8 @@
 const QUICK_S: f64 = 0.5;
 /// The same for what a hall is when all is well, which its loss must not change.
 const BEFORE_FADES_S: f64 = 30.0;
+/// The same for the most that it has borne: hours.
+const BORNE_FADES_S: f64 = 4.0 * 3600.0;
 /// A sidecar loses by a hall once so many of its calls there were lost in a row.
 const STREAK: u32 = 3;
 /// What takes so many times as long as before does not count towards what was before.
@@ -127,6 +130,8 @@
     full: Rate,
     /// Answered, and lost, of very late.
     quick: (Rate, Rate),
+    /// The most calls a second that it served while it was well.
+    most: Rate,
     before: Rate,
     /// Seconds over which that is.
     before_s: Rate,
@@ -162,6 +167,8 @@
     pub lost: f64,
     /// Calls a second that are turned away.
     pub full_per_s: f64,
+    /// The most that it was seen to bear, forgotten within hours.
+    pub most_per_s: f64,
     /// What it was over the last half minute in which it served.
     pub before_per_s: f64,
     /// The same.
@@ -184,7 +191,7 @@
 pub struct Signals {
     pairs: BTreeMap<(String, String), Pair>,
     halls: BTreeMap<String, Seen>,
-    /// Calls of each sidecar, of all halls: what it needs.
+    /// Calls of each sidecar, of all halls: what it needs; and its place, by the tier that it calls.
     needs: BTreeMap<String, (Rate, String)>,
 }
 
@@ -201,9 +208,11 @@
         }
         let known: u32 = digest.rows.values().map(Calls::known).sum();
         if self.needs.len() < WORDS_MOST || self.needs.contains_key(name) {
-            let (need, hall) = self.needs.entry(name.to_owned()).or_default();
+            let (need, home) = self.needs.entry(name.to_owned()).or_default();
             need.add(now, f64::from(known), FADES_S);
-            hall.clone_from(&digest.hall);
+            if let Some(called) = digest.rows.keys().next() {
+                *home = place(&digest.hall, tier_of(called));
+            }
         }
     }
 
@@ -276,7 +285,8 @@
         since: Duration,
         rules: &PlacesConfig,
     ) -> bool {
-        let pairs = self.pairs.iter().filter(|((hall, to), _)| hall == from && to != but);
+        let same = |to: &str| to != but && tier_of(to) == tier_of(but);
+        let pairs = self.pairs.iter().filter(|((hall, to), _)| hall == from && same(to));
         pairs
             .filter_map(|(_, pair)| pair.shows(now, rules))
             .any(|(shows, at)| shows == Shows::Well && at >= since)
@@ -314,21 +324,29 @@
                 if answered + lost > 0.0 { lost / (answered + lost) } else { 0.0 }
             },
             full_per_s: per_s(read(seen.full), FADES_S),
+            most_per_s: seen.most.read(now, BORNE_FADES_S),
             before_per_s: seen.before.sum / seen.before_s.sum.max(0.25),
             before_stretch: multiple(seen.before_took.sum, seen.before_usual.sum),
         }
     }
 
-    /// What each sidecar needs, in calls a second, and its hall.
+    /// Whether a sidecar calls the tier that a place is of, or has told nothing yet of what it calls.
+    pub fn calls(&self, name: &str, to: &str) -> bool {
+        self.needs.get(name).is_none_or(|(_, home)| home.is_empty() || tier_of(home) == tier_of(to))
+    }
+
+    /// What each sidecar needs, in calls a second, and its place.
     pub fn needs(&self, now: Duration) -> impl Iterator<Item = (&str, &str, f64)> + Clone {
         self.needs
             .iter()
             .map(move |(name, (need, hall))| (&name[..], &hall[..], need.read(now, FADES_S) / FADES_S))
     }
 
-    /// What one sidecar needs.
-    pub fn need(&self, now: Duration, name: &str) -> f64 {
-        self.needs.get(name).map_or(0.0, |(need, _)| need.read(now, FADES_S) / FADES_S)
+    /// What one sidecar needs, and its place.
+    pub fn need(&self, now: Duration, name: &str) -> (f64, &str) {
+        self.needs
+            .get(name)
+            .map_or((0.0, ""), |(need, home)| (need.read(now, FADES_S) / FADES_S, &home[..]))
     }
 
     /// What was seen of a hall counts no more: it begins anew, as it has just been left or returned to.
@@ -442,6 +460,12 @@
         self.quick.0.add(now, f64::from(calls.known().saturating_sub(calls.lost())), QUICK_S);
         self.quick.1.add(now, f64::from(calls.lost()), QUICK_S);
         self.full.add(now, f64::from(calls.full), FADES_S);
+        let ran = self.since.map_or(0.0, |since| now.saturating_sub(since).as_secs_f64());
+        if well && ran >= FADES_S * 3.0 {
+            let rate = self.served.read(now, FADES_S) / FADES_S;
+            let most = self.most.read(now, BORNE_FADES_S).max(rate);
+            self.most = Rate { sum: most, at: now };
+        }
         // What is slow now is not what it was before.
         let before =
             if self.before_usual.sum > 0.0 { self.before_took.sum / self.before_usual.sum } else { 1.0 };
--- a/crates/locality/src/warden.rs
+++ b/crates/locality/src/warden.rs
@@ -59,8 +59,8 @@
         if !seat.keeper.leads() || !seat.keeper.is_confirmed(now) {
             return Vec::new();
         }
-        let need = self.machine.signals.need(now, name);
-        let rates = self.grants.grant(now, (name, &digest.hall, need), self.machine.places(), &rules);
+        let (need, home) = self.machine.signals.need(now, name);
+        let rates = self.grants.grant(now, (name, home, need), self.machine.places(), &rules);
         if rates.is_empty() {
             return Vec::new();
         }
--- a/crates/locality/tests/machine.rs
+++ b/crates/locality/tests/machine.rs
@@ -205,6 +205,14 @@
     fleet.all_into(&["b"], Way::Well);
     fleet.run(SECOND * 20);
     assert_eq!(fleet.state("b"), State::Serving, "{:?}", fleet.moves);
+    // Where the others turn calls away, a part comes back, and nothing more is shifted to them.
+    let mut fleet = three(6);
+    fleet.all_into(&["b"], Way::Slow(10.0));
+    fleet.run(SECOND * 5);
+    assert!(matches!(fleet.state("b"), State::Leaving(_)));
+    fleet.all_into(&["a", "c"], Way::Busy(0.2));
+    fleet.run(SECOND * 6);
+    assert_eq!(fleet.state("b"), State::Serving, "{:?}", fleet.moves);
     // All of them slow is no hall's fault.
     let mut fleet = three(7);
     fleet.all_into(&HALLS, Way::Slow(10.0));
@@ -244,6 +252,49 @@
     assert_eq!((together, fleet.state("b1"), fleet.state("b2")), (1, State::Serving, State::Serving));
 }
 
+#[test]
+fn a_tier_of_a_hall_is_left_without_the_others_of_it() {
+    let all = ["a/1", "b/1", "c/1"];
+    // Where the tier below has endpoints, what is lost, and what is left for it.
+    let cases: [(&[&'static str], &[&'static str], &[&str]); 5] = [
+        (&all, &["b/1"], &["b/1"]),
+        (&all, &["b"], &["b"]),
+        (&all, &["b", "b/1"], &["b", "b/1"]),
+        (&all, &all, &[]),
+        // Endpoints in one hall alone: there is nowhere else to go.
+        (&["b/1"], &["b/1"], &[]),
+    ];
+    for (deep, lost, left_for_it) in cases {
+        let mut fleet = Fleet::new(&HALLS, 4, PlacesConfig { at_once: 1, ..PlacesConfig::default() }, 12);
+        fleet.deep = deep.to_vec();
+        fleet.run(SECOND * 10);
+        fleet.all_into(lost, Way::Gone);
+        let from = fleet.now;
+        fleet.run(SECOND * 4);
+        for place in HALLS.iter().chain(&all) {
+            let after = fleet.after(from, place, left);
+            assert_eq!(
+                after.is_some(),
+                left_for_it.contains(place),
+                "{lost:?}: {place}: {:?}",
+                fleet.moves
+            );
+        }
+        fleet.all_into(lost, Way::Well);
+        fleet.run(SECOND * 15);
+        assert!(
+            lost.iter().all(|place| fleet.state(place) == State::Serving),
+            "{lost:?}: {:?}",
+            fleet.moves
+        );
+        // A word of the hall is one of all its tiers.
+        let by_hand = (Hand::Leave, "new switch (anna)".to_owned());
+        fleet.world.hands = [("b".to_owned(), by_hand)].into();
+        fleet.run(SECOND);
+        assert_eq!((fleet.state("b"), fleet.state("b/1")), (State::Left, State::Left));
+    }
+}
+
 #[test]
 fn hands_win_until_they_end_and_a_freeze_stops_what_goes_by_itself() {
     let mut fleet = three(9);
--- a/crates/locality/tests/support/mod.rs
+++ b/crates/locality/tests/support/mod.rs
@@ -3,7 +3,7 @@
 use curlewhub_config::fleet::PlacesConfig;
 use curlewhub_fleet::evidence::{Calls, Digest};
 use curlewhub_locality::machine::{Machine, Moved, Wants, World};
-use curlewhub_locality::places::{Places, State};
+use curlewhub_locality::places::{Places, State, hall_of};
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg32;
 use std::collections::BTreeMap;
@@ -24,6 +24,8 @@
     Gone,
     Full,
     Errors,
+    /// This part of them is turned away.
+    Busy(f64),
     /// They take so many times as long.
     Slow(f64),
     /// This part of them is lost.
@@ -34,6 +36,8 @@
     pub machine: Machine,
     pub now: Duration,
     pub halls: Vec<&'static str>,
+    /// Places of the tier below, that every other sidecar calls in place of the halls' first.
+    pub deep: Vec<&'static str>,
     /// Sidecars: name, hall, when it tells next, its digests so far, and when it last told.
     sidecars: Vec<(String, &'static str, Duration, u64, Duration)>,
     /// Calls of a sidecar into its own hall, and into each other one, a second.
@@ -63,13 +67,14 @@
                 sidecars.push((name, *hall, TELLS.mul_f64(draws.random()), 0, Duration::ZERO));
             }
         }
-        let (now, ways, liars, moves, probes, deciding, probed) = Default::default();
+        let (now, deep, ways, liars, moves, probes, deciding, probed) = Default::default();
         let (halls, machine) = (halls.to_vec(), Machine::new(rules));
         let (own, others) = (24.0, 3.0);
         Fleet {
             machine,
             now,
             halls,
+            deep,
             sidecars,
             own,
             others,
@@ -137,14 +142,16 @@
     fn tell(&mut self, n: usize) {
         let (name, hall) = (self.sidecars[n].0.clone(), self.sidecars[n].1);
         let mut rows = BTreeMap::new();
-        for to in self.halls.clone() {
-            let wanted = if to == hall { self.own } else { self.others };
+        let deep = !self.deep.is_empty() && n % 2 == 1;
+        for to in if deep { self.deep.clone() } else { self.halls.clone() } {
+            let at_home = hall_of(to) == hall;
+            let wanted = if at_home { self.own } else { self.others };
             let may = match self.state(to) {
                 State::Serving => wanted,
                 State::Leaving(part) => wanted * part,
                 State::Left => 0.0,
                 // By need, among the hall's own.
-                State::Returning(rate) if to == hall => (rate / self.each(hall)).min(wanted),
+                State::Returning(rate) if at_home => (rate / self.each(hall)).min(wanted),
                 State::Returning(_) => 0.0,
             };
             let may = if self.machine.places().is_cut(hall, to) { 0.0 } else { may };
@@ -181,6 +188,10 @@
             Way::Silent => Calls { overdue: count, ..none },
             Way::Gone => Calls { gone: count, ..none },
             Way::Full => Calls { full: count, ..none },
+            Way::Busy(part) => {
+                let full = (0..count).filter(|_| self.draws.random::<f64>() < part).count() as u32;
+                Calls { full, ..served(count - full, 1.0) }
+            }
             Way::Errors => Calls { error: count, ..none },
             Way::Part(part) => {
                 let lost = (0..count).filter(|_| self.draws.random::<f64>() < part).count() as u32;
--- a/crates/runtime/src/handover.rs
+++ b/crates/runtime/src/handover.rs
@@ -51,7 +51,7 @@
 /// What the process before has learnt comes within this: its successor's yes is due.
 const LEARN_TIME: Duration = Duration::from_millis(700);
 /// A folder that could not be written to is tried again after this.
-const BIND_AGAIN: Duration = Duration::from_secs(1);
+const BIND_AGAIN: Duration = Duration::from_millis(200);
 /// How often the first process looks at what it holds, once it has a successor.
 const SPARE_CHECK: Duration = Duration::from_millis(100);
 /// Descriptors that an ending process may hold beyond those it has: its open requests still need
