Return at once to a hall that was served all along, and take no evidence from the past

Need: with the majority of keepers in a region that is cut off, the halls of the other one were left by those who could not reach them; after the cut they came back by steps of five seconds, though they had served their own all the time. And a cut that ends lets through all that it held up: digests of seconds ago, taken as of now.

Digests carry their teller's steady clock; what was under way for 1.5 s longer than the quickest is not taken. A left hall that serves a quarter of what it bore is served again at once.

--- a/crates/fleet-model/src/fleet.rs
+++ b/crates/fleet-model/src/fleet.rs
@@ -681,7 +681,8 @@
                 let rows = (0..halls).map(|hall| (hall_name(hall), calls)).collect();
                 (self.nodes[n].told_at, self.nodes[n].sequence) = (now, self.nodes[n].sequence + 1);
                 let (sequence, over_ms) = (self.nodes[n].sequence, over.as_millis() as u32);
-                Some(Digest { sequence, hall: hall_name(hall), over_ms, rows })
+                let at_ms = now.as_millis() as u64;
+                Some(Digest { sequence, at_ms, hall: hall_name(hall), over_ms, rows })
             }
         };
         let (Some(digest), Some(Runs::Sidecar(sidecar))) = (digest, &mut self.nodes[n].runs) else {
--- a/crates/fleet-model/tests/halls.rs
+++ b/crates/fleet-model/tests/halls.rs
@@ -59,7 +59,11 @@
             for (sidecar, hall, count) in std::mem::take(&mut self.fleet.probes) {
                 (0..count).for_each(|_| self.fleet.probed(sidecar, hall, !(self.gone && hall == 0)));
             }
-            (0..SIDECARS).filter(|n| !self.paused[*n]).collect::<Vec<_>>().into_iter().for_each(|n| self.call(n));
+            (0..SIDECARS)
+                .filter(|n| !self.paused[*n])
+                .collect::<Vec<_>>()
+                .into_iter()
+                .for_each(|n| self.call(n));
             self.look();
         }
     }
@@ -154,7 +158,11 @@
     for seed in 0..30 {
         let mut calls = Calls::new(seed);
         calls.run(SECOND * 8);
-        assert_eq!((calls.state(), calls.budgets.len()), (State::Serving, 0), "seed {seed}: nothing is wrong yet");
+        assert_eq!(
+            (calls.state(), calls.budgets.len()),
+            (State::Serving, 0),
+            "seed {seed}: nothing is wrong yet"
+        );
         calls.gone = true;
         calls.run(SECOND * 2);
         assert_eq!(calls.state(), State::Left, "seed {seed}");
@@ -167,7 +175,11 @@
         (0..SIDECARS).for_each(|n| calls.pause(n, false));
         calls.run(SECOND * 15);
         assert_eq!(calls.state(), State::Serving, "seed {seed}: {:?}", calls.budgets);
-        assert!((0..SIDECARS).all(|n| calls.rights[n] == [Right::Open; 3]), "seed {seed}: {:?}", calls.rights);
+        assert!(
+            (0..SIDECARS).all(|n| calls.rights[n] == [Right::Open; 3]),
+            "seed {seed}: {:?}",
+            calls.rights
+        );
         assert!(calls.worst <= 1.0 + 1e-6, "seed {seed}: {} times the budget", calls.worst);
         steps += calls.budgets.len();
         returned += usize::from(calls.worst > 0.5);
--- a/crates/fleet/src/evidence.rs
+++ b/crates/fleet/src/evidence.rs
@@ -12,6 +12,13 @@
 pub const SIDECARS_MOST: usize = 20_000;
 /// A digest that is older than this says nothing any more.
 pub const FRESH: Duration = Duration::from_secs(3);
+/// One that was under way for so much longer than the quickest of that sidecar's is a message from the past, as a cut that
+/// ends lets through.
+pub const LATE_MOST: Duration = Duration::from_millis(1500);
+/// Clocks of two processes run apart by no more than this part.
+const CLOCKS_APART: f64 = 0.001;
+/// What is known of a sidecar that says nothing is kept for so long.
+const KEPT: Duration = Duration::from_secs(60);
 /// Calls that one sidecar adds to a sum at the most, over one digest's time: a busy one, or a liar, weighs no more
 /// than so many calls of others.
 pub const CALLS_MOST: u32 = 20;
@@ -122,6 +129,9 @@
 pub struct Digest {
     /// Which of the sidecar's digests, rising within an incarnation.
     pub sequence: u64,
+    /// When it was told, in milliseconds of the sidecar's steady clock, from wherever that counts: by it one that was held up on
+    /// its way is known.
+    pub at_ms: u64,
     /// Its hall.
     pub hall: String,
     /// The time that it is over, in milliseconds.
@@ -145,6 +155,9 @@
     /// A newer one of that sidecar is there: it was late, repeated, or of an old incarnation.
     #[error("it is older than what is known of that sidecar")]
     Old,
+    /// It was held up on its way for longer than it speaks for: a message from the past.
+    #[error("it was under way for over {LATE_MOST:?}")]
+    Late,
     /// Too many rows, or numbers that can't be.
     #[error("its numbers can't be")]
     Senseless,
@@ -306,7 +319,8 @@
         self.sequence += 1;
         self.told_at = now;
         let over_ms = u32::try_from(over.as_millis()).unwrap_or(u32::MAX);
-        Some(Digest { sequence: self.sequence, hall: self.hall.clone(), over_ms, rows })
+        let at_ms = now.as_millis() as u64;
+        Some(Digest { sequence: self.sequence, at_ms, hall: self.hall.clone(), over_ms, rows })
     }
 }
 
@@ -321,10 +335,20 @@
     pub losing: u32,
 }
 
+/// What one sidecar said last.
+#[derive(Clone, Debug)]
+struct Newest {
+    incarnation: u64,
+    at: Duration,
+    digest: Digest,
+    /// How far this clock is ahead of the sidecar's, in milliseconds, with the way of the quickest digest so far.
+    ahead_ms: f64,
+}
+
 /// The newest digest of each sidecar.
 #[derive(Clone, Debug, Default)]
 pub struct Evidence {
-    newest: BTreeMap<String, (u64, Duration, Digest)>,
+    newest: BTreeMap<String, Newest>,
 }
 
 impl Evidence {
@@ -338,30 +362,41 @@
         if !rows || digest.hall.len() > TEXT_MOST {
             return Err(NotTaken::Senseless);
         }
-        match self.newest.get(&from.name) {
-            Some((incarnation, at, known)) => {
-                // One that says nothing any more keeps nobody from saying something.
-                let fresh = now.saturating_sub(*at) <= FRESH;
-                if fresh && (from.incarnation, digest.sequence) <= (*incarnation, known.sequence) {
-                    return Err(NotTaken::Old);
-                }
+        let ahead_ms = now.as_secs_f64() * 1e3 - digest.at_ms as f64;
+        if !self.newest.contains_key(&from.name) && self.newest.len() >= SIDECARS_MOST {
+            self.newest.retain(|_, newest| now.saturating_sub(newest.at) <= KEPT);
+            if self.newest.len() >= SIDECARS_MOST {
+                return Err(NotTaken::NoRoom);
             }
-            None => {
-                self.newest.retain(|_, (_, at, _)| now.saturating_sub(*at) <= FRESH);
-                if self.newest.len() >= SIDECARS_MOST {
-                    return Err(NotTaken::NoRoom);
-                }
+        }
+        // Of an incarnation that is new here nothing tells how long its first one was under way.
+        let mut least_ms = ahead_ms;
+        if let Some(newest) = self.newest.get(&from.name) {
+            let kept = now.saturating_sub(newest.at);
+            let same = from.incarnation == newest.incarnation;
+            let older = (from.incarnation, digest.sequence) <= (newest.incarnation, newest.digest.sequence);
+            // One that says nothing any more keeps nobody from saying something.
+            if older && (same || kept <= FRESH) {
+                return Err(NotTaken::Old);
+            }
+            if same {
+                least_ms = ahead_ms.min(newest.ahead_ms + kept.as_secs_f64() * 1e3 * CLOCKS_APART);
             }
         }
-        self.newest.insert(from.name.clone(), (from.incarnation, now, digest.clone()));
+        let late = ahead_ms - least_ms > LATE_MOST.as_secs_f64() * 1e3;
+        if late {
+            return Err(NotTaken::Late);
+        }
+        let (incarnation, digest) = (from.incarnation, digest.clone());
+        self.newest.insert(from.name.clone(), Newest { incarnation, at: now, digest, ahead_ms: least_ms });
         Ok(())
     }
 
     /// What is known now by pair of halls, from and to.
     pub fn pairs(&self, now: Duration) -> BTreeMap<(&str, &str), Pair> {
         let mut pairs: BTreeMap<(&str, &str), Pair> = BTreeMap::new();
-        let fresh = self.newest.values().filter(|(_, at, _)| now.saturating_sub(*at) <= FRESH);
-        for (_, _, digest) in fresh {
+        let fresh = self.newest.values().filter(|newest| now.saturating_sub(newest.at) <= FRESH);
+        for Newest { digest, .. } in fresh {
             for (to, calls) in digest.rows.iter().filter(|(_, calls)| calls.known() > 0) {
                 let pair = pairs.entry((&digest.hall, to)).or_default();
                 pair.calls.add(&calls.capped(CALLS_MOST));
@@ -385,7 +420,7 @@
     fn digest(sequence: u64, asked: u32, silent: u32) -> Digest {
         let calls = Calls { served: asked.saturating_sub(silent), silent, ..Calls::default() };
         let rows = [("b".to_owned(), calls)].into();
-        Digest { sequence, hall: "a".to_owned(), over_ms: 500, rows }
+        Digest { sequence, at_ms: 1000 + sequence * 500, hall: "a".to_owned(), over_ms: 500, rows }
     }
 
     fn who(name: &str, incarnation: u64) -> Who {
@@ -420,6 +455,32 @@
         assert_eq!(evidence.heard(now + FRESH * 2, &who("s", 1), &digest(1, 4, 0)), Ok(()));
     }
 
+    #[test]
+    fn what_was_held_up_on_its_way_is_known_by_the_tellers_own_clock() {
+        let (mut evidence, ms) = (Evidence::default(), Duration::from_millis);
+        // When it comes, its sequence (told every 500 ms of a clock that is seconds off), and whether it is taken.
+        let cases = [
+            (9000, 1, Ok(())),
+            (9520, 2, Ok(())),
+            (10_900, 4, Ok(())),
+            // A cut that ends lets three through at once: the last is late by 1.2 s.
+            (14_100, 6, Err(NotTaken::Late)),
+            (14_100, 7, Err(NotTaken::Late)),
+            (14_100, 8, Err(NotTaken::Late)),
+            (14_100, 9, Ok(())),
+            (14_050, 10, Ok(())),
+        ];
+        for (at, sequence, wanted) in cases {
+            let taken = evidence.heard(ms(at), &who("s", 1), &digest(sequence, 4, 0));
+            assert_eq!(taken, wanted, "{sequence} at {at}");
+        }
+        // A start's clock begins anew.
+        assert_eq!(evidence.heard(ms(20_000), &who("s", 2), &digest(1, 4, 0)), Ok(()));
+        assert_eq!(evidence.heard(ms(24_000), &who("s", 2), &digest(2, 4, 0)), Err(NotTaken::Late));
+        // One that was never heard of finds room once others have said nothing for long.
+        assert_eq!(evidence.sidecars(), 1);
+    }
+
     #[test]
     fn a_witness_tells_each_call_once() {
         let halls = ["a", "b", "c"].map(str::to_owned).to_vec();
--- a/crates/locality/src/machine.rs
+++ b/crates/locality/src/machine.rs
@@ -6,10 +6,16 @@
 use crate::places::{Before, Hall, Hand, Places, State, hall_of, tier_of};
 use crate::signals::{Shows, Signals};
 use curlewhub_config::fleet::PlacesConfig;
-use curlewhub_fleet::evidence::Digest;
+use curlewhub_fleet::evidence::{Calls, Digest};
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
+mod guards;
+mod probes;
+mod ways;
+
+use probes::{Probes, turn};
+
 /// What is seen by some only is waited for so long, before it is taken for a cut of their way alone.
 const OTHERS_WITHIN: Duration = Duration::from_millis(500);
 /// What a hall's others say well of it counts if they said it so long after it was first seen ill: later than any call
@@ -39,6 +45,11 @@
 const STRETCH_GOOD: f64 = 1.6;
 /// A hall that is left by half of this, as it is slow, is left to no smaller part.
 const PART_LEAST: f64 = 0.05;
+/// A hall that is left is served all the same, by those who never heard of it, where so much of what it bore is served there in a
+/// second; looked at over this time, once it was left for so long.
+const ALONG_PART: f64 = 0.25;
+const ALONG_OVER: Duration = Duration::from_millis(1500);
+const ALONG_AFTER: Duration = Duration::from_secs(2);
 /// Calls a second that a hall bore of which nothing is known.
 const BORE_LEAST: f64 = 4.0;
 
@@ -88,13 +99,12 @@
     usual_ms: u32,
 }
 
-/// Probes of a hall that is left, or of one that some halls' sidecars don't reach.
+/// Calls of late into a hall that is left, by sidecars that have not left it.
 #[derive(Clone, Debug, Default)]
-struct Probes {
-    /// The last ones, the newest last: whether it was answered.
-    last: Vec<bool>,
+struct Along {
+    since: Duration,
+    step: Step,
     by: BTreeSet<String>,
-    next: Duration,
 }
 
 /// Since when something holds of a hall.
@@ -119,6 +129,7 @@
     places: Places,
     since: BTreeMap<String, Since>,
     steps: BTreeMap<String, Step>,
+    along: BTreeMap<String, Along>,
     /// By the hall that probes, empty for all, and the one that is probed.
     probes: BTreeMap<(String, String), Probes>,
     /// Ways that were cut: when last, and how often in a row.
@@ -130,8 +141,9 @@
 impl Machine {
     /// One that has seen nothing.
     pub fn new(rules: PlacesConfig) -> Machine {
-        let (signals, places, since, steps, probes, cuts, asked_until, forget_at) = Default::default();
-        Machine { rules, signals, places, since, steps, probes, cuts, asked_until, forget_at }
+        let (signals, places, since, steps, along, probes, cuts, asked_until, forget_at) =
+            Default::default();
+        Machine { rules, signals, places, since, steps, along, probes, cuts, asked_until, forget_at }
     }
 
     /// How halls stand, as decided.
@@ -156,12 +168,16 @@
         self.signals.saw(now, name, digest, &self.rules);
         for (hall, calls) in &digest.rows {
             if let Some(step) = self.steps.get_mut(hall) {
-                step.served += calls.served;
-                step.lost += calls.lost();
-                step.full += calls.full;
-                step.error += calls.error;
-                step.took_ms += calls.took_ms;
-                step.usual_ms += calls.usual_ms;
+                step.saw(calls);
+            }
+            if let Some(along) = self.along.get_mut(hall) {
+                if now.saturating_sub(along.since) > ALONG_OVER {
+                    *along = Along { since: now, ..Along::default() };
+                }
+                along.step.saw(calls);
+                if calls.served > 0 {
+                    along.by.insert(name.to_owned());
+                }
             }
             for from in [String::new(), digest.hall.clone()] {
                 if let Some(probes) = self.probes.get_mut(&(from, hall.clone())) {
@@ -189,6 +205,10 @@
                 since.returned = Some(now);
             }
             self.steps.remove(hall);
+            self.along.remove(hall);
+            if after == State::Left {
+                self.along.insert(hall.clone(), Along { since: now, ..Along::default() });
+            }
             if let State::Returning(_) = after {
                 self.steps.insert(hall.clone(), Step::default());
             }
@@ -407,6 +427,9 @@
     ) -> Option<(State, String)> {
         let held = self.places.halls.get(hall)?;
         let rest = self.rest(held.flaps);
+        if let Some(why) = self.is_served_along(now, hall) {
+            return Some((State::Serving, why));
+        }
         if self.stood(now, hall) < rest {
             return None;
         }
@@ -436,6 +459,22 @@
         Some((State::Returning(first), why))
     }
 
+    /// Whether a hall that is left serves much of what it bore: those who had it left could not reach it, and those who can could
+    /// not be heard. It is warm, and has to return from nowhere.
+    fn is_served_along(&mut self, now: Duration, hall: &str) -> Option<String> {
+        if self.stood(now, hall) < ALONG_AFTER {
+            return None; // what was served before it was left is told for a while
+        }
+        let (bore, along) = (self.bore(hall), self.along.get(hall)?);
+        let Step { served, lost, full, error, .. } = along.step;
+        let calls = f64::from(served + lost + full + error).max(1.0);
+        let good = f64::from(lost + error) <= LOST_GOOD * calls && f64::from(full) <= FULL_GOOD * calls;
+        let enough = f64::from(served) >= (ALONG_PART * bore).max(f64::from(STEP_CALLS));
+        (good && enough && along.by.len() >= self.rules.witnesses as usize).then(|| {
+            format!("{served} calls of {} sidecars that had not left it are served", along.by.len())
+        })
+    }
+
     fn first_step(&self, hall: &str) -> f64 {
         self.bore(hall) * self.rules.first_step
     }
@@ -490,230 +529,6 @@
         None
     }
 
-    /// Whether a hall is dark, or answers with errors alone, for all; and why.
-    fn is_ill(
-        &mut self,
-        now: Duration,
-        hall: &str,
-        world: &World,
-        wants: &mut Vec<Wants>,
-    ) -> Option<String> {
-        let shows: Vec<(String, Shows, Duration)> = self
-            .signals
-            .of(now, hall, &self.rules)
-            .map(|(from, shows, at)| (from.to_owned(), shows, at))
-            .collect();
-        if shows.iter().all(|(_, shows, _)| *shows == Shows::Well) {
-            self.since(hall).ill = None;
-            return None;
-        }
-        let ill = *self.since(hall).ill.get_or_insert(now);
-        let well = shows.iter().any(|(_, shows, at)| *shows == Shows::Well && *at >= ill + SAID_SINCE);
-        let witnesses = self.signals.witnesses(now, hall, None);
-        let callers = self.callers(world, hall);
-        let there = callers.values().map(Vec::len).sum();
-        let enough = witnesses.losing as usize >= (self.rules.witnesses as usize).min(there)
-            && witnesses.halls.len() >= (self.rules.halls_of_witnesses as usize).min(callers.len());
-        // All ways into it together: where its own sidecars have few calls, or have left it by their own calls, none alone would
-        // come to the alarm for long.
-        let merged = self.signals.merged(now, hall, &self.rules);
-        if merged != Shows::Well && merged != Shows::Unsure && !well && enough {
-            let how = if merged == Shows::Failing { "answers with errors" } else { "dark" };
-            return Some(format!(
-                "{how} to {} of {} sidecars that tell of it, in {} halls",
-                witnesses.losing,
-                witnesses.all,
-                witnesses.halls.len()
-            ));
-        }
-        // Others are asked what they see of it, before anything is done on one hall's word.
-        let again = if now < ill + SUSPECT_MOST { PROBE_AGAIN } else { SUSPECT_MOST };
-        if self.since(hall).probed.is_none_or(|at| now >= at + again) {
-            self.since(hall).probed = Some(now);
-            let said: BTreeSet<&str> = shows.iter().map(|(from, ..)| &from[..]).collect();
-            let silent = callers.iter().filter(|(from, _)| !said.contains(*from));
-            let first = silent.chain(callers.iter().filter(|(from, _)| said.contains(*from)));
-            for (_, names) in first.take(PROBING_HALLS) {
-                for name in turn(names, world.turn, PROBERS) {
-                    wants.push(Wants::Probe(name.to_string(), hall.to_owned(), PROBES_EACH));
-                }
-            }
-        }
-        None
-    }
-
-    fn is_slow(&mut self, now: Duration, hall: &str, before: f64) -> bool {
-        let seen = self.signals.now(now, hall);
-        let others: Vec<f64> = self
-            .signals
-            .halls()
-            .filter(|other| *other != hall && tier_of(other) == tier_of(hall))
-            .filter(|other| self.places.state(other) == State::Serving)
-            .map(|other| self.signals.now(now, other))
-            .filter(|other| other.calls_per_s > 0.5)
-            .map(|other| other.stretch)
-            .collect();
-        let others = median(others);
-        let slow = seen.calls_per_s > 0.5
-            && seen.stretch > self.rules.slow * before.max(0.01)
-            && others.is_some_and(|others| seen.stretch > self.rules.slow / 2.0 * others);
-        let lasts = self.rules.slow_for.0;
-        let since = self.since(hall);
-        if !slow {
-            since.slow = None;
-            return false;
-        }
-        let at = *since.slow.get_or_insert(now);
-        now.saturating_sub(at) >= lasts
-    }
-
-    /// Whether the other places of its tier are at what they bear, all together: they turn calls away, or each takes longer
-    /// than before.
-    fn others_are_strained(&self, now: Duration, hall: &str) -> bool {
-        let others = self.signals.halls().filter(|other| *other != hall && tier_of(other) == tier_of(hall));
-        let others = others.filter(|other| self.places.state(other) == State::Serving);
-        let (mut calls, mut full, mut strained, mut all) = (0.0, 0.0, 0, 0);
-        for seen in others.map(|other| self.signals.now(now, other)) {
-            (calls, full) = (calls + seen.calls_per_s + seen.full_per_s, full + seen.full_per_s);
-            strained += usize::from(seen.stretch > STRETCH_GOOD * seen.before_stretch.max(0.01));
-            all += 1;
-        }
-        full > FULL_GOOD * calls || (all > 0 && strained == all)
-    }
-
-    /// Whether a hall may be left beside those that are: some hall must serve, and enough room stay.
-    fn may_leave(&self, now: Duration, hall: &str, places: &Places) -> bool {
-        let weight = |name: &str| {
-            let held = places.halls.get(name).map_or(0.0, |held| held.before.calls_per_s);
-            held.max(self.signals.now(now, name).before_per_s).max(1e-3)
-        };
-        let is_left =
-            |name: &str| name == hall || matches!(places.state(name), State::Left | State::Leaving(_));
-        let named = self.rules.regions.values().flatten().map(String::as_str);
-        let all: BTreeSet<&str> = self.signals.halls().chain(named).collect();
-        let same = || all.iter().filter(|name| tier_of(name) == tier_of(hall));
-        let sum: f64 = same().map(|name| weight(name)).sum();
-        let stays: f64 = same().filter(|name| !is_left(name)).map(|name| weight(name)).sum();
-        // Since it is ill, and not before: else a tier that fails below all halls would have the first of them left.
-        let since =
-            self.since.get(hall).and_then(|since| since.ill).map_or(Duration::ZERO, |ill| ill + SAID_SINCE);
-        let serves = same().any(|name| !is_left(name) && self.is_sound(now, name, since));
-        // Halls of one region count as one, and so do the tiers in a hall.
-        let group = |name: &str| self.region(name).unwrap_or_else(|| hall_of(name)).to_owned();
-        let groups: BTreeSet<String> =
-            all.iter().filter(|name| is_left(name)).map(|name| group(name)).collect();
-        serves && stays >= self.rules.floor * sum && groups.len() <= self.rules.at_once as usize
-    }
-
-    /// Whether a hall serves: some have said so since then, little of its calls is lost, and nothing of it is suspect.
-    fn is_sound(&self, now: Duration, hall: &str, since: Duration) -> bool {
-        self.signals.now(now, hall).lost <= self.rules.sound_loses
-            && self.signals.merged(now, hall, &self.rules) == Shows::Well
-            && self.signals.is_served(now, hall, since, &self.rules)
-    }
-
-    /// Ways between two halls that are cut, though each is there: only who loses by it leaves.
-    fn ways(
-        &mut self,
-        now: Duration,
-        world: &World,
-        next: &mut Places,
-        moves: &mut Vec<Moved>,
-        wants: &mut Vec<Wants>,
-    ) {
-        if world.frozen || !self.rules.automatic {
-            return;
-        }
-        let back: Vec<(String, String)> = next
-            .cut
-            .iter()
-            .flat_map(|(from, cut)| cut.keys().map(move |to| (from.clone(), to.clone())))
-            .collect();
-        for (from, to) in back {
-            let (at, times) = *self.cuts.entry((from.clone(), to.clone())).or_insert((now, 1));
-            if now < at + self.rest(times) {
-                continue;
-            }
-            self.probe(now, &from, &to, world, wants);
-            let there = self.callers(world, &to).get(&from[..]).map_or(0, Vec::len);
-            let probes = self.probes.get(&(from.clone(), to.clone()));
-            let good = probes.and_then(|probes| probes.good(self.rules.probes_good as usize, there.min(2)));
-            if good.is_some() || there == 0 {
-                if let Some(cut) = next.cut.get_mut(&from) {
-                    cut.remove(&to);
-                }
-                let (hall, why) = (format!("{from}>{to}"), "probes are answered".to_owned());
-                moves.push(Moved { hall, from: State::Left, to: State::Serving, why });
-            }
-        }
-        next.cut.retain(|_, cut| !cut.is_empty());
-        for to in self.halls(world) {
-            let ill = self.since.get(&to).and_then(|since| since.ill);
-            let Some(ill) = ill.filter(|ill| now >= *ill + OTHERS_WITHIN) else { continue };
-            if next.state(&to) != State::Serving {
-                continue;
-            }
-            let shows: Vec<(String, Shows, Duration)> = self
-                .signals
-                .of(now, &to, &self.rules)
-                .map(|(from, shows, at)| (from.to_owned(), shows, at))
-                .collect();
-            let well = |(_, shows, at): &(String, Shows, Duration)| {
-                *shows == Shows::Well && *at >= ill + SAID_SINCE
-            };
-            let others = self
-                .halls(world)
-                .into_iter()
-                .filter(|other| *other != to && tier_of(other) == tier_of(&to))
-                .filter(|other| next.state(other) == State::Serving);
-            let sound = others.into_iter().any(|other| self.is_sound(now, &other, ill + SAID_SINCE));
-            if !sound || !shows.iter().any(well) {
-                continue;
-            }
-            let callers = self.callers(world, &to);
-            for (from, shows, _) in &shows {
-                let dark = matches!(shows, Shows::Dark | Shows::Failing);
-                let there = callers.get(&from[..]).map_or(0, Vec::len);
-                let witnesses = self.signals.witnesses(now, &to, Some(from));
-                let enough = witnesses.losing as usize >= (self.rules.witnesses as usize).min(there.max(1));
-                let since = ill + SAID_SINCE;
-                let elsewhere = self.signals.is_served_elsewhere(now, from, &to, since, &self.rules);
-                if !dark || !enough || !elsewhere || next.is_cut(from, &to) {
-                    continue;
-                }
-                let why = format!(
-                    "lost to {} of {} sidecars of {from}, and there for others",
-                    witnesses.losing, witnesses.all
-                );
-                next.cut.entry(from.clone()).or_default().insert(to.clone(), why.clone());
-                let hall = format!("{from}>{to}");
-                moves.push(Moved { hall, from: State::Serving, to: State::Left, why });
-            }
-        }
-    }
-
-    /// Has a hall that is left probed, by a few whose turn it is: of one hall, or of all.
-    fn probe(&mut self, now: Duration, from: &str, to: &str, world: &World, wants: &mut Vec<Wants>) {
-        let probes = self.probes.entry((from.to_owned(), to.to_owned())).or_default();
-        if now < probes.next {
-            return;
-        }
-        let apart = Duration::from_secs_f64(f64::from(PROBES_EACH) / self.rules.probes);
-        // Once it answers, whether it goes on to is seen soon.
-        let answers = probes.last.last() == Some(&true);
-        probes.next = now + if answers { apart / ANSWERING } else { apart };
-        let callers = self.callers(world, to);
-        let halls: Vec<&Vec<&String>> = callers
-            .iter()
-            .filter(|(hall, _)| from.is_empty() || **hall == from)
-            .map(|(_, names)| names)
-            .collect();
-        let Some(names) = halls.get(world.turn as usize % halls.len().max(1)) else { return };
-        for name in turn(names, world.turn / halls.len() as u64, 1) {
-            wants.push(Wants::Probe(name.to_string(), to.to_owned(), PROBES_EACH));
-        }
-    }
-
     /// A hall stands so from now on, in what is to be decided.
     fn put(&self, now: Duration, places: &mut Places, hall: &str, state: State, why: &str, by_hand: bool) {
         let seen = self.signals.now(now, hall);
@@ -756,43 +571,13 @@
     }
 }
 
-impl Probes {
-    fn saw(&mut self, name: &str, there: u32, not_there: u32, most: usize) {
-        let new = std::iter::repeat_n(true, there.min(16) as usize)
-            .chain(std::iter::repeat_n(false, not_there.min(16) as usize));
-        self.last.extend(new);
-        let over = self.last.len().saturating_sub(most);
-        self.last.drain(..over);
-        if there > 0 {
-            self.by.insert(name.to_owned());
-        }
-    }
-
-    /// Whether enough of the last are answered, by enough sidecars: how many of how many.
-    fn good(&self, wanted: usize, sidecars: usize) -> Option<(usize, usize)> {
-        let there = self.last.iter().filter(|there| **there).count();
-        // A hall of which less than two fifths answer is not back yet.
-        let enough = there >= wanted && there * 5 >= self.last.len() * 2;
-        // The newest ones answer: what was lost before it came back speaks no more.
-        let newest = self.last.iter().rev().take(wanted).filter(|there| **there).count();
-        (enough && newest * 5 >= wanted * 2 && self.by.len() >= sidecars.max(1))
-            .then_some((there, self.last.len()))
-    }
-
-    /// The part of the last ones that is answered.
-    fn answered(&self) -> f64 {
-        let there = self.last.iter().filter(|there| **there).count();
-        there as f64 / self.last.len().max(1) as f64
+impl Step {
+    fn saw(&mut self, calls: &Calls) {
+        self.served += calls.served;
+        self.lost += calls.lost();
+        self.full += calls.full;
+        self.error += calls.error;
+        self.took_ms += calls.took_ms;
+        self.usual_ms += calls.usual_ms;
     }
 }
-
-/// So many of these whose turn it is.
-fn turn<'a>(names: &'a [&'a String], turn: u64, count: usize) -> impl Iterator<Item = &'a String> {
-    let begin = (turn as usize).wrapping_mul(count) % names.len().max(1);
-    names.iter().copied().cycle().skip(begin).take(count.min(names.len()))
-}
-
-fn median(mut all: Vec<f64>) -> Option<f64> {
-    all.sort_by(f64::total_cmp);
-    all.get(all.len() / 2).copied()
-}
--- a/crates/locality/tests/machine.rs
+++ b/crates/locality/tests/machine.rs
@@ -252,6 +252,31 @@
     assert_eq!((together, fleet.state("b1"), fleet.state("b2")), (1, State::Serving, State::Serving));
 }
 
+#[test]
+fn a_hall_that_only_the_keepers_lost_is_served_again_at_once_when_they_hear_of_it() {
+    for seed in 0..5 {
+        let mut fleet = three(20 + seed);
+        // b and its sidecars are cut off from all others.
+        (fleet.unheard, fleet.deaf) = (vec!["b"], vec!["b"]);
+        for to in HALLS {
+            let _ = (fleet.ways.insert((to, "b"), Way::Silent), fleet.ways.insert(("b", to), Way::Silent));
+        }
+        fleet.ways.insert(("b", "b"), Way::Well);
+        fleet.run(SECOND * 6);
+        assert_eq!(fleet.state("b"), State::Left, "seed {seed}");
+        fleet.unheard.clear();
+        fleet.ways.clear();
+        let from = fleet.now;
+        fleet.run(MS * 500);
+        fleet.deaf.clear();
+        fleet.run(SECOND * 2);
+        let after = fleet.after(from, "b", served);
+        assert!(after.is_some_and(|after| after < SECOND), "seed {seed}: {after:?}: {:?}", fleet.moves);
+        let steps = fleet.moves.iter().filter(|(_, moved)| matches!(moved.to, State::Returning(_))).count();
+        assert_eq!(steps, 0, "seed {seed}: it is warm");
+    }
+}
+
 #[test]
 fn a_tier_of_a_hall_is_left_without_the_others_of_it() {
     let all = ["a/1", "b/1", "c/1"];
--- a/crates/locality/tests/support/mod.rs
+++ b/crates/locality/tests/support/mod.rs
@@ -46,6 +46,10 @@
     pub ways: BTreeMap<(&'static str, &'static str), Way>,
     /// Those who say that all is lost, whatever is.
     pub liars: Vec<String>,
+    /// Halls whose sidecars are cut off from the keepers: they tell nothing ...
+    pub unheard: Vec<&'static str>,
+    /// ... and hear of no move, and go on as before.
+    pub deaf: Vec<&'static str>,
     pub world: World,
     pub moves: Vec<(Duration, Moved)>,
     pub probes: u32,
@@ -67,7 +71,7 @@
                 sidecars.push((name, *hall, TELLS.mul_f64(draws.random()), 0, Duration::ZERO));
             }
         }
-        let (now, deep, ways, liars, moves, probes, deciding, probed) = Default::default();
+        let (now, deep, ways, liars, unheard, deaf, moves, probes, deciding, probed) = Default::default();
         let (halls, machine) = (halls.to_vec(), Machine::new(rules));
         let (own, others) = (24.0, 3.0);
         Fleet {
@@ -80,6 +84,8 @@
             others,
             ways,
             liars,
+            unheard,
+            deaf,
             world,
             moves,
             probes,
@@ -147,6 +153,7 @@
             let at_home = hall_of(to) == hall;
             let wanted = if at_home { self.own } else { self.others };
             let may = match self.state(to) {
+                _ if self.deaf.contains(&hall) => wanted,
                 State::Serving => wanted,
                 State::Leaving(part) => wanted * part,
                 State::Left => 0.0,
@@ -168,8 +175,11 @@
         }
         let one = &mut self.sidecars[n];
         (one.2, one.3, one.4) = (self.now + TELLS, one.3 + 1, self.now);
-        let digest = Digest { sequence: one.3, hall: hall.to_owned(), over_ms: 250, rows };
-        self.machine.saw(self.now, &name, &digest);
+        let at_ms = self.now.as_millis() as u64;
+        let digest = Digest { sequence: one.3, at_ms, hall: hall.to_owned(), over_ms: 250, rows };
+        if !self.unheard.contains(&hall) {
+            self.machine.saw(self.now, &name, &digest);
+        }
     }
 
     fn each(&self, hall: &str) -> f64 {
--- a/crates/rig/src/fleet.rs
+++ b/crates/rig/src/fleet.rs
@@ -67,6 +67,13 @@
         let mut key = toml::Table::new();
         key.insert("number".to_owned(), 1.into());
         key.insert("file".to_owned(), "{shared}/fleet.key".into());
+        // One region alone says nothing of which halls fail together.
+        let mut regions = toml::Table::new();
+        for (hall, region) in halls.iter().filter(|_| self.regions.len() > 1) {
+            let named = regions.entry(region.clone()).or_insert_with(|| toml::Value::Array(Vec::new()));
+            named.as_array_mut().into_iter().for_each(|names| names.push(hall.clone().into()));
+        }
+        let places = toml::Table::from_iter([("regions".to_owned(), toml::Value::from(regions))]);
         for group in &mut self.sidecars {
             group.ports.insert(PORT.to_owned(), Transport::Both);
             let mut part = toml::Table::new();
@@ -75,6 +82,7 @@
             part.insert("key".to_owned(), key.clone().into());
             part.insert("keepers".to_owned(), keepers("link"));
             part.insert("peers".to_owned(), format!("{{peers.{}.{PORT}}}", group.name).into());
+            part.insert("places".to_owned(), places.clone().into());
             crate::texts::lay_over(&mut part, &fleet.sidecars);
             let own =
                 group.config.remove("fleet").and_then(|own| own.as_table().cloned()).unwrap_or_default();
@@ -90,6 +98,7 @@
             }
             table.insert("key".to_owned(), key.clone().into());
             table.insert("keepers".to_owned(), keepers("reach"));
+            table.insert("places".to_owned(), places.clone().into());
             crate::texts::lay_over(&mut table, over);
             toml::to_string(&table).map_err(|e| format!("fleet: {e}"))
         };
