Let what was for home cross where the own hall is closed

All refusals came from the lost hall's own sidecars, after 1.15 s of holding, while endpoints elsewhere answered in 60 ms: late answers had cut their far window to its floor of one call, and those at home elsewhere may have out their own floor and the far one.

Ruled out: a larger far window at the move (it fell to its floor within half a second: same refusals).

What may be out in all may cross where the own zone is closed by a fleet's right; without a fleet nothing changes.

--- a/crates/balance/src/balance/choice.rs
+++ b/crates/balance/src/balance/choice.rs
@@ -32,7 +32,9 @@
         let spared = self.windows[side].size > 1.0 || out == 0 || FLOOR_CALLS * self.part() >= 1.0;
         // What may cross may stay at home as well: else a crossing would only move load, at a price.
         let lent = if self.pools[3].is_empty() { 0.0 } else { far.size };
-        let (used, size) = if side > 0 { (far.out, far.size) } else { (out, own.size + lent) };
+        // Where the own zone is closed, what was for home may cross: else others would get twice as much.
+        let away = if self.zones.is_open(self.settings.zone) { 0.0 } else { own.size };
+        let (used, size) = if side > 0 { (far.out, far.size + away) } else { (out, own.size + lent) };
         let fits = f64::from(used) < size * self.share * part;
         self.settings.tier > 0 || (fits && spared)
     }
--- a/crates/balance/src/balance/facts.rs
+++ b/crates/balance/src/balance/facts.rs
@@ -1,8 +1,9 @@
 //! What others may ask of a balancer, and what goes from one to another. Decides nothing.
 
 use super::{Balancer, RETRY_SAVED};
-use crate::types::{CellId, EndpointId, ZoneId};
+use crate::types::{CellId, EndpointId, EndpointState, ZoneId};
 use serde::{Deserialize, Serialize};
+use std::time::Duration;
 
 /// What goes along with a share that is given.
 #[derive(Clone, Copy, Debug, Deserialize, PartialEq, Serialize)]
@@ -32,6 +33,17 @@
         self.index.get(&id).map(|&i| (self.endpoints[i].info.zone, self.endpoints[i].info.cell))
     }
 
+    /// How many listed endpoints it avoids now: out of use by hand, leaving, or barred by failures alone.
+    pub fn avoided(&self, now: Duration) -> usize {
+        let avoided = |&i: &usize| {
+            let endpoint = &self.endpoints[i];
+            let heat = (endpoint.heat(now) - self.common_heat).max(0.0);
+            let listed = endpoint.info.state != EndpointState::Gone;
+            listed && (!endpoint.is_ready() || heat + 1.0 > self.room(now, i))
+        };
+        (0..self.endpoints.len()).filter(avoided).count()
+    }
+
     /// The share that this balancer may use, 0 to 1.
     pub fn share(&self) -> f64 {
         self.share
--- a/crates/balance/src/balance/members.rs
+++ b/crates/balance/src/balance/members.rs
@@ -132,17 +132,6 @@
         (PART_CALLERS / f64::from(self.settings.balancers)).min(1.0)
     }
 
-    /// How many listed endpoints it avoids now: out of use by hand, leaving, or barred by failures alone.
-    pub fn avoided(&self, now: Duration) -> usize {
-        let avoided = |&i: &usize| {
-            let endpoint = &self.endpoints[i];
-            let heat = (endpoint.heat(now) - self.common_heat).max(0.0);
-            let listed = endpoint.info.state != EndpointState::Gone;
-            listed && (!endpoint.is_ready() || heat + 1.0 > self.room(now, i))
-        };
-        (0..self.endpoints.len()).filter(avoided).count()
-    }
-
     /// All balancers see the endpoints of a zone on the same ring; each begins at a place of its own, by the
     /// golden ratio: so parts cover it evenly, also for those of one zone, however they are numbered. The own
     /// zone's endpoints are parted among its own callers: what all balancers would leave of it is soon full.
--- a/crates/balance/tests/zones.rs
+++ b/crates/balance/tests/zones.rs
@@ -37,6 +37,26 @@
     }
 }
 
+#[test]
+fn where_its_own_zone_is_closed_as_much_may_cross_as_could_be_out_in_all() {
+    // One of a dozen balancers, whose windows have fallen to the floor, as all answers were late.
+    let out = |closed: bool| {
+        let settings = Settings { balancers: 12, zones: 3, zone: ZoneId(0), ..with_class(Semantics::Safe) };
+        let mut driver = Driver::new(settings, three_zones());
+        for _ in 0..200 {
+            let (id, _) = driver.request(ms(2000));
+            driver.end(id, Outcome::Ok, ms(1000));
+            driver.advance(ms(5));
+        }
+        if closed {
+            driver.feed(rights(ZoneRight::Closed));
+        }
+        (0..20).map(|_| sends(&driver.request(ms(2000)).1).len()).sum::<usize>()
+    };
+    let (open, closed) = (out(false), out(true));
+    assert!(open > 0 && closed >= open, "{closed} with its own zone closed, {open} with it open");
+}
+
 #[test]
 fn what_is_out_to_a_dark_zone_goes_on_as_its_class_permits() {
     let keyed = Semantics::Keyed { group: Group::Zone, window: ms(6000) };
