Check client, drain, address and window as the first byte goes; linger at each close

(1) The check behind a connect looked at bans alone (`barred`, outbound.rs): a request that waited for a dial went to an endpoint that had been told to drain, had left the list or had moved. (2) Where settings forbid cancelling, nothing stopped an attempt that was still being dialled for a client that had left (`gone`, driver.rs, leaves it to `Action::Cancel`). (3) A keyed repeat's window was looked at as it was decided, and not as it went out.

Change: what an attempt needs is asked of `Outbound::doors` and `Terms` by the socket itself right before the first byte, and waited for while it is dialled; what is withdrawn ends as moot, is chosen anew and is no retry. A client's leaving is a value that the connection sets, ahead of any queue. A client's connection is one enum with one `step`; it closes by half-closing and reading on for 1 s or 256 KiB, and whoever wants room ends the oldest that only linger. What lies unread as a connection is to be closed is served as its last.

--- a/crates/balance/src/balance.rs
+++ b/crates/balance/src/balance.rs
@@ -172,7 +172,6 @@
     stale: f64,
     reaped_after: Duration,
     ask_failures: u32,
-    /// When discovery was last asked.
     asked: Duration,
     /// Since when discovery has failed.
     list_old: Option<Duration>,
--- a/crates/balance/src/balance/attempts.rs
+++ b/crates/balance/src/balance/attempts.rs
@@ -225,8 +225,10 @@
             self.finish(id, out);
         }
         let idle = self.requests.get(&id).is_some_and(|p| !p.settled() && p.none_out());
-        if idle && self.retry_tokens >= 1.0 && self.may_repeat(now, id) {
-            self.retry_tokens -= 1.0;
+        // What was withdrawn before its first byte is chosen anew, and no retry.
+        let cost = f64::from(u8::from(ended.outcome != Outcome::Moot));
+        if idle && self.retry_tokens >= cost && self.may_repeat(now, id) {
+            self.retry_tokens -= cost;
             self.advance(now, id, out);
         } else if idle {
             self.give_up(id, out);
--- a/crates/balance/src/balance/facts.rs
+++ b/crates/balance/src/balance/facts.rs
@@ -1,7 +1,7 @@
 //! What others may ask of a balancer, and what goes from one to another. Decides nothing.
 
-use super::{Balancer, RETRY_SAVED};
-use crate::types::{CellId, EndpointId, EndpointState, ZoneId};
+use super::{Balancer, Fate, RETRY_SAVED};
+use crate::types::{CellId, EndpointId, EndpointState, RequestId, Semantics, ZoneId};
 use serde::{Deserialize, Serialize};
 use std::time::Duration;
 
@@ -33,6 +33,19 @@
         self.index.get(&id).map(|&i| (self.endpoints[i].info.zone, self.endpoints[i].info.cell))
     }
 
+    /// Until when the newest attempt of a request may begin: a keyed job that may have run before is repeated
+    /// within its window. None where nothing bounds it.
+    pub fn repeats_until(&self, id: RequestId) -> Option<Duration> {
+        let pending = self.requests.get(&id)?;
+        let Semantics::Keyed { window, .. } = self.settings.classes[pending.class].semantics else {
+            return None;
+        };
+        let (_newest, before) = pending.attempts.split_last()?;
+        let own = before.iter().find(|attempt| attempt.fate != Fate::NeverRan).map(|attempt| attempt.sent);
+        let first = pending.earlier.map(|earlier| earlier.sent).or(own)?;
+        Some(first + window)
+    }
+
     /// How many listed endpoints it avoids now: out of use by hand, leaving, or barred by failures alone.
     pub fn avoided(&self, now: Duration) -> usize {
         let avoided = |&i: &usize| {
--- a/crates/balance/src/balance/members.rs
+++ b/crates/balance/src/balance/members.rs
@@ -9,13 +9,13 @@
 const PART_LEAST: f64 = 4.0;
 /// Step from one balancer's place on the ring to the next one's: the golden ratio spaces any run evenly.
 const PLACE_STEP: f64 = 0.618_033_988_75;
-/// First wait before discovery is asked again after a failure, in seconds, from when it was asked; doubles so often
-/// at most, as with a call behind it a drain has to be known 6 s after it could be. The least lets callers spread.
+/// First wait before discovery is asked again, in seconds from when it was; doubles so often at most: with a
+/// call behind it a drain has to be known 6 s after it could be. The least lets callers spread.
 const ASK_BACKOFF: f64 = 0.5;
 const ASK_DOUBLES: u32 = 1;
 const ASK_LEAST: f64 = 0.15;
-/// The first call is spread over an eighth of the time in which to ask, or of this: some seconds are left for it.
-const START_MOST: Duration = Duration::from_secs(12);
+/// The first call is spread over an eighth of the time in which to ask, or of this: time is left for it.
+const ASK_FIRST: Duration = Duration::from_secs(12);
 
 impl Balancer {
     pub(super) fn on_membership(&mut self, now: Duration, news: Membership, out: &mut Vec<Action>) {
@@ -43,8 +43,7 @@
         }
         if ask && !self.started {
             // All may start at once, and discovery answers them one after another.
-            let most = self.settings.rules.ask_within.min(START_MOST);
-            let wait = most.mul_f64(self.draws.uniform() / 8.0);
+            let wait = self.settings.rules.ask_within.min(ASK_FIRST).mul_f64(self.draws.uniform() / 8.0);
             self.set_timer(wait, Timer::Ask, out);
         } else {
             self.ask_failures = 0;
--- /dev/null
+++ b/crates/curlewhub/tests/crossings/gone.rs
@@ -0,0 +1,173 @@
+//! What an attempt waits for, and what is told meanwhile: its client leaves, its endpoint drains, is taken out of use
+//! or moves, its window for repeats passes. Nothing begins after that, whatever the settings allow to be cancelled.
+
+use super::support::script::*;
+use super::support::*;
+use serde_json::{Value, json};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// An attempt that is let through by mistake begins within this of its door's opening: the dial's next try and a
+/// margin.
+const LATE: Duration = Duration::from_millis(3500);
+
+/// How a client leaves.
+#[derive(Clone, Copy, Debug)]
+enum Leaves {
+    Closes,
+    Resets,
+    HalfCloses,
+    ClosesBehindMore,
+}
+
+const LEAVES: [Leaves; 4] = [Leaves::Closes, Leaves::Resets, Leaves::HalfCloses, Leaves::ClosesBehindMore];
+
+fn leave(mut client: Wire, how: Leaves) -> Option<Wire> {
+    match how {
+        Leaves::Closes => drop(client),
+        Leaves::Resets => client.reset(),
+        // The page knows no client that ends its sending and waits: its end is its leaving.
+        Leaves::HalfCloses => {
+            client.half_close();
+            return Some(client);
+        }
+        Leaves::ClosesBehindMore => {
+            client.write("GET /quote/y HTTP/1.1\r\n");
+            drop(client);
+        }
+    }
+    None
+}
+
+/// A sidecar of one endpoint that takes long to dial, started so that it says what it does.
+fn dialling(door: SocketAddr, change: impl FnOnce(&mut Value)) -> Sidecar {
+    let mut config = operated(&[]);
+    config["known"] = list(7, true, &[target("s-0", door, "up")]);
+    config["settings"]["limits"]["connectTimeoutMs"] = json!(8000.0);
+    change(&mut config);
+    Sidecar::start_with(&config, "RUST_LOG=debug")
+}
+
+/// A client whose request waits for its endpoint's connection.
+fn waiting(sidecar: &Sidecar, class: &str) -> Wire {
+    let mut client = Wire::connect(sidecar.address);
+    client.write(&request(class, "r1", "10000m"));
+    sidecar.says(" class=");
+    client
+}
+
+#[test]
+fn nothing_begins_for_a_client_that_left_while_its_connection_was_dialled() {
+    std::thread::scope(|scope| {
+        for (how, cancelling) in LEAVES.into_iter().flat_map(|how| [(how, true), (how, false)]) {
+            scope.spawn(move || {
+                let door = SlowDoor::shut();
+                let sidecar = dialling(door.address, |config| {
+                    config["settings"]["limits"]["cancelling"] = json!(cancelling);
+                });
+                let _open = leave(waiting(&sidecar, "quote"), how);
+                wait_for("its leaving", || sidecar.figure("inflight") == 0);
+                let stage = door.open();
+                assert!(stage.hears_nothing(LATE), "{how:?}, cancelling {cancelling}");
+            });
+        }
+    });
+}
+
+#[test]
+fn nothing_begins_for_a_client_that_left_while_there_was_no_endpoint() {
+    for how in LEAVES {
+        let (stage, endpoint) = (Stage::new(), Stage::new());
+        let mut config = operated(&[]);
+        config["discovery"] = json!(stage.address.to_string());
+        config["settings"]["limits"]["cancelling"] = json!(false);
+        let sidecar = Sidecar::start_with(&config, "RUST_LOG=debug");
+        let (mut watch, _) = stage.request();
+        let _open = leave(waiting(&sidecar, "quote"), how);
+        wait_for("its leaving", || sidecar.figure("inflight") == 0);
+        watch.write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+        watch.chunk(&format!("{}\n", list(8, false, &[target("s-0", endpoint.address, "up")])));
+        wait_for("the endpoint", || sidecar.figure("hosts_listed") == 1);
+        assert!(endpoint.hears_nothing(Duration::from_millis(300)), "{how:?}");
+    }
+}
+
+/// What is told of the endpoint while it is dialled.
+#[derive(Clone, Copy, Debug)]
+enum Told {
+    Drains,
+    Leaves,
+    Moves,
+    IsMissing,
+    IsBanned,
+}
+
+#[test]
+fn nothing_begins_at_an_endpoint_that_may_not_be_sent_to_any_more_as_its_connection_comes_up() {
+    use Told::*;
+    std::thread::scope(|scope| {
+        for (told, class) in [Drains, Leaves, Moves, IsMissing, IsBanned]
+            .into_iter()
+            .flat_map(|told| [(told, "quote"), (told, "book")])
+        {
+            scope.spawn(move || {
+                let (door, other, stage) = (SlowDoor::shut(), Peer::serving("ok"), Stage::new());
+                let address = door.address;
+                let sidecar =
+                    dialling(address, |config| config["discovery"] = json!(stage.address.to_string()));
+                let (mut watch, _) = stage.request();
+                watch.write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+                let mut client = waiting(&sidecar, class);
+                let there = target("s-1", other.address, "up");
+                let line = match told {
+                    Drains => list(8, false, &[there, target("s-0", address, "draining")]),
+                    Leaves => list(8, false, &[there, target("s-0", address, "removed")]),
+                    Moves => list(8, false, &[target("s-0", other.address, "up")]),
+                    IsMissing => list(8, true, &[there]),
+                    IsBanned => list(8, false, &[there]),
+                };
+                watch.chunk(&format!("{line}\n"));
+                sidecar.says("rev=8 ");
+                if let IsBanned = told {
+                    wait_for("the other one", || sidecar.figure("hosts_listed") == 2);
+                    assert_eq!(sidecar.call("DETACH s-0"), "YES\n");
+                }
+                assert!(door.open().hears_nothing(LATE), "{told:?}, {class}");
+                // It never ran there, so any class goes on elsewhere.
+                let answer = client.read().expect("an answer");
+                assert_eq!((answer.status(), &answer.body[..]), (200, &b"ok"[..]), "{told:?}, {class}");
+            });
+        }
+    });
+}
+
+#[test]
+fn a_repeat_of_a_keyed_job_begins_in_its_window_or_not_at_all() {
+    let (first, door) = (Stage::new(), SlowDoor::shut());
+    // Two endpoints: whichever is chosen first for a job, one of them breaks off under it.
+    let sidecar = dialling(first.address, |config| {
+        config["settings"]["classes"][2]["repeatWindowMs"] = json!(400.0);
+        config["known"] =
+            list(7, true, &[target("s-0", first.address, "up"), target("s-1", door.address, "up")]);
+    });
+    let mut jobs = Vec::new();
+    let cut = loop {
+        let mut client = Wire::connect(sidecar.address);
+        client.write(&request("pay", &format!("j{}", jobs.len()), "9000m"));
+        jobs.push(client);
+        // A job that went to the one that is being dialled waits there.
+        if let Some(mut wire) = first.take_within(Duration::from_millis(500)) {
+            assert!(wire.read().is_some());
+            break wire;
+        }
+    };
+    cut.reset();
+    std::thread::sleep(Duration::from_millis(450)); // the window
+    // Its repeat goes to the other one, whose connection is not up within the window.
+    let mut last = jobs.pop().expect("the job that was cut off");
+    drop(jobs);
+    wait_for("the others' leaving", || sidecar.figure("inflight") <= 1);
+    assert!(door.open().hears_nothing(LATE));
+    let answer = last.read().expect("an answer");
+    assert!(matches!(answer.status(), 502 | 503), "it may not be repeated: {}", answer.first_line);
+}
--- a/crates/curlewhub/tests/crossings/main.rs
+++ b/crates/curlewhub/tests/crossings/main.rs
@@ -4,4 +4,6 @@
 #[path = "../support/mod.rs"]
 mod support;
 
+mod closing;
 mod discovery;
+mod gone;
--- a/crates/curlewhub/tests/support/mod.rs
+++ b/crates/curlewhub/tests/support/mod.rs
@@ -300,11 +300,14 @@
 
 /// One that is never given up between the choice of its port and its use.
 fn listener_of_its_own() -> TcpListener {
+    TcpListener::bind((ip_of_its_own(), 0)).unwrap()
+}
+
+fn ip_of_its_own() -> std::net::IpAddr {
     static GIVEN: AtomicUsize = AtomicUsize::new(0);
     let (process, number) = (std::process::id() as usize, GIVEN.fetch_add(1, Ordering::SeqCst));
     let part = |number: usize| 1 + (number % 250) as u8;
-    let ip = [127, part(process / 250), part(process), part(number)];
-    TcpListener::bind((std::net::IpAddr::from(ip), 0)).unwrap()
+    [127, part(process / 250), part(process), part(number)].into()
 }
 
 /// A configuration for these endpoints, with discovery out of reach.
--- a/crates/curlewhub/tests/support/script.rs
+++ b/crates/curlewhub/tests/support/script.rs
@@ -1,8 +1,8 @@
 //! A peer of which the test does each step itself: it takes a connection, reads, writes, pauses, half-closes or
 //! resets when it says so. So two events are put in either order by the test, and never by a sleep.
 
-use super::{Message, PATIENCE, listener_of_its_own};
-use socket2::SockRef;
+use super::{Message, PATIENCE, ip_of_its_own, listener_of_its_own};
+use socket2::{Domain, SockRef, Socket, Type};
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::time::{Duration, Instant};
@@ -103,7 +103,12 @@
     }
 
     pub fn write(&mut self, text: &str) {
-        let _ = self.reader.get_mut().write_all(text.as_bytes());
+        let _ = self.try_write(text);
+    }
+
+    /// Whether the connection still took it.
+    pub fn try_write(&mut self, text: &str) -> bool {
+        self.reader.get_mut().write_all(text.as_bytes()).is_ok()
     }
 
     /// A chunk of a body that is sent in chunks.
@@ -129,7 +134,13 @@
             self.reader.get_ref().set_read_timeout(Some(left)).unwrap();
             let mut piece = [0; 4096];
             match self.reader.read(&mut piece) {
-                Ok(0) => return (all, End::Closed),
+                // A reset behind the end shows in no read any more.
+                Ok(0) => {
+                    std::thread::sleep(Duration::from_millis(50));
+                    let error = SockRef::from(self.reader.get_ref()).take_error();
+                    let reset = !matches!(error, Ok(None));
+                    return (all, if reset { End::Reset } else { End::Closed });
+                }
                 Ok(count) => all.extend_from_slice(&piece[..count]),
                 Err(e) if e.kind() == std::io::ErrorKind::ConnectionReset => return (all, End::Reset),
                 Err(_) if start.elapsed() >= time => return (all, End::Open),
@@ -149,3 +160,32 @@
         matches!(self.reader.fill_buf(), Ok(bytes) if !bytes.is_empty())
     }
 }
+
+/// An endpoint that takes long to dial: its queue is full until it is opened, and what came meanwhile comes up when
+/// the dialler's machine tries again, about a second after it began.
+pub struct SlowDoor {
+    pub address: SocketAddr,
+    listener: TcpListener,
+    filler: Vec<TcpStream>,
+}
+
+impl SlowDoor {
+    pub fn shut() -> SlowDoor {
+        let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+        socket.bind(&SocketAddr::from((ip_of_its_own(), 0)).into()).unwrap();
+        socket.listen(0).unwrap();
+        let address = socket.local_addr().unwrap().as_socket().unwrap();
+        let filler = vec![TcpStream::connect(address).unwrap()];
+        SlowDoor { address, listener: socket.into(), filler }
+    }
+
+    /// Whoever dials from now on, or is still dialling, comes up.
+    pub fn open(self) -> Stage {
+        for _ in &self.filler {
+            drop(self.listener.accept().unwrap());
+        }
+        let socket = Socket::from(self.listener);
+        socket.listen(64).unwrap();
+        Stage { address: self.address, listener: socket.into() }
+    }
+}
--- a/crates/runtime/src/driver.rs
+++ b/crates/runtime/src/driver.rs
@@ -4,12 +4,12 @@
 
 use super::bans::Bans;
 use super::clock::Clock;
-use super::events::{Answer, Arrival, Call, Command, Ended, Forward, Inbox, Input, News};
+use super::events::{Answer, Arrival, Call, Client, Command, Ended, Forward, Inbox, Input, News};
 use super::figures::Hosts;
 use super::keyed::Keyed;
 use super::lifecycle::{Lifecycle, State};
 use super::listing::Listing;
-use super::outbound::{Outbound, Progress};
+use super::outbound::{Outbound, Progress, Terms};
 use super::sharing::{Module, Sharing};
 use super::sight::Sight;
 use super::timers::Timers;
@@ -48,6 +48,7 @@
     coming: Option<Duration>,
     /// Gone once the request is finished: so there is never a second final answer.
     answer: Option<oneshot::Sender<Answer>>,
+    client: Client,
     tries: Vec<Try>,
     out: usize,
     class: ClassId,
@@ -95,6 +96,8 @@
     probes: usize,
     /// Their ids.
     banned: HashSet<EndpointId>,
+    /// Endpoints that are listed and drain.
+    draining: HashSet<EndpointId>,
     /// With the processes beside this one.
     sharing: Sharing,
     calls: UnboundedSender<Call>,
@@ -130,6 +133,7 @@
             sight,
             probes: 0,
             banned: HashSet::new(),
+            draining: HashSet::new(),
             sharing: Sharing::default(),
             calls,
             inbox,
@@ -275,12 +279,21 @@
         } else {
             self.banned.remove(&id);
         }
-        self.outbound.bar(id, on);
+        self.admit(id);
         self.handle(Event::Ban { endpoint: id, on });
     }
 
+    /// Something new may be written to it from now on where it is listed, does not drain and is not banned.
+    fn admit(&self, id: EndpointId) {
+        let open = !self.banned.contains(&id) && !self.draining.contains(&id);
+        self.outbound.admit(id, self.addresses.get(&id).copied().filter(|_| open));
+    }
+
     fn arrived(&mut self, arrival: Arrival) {
-        let Arrival { mut request, key, deadline, time, forward, answer } = arrival;
+        let Arrival { mut request, key, deadline, time, forward, answer, client } = arrival;
+        if client.has_gone() {
+            return self.count("client gone"); // while it waited to be looked at
+        }
         if let Some(key) = key {
             // The process beside this one may have been killed just now, and this be the repeat.
             if self.sharing.is_beside() && !self.keyed.knows(self.clock.now(), key) {
@@ -294,7 +307,7 @@
         let deadline = watch::Sender::new(deadline);
         let class = request.class;
         let (answer, tries, out, noted) = (Some(answer), Vec::new(), 0, false);
-        let open = Open { forward, deadline, coming, answer, tries, out, class, key, noted };
+        let open = Open { forward, deadline, coming, answer, client, tries, out, class, key, noted };
         self.requests.insert(request.id, open);
         self.sharing.came();
         self.handle(Event::Request(request));
@@ -387,6 +400,7 @@
                 self.outbound.close_idle(*id);
             }
         }
+        let named: Vec<EndpointId> = news.addresses.iter().map(|(id, _)| *id).collect();
         if let Membership::Full(entries) | Membership::Cached(entries) | Membership::Delta(entries) =
             &mut news.membership
         {
@@ -397,6 +411,12 @@
             Membership::Delta(entries) => (false, entries),
             Membership::Failed => return self.handle(Event::Membership(news.membership)),
         };
+        for entry in entries {
+            match entry.state {
+                EndpointState::Draining => self.draining.insert(entry.id),
+                EndpointState::Ready | EndpointState::Gone => self.draining.remove(&entry.id),
+            };
+        }
         for entry in entries.iter().filter(|entry| entry.state != EndpointState::Ready) {
             // Nothing new goes there.
             self.outbound.close_idle(entry.id);
@@ -413,10 +433,13 @@
                 let stays = listed.contains(id);
                 if !stays {
                     outbound.close_idle(*id);
+                    outbound.admit(*id, None);
                 }
                 stays
             });
+            self.draining.retain(|id| listed.contains(id));
         }
+        named.into_iter().for_each(|id| self.admit(id));
         self.listing.keep(|id| self.addresses.contains_key(&id) || self.banned.contains(&id));
         self.handle(Event::Membership(news.membership));
     }
@@ -492,7 +515,11 @@
 
     /// Starts an attempt. What must not be sent is numbered all the same, and ends as moot.
     fn send(&mut self, id: RequestId, endpoint: EndpointId, timeout: Duration) {
+        let repeats_until = self.balancer.repeats_until(id);
         let Some(open) = self.requests.get_mut(&id) else { return };
+        if open.client.has_gone() {
+            open.answer = None; // its leaving is still on its way here, behind what came before it
+        }
         let (now, attempt) = (Instant::now(), AttemptNo(open.tries.len() as u32));
         let address = self.addresses.get(&endpoint).copied().filter(|_| !self.banned.contains(&endpoint));
         let until = (*open.deadline.borrow()).min(now + timeout);
@@ -524,8 +551,10 @@
         let request = open.forward.request(address, open.coming.unwrap_or(until - now));
         let mut deadline = open.deadline.subscribe();
         let (outbound, inbox) = (self.outbound.clone(), self.inbox.clone());
+        let begin_by = repeats_until.map(|until| now + until.saturating_sub(self.clock.now()));
+        let terms = Terms { client: open.client.clone(), begin_by };
         spawn_local(async move {
-            let progress = Progress::new(true);
+            let progress = Progress::of_request(terms);
             let ended = tokio::select! {
                 biased;
                 _ = &mut cancelled => Ended::bare(Outcome::Cancelled),
--- a/crates/runtime/src/events.rs
+++ b/crates/runtime/src/events.rs
@@ -10,8 +10,11 @@
 use hyper::body::Bytes;
 use hyper::header::{self, HeaderName, HeaderValue};
 use hyper::{HeaderMap, Method, Request, Uri};
+use std::cell::Cell;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
+use tokio::sync::Notify;
 use tokio::sync::mpsc::UnboundedSender;
 use tokio::sync::oneshot;
 use tokio::time::Instant;
@@ -110,6 +113,39 @@
     pub forward: Forward,
     /// Where the final answer goes.
     pub answer: oneshot::Sender<Answer>,
+    /// Whether its client is still there.
+    pub client: Client,
+}
+
+/// Whether a request's client is still there. It is told the moment that the client's connection ends, ahead of any
+/// queue: nothing may begin for one that has gone.
+#[derive(Clone, Default)]
+pub struct Client(Rc<(Cell<bool>, Notify)>);
+
+impl Client {
+    /// It has gone; nothing undoes that.
+    pub fn leaves(&self) {
+        self.0.0.set(true);
+        self.0.1.notify_waiters();
+    }
+
+    /// Whether it has gone.
+    pub fn has_gone(&self) -> bool {
+        self.0.0.get()
+    }
+
+    /// Waits until it has gone.
+    pub async fn gone(&self) {
+        loop {
+            // Registered before the look, so that its leaving does not fall between the two.
+            let mut gone = std::pin::pin!(self.0.1.notified());
+            gone.as_mut().enable();
+            if self.has_gone() {
+                return;
+            }
+            gone.await;
+        }
+    }
 }
 
 /// A request as it goes on to an endpoint.
--- a/crates/runtime/src/inbound/connection.rs
+++ b/crates/runtime/src/inbound/connection.rs
@@ -12,7 +12,8 @@
 use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
-use tokio::time::{Instant, sleep_until};
+use tokio::task::yield_now;
+use tokio::time::{Instant, sleep, sleep_until};
 
 /// A request's head must have come whole within this, counted from the connection's start or, later, from
 /// its first byte: a good client may take 2 s for it, and bad ones are owed an error or a close within 3 s.
@@ -25,54 +26,137 @@
 const TICK: Duration = Duration::from_millis(500);
 /// While draining, a connection on which nothing has come yet is closed after this.
 const FRESH_WAIT: Duration = Duration::from_millis(200);
+/// A connection that ends by our will is read on for this long, so that its client comes to read the last answer
+/// and to see the end: longer than any way there and back, and over well before an operator's drain is due (4 s
+/// after the call, of which `DRAIN_IDLE` has gone) or SIGKILL.
+const LINGER: Duration = Duration::from_secs(1);
+/// And no further than this, in bytes: several times what a client has on its way before it looks at its answer.
+const LINGER_MOST: usize = 4 * BUFFER_MOST;
 
-/// Where a client's connection stands.
+/// Where a client's connection stands, in the order in which it passes from one to the next.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(super) enum Stage {
+    /// No request has come whole yet.
+    Fresh,
+    /// A request is being served.
+    Serving {
+        /// When it began to come.
+        began: Instant,
+    },
+    /// Its answer is on its way to the client.
+    Answering,
+    /// Between requests since then; the next one may have begun to come.
+    Between {
+        /// Since when.
+        since: Instant,
+    },
+    /// It is closed between requests: what is left of the last answer goes out, and nothing more is taken.
+    Closing,
+    /// It has ended by our will or the client's: nothing that still comes is a request.
+    Lingering,
+}
+
+/// What moves a connection on.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(super) enum Step {
+    /// A request's head has come.
+    Taken,
+    /// Its answer is decided.
+    Decided,
+    /// Its answer has been given, or can't be.
+    Answered,
+    /// It is to close, with nothing of a request here.
+    Closes,
+    /// The connection ends.
+    Ended,
+}
+
+/// A client's connection.
 pub(super) struct Turn {
     pub(super) heard: Rc<Heard>,
-    pub(super) accepted: Instant,
-    /// A request is being read or answered.
-    pub(super) busy: Cell<bool>,
-    /// An answer is on its way to the client.
-    pub(super) writing: Cell<bool>,
-    /// When the last answer was given; none on a new connection.
-    pub(super) answered: Cell<Option<Instant>>,
+    accepted: Instant,
+    stage: Cell<Stage>,
     /// The next answer is the connection's last, and says so.
     pub(super) last: Cell<bool>,
     /// It was told to close to make room.
     pub(super) closing: Cell<bool>,
     /// Wakes the connection to close itself.
     pub(super) close: Notify,
+    /// Wakes it where it only lingers and its place is wanted.
+    pub(super) room: Notify,
 }
 
 impl Turn {
-    /// How long it has been between requests; none before the first.
+    fn new(heard: Rc<Heard>) -> Rc<Self> {
+        let (last, closing, close, room) = Default::default();
+        let (accepted, stage) = (Instant::now(), Cell::new(Stage::Fresh));
+        Rc::new(Turn { heard, accepted, stage, last, closing, close, room })
+    }
+
+    /// The only way from one stage to the next. What ended never begins again.
+    pub(super) fn step(&self, step: Step) {
+        let next = match (self.stage.get(), step) {
+            (Stage::Lingering, _) | (_, Step::Ended) => Stage::Lingering,
+            (_, Step::Closes) | (Stage::Closing, Step::Answered) => Stage::Closing,
+            (_, Step::Taken) => Stage::Serving { began: self.request_start() },
+            (_, Step::Decided) => Stage::Answering,
+            (_, Step::Answered) => Stage::Between { since: Instant::now() },
+        };
+        self.stage.set(next);
+    }
+
+    /// Begins to close it where it is between requests: its last answer may still be going out. Elsewhere nothing is.
+    fn closes(&self) -> bool {
+        let between = matches!(self.stage.get(), Stage::Between { .. } | Stage::Closing);
+        if between {
+            self.step(Step::Closes);
+        }
+        between
+    }
+
+    pub(super) fn stage(&self) -> Stage {
+        self.stage.get()
+    }
+
+    /// A request is being served or answered.
+    fn is_busy(&self) -> bool {
+        matches!(self.stage.get(), Stage::Serving { .. } | Stage::Answering)
+    }
+
+    /// How long it has been between requests, with nothing of the next one here; none before the first.
     pub(super) fn idle(&self) -> Option<Duration> {
-        self.answered
-            .get()
-            .filter(|_| !self.busy.get() && self.heard.began().is_none())
-            .map(|at| at.elapsed())
+        match self.stage.get() {
+            Stage::Between { since } if self.heard.began().is_none() => Some(since.elapsed()),
+            _ => None,
+        }
     }
 
-    /// How long it has been silent or in the middle of a request's head.
+    /// How long a new one has said nothing.
     pub(super) fn silent(&self) -> Option<Duration> {
-        let since = if self.answered.get().is_none() { Some(self.accepted) } else { self.heard.began() };
-        since.filter(|_| !self.busy.get()).map(|at| at.elapsed())
+        let fresh = self.stage.get() == Stage::Fresh && self.heard.began().is_none();
+        fresh.then(|| self.accepted.elapsed())
+    }
+
+    /// How long it has been in the middle of a request's head.
+    pub(super) fn partial(&self) -> Option<Duration> {
+        let waits = matches!(self.stage.get(), Stage::Fresh | Stage::Between { .. });
+        self.heard.began().filter(|_| waits).map(|at| at.elapsed())
     }
 
     /// When a request that has begun to come, or the first one, began.
     pub(super) fn request_start(&self) -> Instant {
-        match (self.answered.get(), self.heard.began()) {
-            (None, _) | (_, None) => self.accepted,
-            (Some(_), Some(began)) => began,
+        match (self.stage.get(), self.heard.began()) {
+            (Stage::Serving { began }, _) | (Stage::Between { .. }, Some(began)) => began,
+            _ => self.accepted,
         }
     }
 
     /// When it is closed unless something comes; none while a request is open.
     pub(super) fn until(&self) -> Option<Instant> {
-        match self.answered.get() {
-            _ if self.busy.get() => None,
-            Some(at) if self.heard.began().is_none() => Some(at + IDLE_MOST),
-            _ => Some(self.request_start() + HEAD_TIME),
+        match self.stage.get() {
+            Stage::Serving { .. } | Stage::Answering | Stage::Closing | Stage::Lingering => None,
+            Stage::Between { since } if self.heard.began().is_none() => Some(since + IDLE_MOST),
+            Stage::Fresh | Stage::Between { .. } => Some(self.request_start() + HEAD_TIME),
         }
     }
 }
@@ -81,16 +165,35 @@
     pub(super) async fn connection(self: Rc<Self>, stream: TcpStream, shed: bool, _permit: Option<Permit>) {
         let _ = stream.set_nodelay(true);
         let (socket, heard) = Socket::new(stream);
-        let (busy, writing, answered, last, closing, close) = Default::default();
-        let accepted = Instant::now();
-        let turn = Rc::new(Turn { heard, accepted, busy, writing, answered, last, closing, close });
+        let turn = Turn::new(heard);
         let number = self.next.get();
         self.next.set(number + 1);
         self.connections.borrow_mut().insert(number, turn.clone());
         self.follow(socket, shed, &turn).await;
+        turn.step(Step::Ended);
+        turn.closing.set(false);
+        // Whoever wants room may end this early; it holds its place in the budget until then.
+        tokio::select! {
+            biased;
+            () = turn.heard.linger(LINGER_MOST) => {}
+            () = turn.room.notified() => {}
+            () = sleep(LINGER) => {}
+        }
         self.connections.borrow_mut().remove(&number);
     }
 
+    /// Whether a connection that is to be closed can be: not where a request, or a part of one, came in the meantime
+    /// and lies unread. That one is served, as the connection's last.
+    fn is_over(&self, turn: &Turn) -> bool {
+        let unread = matches!(turn.stage(), Stage::Fresh | Stage::Between { .. })
+            && turn.heard.began().is_none()
+            && turn.heard.pending();
+        if unread {
+            turn.last.set(true);
+        }
+        !unread
+    }
+
     /// Serves a connection until its end.
     async fn follow(&self, socket: Socket, shed: bool, turn: &Rc<Turn>) {
         let service = service_fn(|request| self.answer(request, shed, turn));
@@ -113,28 +216,37 @@
                     return;
                 }
                 () = turn.close.notified() => {
-                    if turn.busy.get() {
+                    let drains = self.lifecycle.draining_since().is_some();
+                    if turn.is_busy() || (drains && turn.partial().is_some()) {
                         turn.last.set(true);
-                    } else if self.lifecycle.draining_since().is_some() && turn.answered.get().is_none() {
+                    } else if drains && turn.stage() == Stage::Fresh {
                         // The first request is as good as taken: to close now would lose what the
                         // client is just writing.
                         fresh_until.get_or_insert_with(|| Instant::now() + FRESH_WAIT);
-                    } else if turn.silent().is_some() {
-                        return;
+                    } else if self.is_over(turn) {
+                        if turn.closes() {
+                            connection.as_mut().graceful_shutdown();
+                        } else {
+                            return;
+                        }
                     } else {
-                        connection.as_mut().graceful_shutdown();
+                        yield_now().await;
                     }
                 }
                 () = sleep_until(until) => {
                     let now = Instant::now();
-                    if turn.writing.get() && turn.busy.get() && turn.heard.unwritten() >= UNREAD_MOST {
-                        return;
+                    let writes = matches!(turn.stage(), Stage::Answering | Stage::Closing);
+                    if writes && turn.heard.unwritten() >= UNREAD_MOST {
+                        return turn.heard.resets();
                     }
                     let unused = fresh_until.take_if(|at| *at <= now).is_some() && turn.heard.began().is_none();
                     if turn.until().is_some_and(|at| at <= now || unused) {
-                        match turn.silent() {
-                            Some(_) => return,
-                            None => connection.as_mut().graceful_shutdown(),
+                        if !self.is_over(turn) {
+                            yield_now().await; // what has come is still to be read: the sockets are looked at
+                        } else if turn.closes() {
+                            connection.as_mut().graceful_shutdown();
+                        } else {
+                            return;
                         }
                     }
                 }
--- a/crates/runtime/src/inbound/exchange.rs
+++ b/crates/runtime/src/inbound/exchange.rs
@@ -1,9 +1,9 @@
 //! One request and its answer on a client's connection.
 
 use super::Inbound;
-use super::connection::Turn;
+use super::connection::{Step, Turn};
 use super::request::{Bad, bad, drop_hop_headers, plain, spoilt};
-use crate::events::{Answer, Arrival, Forward, Inbox, Input};
+use crate::events::{Answer, Arrival, Client, Forward, Inbox, Input};
 use crate::figures::{Counted, Verdict};
 use crate::streaming::{AnswerBody, BODY_MOST, Came, Payload, Spoilt, Upload, take_in};
 use curlewhub_balance::RequestId;
@@ -46,12 +46,14 @@
 struct Waiting<'a> {
     inbox: &'a Inbox,
     id: RequestId,
+    client: Client,
     answered: bool,
 }
 
 impl Drop for Waiting<'_> {
     fn drop(&mut self) {
         if !self.answered {
+            self.client.leaves();
             let _ = self.inbox.send(Input::ClientGone(self.id));
         }
     }
@@ -78,6 +80,10 @@
             AnswerBody::Whole(bytes) => Poll::Ready(Some(Ok(Frame::data(std::mem::take(bytes))))),
             AnswerBody::Flow(flow) => {
                 let piece = ready!(flow.poll(cx));
+                if matches!(piece, Some(Err(_))) {
+                    // Where an answer has no length, only a reset tells its client that it is not whole.
+                    this.turn.heard.resets();
+                }
                 if flow.is_over()
                     && let Some(counted) = &mut this.counted
                 {
@@ -105,8 +111,7 @@
 
 impl Drop for Outgoing {
     fn drop(&mut self) {
-        self.turn.busy.set(false);
-        self.turn.answered.set(Some(Instant::now()));
+        self.turn.step(Step::Answered);
         self.turn.heard.forget();
     }
 }
@@ -120,8 +125,7 @@
         shed: bool,
         turn: &Rc<Turn>,
     ) -> Result<Response<Outgoing>, Infallible> {
-        turn.busy.set(true);
-        turn.writing.set(false);
+        turn.step(Step::Taken);
         let mut counted = None;
         // Who keeps a connection after the answer keeps it for 2 s at least: where those fill up, new
         // clients would find no room, while hardly anybody is being answered.
@@ -153,7 +157,7 @@
                 }
             }
         };
-        turn.writing.set(true);
+        turn.step(Step::Decided);
         if last || turn.last.get() || self.lifecycle.draining_since().is_some() {
             reply.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
         }
@@ -235,8 +239,10 @@
         let forward = Forward { method: head.method, uri, headers: head.headers, body };
         let within = time - ANSWER_MARGIN.min(time / 10);
         let deadline = came + if upload.is_some() { UPLOAD_MOST } else { within };
-        let arrival = Arrival { request, key, deadline, time: within, forward, answer };
-        let mut waiting = Waiting { inbox: &self.inbox, id, answered: false };
+        let client = Client::default();
+        let arrival =
+            Arrival { request, key, deadline, time: within, forward, answer, client: client.clone() };
+        let mut waiting = Waiting { inbox: &self.inbox, id, client, answered: false };
         let _ = self.inbox.send(Input::Arrived(Box::new(arrival)));
         let answer = match upload {
             // Where the module were to forget a request, its client would still be told in time.
--- a/crates/runtime/src/inbound/mod.rs
+++ b/crates/runtime/src/inbound/mod.rs
@@ -10,7 +10,7 @@
 use crate::handover::Handover;
 use crate::lifecycle::{Lifecycle, State};
 use crate::outbound::Outbound;
-use connection::Turn;
+use connection::{Stage, Turn};
 use curlewhub_balance::Settings;
 use curlewhub_config::Names;
 use hyper::header::HeaderValue;
@@ -147,8 +147,7 @@
             self.lifecycle.reaches(|state| state == State::Draining).await;
             if self.lifecycle.draining_since().is_some_and(|at| at.elapsed() >= DRAIN_IDLE) {
                 for turn in self.connections.borrow().values() {
-                    let fresh = turn.answered.get().is_none() && turn.silent().is_some();
-                    let between = turn.idle().is_some() || (fresh && turn.heard.began().is_none());
+                    let between = turn.idle().is_some() || turn.silent().is_some();
                     // What the kernel already holds of a request is answered first.
                     if between && !turn.heard.pending() {
                         turn.close.notify_one();
@@ -194,7 +193,9 @@
             if let Some(permit) = self.budget.take(Holder::Client) {
                 return Some(permit);
             }
-            if !self.make_room()
+            // Who lingers has had its answer, the oldest for the longest.
+            if !self.end_lingering()
+                && !self.make_room()
                 && let Some(permit) = self.budget.take(Holder::Shed)
             {
                 drop(permit);
@@ -204,12 +205,25 @@
         }
     }
 
-    /// Closes the connection that is missed least: who has been silent longest, else who has been idle
-    /// longest. Where there is none, somebody's next answer will be the connection's last. Whether one
+    /// Ends the oldest connection that only lingers; whether there is one.
+    fn end_lingering(&self) -> bool {
+        let connections = self.connections.borrow();
+        let lingers = |turn: &&Rc<Turn>| turn.stage() == Stage::Lingering && !turn.closing.get();
+        let oldest = connections.values().find(lingers);
+        oldest.inspect(|turn| {
+            turn.closing.set(true);
+            turn.room.notify_one();
+        });
+        oldest.is_some()
+    }
+
+    /// Closes the connection that is missed least: who has been silent longest, else who has been idle longest, else
+    /// who has been in the middle of a request's head for longest. Where there is none, somebody's next answer will be the connection's last. Whether one
     /// goes, or will as soon as its silence has lasted.
     fn make_room(&self) -> bool {
         let connections = self.connections.borrow();
-        let open = || connections.values().filter(|turn| !turn.closing.get());
+        let ends = |turn: &Rc<Turn>| matches!(turn.stage(), Stage::Closing | Stage::Lingering);
+        let open = || connections.values().filter(move |turn| !turn.closing.get() && !ends(turn));
         let silent = open().find(|turn| turn.silent().is_some());
         if silent.is_some_and(|turn| turn.silent().is_some_and(|time| time < SILENT_LEAST)) {
             return true;
@@ -218,7 +232,14 @@
             let idle = open().filter_map(|turn| Some((turn.idle()?, turn)));
             idle.filter(|(time, _)| *time >= IDLE_LEAST).max_by_key(|(time, _)| *time).map(|(_, turn)| turn)
         };
-        match silent.or_else(idle) {
+        let partial = || {
+            let partial = open().filter_map(|turn| Some((turn.partial()?, turn)));
+            partial
+                .filter(|(time, _)| *time >= SILENT_LEAST)
+                .max_by_key(|(time, _)| *time)
+                .map(|(_, turn)| turn)
+        };
+        match silent.or_else(idle).or_else(partial) {
             Some(turn) => {
                 turn.closing.set(true);
                 turn.close.notify_one();
--- a/crates/runtime/src/outbound.rs
+++ b/crates/runtime/src/outbound.rs
@@ -1,7 +1,7 @@
 //! Connections to endpoints: attempts and probes, and how they end.
 
 use super::budget::{Budget, Holder, Permit};
-use super::events::Ended;
+use super::events::{Client, Ended};
 use super::figures::Figures;
 use super::guard::Guard;
 use super::slots::{Slot, Slots};
@@ -15,7 +15,7 @@
 use hyper::{HeaderMap, Request, Response, StatusCode, header};
 use hyper_util::rt::TokioIo;
 use std::cell::{Cell, RefCell};
-use std::collections::{HashMap, HashSet};
+use std::collections::HashMap;
 use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::pin::pin;
@@ -24,6 +24,7 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 use tokio::net::TcpStream;
+use tokio::sync::Notify;
 use tokio::task::spawn_local;
 use tokio::time::{Instant, sleep, sleep_until, timeout};
 use tracing::warn;
@@ -62,14 +63,42 @@
 /// How far an attempt has come: what is stopped before its last byte was handed over never ran.
 pub struct Progress {
     whole: Rc<Cell<bool>>,
-    /// It is a request's attempt and no probe.
-    counts: bool,
+    /// Of a request's attempt, and no probe.
+    terms: Option<Terms>,
+}
+
+/// What must hold as a request's first byte is written, whatever the attempt has waited for until then.
+#[derive(Clone, Default)]
+pub struct Terms {
+    /// Its client is still there.
+    pub client: Client,
+    /// A repeat of what may have run begins by then; none where nothing has.
+    pub begin_by: Option<Instant>,
+}
+
+impl Terms {
+    fn hold(&self) -> bool {
+        !self.client.has_gone() && self.begin_by.is_none_or(|by| Instant::now() < by)
+    }
+
+    /// Ends once they don't hold any more.
+    async fn broken(&self) {
+        tokio::select! {
+            () = self.client.gone() => {}
+            () = sleep_until(self.begin_by.unwrap_or_else(Instant::now)), if self.begin_by.is_some() => {}
+        }
+    }
 }
 
 impl Progress {
-    /// An attempt of a request, or a probe, of which nothing has been written.
-    pub fn new(counts: bool) -> Self {
-        Progress { whole: Rc::default(), counts }
+    /// An attempt of a request under these terms, of which nothing has been written.
+    pub fn of_request(terms: Terms) -> Self {
+        Progress { whole: Rc::default(), terms: Some(terms) }
+    }
+
+    /// A probe.
+    pub fn of_probe() -> Self {
+        Progress { whole: Rc::default(), terms: None }
     }
 
     /// The outcome of no longer waiting: a request not written whole proves that it never ran.
@@ -109,8 +138,10 @@
     budget: Rc<Budget>,
     slots: Rc<Slots>,
     figures: Rc<Figures>,
-    /// Nothing new is written to these.
-    barred: RefCell<HashSet<EndpointId>>,
+    /// Where something new may be written to, and at which address.
+    doors: RefCell<HashMap<EndpointId, SocketAddr>>,
+    /// Some door was shut or moved.
+    shut: Notify,
     /// Idle ones, the most recently used last.
     idle: RefCell<HashMap<EndpointId, Vec<Link>>>,
     connect_timeout: Duration,
@@ -136,7 +167,8 @@
             budget,
             slots,
             figures,
-            barred: RefCell::default(),
+            doors: RefCell::default(),
+            shut: Notify::new(),
             idle: RefCell::default(),
             aged_resets: Cell::default(),
             aged_until: Cell::default(),
@@ -160,13 +192,15 @@
         let seen = ahead.clone();
         hyper::ext::on_informational(&mut request, move |_| seen.store(true, Ordering::Relaxed));
         loop {
-            let (mut link, fresh) = match self.take_idle(endpoint, address).await {
-                Some(link) => (link, false),
-                None => match self.connect(endpoint, address).await {
-                    Ok(link) => (link, true),
-                    Err(NoLink::LookAgain) => continue,
-                    Err(NoLink::Ends(outcome)) => return Ended::bare(outcome),
-                },
+            let linked = tokio::select! {
+                biased;
+                () = self.withdrawn(endpoint, address, progress) => Err(NoLink::Ends(Outcome::Moot)),
+                linked = self.link(endpoint, address) => linked,
+            };
+            let (mut link, fresh) = match linked {
+                Ok(linked) => linked,
+                Err(NoLink::LookAgain) => continue,
+                Err(NoLink::Ends(outcome)) => return Ended::bare(outcome),
             };
             // An idle connection may be found closed only now.
             if !matches!(timeout(self.connect_timeout, link.sender.ready()).await, Ok(Ok(()))) {
@@ -175,19 +209,21 @@
                 }
                 continue;
             }
-            // It may have been taken out of use while the connection came up.
-            if self.barred.borrow().contains(&endpoint) {
-                return Ended::bare(Outcome::ConnectFailed);
-            }
             if request.body().is_spent() {
                 return Ended::bare(Outcome::ConnectFailed); // the rest alone is of no use
             }
             let (heard, whole) = (link.heard.clone(), progress.whole.clone());
             whole.set(false);
-            let figures = progress.counts.then(|| self.figures.clone());
+            let figures = progress.terms.as_ref().map(|_| self.figures.clone());
             let request = request.clone().map(|payload| Sending::new(&payload, whole, heard, figures));
             let idle = link.idle_since.elapsed();
             link.heard.forget();
+            // The last look is right before the first byte: whatever was waited for until then, a drain may have
+            // been told, a client gone, a window for repeats passed.
+            let (this, terms) = (self.clone(), progress.terms.clone());
+            link.heard.begins(Box::new(move || {
+                this.admits(endpoint, address) && terms.as_ref().is_none_or(Terms::hold)
+            }));
             let headed = Cell::new(false);
             let exchange = async {
                 match link.sender.try_send_request(request).await {
@@ -212,6 +248,10 @@
             if !fresh && idle >= AGED {
                 self.learn_aged(read.is_none() && link.heard.began().is_none());
             }
+            if link.heard.withheld() {
+                progress.whole.set(false);
+                return Ended::bare(Outcome::Moot);
+            }
             match (read, progress.whole.get(), fresh) {
                 (Some(Read::Whole(outcome, body)), whole, _) => {
                     if whole && !link.sender.is_closed() {
@@ -287,7 +327,7 @@
     pub async fn probe(self: &Rc<Self>, endpoint: EndpointId, address: SocketAddr) -> Ended {
         let request = Request::get("/-/load").header(header::HOST, address.to_string());
         let Ok(request) = request.body(Payload::none()) else { return Ended::bare(Outcome::Error) };
-        let progress = Progress::new(false);
+        let progress = Progress::of_probe();
         match timeout(PROBE, self.attempt(endpoint, address, request, &progress)).await {
             Ok(mut ended) => {
                 let AnswerBody::Whole(body) = &ended.body else { return Ended::bare(Outcome::Error) };
@@ -309,14 +349,50 @@
         self.idle.borrow().values().map(Vec::len).sum()
     }
 
-    /// Lets nothing new be written to an endpoint, or lets it again.
-    pub fn bar(&self, endpoint: EndpointId, on: bool) {
-        let mut barred = self.barred.borrow_mut();
-        if on {
-            barred.insert(endpoint)
-        } else {
-            barred.remove(&endpoint)
+    /// Lets something new be written to an endpoint at this address alone, or nothing at all.
+    pub fn admit(&self, endpoint: EndpointId, at: Option<SocketAddr>) {
+        let mut doors = self.doors.borrow_mut();
+        let before = match at {
+            Some(at) => doors.insert(endpoint, at),
+            None => doors.remove(&endpoint),
         };
+        if before.is_some() && before != at {
+            self.shut.notify_waiters();
+        }
+    }
+
+    fn admits(&self, endpoint: EndpointId, address: SocketAddr) -> bool {
+        self.doors.borrow().get(&endpoint) == Some(&address)
+    }
+
+    /// Ends once nothing of an attempt may be written any more.
+    async fn withdrawn(&self, endpoint: EndpointId, address: SocketAddr, progress: &Progress) {
+        let shut = async {
+            loop {
+                // Registered before the look, so that no change falls between the two.
+                let mut shut = pin!(self.shut.notified());
+                shut.as_mut().enable();
+                if !self.admits(endpoint, address) {
+                    return;
+                }
+                shut.await;
+            }
+        };
+        match &progress.terms {
+            Some(terms) => tokio::select! {
+                () = shut => {}
+                () = terms.broken() => {}
+            },
+            None => shut.await,
+        }
+    }
+
+    /// A connection, kept or new; whether it is new.
+    async fn link(&self, endpoint: EndpointId, address: SocketAddr) -> Result<(Link, bool), NoLink> {
+        match self.take_idle(endpoint, address).await {
+            Some(link) => Ok((link, false)),
+            None => self.connect(endpoint, address).await.map(|link| (link, true)),
+        }
     }
 
     /// Closes idle connections to an endpoint.
--- a/crates/runtime/src/socket.rs
+++ b/crates/runtime/src/socket.rs
@@ -16,6 +16,9 @@
 /// Buffer of a connection, either way; also bounds a message's head.
 pub const BUFFER_MOST: usize = 64 * 1024;
 
+/// What is taken in at once of what nobody wants.
+const LINGER_PIECE: usize = 16 * 1024;
+
 /// What has come in, for who uses the connection.
 pub struct Heard {
     stream: TcpStream,
@@ -30,8 +33,15 @@
     framing: RefCell<Framing>,
     /// Raised once more has been written.
     awaiting: RefCell<Option<Rc<Figures>>>,
+    /// Asked right before the first byte is written of what goes out next.
+    leave: RefCell<Option<Leave>>,
+    /// It said no: nothing of that was written, and nothing more is.
+    withheld: Cell<bool>,
 }
 
+/// Whether what is about to be written may still go.
+pub type Leave = Box<dyn Fn() -> bool>;
+
 /// Which framings a message's head names, as its bytes pass by.
 #[derive(Default)]
 struct Framing {
@@ -83,6 +93,8 @@
             wrote: Cell::new(Instant::now()),
             framing: RefCell::default(),
             awaiting: RefCell::default(),
+            leave: RefCell::default(),
+            withheld: Cell::default(),
         });
         (Socket(heard.clone()), heard)
     }
@@ -128,6 +140,41 @@
         self.awaiting.replace(Some(figures));
     }
 
+    /// The next byte is the first of something that goes only if this still holds then.
+    pub fn begins(&self, leave: Leave) {
+        self.leave.replace(Some(leave));
+    }
+
+    /// Whether something did not go after all: not a byte of it was written.
+    pub fn withheld(&self) -> bool {
+        self.withheld.get()
+    }
+
+    /// What is still to be written is of no use, and a plain end would pass for a whole answer: the connection is
+    /// reset as it is closed.
+    pub fn resets(&self) {
+        // Fails only on a socket that has ended already.
+        let _ = SockRef::from(&self.stream).set_linger(Some(Duration::ZERO));
+        self.withheld.set(true);
+    }
+
+    /// Ends the sending and takes in what still comes, to the peer's end or so many bytes: a close over bytes that
+    /// nobody read resets the connection, and takes the last answer with it. Nothing of it is looked at.
+    pub async fn linger(&self, most: usize) {
+        if self.withheld.get() || SockRef::from(&self.stream).shutdown(std::net::Shutdown::Write).is_err() {
+            return;
+        }
+        let (mut scratch, mut taken) = ([0; LINGER_PIECE], 0);
+        while taken < most && self.stream.readable().await.is_ok() {
+            match self.stream.try_read(&mut scratch) {
+                Ok(0) => return,
+                Ok(count) => taken += count,
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
+                Err(_) => return,
+            }
+        }
+    }
+
     /// Whether the kernel holds anything unread, or the end. Asked of it directly: the runtime only
     /// knows what its last look at all sockets has shown.
     pub fn pending(&self) -> bool {
@@ -179,6 +226,11 @@
     ) -> Poll<io::Result<usize>> {
         loop {
             ready!(self.0.stream.poll_write_ready(cx))?;
+            let leave = self.0.leave.take();
+            if self.0.withheld.get() || leave.is_some_and(|leave| !leave()) {
+                self.0.withheld.set(true);
+                return Poll::Ready(Err(io::ErrorKind::PermissionDenied.into()));
+            }
             match self.0.stream.try_write_vectored(parts) {
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
                 written => {
