Give a returned endpoint less than a call in hand at each of many balancers

Seen: with 300 balancers that all give an endpoint back by hand at once, it got 5.1 calls more than its budget of N calls with 2 roots of N and 2 for chance (tests/cold.rs, on the code before): `on_ban`, members.rs, gave each a whole call in hand. Ruled out, by the same test over 1, 3, 20, 30 and 300 balancers with even and uneven traffic, a trickle each, some that learn of the start up to 4 s later, a third that begin anew in the middle, and 15 in 100 calls that fail: starts told by the list stay within the bound, with one endpoint cold and with three in four.

Change: a call in hand for up to four balancers, as before, and a drawn part of one beyond.

--- a/crates/balance/src/balance/members.rs
+++ b/crates/balance/src/balance/members.rs
@@ -102,11 +102,11 @@
             let endpoint = &mut self.endpoints[i];
             endpoint.banned = on;
             if !on {
-                (endpoint.back, endpoint.limit) = (Some(now), LIMIT_START);
-                (endpoint.drag.value, endpoint.heat.value, endpoint.rests_until) =
-                    (0.0, 0.0, Duration::ZERO);
-                // One call at once: it shows that the endpoint serves again.
-                (endpoint.cold_tokens, endpoint.cold_at) = (1.0, now);
+                (endpoint.drag.value, endpoint.heat.value, endpoint.limit) = (0.0, 0.0, LIMIT_START);
+                (endpoint.back, endpoint.rests_until) = (Some(now), Duration::ZERO);
+                // One call at once shows that it serves again; of many balancers that would be too many.
+                let call = (self.of_few() + self.draws.uniform()).min(1.0);
+                (self.endpoints[i].cold_tokens, self.endpoints[i].cold_at) = (call, now);
             }
             self.choose_part(now);
             self.release_held(now, out);
