--- a/crates/curlewhub/tests/crossings/gone.rs
+++ b/crates/curlewhub/tests/crossings/gone.rs
@@ -171,3 +171,24 @@
     let answer = last.read().expect("an answer");
     assert!(matches!(answer.status(), 502 | 503), "it may not be repeated: {}", answer.first_line);
 }
+
+#[test]
+fn a_tenth_of_a_second_after_a_burst_of_leavers_nothing_begins_for_any_of_them() {
+    for cancelling in [true, false] {
+        let door = SlowDoor::shut();
+        let sidecar = dialling(door.address, |config| {
+            config["settings"]["limits"]["cancelling"] = json!(cancelling);
+        });
+        let ask = |n: usize| {
+            let mut client = Wire::connect(sidecar.address);
+            client.write(&request("quote", &format!("b{n}"), "10000m"));
+            client
+        };
+        let clients: Vec<Wire> = (0..100).map(ask).collect();
+        wait_for("all of them to wait", || sidecar.figure("inflight") == 100);
+        drop(clients);
+        // The operators' term: what begins over 0.1 s after its client has gone is a break.
+        std::thread::sleep(Duration::from_millis(100));
+        assert!(door.open().hears_nothing(LATE), "cancelling {cancelling}");
+    }
+}
