--- a/crates/curlewhub/tests/crossings/discovery.rs
+++ b/crates/curlewhub/tests/crossings/discovery.rs
@@ -3,6 +3,8 @@
 use super::support::script::*;
 use super::support::*;
 use serde_json::{Value, json};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 const CHUNKED: &str = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
@@ -248,3 +250,115 @@
         wait_for("the new one's change", || sidecar.figure("hosts_listed") == 2);
     }
 }
+
+/// Requests, one behind another, until told to stop.
+fn keep_asking(sidecar: &Sidecar, stop: &AtomicBool) {
+    let mut client = sidecar.client();
+    let mut number = 0;
+    while !stop.load(Ordering::SeqCst) {
+        number += 1;
+        client.send(&request("quote", &format!("k{number}"), "400m"));
+        if client.receive().is_none() {
+            client = sidecar.client();
+        }
+        std::thread::sleep(Duration::from_millis(10));
+    }
+}
+
+/// An endpoint that records when each request came.
+fn recording() -> (Peer, Arc<Mutex<Vec<Instant>>>) {
+    let arrivals = Arc::<Mutex<Vec<Instant>>>::default();
+    let of_peer = arrivals.clone();
+    let peer = Peer::new(move |_| {
+        of_peer.lock().unwrap().push(Instant::now());
+        Do::Serve("ok")
+    });
+    (peer, arrivals)
+}
+
+/// Seen: discovery ended a watch in place of telling a drain on it, and the call behind that waited 2.6 s for its turn;
+/// requests went to the endpoint until the answer came, while the drain counted as notified 2.0 s behind the watch's
+/// end, and at once where lists are pushed.
+/// Cause: the list held was used without bound while a call was out. Proof: this test, in which nothing else happens.
+#[test]
+fn behind_a_watch_that_ended_nothing_begins_once_a_change_on_it_counts_as_notified() {
+    let grace = Duration::from_millis(250);
+    let cases = [("subscribe", Duration::from_secs(2)), ("automatic", Duration::ZERO)];
+    std::thread::scope(|scope| {
+        for (mode, notified_after) in cases {
+            scope.spawn(move || {
+                let (stage, (peer, arrivals)) = (Stage::new(), recording());
+                let mut config = operated(&[&peer]);
+                config["discovery"] = json!(stage.address.to_string());
+                config["settings"]["discovery"] = json!(mode);
+                config["settings"]["rules"]["drainGraceMs"] = json!(grace.as_millis() as f64);
+                config["settings"]["rules"]["askWithinMs"] = json!(10000.0);
+                let sidecar = Sidecar::start(&config);
+                let (mut watch, _) = stage.request();
+                watch.write(CHUNKED);
+                watch.chunk(&format!("{}\n", list(8, false, &[])));
+                let stop = AtomicBool::new(false);
+                std::thread::scope(|scope| {
+                    scope.spawn(|| keep_asking(&sidecar, &stop));
+                    wait_for("requests", || arrivals.lock().unwrap().len() > 20);
+                    let ended = Instant::now();
+                    watch.reset();
+                    let (mut next, _) = stage.request();
+                    std::thread::sleep(notified_after + Duration::from_millis(700));
+                    let answered = Instant::now();
+                    next.write(CHUNKED);
+                    next.chunk(&format!("{}\n", list(9, false, &[])));
+                    wait_for("requests again", || {
+                        arrivals.lock().unwrap().last().is_some_and(|at| *at > answered)
+                    });
+                    stop.store(true, Ordering::SeqCst);
+                    let arrivals = arrivals.lock().unwrap();
+                    let unknown = ended + notified_after + grace..answered;
+                    let begun: Vec<_> = arrivals.iter().filter(|at| unknown.contains(at)).collect();
+                    assert!(begun.is_empty(), "{mode}: {} requests went there", begun.len());
+                    let known = ended..ended + notified_after;
+                    let served = arrivals.iter().filter(|at| known.contains(at)).count();
+                    assert!(served > 20 || notified_after.is_zero(), "{mode}: {served} before that");
+                });
+            });
+        }
+    });
+}
+
+/// Once that call has failed discovery can't be reached, and the last list serves for as long as that lasts.
+#[test]
+fn where_the_call_behind_a_watch_that_ended_fails_the_last_list_serves() {
+    std::thread::scope(|scope| {
+        for mode in ["subscribe", "automatic"] {
+            scope.spawn(move || {
+                let (stage, (peer, arrivals)) = (Stage::new(), recording());
+                let (sidecar, _) = following(&stage, &peer, mode);
+                let (mut watch, _) = stage.request();
+                watch.write(CHUNKED);
+                watch.chunk(&format!("{}\n", list(8, false, &[])));
+                let stop = AtomicBool::new(false);
+                std::thread::scope(|scope| {
+                    scope.spawn(|| keep_asking(&sidecar, &stop));
+                    wait_for("requests", || arrivals.lock().unwrap().len() > 5);
+                    watch.reset();
+                    let (mut call, _) = stage.request();
+                    std::thread::sleep(Duration::from_millis(2900));
+                    call.write(&answer("503 Service Unavailable", "", ""));
+                    // The next call is held as well, and brings nothing either.
+                    let failed = Instant::now();
+                    wait_for("five seconds of requests", || {
+                        arrivals
+                            .lock()
+                            .unwrap()
+                            .last()
+                            .is_some_and(|at| *at > failed + Duration::from_secs(5))
+                    });
+                    stop.store(true, Ordering::SeqCst);
+                    let arrivals = arrivals.lock().unwrap();
+                    let since = arrivals.iter().filter(|at| **at > failed).count();
+                    assert!(since > 100, "{mode}: {since} requests in five seconds");
+                });
+            });
+        }
+    });
+}
--- a/crates/curlewhub/tests/support/mod.rs
+++ b/crates/curlewhub/tests/support/mod.rs
@@ -1,6 +1,7 @@
 //! The built sidecar, and tiny scripted peers for it on loopback.
 #![allow(dead_code)]
 
+pub mod queued_discovery;
 pub mod script;
 
 use serde_json::{Value, json};
--- /dev/null
+++ b/crates/curlewhub/tests/support/queued_discovery.rs
@@ -0,0 +1,172 @@
+//! A discovery service that does everything in turn: each call and each notification takes the same time of one worker.
+//! A change ends the watches that it reaches in place of being told on them, and whole lists leave out what drains.
+
+use super::{Message, answer, list};
+use serde_json::Value;
+use std::collections::{HashMap, VecDeque};
+use std::io::{BufReader, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::{Arc, Condvar, Mutex};
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// Which of the service's clients; each has addresses of its own.
+pub type ClientId = usize;
+
+/// What the service did for a client, and when.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Event {
+    /// A call came.
+    Called(String),
+    /// A list of this version was written.
+    Written(u64),
+    /// A watch was ended in place of telling a change.
+    WatchEnded,
+}
+
+/// A recorded event.
+#[derive(Clone, Debug)]
+pub struct Record {
+    pub at: Instant,
+    pub client: ClientId,
+    pub event: Event,
+}
+
+enum Job {
+    Answer { client: ClientId, target: String, stream: TcpStream },
+    Notify { client: ClientId },
+}
+
+#[derive(Default)]
+struct State {
+    jobs: VecDeque<Job>,
+    version: u64,
+    targets: Vec<Value>,
+    watches: HashMap<ClientId, Vec<TcpStream>>,
+    records: Vec<Record>,
+}
+
+/// The running service.
+pub struct QueuedDiscovery {
+    shared: Arc<(Mutex<State>, Condvar)>,
+}
+
+impl QueuedDiscovery {
+    /// Starts with these targets as version 1; everything takes `turn`.
+    pub fn start(targets: Vec<Value>, turn: Duration) -> QueuedDiscovery {
+        let state = State { version: 1, targets, ..State::default() };
+        let shared = Arc::new((Mutex::new(state), Condvar::new()));
+        let worker = shared.clone();
+        thread::spawn(move || work(&worker, turn));
+        QueuedDiscovery { shared }
+    }
+
+    /// A further address at which this client may call.
+    pub fn address_for(&self, client: ClientId) -> SocketAddr {
+        let listener = super::listener_of_its_own();
+        let address = listener.local_addr().unwrap();
+        let shared = self.shared.clone();
+        thread::spawn(move || accept(&listener, client, &shared));
+        address
+    }
+
+    /// Replaces the list; notifications of it queue behind all calls that are there. When it was done.
+    pub fn change(&self, targets: Vec<Value>) -> Instant {
+        let (state, wake) = &*self.shared;
+        let mut state = state.lock().unwrap();
+        state.targets = targets;
+        state.version += 1;
+        let mut clients: Vec<ClientId> = state.watches.keys().copied().collect();
+        clients.sort_unstable();
+        state.jobs.extend(clients.into_iter().map(|client| Job::Notify { client }));
+        wake.notify_all();
+        Instant::now()
+    }
+
+    /// Clients with a watch that is open.
+    pub fn watching(&self) -> usize {
+        let state = self.shared.0.lock().unwrap();
+        state.watches.values().filter(|watches| !watches.is_empty()).count()
+    }
+
+    pub fn records(&self) -> Vec<Record> {
+        self.shared.0.lock().unwrap().records.clone()
+    }
+}
+
+fn accept(listener: &TcpListener, client: ClientId, shared: &Arc<(Mutex<State>, Condvar)>) {
+    for mut stream in listener.incoming().flatten() {
+        let shared = shared.clone();
+        thread::spawn(move || {
+            let _ = stream.set_nodelay(true);
+            let Some(message) = Message::read(&mut BufReader::new(&mut stream)) else { return };
+            let target = message.target().to_owned();
+            let (state, wake) = &*shared;
+            let mut state = state.lock().unwrap();
+            state.note(client, Event::Called(target.clone()));
+            state.jobs.push_back(Job::Answer { client, target, stream });
+            wake.notify_all();
+        });
+    }
+}
+
+fn work(shared: &(Mutex<State>, Condvar), turn: Duration) {
+    let (state, wake) = shared;
+    loop {
+        let job = {
+            let mut waiting =
+                wake.wait_while(state.lock().unwrap(), |state| state.jobs.is_empty()).unwrap();
+            waiting.jobs.pop_front().expect("a job")
+        };
+        thread::sleep(turn);
+        state.lock().unwrap().carry_out(job);
+    }
+}
+
+impl State {
+    fn note(&mut self, client: ClientId, event: Event) {
+        self.records.push(Record { at: Instant::now(), client, event });
+    }
+
+    fn carry_out(&mut self, job: Job) {
+        match job {
+            Job::Answer { client, target, mut stream } => {
+                let whole = list(self.version, true, &self.targets).to_string();
+                self.note(client, Event::Written(self.version));
+                if !target.contains("watch") {
+                    let _ = stream.write_all(answer("200 OK", "", &whole).as_bytes());
+                    return;
+                }
+                let head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+                let line = format!("{whole}\n");
+                let first = format!("{head}{:x}\r\n{line}\r\n", line.len());
+                if stream.write_all(first.as_bytes()).is_ok() {
+                    keep_alive(&stream);
+                    self.watches.entry(client).or_default().push(stream);
+                }
+            }
+            Job::Notify { client } => {
+                let watches = self.watches.remove(&client).unwrap_or_default();
+                if !watches.is_empty() {
+                    self.note(client, Event::WatchEnded);
+                }
+                for watch in watches {
+                    let _ = watch.shutdown(std::net::Shutdown::Both);
+                }
+            }
+        }
+    }
+}
+
+/// An empty line each two seconds, until the connection ends.
+fn keep_alive(stream: &TcpStream) {
+    let mut stream = stream.try_clone().unwrap();
+    thread::spawn(move || {
+        loop {
+            thread::sleep(Duration::from_secs(2));
+            if stream.write_all(b"1\r\n\n\r\n").is_err() {
+                return;
+            }
+        }
+    });
+}
