Bound the use of the endpoint list while a call for a newer one is out

Cause: a watch that discovery ended in place of telling a drain left the sidecar with a call in discovery's queue; until its turn, 2.3 s to 2.6 s later, requests went out by the old list, while the drain counted as notified 2.0 s behind the end (docs/incidents). Ruled out: a wait before the call (0.13 s, same place in the queue), a choice before and a write after (3 ms), state that leaks from one address to the next. Change: a package without I/O, discovery-client, owns calls, versions and the lease on the list; runtime makes the calls. When the lease has run out nothing begins until discovery is heard or the call has failed. A move costs one call, and moves in a row one behind the last. Tests changed, as strict: a new discovery is asked by one watch from version 0 (was two calls, the cause); lists that are cut short are played on whole lists and on watches; the lease test ends its watch in order, as discovery does, since a reset says that its process is gone; the other names are renames.

--- a/crates/balance/src/balance.rs
+++ b/crates/balance/src/balance.rs
@@ -184,6 +184,8 @@
     asked: Duration,
     /// Since when discovery has failed.
     list_old: Option<Duration>,
+    /// From then on nothing new may begin by the list.
+    list_expires: Option<Duration>,
     /// Only endpoints that have answered of late are chosen: others may drain unheard.
     blind: bool,
     started: bool,
@@ -256,6 +258,7 @@
             ask_failures: 0,
             asked: now,
             list_old: None,
+            list_expires: None,
             blind: false,
             started: false,
             listed: false,
@@ -266,6 +269,7 @@
     pub fn handle(&mut self, now: Duration, event: Event, out: &mut Vec<Action>) {
         match event {
             Event::Membership(news) => self.on_membership(now, news, out),
+            Event::ListLease { expires } => self.on_list_lease(now, expires, out),
             Event::Request(request) => self.on_request(now, request, out),
             Event::StreamStarted { request, .. } => {
                 self.requests.get_mut(&request).into_iter().for_each(|p| p.streaming = true)
--- a/crates/balance/src/balance/choice.rs
+++ b/crates/balance/src/balance/choice.rs
@@ -39,7 +39,8 @@
 
     /// Some zone with endpoints has room for the worthiest.
     pub(super) fn any_room(&self, now: Duration) -> bool {
-        (0..2).any(|side| !self.pools[2 + side].is_empty() && self.has_room(now, f64::MAX, side))
+        !self.list_lapsed(now)
+            && (0..2).any(|side| !self.pools[2 + side].is_empty() && self.has_room(now, f64::MAX, side))
     }
 
     pub(super) fn ready(&self) -> f64 {
@@ -58,6 +59,9 @@
 
     /// The eligible set, then d samples, then the least occupied, ties at random.
     pub(super) fn pick(&mut self, now: Duration, id: RequestId) -> Option<usize> {
+        if self.list_lapsed(now) {
+            return None;
+        }
         self.common_heat = self.shared_heat(now);
         let old = self.list_old.is_some_and(|at| (at + BLIND_AFTER..at + BLIND_MOST).contains(&now));
         // Of this balancer's part, or of all where too few of it can take the call.
--- a/crates/balance/src/balance/members.rs
+++ b/crates/balance/src/balance/members.rs
@@ -68,6 +68,22 @@
         self.release_held(now, out);
     }
 
+    /// Bounds the use of the list. What is held while it may not be used goes on once it may again.
+    pub(super) fn on_list_lease(
+        &mut self,
+        now: Duration,
+        expires: Option<Duration>,
+        out: &mut Vec<Action>,
+    ) {
+        self.list_expires = expires;
+        self.release_held(now, out);
+    }
+
+    /// A change that has not come here may count as notified: any endpoint may be leaving.
+    pub(super) fn list_lapsed(&self, now: Duration) -> bool {
+        self.list_expires.is_some_and(|at| now >= at)
+    }
+
     fn update_endpoints(&mut self, now: Duration, entries: Vec<EndpointInfo>) {
         let limit = (LIMIT_START * self.of_few()).max(1.0);
         let nonempty = !entries.is_empty();
--- a/crates/balance/src/types/events.rs
+++ b/crates/balance/src/types/events.rs
@@ -10,6 +10,12 @@
 pub enum Event {
     /// News from discovery.
     Membership(Membership),
+    /// From then on nothing new may begin by the list that is held, until the next such word or list; none while
+    /// nothing bounds its use.
+    ListLease {
+        /// On the balancer's clock.
+        expires: Option<Duration>,
+    },
     /// A request arrived and is owed one final answer.
     Request(Request),
     /// More of a coming body has gone to an endpoint than is kept: no further attempt can be made.
--- a/crates/curlewhub/src/serve.rs
+++ b/crates/curlewhub/src/serve.rs
@@ -173,7 +173,14 @@
             return ListSource { listing, discovery: None, calls };
         };
         let mode = config.settings.discovery;
-        let discovery = Discovery::new(address, mode, listing.clone(), config.seed, inbox.clone());
+        let discovery = Discovery::new(
+            address,
+            mode,
+            &config.settings.rules,
+            listing.clone(),
+            config.seed,
+            inbox.clone(),
+        );
         let _ = inbox.send(Input::List(discovery.cached(config.known.clone())));
         spawn_local(discovery.clone().run(call_queue));
         ListSource { listing, discovery: Some(discovery), calls }
--- a/crates/curlewhub/tests/crossings/discovery.rs
+++ b/crates/curlewhub/tests/crossings/discovery.rs
@@ -280,6 +280,7 @@
 /// requests went to the endpoint until the answer came, while the drain counted as notified 2.0 s behind the watch's
 /// end, and at once where lists are pushed.
 /// Cause: the list held was used without bound while a call was out. Proof: this test, in which nothing else happens.
+/// Discovery ends such a watch in order; one that is reset says that its process is gone, as in an outage.
 #[test]
 fn behind_a_watch_that_ended_nothing_begins_once_a_change_on_it_counts_as_notified() {
     let grace = Duration::from_millis(250);
@@ -302,7 +303,7 @@
                     scope.spawn(|| keep_asking(&sidecar, &stop));
                     wait_for("requests", || arrivals.lock().unwrap().len() > 20);
                     let ended = Instant::now();
-                    watch.reset();
+                    watch.half_close();
                     let (mut next, _) = stage.request();
                     std::thread::sleep(notified_after + Duration::from_millis(700));
                     let answered = Instant::now();
--- a/crates/curlewhub/tests/reload.rs
+++ b/crates/curlewhub/tests/reload.rs
@@ -28,14 +28,16 @@
         config["discovery"] = json!(second.address.to_string());
         sidecar.reload(&config.to_string());
         wait_for("the new server's list", || sidecar.ask("quote", "r2").body == b"new");
-        wait_for("the new watch", || second.calls().len() == 2);
-        assert_eq!(second.calls(), ["/api/targets", "/api/targets?watch=1&after=3"], "{mode}");
+        wait_for("the new watch", || !second.calls().is_empty());
+        // Its watch begins with the whole list: nothing more is owed, and no version of the old server is named.
+        assert_eq!(second.calls(), ["/api/targets?watch=1&after=0"], "{mode}");
         first.say(&list(901, true, &[target("s-0", old.address, "up")]).to_string());
         second.say(&list(4, false, &[target("s-new", new.address, "up")]).to_string());
         for n in 0..20 {
             assert_eq!(sidecar.ask("book", &format!("s{n}")).body, b"new", "the old server's late word");
         }
         assert_eq!(first.calls().len(), 1, "it is not asked again");
+        assert_eq!(second.calls().len(), 1, "nor is the new one");
     }
 }
 
--- a/crates/curlewhub/tests/waits/list.rs
+++ b/crates/curlewhub/tests/waits/list.rs
@@ -174,24 +174,37 @@
         format!("{chunked}{}", chunk(&format!("{half}\n"))),
         format!("{chunked}ffff\r\n{short}"),
     ];
-    let asked = Arc::new(AtomicUsize::new(0));
-    let discovery = {
-        let (asked, cuts) = (asked.clone(), cuts.clone());
-        // Closes behind each cut.
-        Peer::new(move |_| {
-            let n = asked.fetch_add(1, Ordering::SeqCst);
-            Do::WriteAndClose(cuts[n % cuts.len()].clone())
-        })
-    };
-    // The module asks for a watch; a server that has moved is first asked for its whole list.
-    let mut config = operated(&[&first, &second]);
-    let sidecar = Sidecar::start(&config);
-    assert_eq!(sidecar.figure("hosts_listed"), 2);
-    config["discovery"] = json!(discovery.address.to_string());
-    sidecar.reload(&config.to_string());
-    wait_for("every cut", || asked.load(Ordering::SeqCst) >= cuts.len());
-    assert_eq!(sidecar.figure("hosts_listed"), 2, "the list as it was goes on");
-    assert_eq!(sidecar.ask("book", "r1").status(), 200);
+    // On a watch the last one is a whole line, though its chunk never ends.
+    let on_a_watch = cuts[..cuts.len() - 1].to_vec();
+    let changes = format!("{}\n", list(9, false, &[]));
+    let watch = format!("{chunked}{}", chunk(&changes));
+    std::thread::scope(|scope| {
+        for (cuts, of_whole_lists) in [(on_a_watch, false), (cuts.to_vec(), true)] {
+            let (peers, watch) = ([&first, &second], watch.clone());
+            scope.spawn(move || {
+                let asked = Arc::new(AtomicUsize::new(0));
+                let discovery = {
+                    let (asked, cuts) = (asked.clone(), cuts.clone());
+                    // Closes behind each cut. A new server's watch that begins with changes leaves its whole list owed.
+                    Peer::new(move |message| {
+                        if of_whole_lists && message.target().contains("watch") {
+                            return Do::Write(watch.clone());
+                        }
+                        let n = asked.fetch_add(1, Ordering::SeqCst);
+                        Do::WriteAndClose(cuts[n % cuts.len()].clone())
+                    })
+                };
+                let mut config = operated(&peers);
+                let sidecar = Sidecar::start(&config);
+                assert_eq!(sidecar.figure("hosts_listed"), 2);
+                config["discovery"] = json!(discovery.address.to_string());
+                sidecar.reload(&config.to_string());
+                wait_for("every cut", || asked.load(Ordering::SeqCst) >= cuts.len());
+                assert_eq!(sidecar.figure("hosts_listed"), 2, "the list as it was goes on");
+                assert_eq!(sidecar.ask("book", "r1").status(), 200);
+            });
+        }
+    });
 }
 
 #[test]
--- /dev/null
+++ b/crates/discovery-client/src/client.rs
@@ -0,0 +1,445 @@
+//! The state machine that follows a list.
+
+use crate::backoff::Backoff;
+use crate::calls::{CallId, CallKind, Epoch, OutCall, Progress};
+use crate::lease::Lease;
+use crate::timing::{MAX_SPREAD, MAX_WATCH_CALLS, MOVES_SETTLE, MOVES_SETTLE_LIMIT, SECOND_CALL_AFTER};
+use crate::versions::Versions;
+use curlewhub_config::list::List;
+use rand_core::{RngCore, SeedableRng};
+use rand_pcg::Pcg32;
+use std::time::Duration;
+
+/// Calls that are out at once, over all servers, at the most.
+const MAX_CALLS_OUT: usize = 8;
+/// So many faults of this machine in a row say nothing of discovery; more of them keep it from being reached.
+const MAX_LOCAL_FAULTS: u32 = 2;
+
+/// How lists reach the process.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Mode {
+    /// What discovery has counts as notified whether or not a watch is open.
+    Push,
+    /// What comes on a watch or in an answer counts as notified.
+    Ask,
+}
+
+/// What the settings say of the list.
+#[derive(Clone, Copy, Debug)]
+pub struct Rules {
+    /// A process that has neither watched nor asked for so long counts as notified of what was listed then.
+    pub ask_within: Duration,
+    /// What is sent to an endpoint that leaves must end within this.
+    pub drain_grace: Duration,
+}
+
+/// How a call or a watch ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ending {
+    /// It was answered, and not by a list: discovery is there, and has too many callers.
+    Refused,
+    /// This machine could not make it: nothing reached discovery.
+    Local,
+    /// Anything else: nobody there, no answer in time, a connection that ended, or what came was no list.
+    Failed,
+    /// A watch that was up brought nothing for too long.
+    Silent,
+    /// The connection of a watch that was up was reset: its process, or what is between, is gone.
+    Reset,
+}
+
+/// What the host is to do.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Action {
+    /// Make a call to the server of this epoch.
+    Call {
+        /// Its number.
+        id: CallId,
+        /// Which server.
+        epoch: Epoch,
+        /// What is asked for.
+        kind: CallKind,
+    },
+    /// Close this call's connection: nothing of it counts any more.
+    Abandon(CallId),
+    /// Take this list, or these changes.
+    Take(List),
+    /// It works again, and nothing has changed.
+    Unchanged,
+    /// A call brought nothing, or the watch ended; the list stays.
+    Report(Outcome),
+}
+
+/// What a call that brought nothing says of discovery.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    /// It may not be there.
+    Failed,
+    /// It is there, and can't serve all who call it.
+    Refused,
+}
+
+/// Follows the list of a discovery service.
+#[derive(Debug)]
+pub struct Client {
+    versions: Versions,
+    lease: Lease,
+    backoff: Backoff,
+    draws: Pcg32,
+    /// The server to be followed.
+    target: Epoch,
+    following: bool,
+    calls: Vec<OutCall>,
+    calls_made: u64,
+    /// When the next call for a watch on the target is due.
+    next_watch: Option<Duration>,
+    /// When the next call for a whole list that is owed is due.
+    next_whole_list: Option<Duration>,
+    last_watch_call: Duration,
+    /// The first of the moves to servers of which none was called yet.
+    unsettled_since: Option<Duration>,
+    /// The target has refused a call, and answered none since: it has too many callers.
+    crowded: bool,
+    /// One of the calls that are out for a watch on the target, or were along with them, was refused.
+    refused: bool,
+    local_faults: u32,
+    actions: Vec<Action>,
+}
+
+impl Client {
+    /// Follows nothing yet.
+    pub fn new(mode: Mode, rules: Rules, seed: u64, now: Duration) -> Self {
+        Client {
+            versions: Versions::new(0),
+            lease: Lease::new(mode, rules, now),
+            backoff: Backoff::default(),
+            draws: Pcg32::seed_from_u64(seed),
+            target: Epoch::default(),
+            following: false,
+            calls: Vec::new(),
+            calls_made: 0,
+            next_watch: None,
+            next_whole_list: None,
+            last_watch_call: now,
+            unsettled_since: None,
+            crowded: false,
+            refused: false,
+            local_faults: 0,
+            actions: Vec::new(),
+        }
+    }
+
+    /// The list known at the start has this version.
+    pub fn known(&mut self, version: u64) {
+        self.versions = Versions::new(version);
+    }
+
+    /// What is to be done, in order.
+    pub fn take_actions(&mut self) -> Vec<Action> {
+        std::mem::take(&mut self.actions)
+    }
+
+    /// The bound on the use of the list.
+    pub fn lease(&self) -> &Lease {
+        &self.lease
+    }
+
+    /// The version held.
+    pub fn version(&self) -> u64 {
+        self.versions.version()
+    }
+
+    /// Whether a watch is up, on the target or on the server before it.
+    pub fn is_watching(&self) -> bool {
+        self.watch_in_force().is_some()
+    }
+
+    /// Follows the list from now on; if it does already and a watch is up, says that nothing has changed.
+    pub fn follow(&mut self, now: Duration) {
+        if self.following {
+            if self.is_watching() {
+                self.actions.push(Action::Unchanged);
+            }
+            return;
+        }
+        self.following = true;
+        self.call_watch(now);
+    }
+
+    /// Follows the list no more.
+    pub fn unfollow(&mut self) {
+        self.following = false;
+        (self.next_watch, self.next_whole_list) = (None, None);
+        for call in std::mem::take(&mut self.calls) {
+            self.actions.push(Action::Abandon(call.id));
+        }
+        self.lease.unbounded();
+        self.actions.push(Action::Unchanged);
+    }
+
+    /// Asks for the whole list once, beside the watch. One such call is out at a time: what it brings answers whoever
+    /// asks meanwhile.
+    pub fn fetch(&mut self, now: Duration) {
+        if !self.calls.iter().any(|call| call.kind == CallKind::WholeList && call.epoch == self.target) {
+            self.call(now, CallKind::WholeList);
+        }
+    }
+
+    /// Another server is to be followed. The watch on the one before is left, as a second one would cost discovery a turn
+    /// for each change; calls that wait for their turn there keep it, and what they bring counts until the new server
+    /// is heard.
+    pub fn moved(&mut self, now: Duration) {
+        let awaited = self.target > self.versions.epoch();
+        self.target = Epoch(self.target.0 + 1);
+        self.lease.moved(now, self.target);
+        self.following = true;
+        self.crowded = false;
+        self.backoff.reset();
+        self.next_whole_list = None;
+        if let Some(up) = self.calls.iter().position(|call| call.progress == Progress::Up) {
+            self.abandon(up);
+            self.lease.watch_left(now);
+        }
+        if awaited {
+            let since = *self.unsettled_since.get_or_insert(now);
+            self.next_watch = Some((now + MOVES_SETTLE).min(since + MOVES_SETTLE_LIMIT).max(now));
+        } else {
+            self.call_watch(now);
+        }
+    }
+
+    /// A line of a watch has come whole: a list, changes, or an empty line.
+    pub fn watch_line(&mut self, now: Duration, id: CallId, list: Option<List>) {
+        let Some(at) = self.calls.iter().position(|call| call.id == id) else { return };
+        let call = self.calls[at];
+        match call.progress {
+            // Of a server whose list is not held, an empty line says nothing yet.
+            Progress::Waiting if list.is_none() && call.epoch > self.versions.epoch() => {}
+            Progress::Waiting if self.opens(&call) => self.opened(now, at, list),
+            // The other call of two has opened before: what this one says of endpoints that leave is notified too.
+            Progress::Waiting => {
+                self.take_departures(call.epoch, list);
+                self.abandon(at);
+            }
+            Progress::Up => {
+                self.backoff.reset();
+                if let Some(list) = list {
+                    self.versions.watched(&list);
+                    self.actions.push(Action::Take(list));
+                }
+                self.heard(now, call.epoch);
+                if self.versions.overflows() {
+                    self.abandon(at);
+                    self.watch_lost(now, Ending::Failed);
+                }
+            }
+        }
+    }
+
+    /// A whole list has come.
+    pub fn whole_list(&mut self, now: Duration, id: CallId, list: List) {
+        let Some(at) = self.calls.iter().position(|call| call.id == id) else { return };
+        let call = self.calls.swap_remove(at);
+        self.crowded &= call.epoch != self.target;
+        match self.versions.whole_list(call.epoch, call.held, list) {
+            Some(list) => {
+                self.lease.listed(now, call.epoch);
+                self.next_whole_list = None;
+                self.actions.push(Action::Take(list));
+            }
+            None => self.actions.push(Action::Unchanged),
+        }
+    }
+
+    /// A list broke off, or takes long to come: what it has said of endpoints that leave.
+    pub fn torn(&mut self, id: CallId, list: List) {
+        let Some(call) = self.calls.iter().find(|call| call.id == id).copied() else { return };
+        self.take_departures(call.epoch, Some(list));
+    }
+
+    /// A call has ended without what it was for, or a watch that was up has.
+    pub fn ended(&mut self, now: Duration, id: CallId, ending: Ending) {
+        let Some(at) = self.calls.iter().position(|call| call.id == id) else { return };
+        let call = self.calls.swap_remove(at);
+        match (call.kind, call.progress) {
+            (CallKind::WholeList, _) => self.whole_list_failed(now, &call, ending),
+            (CallKind::Watch { .. }, Progress::Up) => self.watch_lost(now, ending),
+            (CallKind::Watch { .. }, Progress::Waiting) if call.epoch == self.target => {
+                self.watch_call_failed(now, &call, ending);
+            }
+            (CallKind::Watch { .. }, Progress::Waiting) => {}
+        }
+    }
+
+    /// When [`timer`](Self::timer) is to be called.
+    pub fn next_timer(&self) -> Option<Duration> {
+        let times = [self.next_watch, self.next_whole_list, self.second_call_at()];
+        times.into_iter().flatten().min()
+    }
+
+    /// Makes the calls that are due.
+    pub fn timer(&mut self, now: Duration) {
+        if self.next_watch.is_some_and(|at| at <= now) || self.second_call_at().is_some_and(|at| at <= now)
+        {
+            self.call_watch(now);
+        }
+        if self.next_whole_list.is_some_and(|at| at <= now) {
+            self.next_whole_list = None;
+            self.fetch(now);
+        }
+    }
+
+    /// While the target brings nothing a second call begins beside the first, but not behind a refusal: discovery then
+    /// has too many callers.
+    fn second_call_at(&self) -> Option<Duration> {
+        let waiting = self.waiting_on_target();
+        let may_begin =
+            (1..MAX_WATCH_CALLS).contains(&waiting) && !self.crowded && self.next_watch.is_none();
+        may_begin.then_some(self.last_watch_call + SECOND_CALL_AFTER)
+    }
+
+    fn waiting_on_target(&self) -> usize {
+        self.calls.iter().filter(|call| call.is_waiting_watch() && call.epoch == self.target).count()
+    }
+
+    fn watch_in_force(&self) -> Option<&OutCall> {
+        self.calls.iter().find(|call| call.progress == Progress::Up)
+    }
+
+    /// Whether a first line on this call makes it the watch in force.
+    fn opens(&self, call: &OutCall) -> bool {
+        match self.watch_in_force() {
+            Some(up) => call.epoch > up.epoch,
+            None => call.epoch >= self.versions.epoch(),
+        }
+    }
+
+    fn opened(&mut self, now: Duration, at: usize, list: Option<List>) {
+        let call = self.calls[at];
+        if let Some(before) = self.calls.iter().position(|call| call.progress == Progress::Up) {
+            self.actions.push(Action::Abandon(self.calls[before].id));
+            self.calls[before].progress = Progress::Waiting; // it is taken out below
+            let before = self.calls[before].id;
+            self.calls.retain(|call| call.id != before);
+        }
+        for call in self.calls.iter_mut().filter(|out| out.id == call.id) {
+            call.progress = Progress::Up;
+        }
+        self.versions.watch_opened(call.epoch, list.as_ref());
+        self.backoff.reset();
+        self.local_faults = 0;
+        if call.epoch == self.target {
+            (self.crowded, self.next_watch, self.unsettled_since) = (false, None, None);
+        }
+        // Without a list: it works again, and the next failure is a first one.
+        self.actions.push(list.map_or(Action::Unchanged, Action::Take));
+        self.heard(now, call.epoch);
+    }
+
+    /// The watch in force has brought a line. Where a whole list is still owed, it is asked for.
+    fn heard(&mut self, now: Duration, epoch: Epoch) {
+        let owed = self.versions.needs_whole_list();
+        self.lease.heard(now, epoch, !owed);
+        self.next_whole_list = owed.then(|| self.next_whole_list.unwrap_or(now));
+    }
+
+    fn take_departures(&mut self, epoch: Epoch, list: Option<List>) {
+        let departures = list.and_then(|list| self.versions.departures(epoch, list));
+        self.actions.extend(departures.map(Action::Take));
+    }
+
+    fn abandon(&mut self, at: usize) {
+        let call = self.calls.swap_remove(at);
+        self.actions.push(Action::Abandon(call.id));
+    }
+
+    /// The watch in force is no more. Where another server is awaited already, its call goes on.
+    fn watch_lost(&mut self, now: Duration, ending: Ending) {
+        match ending {
+            Ending::Silent => self.lease.watch_silent(),
+            Ending::Reset => self.lease.watch_reset(now),
+            Ending::Refused | Ending::Local | Ending::Failed => self.lease.watch_ended(now),
+        }
+        self.actions.push(Action::Report(Outcome::Failed));
+        if self.waiting_on_target() == 0 && self.next_watch.is_none() {
+            let draw = self.draw();
+            self.next_watch = Some(now + MAX_SPREAD.mul_f64(draw));
+        }
+    }
+
+    fn watch_call_failed(&mut self, now: Duration, call: &OutCall, ending: Ending) {
+        self.crowded |= ending == Ending::Refused;
+        self.refused |= ending == Ending::Refused;
+        if self.waiting_on_target() > 0 {
+            // The other call keeps its turn; what it brings decides, and the wait is that behind a refusal.
+            if !self.refused {
+                self.actions.push(Action::Report(Outcome::Failed));
+            }
+            return;
+        }
+        self.local_faults = if ending == Ending::Local { self.local_faults + 1 } else { 0 };
+        if ending != Ending::Local || self.local_faults > MAX_LOCAL_FAULTS {
+            self.lease.unreachable();
+        }
+        let refused = self.refused;
+        self.actions.push(Action::Report(if refused { Outcome::Refused } else { Outcome::Failed }));
+        let (took, draw) = (now.saturating_sub(self.last_watch_call.max(call.began)), self.draw());
+        let wait = match ending {
+            _ if refused => self.backoff.refused(took, draw),
+            Ending::Local => self.backoff.local(took, draw),
+            Ending::Refused | Ending::Failed | Ending::Silent | Ending::Reset => {
+                self.backoff.failed(took, draw)
+            }
+        };
+        self.next_watch = Some(now + wait);
+    }
+
+    fn whole_list_failed(&mut self, now: Duration, call: &OutCall, ending: Ending) {
+        let refused = ending == Ending::Refused;
+        self.actions.push(Action::Report(if refused { Outcome::Refused } else { Outcome::Failed }));
+        if self.versions.needs_whole_list() && call.epoch == self.versions.epoch() {
+            self.lease.unreachable();
+            let (took, draw) = (now.saturating_sub(call.began), self.draw());
+            let wait = match ending {
+                Ending::Refused => curlewhub_balance::refused_wait(took, draw),
+                Ending::Local => self.backoff.local(took, draw),
+                Ending::Failed | Ending::Silent | Ending::Reset => self.backoff.failed(took, draw),
+            };
+            self.next_whole_list = Some(now + wait);
+        }
+    }
+
+    fn call_watch(&mut self, now: Duration) {
+        self.refused &= self.waiting_on_target() > 0;
+        self.next_watch = None;
+        self.unsettled_since = None;
+        self.last_watch_call = now;
+        self.lease.called(now);
+        let after = self.versions.ask_after(self.target);
+        self.call(now, CallKind::Watch { after });
+    }
+
+    fn call(&mut self, now: Duration, kind: CallKind) {
+        self.make_place();
+        self.calls_made += 1;
+        let (id, epoch) = (CallId(self.calls_made), self.target);
+        let held = self.versions.version();
+        self.calls.push(OutCall { id, epoch, kind, began: now, progress: Progress::Waiting, held });
+        self.actions.push(Action::Call { id, epoch, kind });
+    }
+
+    /// Where too many calls are out, the oldest one to a server that was left is given up.
+    fn make_place(&mut self) {
+        if self.calls.len() < MAX_CALLS_OUT {
+            return;
+        }
+        let oldest = self.calls.iter().position(|call| call.progress == Progress::Waiting);
+        if let Some(oldest) = oldest {
+            self.abandon(oldest);
+        }
+    }
+
+    fn draw(&mut self) -> f64 {
+        f64::from(self.draws.next_u32()) / f64::from(u32::MAX)
+    }
+}
--- /dev/null
+++ b/crates/discovery-client/src/lease.rs
@@ -0,0 +1,169 @@
+//! The bound on the use of the list that is held.
+
+use crate::Epoch;
+use crate::client::{Mode, Rules};
+use crate::timing::{
+    LEASE_SLACK, NOTIFIED_AFTER_MOVE, NOTIFIED_AFTER_WATCH_END, NOTIFIED_WITHIN, STALL_ALLOWANCE,
+};
+use std::time::Duration;
+
+/// What stands between this process and the newest list.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum LeaseState {
+    /// A watch is up: what changes is notified as it is written.
+    Watching,
+    /// No watch is up, since the start or since the one before was left for another server.
+    Unwatched {
+        /// Since when.
+        since: Duration,
+    },
+    /// Discovery ended the watch, so it is there: what it had to tell then may be notified soon.
+    WatchEnded {
+        /// Its end.
+        at: Duration,
+    },
+    /// The watch was reset: its process, or what is between, is gone.
+    WatchReset {
+        /// When that was seen.
+        at: Duration,
+        /// Its last line.
+        last_line: Duration,
+    },
+    /// The watch fell silent some time after its last line.
+    WatchSilent {
+        /// Its last line.
+        last_line: Duration,
+    },
+    /// A call since has failed: discovery can't be reached, and the last list serves.
+    Unreachable,
+}
+
+/// From when on the list that is held must not be used for anything new, because a change that this process has not
+/// seen may count as notified. While a call is out that will have its turn, to wait for it costs little; once it has
+/// failed, discovery can't be reached, nothing counts as notified, and the last list serves for as long as that lasts.
+#[derive(Debug)]
+pub struct Lease {
+    mode: Mode,
+    rules: Rules,
+    state: LeaseState,
+    /// When discovery was heard last.
+    confirmed_at: Duration,
+    /// The first move whose server has not been heard yet, and the newest epoch since.
+    moved: Option<(Epoch, Duration)>,
+    last_call: Duration,
+}
+
+impl Lease {
+    /// A lease on the list known at the start.
+    pub fn new(mode: Mode, rules: Rules, now: Duration) -> Self {
+        let state = LeaseState::Unwatched { since: now };
+        Lease { mode, rules, state, confirmed_at: now, moved: None, last_call: now }
+    }
+
+    /// What stands between this process and the newest list.
+    pub fn state(&self) -> LeaseState {
+        self.state
+    }
+
+    /// When discovery was heard last, or the start.
+    pub fn confirmed_at(&self) -> Duration {
+        self.confirmed_at
+    }
+
+    /// A call for a watch began.
+    pub fn called(&mut self, now: Duration) {
+        self.last_call = now;
+    }
+
+    /// The watch in force opened or brought a line; it follows the server of this epoch, whose list is held completely
+    /// or a whole one is still owed.
+    pub fn heard(&mut self, now: Duration, epoch: Epoch, complete: bool) {
+        self.state = LeaseState::Watching;
+        self.confirmed_at = now;
+        self.moved = self.moved.filter(|(newest, _)| *newest > epoch || !complete);
+    }
+
+    /// A whole list of the server of this epoch came, while no watch is up.
+    pub fn listed(&mut self, now: Duration, epoch: Epoch) {
+        self.confirmed_at = now;
+        self.moved = self.moved.filter(|(newest, _)| *newest > epoch);
+        if self.state != LeaseState::Watching {
+            self.state = LeaseState::Unwatched { since: now };
+        }
+    }
+
+    /// The server of this epoch is to be followed from now on.
+    pub fn moved(&mut self, now: Duration, epoch: Epoch) {
+        let since = self.moved.map_or(now, |(_, since)| since);
+        self.moved = Some((epoch, since));
+    }
+
+    /// The watch in force was left.
+    pub fn watch_left(&mut self, now: Duration) {
+        self.state = LeaseState::Unwatched { since: now };
+    }
+
+    /// The watch in force ended, or what came on it could not be read.
+    pub fn watch_ended(&mut self, now: Duration) {
+        self.state = LeaseState::WatchEnded { at: now };
+    }
+
+    /// The watch in force was reset.
+    pub fn watch_reset(&mut self, now: Duration) {
+        self.state = LeaseState::WatchReset { at: now, last_line: self.confirmed_at };
+    }
+
+    /// The watch in force counts as dead.
+    pub fn watch_silent(&mut self) {
+        self.state = LeaseState::WatchSilent { last_line: self.confirmed_at };
+    }
+
+    /// Nothing is followed: the list held is the only one.
+    pub fn unbounded(&mut self) {
+        (self.state, self.moved) = (LeaseState::Unreachable, None);
+    }
+
+    /// No call is out any more, and the last one failed.
+    pub fn unreachable(&mut self) {
+        if self.state != LeaseState::Watching {
+            self.state = LeaseState::Unreachable;
+        }
+        self.moved = None;
+    }
+
+    /// From when on nothing new may begin by this list; none while nothing bounds it.
+    pub fn expires_at(&self) -> Option<Duration> {
+        let allowance = self.rules.drain_grace.saturating_sub(STALL_ALLOWANCE + LEASE_SLACK);
+        self.notified_at().map(|notified_at| notified_at + allowance)
+    }
+
+    /// From when on an unseen change may count as notified.
+    fn notified_at(&self) -> Option<Duration> {
+        let at_the_latest = self.confirmed_at + NOTIFIED_WITHIN;
+        let by_state = match self.state {
+            LeaseState::Watching | LeaseState::Unreachable => None,
+            // The move's own bound holds where lists are pushed.
+            LeaseState::Unwatched { .. } if self.mode == Mode::Push && self.moved.is_some() => None,
+            LeaseState::Unwatched { since } => Some(self.unwatched_since(since)),
+            LeaseState::WatchEnded { at } => {
+                Some(self.unwatched_since(at).min(at + NOTIFIED_AFTER_WATCH_END))
+            }
+            LeaseState::WatchReset { at, last_line } => {
+                Some(self.unwatched_since(at).min(last_line + NOTIFIED_WITHIN))
+            }
+            LeaseState::WatchSilent { last_line } => Some(last_line + NOTIFIED_WITHIN),
+        };
+        let by_state = by_state.map(|at| at.min(at_the_latest));
+        let by_move = self.moved.map(|(_, since)| since + NOTIFIED_AFTER_MOVE);
+        by_state.into_iter().chain(by_move).min()
+    }
+
+    /// Without a watch: where lists are pushed, what discovery has counts at once; where it is asked, the settings' time
+    /// from the last call.
+    fn unwatched_since(&self, since: Duration) -> Duration {
+        match self.mode {
+            Mode::Push => since,
+            Mode::Ask => self.last_call.max(since) + self.rules.ask_within,
+        }
+    }
+}
--- /dev/null
+++ b/crates/discovery-client/tests/versions.rs
@@ -0,0 +1,88 @@
+//! One order of lists and changes, over the move from one server to another.
+
+use curlewhub_config::list::{List, State, Target};
+use curlewhub_discovery_client::{Epoch, PENDING_CHANGES_LIMIT, Versions};
+
+fn target(uid: &str, state: State) -> Target {
+    Target {
+        uid: uid.to_owned(),
+        endpoint: "127.0.0.1:7070".parse().unwrap(),
+        az: String::new(),
+        model: String::new(),
+        pod_group: 0,
+        state,
+        capacity_hint: 1.0,
+        boot_ms: 0.0,
+    }
+}
+
+fn list(rev: u64, all: bool, targets: &[(&str, State)]) -> List {
+    let targets = targets.iter().map(|(uid, state)| target(uid, *state)).collect();
+    List { rev, all, targets }
+}
+
+fn names(list: &List) -> Vec<(&str, State)> {
+    list.targets.iter().map(|target| (target.uid.as_str(), target.state)).collect()
+}
+
+#[test]
+fn versions_of_two_servers_are_never_compared() {
+    let mut versions = Versions::new(900);
+    assert_eq!(versions.ask_after(Epoch(0)), 900);
+    assert_eq!(versions.ask_after(Epoch(1)), 0, "none of its versions is held");
+    versions.watch_opened(Epoch(1), Some(&list(3, true, &[])));
+    assert_eq!((versions.epoch(), versions.version()), (Epoch(1), 3));
+    assert!(!versions.needs_whole_list());
+    assert_eq!(
+        versions.whole_list(Epoch(0), 900, list(901, true, &[])),
+        None,
+        "the old server's late word"
+    );
+}
+
+#[test]
+fn changes_that_came_beside_a_whole_list_hold_over_it_where_they_are_newer() {
+    let mut versions = Versions::new(5);
+    versions.watch_opened(Epoch(1), Some(&list(2, false, &[("a", State::Draining)])));
+    versions.watched(&list(4, false, &[("b", State::Removed), ("c", State::Up)]));
+    assert!(versions.needs_whole_list());
+    let whole = list(3, true, &[("a", State::Up), ("b", State::Up)]);
+    let merged = versions.whole_list(Epoch(1), 4, whole).expect("it is owed");
+    assert!(merged.all);
+    assert_eq!(names(&merged), [("a", State::Up), ("c", State::Up)], "a changed before the list was made");
+    assert_eq!(versions.version(), 4);
+    assert!(!versions.needs_whole_list());
+}
+
+#[test]
+fn a_whole_list_is_taken_unless_the_watch_has_brought_newer_changes_since_it_was_asked_for() {
+    let mut versions = Versions::new(5);
+    assert!(versions.whole_list(Epoch(0), 5, list(3, true, &[])).is_some(), "its server began anew");
+    versions.watched(&list(8, false, &[]));
+    assert!(versions.whole_list(Epoch(0), 3, list(7, true, &[])).is_none());
+    assert!(versions.whole_list(Epoch(0), 8, list(8, true, &[])).is_some());
+}
+
+#[test]
+fn of_a_list_that_does_not_count_whole_departures_count_unless_they_are_older_than_what_is_held() {
+    let versions = Versions::new(5);
+    let torn = list(6, true, &[("a", State::Draining), ("b", State::Up), ("c", State::Removed)]);
+    let departures = versions.departures(Epoch(0), torn.clone()).expect("some leave");
+    assert_eq!(names(&departures), [("a", State::Draining), ("c", State::Removed)]);
+    assert!(!departures.all);
+    assert!(versions.departures(Epoch(0), List { rev: 4, ..torn.clone() }).is_none());
+    assert!(versions.departures(Epoch(1), List { rev: 1, ..torn }).is_some(), "of a newer server");
+}
+
+#[test]
+fn changes_beside_a_whole_list_that_never_comes_are_bounded() {
+    let mut versions = Versions::new(0);
+    versions.watch_opened(Epoch(1), Some(&list(1, false, &[])));
+    for rev in 2.. {
+        if versions.overflows() {
+            assert_eq!(rev as usize, PENDING_CHANGES_LIMIT + 3);
+            return;
+        }
+        versions.watched(&list(rev, false, &[("a", State::Up)]));
+    }
+}
--- a/crates/lab/src/discovery_load.rs
+++ b/crates/lab/src/discovery_load.rs
@@ -3,10 +3,10 @@
 
 use comfy_table::{Table, presets};
 use curlewhub_balance::refused_wait;
+use curlewhub_discovery_client::timing::{CALL_TIMEOUT, MAX_SPREAD, SECOND_CALL_AFTER};
 use curlewhub_model::discovery_load::{
     Callers, Discovery, Failures, Outage, Recovery, RetryWait, recover_from,
 };
-use curlewhub_runtime::freshness::{CALL, SECOND_CALL, SPREAD_MOST};
 use std::time::Duration;
 
 /// What is played.
@@ -74,7 +74,7 @@
     match failures.refused {
         true => refused_wait(failures.took, draw),
         // All calls that fail otherwise are given up here, after they took all of their time.
-        false => SPREAD_MOST.mul_f64(draw),
+        false => MAX_SPREAD.mul_f64(draw),
     }
 }
 
@@ -109,8 +109,8 @@
         for &seconds in &settings.seconds_for_all {
             for (name, wait, calls) in SCHEMES {
                 let outage = Outage {
-                    silent: settings.silent_outage.then_some(CALL),
-                    second_call: (calls == Calls::SecondBeside).then_some(SECOND_CALL),
+                    silent: settings.silent_outage.then_some(CALL_TIMEOUT),
+                    second_call: (calls == Calls::SecondBeside).then_some(SECOND_CALL_AFTER),
                 };
                 let one = |seed| play(settings, size, seconds, (wait, outage), seed);
                 let played: Vec<Recovery> = (1..=settings.seeds).map(one).collect();
--- a/crates/rig/src/scale/hollow.rs
+++ b/crates/rig/src/scale/hollow.rs
@@ -7,7 +7,7 @@
 use crate::scale::protocol::{
     HollowCommand, HollowSpec, PlaneCounts, PlaneDid, PlaneEvent, PlaneSpec, commands,
 };
-use curlewhub_balance::{Discovery as ListMode, Membership};
+use curlewhub_balance::{Discovery as ListMode, Membership, Rules};
 use curlewhub_config::Names;
 use curlewhub_control_plane::applied::AppliedRecords;
 use curlewhub_control_plane::evidence::{CallOutcome, CallRecorder};
@@ -267,7 +267,9 @@
     let names =
         Names { classes: Vec::new(), tenants: Vec::new(), areas: shared.zones.clone(), kinds: Vec::new() };
     let (inbox, mut inputs) = unbounded_channel();
-    let discovery = Discovery::new(plane.discovery, ListMode::Push, Listing::new(names), seed, inbox);
+    let listing = Listing::new(names);
+    let discovery =
+        Discovery::new(plane.discovery, ListMode::Push, &Rules::default(), listing, seed, inbox);
     // Nobody asks: where lists are pushed a watch is always up. The sender is held, since its end would end the client.
     let (_asks, asked) = unbounded_channel();
     spawn_local(discovery.run(asked));
--- a/crates/runtime/src/driver.rs
+++ b/crates/runtime/src/driver.rs
@@ -218,6 +218,7 @@
                 self.handle(Event::ProbeEnded { endpoint, outcome, elapsed, report });
             }
             Input::List(news) => self.list(news),
+            Input::ListLease(expires) => self.list_lease(expires),
             Input::Restore(snapshot, told) => {
                 let restored = self.balancer.restore(self.clock.now(), &snapshot);
                 let _ = told.send(restored); // who asked may have given up
@@ -455,6 +456,14 @@
         self.handle(Event::Membership(news.membership));
     }
 
+    /// Nothing new begins from then on by the list that is held, neither chosen nor written.
+    fn list_lease(&mut self, expires: Option<Instant>) {
+        self.outbound.set_list_lease(expires);
+        let left = expires.map(|at| at.saturating_duration_since(Instant::now()));
+        let expires = left.map(|left| self.clock.now() + left);
+        self.handle(Event::ListLease { expires });
+    }
+
     /// Lets the overlap use the balancer, and carries out the actions that it returns.
     fn share(&mut self, update: impl FnOnce(&mut Overlap, &mut BalancerAccess<'_>)) {
         let mut actions = Vec::new();
--- a/crates/runtime/src/events.rs
+++ b/crates/runtime/src/events.rs
@@ -38,6 +38,9 @@
     ProbeEnded(EndpointId, Ended, Duration),
     /// News from discovery.
     List(News),
+    /// From then on nothing new may begin by the list that is held, until the next such word; none while nothing bounds
+    /// its use.
+    ListLease(Option<Instant>),
     /// Start from what another process has learnt; told whether that is so.
     Restore(Box<Snapshot>, oneshot::Sender<bool>),
     /// The process must end: fail what is still open.
--- a/crates/runtime/src/guard.rs
+++ b/crates/runtime/src/guard.rs
@@ -10,6 +10,11 @@
     pub fn new(task: AbortHandle) -> Self {
         Guard(task)
     }
+
+    /// Whether the task has ended by itself.
+    pub fn is_finished(&self) -> bool {
+        self.0.is_finished()
+    }
 }
 
 impl Drop for Guard {
--- a/crates/runtime/src/lib.rs
+++ b/crates/runtime/src/lib.rs
@@ -19,7 +19,6 @@
 pub mod endpoint_bans;
 pub mod events;
 pub mod figures;
-pub mod freshness;
 pub mod guard;
 pub mod handover;
 pub mod idempotency_keys;
--- a/crates/runtime/src/outbound.rs
+++ b/crates/runtime/src/outbound.rs
@@ -168,8 +168,10 @@
     figures: Rc<Figures>,
     /// Where something new may be written to, and at which address.
     doors: RefCell<HashMap<EndpointId, SocketAddr>>,
-    /// Some door was shut or moved.
+    /// Some door was shut or moved, or the list's lease has changed.
     shut: Notify,
+    /// From then on no request may begin by the list that is held.
+    list_lease: Cell<Option<Instant>>,
     /// Idle ones, the most recently used last.
     idle: RefCell<HashMap<EndpointId, Vec<Link>>>,
     /// What waits for resting connections have added up to.
@@ -202,6 +204,7 @@
             figures,
             doors: RefCell::default(),
             shut: Notify::new(),
+            list_lease: Cell::default(),
             idle: RefCell::default(),
             spares: RefCell::default(),
             routes: RefCell::default(),
@@ -268,7 +271,8 @@
             let (this, terms) = (self.clone(), progress.terms.clone());
             link.heard.begins(Box::new(move || {
                 let holds = |terms: &Terms| terms.hold() && read_at.elapsed() < MAX_WRITE_DELAY;
-                this.admits(endpoint, address) && terms.as_ref().is_none_or(holds)
+                let admits = this.admits(endpoint, address);
+                admits && terms.as_ref().is_none_or(|terms| holds(terms) && !this.list_lapsed())
             }));
             let headed = Cell::new(false);
             let exchange = async {
@@ -423,6 +427,33 @@
         self.doors.borrow().get(&endpoint) == Some(&address)
     }
 
+    /// From then on no request may begin by the list that is held; one that waits for a connection is withdrawn.
+    pub fn set_list_lease(&self, expires: Option<Instant>) {
+        self.list_lease.set(expires);
+        self.shut.notify_waiters();
+    }
+
+    fn list_lapsed(&self) -> bool {
+        self.list_lease.get().is_some_and(|expires| Instant::now() >= expires)
+    }
+
+    /// Ends once the list must not be used any more.
+    async fn list_lapses(&self) {
+        loop {
+            // Registered before the look, so that no change falls between the two.
+            let mut changed = pin!(self.shut.notified());
+            changed.as_mut().enable();
+            let expires = self.list_lease.get();
+            if self.list_lapsed() {
+                return;
+            }
+            tokio::select! {
+                () = changed => {}
+                () = sleep_until(expires.unwrap_or_else(Instant::now)), if expires.is_some() => {}
+            }
+        }
+    }
+
     /// Ends once nothing of an attempt may be written any more.
     async fn withdrawn(&self, endpoint: EndpointId, address: SocketAddr, progress: &Progress) {
         let shut = async {
@@ -440,6 +471,7 @@
             Some(terms) => tokio::select! {
                 () = shut => {}
                 () = terms.broken() => {}
+                () = self.list_lapses() => {}
             },
             None => shut.await,
         }
--- a/crates/runtime/tests/discovery.rs
+++ b/crates/runtime/tests/discovery.rs
@@ -1,11 +1,13 @@
 //! Calls to discovery that cross: several asked for at once, and answers that come in another order than they were
 //! asked for in.
 
-use curlewhub_balance::{Discovery as Mode, Membership, refused_wait};
+use curlewhub_balance::{Discovery as Mode, Membership, Rules, refused_wait};
 use curlewhub_config::Names;
+use curlewhub_discovery_client::Backoff;
+use curlewhub_discovery_client::timing::{CALL_TIMEOUT, MAX_SPREAD, MAX_WAIT, NOTIFIED_WITHIN};
 use curlewhub_runtime::discovery::Discovery;
 use curlewhub_runtime::events::{Call, Input};
-use curlewhub_runtime::freshness::{Backoff, CALL, SPREAD_MOST, TOLD, WAIT_MOST};
+
 use curlewhub_runtime::listing::Listing;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -32,7 +34,8 @@
         let (calls, asked) = unbounded_channel();
         let (inbox, told) = unbounded_channel();
         let listing = Listing::new(Names::default());
-        let discovery = Discovery::new(door.local_addr().unwrap(), Mode::Ask, listing, 7, inbox);
+        let discovery =
+            Discovery::new(door.local_addr().unwrap(), Mode::Ask, &Rules::default(), listing, 7, inbox);
         spawn_local(discovery.run(asked));
         Played { door, calls, told }
     }
@@ -47,10 +50,14 @@
         stream
     }
 
+    /// The next news of the list; its lease is told between.
     async fn told(&mut self) -> Membership {
-        match timeout(PATIENCE, self.told.recv()).await.expect("something is told") {
-            Some(Input::List(news)) => news.membership,
-            _ => panic!("only lists are told"),
+        loop {
+            match timeout(PATIENCE, self.told.recv()).await.expect("something is told") {
+                Some(Input::List(news)) => return news.membership,
+                Some(Input::ListLease(_)) => {}
+                _ => panic!("only lists and leases are told"),
+            }
         }
     }
 }
@@ -134,20 +141,20 @@
     for draw in [0.0, 0.3, 0.7, 1.0] {
         let mut backoff = Backoff::default();
         for _ in 0..50 {
-            let wait = backoff.wait(Duration::ZERO, draw);
-            assert!(wait <= WAIT_MOST && wait + CALL < TOLD, "{wait:?}");
+            let wait = backoff.failed(Duration::ZERO, draw);
+            assert!(wait <= MAX_WAIT && wait + CALL_TIMEOUT < NOTIFIED_WITHIN, "{wait:?}");
         }
-        for took in [CALL, Duration::from_secs(60)] {
-            assert!(backoff.wait(took, draw) <= SPREAD_MOST, "what took its time is made again at once");
+        for took in [CALL_TIMEOUT, Duration::from_secs(60)] {
+            assert!(backoff.failed(took, draw) <= MAX_SPREAD, "what took its time is made again at once");
         }
-        backoff.came();
-        assert!(backoff.wait(Duration::ZERO, draw) <= WAIT_MOST / 4, "the next failure is a first one");
+        backoff.reset();
+        assert!(backoff.failed(Duration::ZERO, draw) <= MAX_WAIT / 4, "the next failure is a first one");
     }
 }
 
 #[test]
 fn a_refusal_keeps_callers_away_from_the_start_of_their_call_on() {
-    for took in [Duration::from_millis(20), Duration::from_secs(2), CALL] {
+    for took in [Duration::from_millis(20), Duration::from_secs(2), CALL_TIMEOUT] {
         let wait = |n| Backoff::default().refused(took, f64::from(n) / 20.0) + took;
         let waits: Vec<Duration> = (0..=20).map(wait).collect();
         assert!(
@@ -156,7 +163,7 @@
         );
         assert!(waits[15] - waits[5] >= Duration::from_millis(400), "{waits:?}: they come back together");
         assert!(
-            waits[20] < TOLD - Duration::from_secs(1),
+            waits[20] < NOTIFIED_WITHIN - Duration::from_secs(1),
             "{waits:?}: an answer soon behind it would be too late"
         );
     }
@@ -176,7 +183,7 @@
 }
 
 /// Just in time for the call's own deadline.
-const LATE: Duration = CALL.saturating_sub(Duration::from_millis(60));
+const LATE: Duration = CALL_TIMEOUT.saturating_sub(Duration::from_millis(60));
 
 /// Serves calls by a script, its last word for all further ones; tells when each came.
 async fn serve(door: TcpListener, script: Vec<Meets>, came: UnboundedSender<Instant>) {
@@ -253,7 +260,8 @@
     fn start(address: SocketAddr, mode: Mode) -> Asking {
         let (calls, asked) = unbounded_channel();
         let (inbox, told) = unbounded_channel();
-        let discovery = Discovery::new(address, mode, Listing::new(Names::default()), 7, inbox);
+        let discovery =
+            Discovery::new(address, mode, &Rules::default(), Listing::new(Names::default()), 7, inbox);
         spawn_local(discovery.run(asked));
         if mode == Mode::Ask {
             calls.send(Call::Watch(true)).unwrap();
@@ -265,7 +273,11 @@
     async fn knows(&mut self, count: usize) -> Instant {
         loop {
             let told = timeout(PATIENCE, self.told.recv()).await.expect("something is told");
-            let Some(Input::List(news)) = told else { panic!("only lists are told") };
+            let news = match told {
+                Some(Input::List(news)) => news,
+                Some(Input::ListLease(_)) => continue,
+                _ => panic!("only lists and leases are told"),
+            };
             match news.membership {
                 Membership::Full(entries) | Membership::Delta(entries) if entries.len() == count => {
                     return Instant::now();
@@ -273,7 +285,7 @@
                 news @ (Membership::Failed | Membership::Refused) => {
                     let wait = match news {
                         Membership::Refused => refused_wait(Duration::ZERO, 1.0),
-                        _ => SPREAD_MOST,
+                        _ => MAX_SPREAD,
                     };
                     self.failures.push((Instant::now(), news));
                     let calls = self.calls.clone();
@@ -312,7 +324,10 @@
         for mode in [Mode::Push, Mode::Ask] {
             run_in_steps(async move {
                 let (calls, known) = played(&[lost, Meets::Answered(LATE, 4)], mode).await;
-                assert!(known < TOLD, "{lost:?}, {mode:?}: told after {known:?}, calls at {calls:?}");
+                assert!(
+                    known < NOTIFIED_WITHIN,
+                    "{lost:?}, {mode:?}: told after {known:?}, calls at {calls:?}"
+                );
             });
         }
     }
@@ -327,9 +342,9 @@
             let (calls, _) = played(&script, mode).await;
             let waits: Vec<Duration> = calls.windows(2).map(|two| two[1] - two[0]).collect();
             let slack = Duration::from_millis(20);
-            assert!(waits.iter().all(|wait| *wait + CALL < TOLD), "{mode:?}: {waits:?}");
+            assert!(waits.iter().all(|wait| *wait + CALL_TIMEOUT < NOTIFIED_WITHIN), "{mode:?}: {waits:?}");
             let third = calls.windows(3).map(|three| three[2] - three[0]);
-            assert!(third.into_iter().all(|apart| apart + slack >= CALL), "{mode:?}: {calls:?}");
+            assert!(third.into_iter().all(|apart| apart + slack >= CALL_TIMEOUT), "{mode:?}: {calls:?}");
         });
     }
 }
@@ -341,7 +356,10 @@
         run_in_steps(async move {
             let script = [Meets::Answered(LATE, 4), Meets::Answered(LATE, 3)];
             let (calls, known) = played(&script, mode).await;
-            assert!(known < CALL && calls.len() <= 2, "{mode:?}: told after {known:?}, calls at {calls:?}");
+            assert!(
+                known < CALL_TIMEOUT && calls.len() <= 2,
+                "{mode:?}: told after {known:?}, calls at {calls:?}"
+            );
         });
     }
 }
@@ -355,10 +373,10 @@
             let (calls, known) = played(&script, mode).await;
             assert_eq!(calls.len(), 2, "{mode:?}: {calls:?}");
             assert!(calls[1] >= Duration::from_millis(3500), "{mode:?}: {calls:?}");
-            let most = Duration::from_millis(4800) + CALL;
+            let most = Duration::from_millis(4800) + CALL_TIMEOUT;
             assert!(
                 known < most,
-                "{mode:?}: {known:?}: past {TOLD:?} by what a refusal in the middle adds"
+                "{mode:?}: {known:?}: past {NOTIFIED_WITHIN:?} by what a refusal in the middle adds"
             );
         });
     }
@@ -371,7 +389,7 @@
         run_in_steps(async move {
             let script = [Meets::Answered(LATE, 4), Meets::Refused];
             let (calls, known) = played(&script, mode).await;
-            assert!(known < CALL && calls.len() == 2, "{mode:?}: {known:?}, {calls:?}");
+            assert!(known < CALL_TIMEOUT && calls.len() == 2, "{mode:?}: {known:?}, {calls:?}");
             let (calls, _) =
                 played(&[Meets::Hangs, Meets::Refused, Meets::Answered(Duration::ZERO, 4)], mode).await;
             assert!(calls[2] - calls[1] >= Duration::from_millis(3500), "{mode:?}: {calls:?}");
@@ -391,7 +409,7 @@
         let times: Vec<Instant> = asking.failures.iter().map(|(at, _)| *at).collect();
         assert!(times.len() > 20, "{} calls in ten seconds", times.len());
         let longest = times.windows(2).map(|two| two[1] - two[0]).max().unwrap();
-        assert!(longest < WAIT_MOST / 2, "{longest:?}");
+        assert!(longest < MAX_WAIT / 2, "{longest:?}");
     });
 }
 
@@ -412,7 +430,7 @@
             asking.calls.send(Call::Move(address)).unwrap();
             let moved = Instant::now();
             let known = asking.knows(4).await - moved;
-            assert!(known < TOLD, "{mode:?}: told after {known:?}");
+            assert!(known < NOTIFIED_WITHIN, "{mode:?}: told after {known:?}");
         });
     }
 }
