--- a/crates/balance/tests/hedging.rs
+++ b/crates/balance/tests/hedging.rs
@@ -24,7 +24,7 @@
 
 #[test]
 fn silent_endpoints_get_second_copies_once_silence_is_evident() {
-    // icb4826: answers that never came held requests until their deadlines.
+    // Answers that never came held requests until their deadlines.
     let lone = sends(&falls_silent(copies(), 1).1).len();
     assert_eq!(lone, 2, "one long overdue gets a copy, and as that is never answered another one");
     let soon = sends(&falls_silent(copies(), 0).1).len();
@@ -80,7 +80,7 @@
 
 #[test]
 fn silent_timeouts_do_not_shrink_what_is_out() {
-    // icb4826: time-outs passed for lateness, windows fell to one and requests were refused unsent.
+    // Time-outs passed for lateness, windows fell to one and requests were refused unsent.
     let window_after = |silent: bool| {
         let mut d = Driver::new(Settings { balancers: 4, ..copies() }, endpoints(40));
         out_after(&mut d, 100, 20);
--- a/crates/discovery-client/src/client.rs
+++ b/crates/discovery-client/src/client.rs
@@ -2,7 +2,7 @@
 
 use crate::backoff::Backoff;
 use crate::calls::{CallId, CallKind, Epoch, OutCall, Progress};
-use crate::lease::Lease;
+use crate::lease::{Lease, LeaseState};
 use crate::timing::{MAX_SPREAD, MAX_WATCH_CALLS, MOVES_SETTLE, MOVES_SETTLE_LIMIT, SECOND_CALL_AFTER};
 use crate::versions::Versions;
 use curlewhub_config::list::List;
@@ -221,6 +221,8 @@
                 self.take_departures(call.epoch, list);
                 self.abandon(at);
             }
+            // A whole list of a newer server has come beside it: its versions are another server's.
+            Progress::Up if call.epoch < self.versions.epoch() => self.abandon(at),
             Progress::Up => {
                 self.backoff.reset();
                 if let Some(list) = list {
@@ -273,12 +275,16 @@
 
     /// When [`timer`](Self::timer) is to be called.
     pub fn next_timer(&self) -> Option<Duration> {
-        let times = [self.next_watch, self.next_whole_list, self.second_call_at()];
+        let times =
+            [self.next_watch, self.next_whole_list, self.second_call_at(), self.lease.given_up_at()];
         times.into_iter().flatten().min()
     }
 
-    /// Makes the calls that are due.
+    /// Makes the calls that are due, and ends a wait for a newer list that has become too long.
     pub fn timer(&mut self, now: Duration) {
+        if self.lease.given_up_at().is_some_and(|at| at <= now) {
+            self.lease.unreachable();
+        }
         if self.next_watch.is_some_and(|at| at <= now) || self.second_call_at().is_some_and(|at| at <= now)
         {
             self.call_watch(now);
@@ -289,12 +295,13 @@
         }
     }
 
-    /// While the target brings nothing a second call begins beside the first, but not behind a refusal: discovery then
-    /// has too many callers.
+    /// While the target brings nothing a second call begins beside the first, which an outage may have lost. Not behind
+    /// a refusal, nor behind a watch that discovery has ended itself: it is there, and each call takes a turn of its
+    /// queue.
     fn second_call_at(&self) -> Option<Duration> {
         let waiting = self.waiting_on_target();
-        let may_begin =
-            (1..MAX_WATCH_CALLS).contains(&waiting) && !self.crowded && self.next_watch.is_none();
+        let is_there = self.crowded || matches!(self.lease.state(), LeaseState::WatchEnded { .. });
+        let may_begin = (1..MAX_WATCH_CALLS).contains(&waiting) && !is_there && self.next_watch.is_none();
         may_begin.then_some(self.last_watch_call + SECOND_CALL_AFTER)
     }
 
@@ -378,10 +385,12 @@
             return;
         }
         self.local_faults = if ending == Ending::Local { self.local_faults + 1 } else { 0 };
-        if ending != Ending::Local || self.local_faults > MAX_LOCAL_FAULTS {
+        let refused = self.refused;
+        if refused {
+            self.lease.refused();
+        } else if ending != Ending::Local || self.local_faults > MAX_LOCAL_FAULTS {
             self.lease.unreachable();
         }
-        let refused = self.refused;
         self.actions.push(Action::Report(if refused { Outcome::Refused } else { Outcome::Failed }));
         let (took, draw) = (now.saturating_sub(self.last_watch_call.max(call.began)), self.draw());
         let wait = match ending {
--- a/crates/discovery-client/src/lease.rs
+++ b/crates/discovery-client/src/lease.rs
@@ -3,7 +3,7 @@
 use crate::Epoch;
 use crate::client::{Mode, Rules};
 use crate::timing::{
-    LEASE_SLACK, NOTIFIED_AFTER_MOVE, NOTIFIED_AFTER_WATCH_END, NOTIFIED_WITHIN, STALL_ALLOWANCE,
+    LEASE_SLACK, MAX_HOLD, NOTIFIED_AFTER_MOVE, NOTIFIED_AFTER_WATCH_END, NOTIFIED_WITHIN, STALL_ALLOWANCE,
 };
 use std::time::Duration;
 
@@ -51,13 +51,22 @@
     /// The first move whose server has not been heard yet, and the newest epoch since.
     moved: Option<(Epoch, Duration)>,
     last_call: Duration,
+    /// A watch has been up since the start.
+    watched: bool,
+    /// Calls refused since discovery was heard last.
+    refusals: u32,
 }
 
+/// So many refusals in a row, behind a watch that discovery itself or a move ended, say that it is there and has too many
+/// callers: the next call is waited for as well.
+const REFUSALS_BORNE: u32 = 1;
+
 impl Lease {
     /// A lease on the list known at the start.
     pub fn new(mode: Mode, rules: Rules, now: Duration) -> Self {
         let state = LeaseState::Unwatched { since: now };
-        Lease { mode, rules, state, confirmed_at: now, moved: None, last_call: now }
+        let (moved, watched, refusals) = Default::default();
+        Lease { mode, rules, state, confirmed_at: now, moved, last_call: now, watched, refusals }
     }
 
     /// What stands between this process and the newest list.
@@ -78,7 +87,7 @@
     /// The watch in force opened or brought a line; it follows the server of this epoch, whose list is held completely
     /// or a whole one is still owed.
     pub fn heard(&mut self, now: Duration, epoch: Epoch, complete: bool) {
-        self.state = LeaseState::Watching;
+        (self.state, self.watched, self.refusals) = (LeaseState::Watching, true, 0);
         self.confirmed_at = now;
         self.moved = self.moved.filter(|(newest, _)| *newest > epoch || !complete);
     }
@@ -123,6 +132,22 @@
         (self.state, self.moved) = (LeaseState::Unreachable, None);
     }
 
+    /// No call is out any more, and the last one was refused.
+    pub fn refused(&mut self) {
+        self.refusals += 1;
+        let was_there = match self.state {
+            LeaseState::WatchEnded { .. } => true,
+            LeaseState::Unwatched { .. } => self.watched,
+            LeaseState::Watching
+            | LeaseState::WatchReset { .. }
+            | LeaseState::WatchSilent { .. }
+            | LeaseState::Unreachable => false,
+        };
+        if !was_there || self.refusals > REFUSALS_BORNE {
+            self.unreachable();
+        }
+    }
+
     /// No call is out any more, and the last one failed.
     pub fn unreachable(&mut self) {
         if self.state != LeaseState::Watching {
@@ -137,6 +162,11 @@
         self.notified_at().map(|notified_at| notified_at + allowance)
     }
 
+    /// When to wait no longer for a newer list, though a call may still be out.
+    pub fn given_up_at(&self) -> Option<Duration> {
+        self.expires_at().map(|expires| expires + MAX_HOLD)
+    }
+
     /// From when on an unseen change may count as notified.
     fn notified_at(&self) -> Option<Duration> {
         let at_the_latest = self.confirmed_at + NOTIFIED_WITHIN;
--- a/crates/discovery-client/src/timing.rs
+++ b/crates/discovery-client/src/timing.rs
@@ -15,6 +15,10 @@
 /// Beyond that, what a clock's reading and a scheduler's turn may blur.
 pub const LEASE_SLACK: Duration = Duration::from_millis(50);
 
+/// For so long at the most nothing begins for want of a newer list: a discovery that has too many callers would otherwise
+/// stop a whole fleet for as long as that lasts. A call behind one refusal is mostly answered within it.
+pub const MAX_HOLD: Duration = Duration::from_secs(5);
+
 /// A call that has not brought a whole list, or a watch's first line, by then has failed. Calls wait in turn for up to
 /// 3 s at the sites known, and to leave just before the turn comes gives up a place in the queue.
 pub const CALL_TIMEOUT: Duration = Duration::from_millis(3200);
--- a/crates/discovery-client/tests/lease.rs
+++ b/crates/discovery-client/tests/lease.rs
@@ -74,9 +74,14 @@
 #[test]
 fn once_a_call_has_failed_the_last_list_serves_until_discovery_is_heard_again() {
     for mode in [Mode::Ask, Mode::Push] {
-        for ending in [Ending::Failed, Ending::Refused] {
+        for (watch_ends, ending) in [
+            (Ending::Failed, Ending::Failed),
+            (Ending::Reset, Ending::Failed),
+            (Ending::Reset, Ending::Refused),
+            (Ending::Silent, Ending::Refused),
+        ] {
             let (mut client, watch) = watching(mode);
-            client.ended(seconds(5.0), watch, Ending::Failed);
+            client.ended(seconds(5.0), watch, watch_ends);
             let (_, call) = next_call(&mut client);
             client.ended(seconds(6.0), call, ending);
             assert_eq!(client.lease().state(), LeaseState::Unreachable, "{mode:?}, {ending:?}");
@@ -183,3 +188,48 @@
     assert_eq!(client.lease().expires_at(), None);
     assert_eq!(client.version(), 9);
 }
+
+/// Discovery has ended the watch itself, so it is there, and one refusal says that it has too many callers.
+#[test]
+fn one_refusal_behind_a_watch_that_discovery_ended_is_waited_out_and_a_second_is_not() {
+    let (mut client, watch) = watching(Mode::Ask);
+    client.ended(seconds(5.0), watch, Ending::Failed);
+    let bound = client.lease().expires_at();
+    let (at, call) = next_call(&mut client);
+    client.ended(at + seconds(2.0), call, Ending::Refused);
+    assert_eq!(client.lease().expires_at(), bound, "the next call is waited for as well");
+    let (at, call) = next_call(&mut client);
+    client.ended(at + seconds(2.0), call, Ending::Refused);
+    assert_eq!(client.lease().expires_at(), None);
+    // Heard again, it is as before.
+    let (at, call) = next_call(&mut client);
+    client.watch_line(at, call, Some(changes(4)));
+    client.ended(at + seconds(1.0), call, Ending::Failed);
+    let (at, call) = next_call(&mut client);
+    client.ended(at + seconds(2.0), call, Ending::Refused);
+    assert!(client.lease().expires_at().is_some());
+}
+
+#[test]
+fn at_the_start_a_refusal_is_all_that_is_known_of_discovery() {
+    let mut client = Client::new(Mode::Ask, rules(), 7, Duration::ZERO);
+    client.follow(Duration::ZERO);
+    let call = one_call(&mut client);
+    client.ended(seconds(2.0), call, Ending::Refused);
+    assert_eq!(client.lease().expires_at(), None);
+}
+
+#[test]
+fn a_wait_for_a_newer_list_ends_after_five_seconds_whatever_is_out() {
+    let (mut client, watch) = watching(Mode::Ask);
+    client.ended(seconds(5.0), watch, Ending::Failed);
+    let expires = client.lease().expires_at().expect("a bound");
+    loop {
+        let at = client.next_timer().expect("it is given up");
+        client.timer(at);
+        if client.lease().expires_at().is_none() {
+            assert_eq!(at, expires + seconds(5.0));
+            return;
+        }
+    }
+}
--- a/crates/lab/src/discovery_load.rs
+++ b/crates/lab/src/discovery_load.rs
@@ -7,6 +7,7 @@
 use curlewhub_model::discovery_load::{
     Callers, Discovery, Failures, Outage, Recovery, RetryWait, recover_from,
 };
+use curlewhub_model::list_notification::{Moves, Notification, Scene, notify};
 use std::time::Duration;
 
 /// What is played.
@@ -27,6 +28,13 @@
     /// While it is down discovery says nothing at all, and callers give up; otherwise it refuses calls at its limit.
     #[arg(long)]
     silent_outage: bool,
+    /// Plays a change of the list instead, which ends watches in place of coming on them: how many sidecars have it in
+    /// time, and what the others do meanwhile.
+    #[arg(long)]
+    change: bool,
+    /// With `--change`: seconds that a call, or the end of a watch, takes discovery.
+    #[arg(long, value_delimiter = ',', default_value = "0.02,0.1,0.35", value_parser = positive_seconds)]
+    turns: Vec<f64>,
     /// Seeds of each cell; the table has the mean.
     #[arg(long, default_value_t = 8, value_parser = clap::value_parser!(u64).range(1..=1000))]
     seeds: u64,
@@ -90,8 +98,79 @@
     from_start(1.3 + 1.4 * draw, failures.took, draw)
 }
 
+/// What comes before a change of the list.
+const BEFORE_CHANGE: [(&str, Option<Moves>); 3] = [
+    ("nothing", None),
+    ("one configuration", Some(Moves { rounds: 1, apart: Duration::ZERO, within: MOVED_WITHIN })),
+    ("four, 0.4 s apart", Some(Moves { rounds: 4, apart: MOVES_APART, within: MOVED_WITHIN })),
+];
+/// New configurations come to all sidecars within this ...
+const MOVED_WITHIN: Duration = Duration::from_millis(3200);
+/// ... and to one of them so long apart.
+const MOVES_APART: Duration = Duration::from_millis(400);
+
 /// Plays all cells; a table.
 pub fn discovery_load(settings: &DiscoveryLoad) -> String {
+    if settings.change { change_table(settings) } else { recovery_table(settings) }
+}
+
+/// How soon a change of the list is there.
+fn change_table(settings: &DiscoveryLoad) -> String {
+    let mut table = Table::new();
+    table.load_preset(presets::ASCII_MARKDOWN);
+    table.set_header([
+        "sidecars",
+        "turn s",
+        "before it",
+        "a watch begins with",
+        "in time %",
+        "old list too long %",
+        "held s",
+        "calls a sidecar",
+        "refused a sidecar",
+        "last s",
+    ]);
+    for &size in &settings.sizes {
+        for &turn in &settings.turns {
+            for (name, moves) in BEFORE_CHANGE {
+                for whole_first in [true, false] {
+                    let scene = Scene {
+                        sidecars: size as usize,
+                        turn: Duration::from_secs_f64(turn),
+                        wait_limit: Duration::from_secs_f64(settings.wait_limit),
+                        whole_first,
+                        moves,
+                    };
+                    let played: Vec<Notification> =
+                        (1..=settings.seeds).map(|seed| notify(scene, seed)).collect();
+                    table.add_row(change_row(&scene, name, &played));
+                }
+            }
+        }
+    }
+    table.to_string()
+}
+
+fn change_row(scene: &Scene, before: &str, played: &[Notification]) -> Vec<String> {
+    let mean = |figure: &dyn Fn(&Notification) -> f64| {
+        played.iter().map(figure).sum::<f64>() / played.len().max(1) as f64
+    };
+    vec![
+        scene.sidecars.to_string(),
+        format!("{:.2}", scene.turn.as_secs_f64()),
+        before.to_owned(),
+        if scene.whole_first { "the whole list" } else { "changes" }.to_owned(),
+        format!("{:.1}", 100.0 * mean(&|one| one.in_time)),
+        format!("{:.1}", 100.0 * mean(&|one| one.used_too_long)),
+        format!("{:.2}", mean(&|one| one.held_s)),
+        format!("{:.1}", mean(&|one| one.calls)),
+        format!("{:.1}", mean(&|one| one.refused)),
+        format!("{:.1}", mean(&|one| one.last_s)),
+    ]
+}
+
+/// How discovery's return is borne.
+fn recovery_table(settings: &DiscoveryLoad) -> String {
     let mut table = Table::new();
     table.load_preset(presets::ASCII_MARKDOWN);
     table.set_header([
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -13,3 +13,4 @@
 pub mod rig;
 pub mod scale_run;
 pub mod sim;
+pub mod timeline;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -13,6 +13,7 @@
 use curlewhub_lab::rig::{self, Ended, RigCommand};
 use curlewhub_lab::scale_run;
 use curlewhub_lab::sim;
+use curlewhub_lab::timeline::{Timeline, timeline};
 use curlewhub_rig::scale;
 use curlewhub_standins::books::Books;
 use indicatif::{ProgressBar, ProgressStyle};
@@ -209,6 +210,8 @@
     Rig(RigCommand),
     /// Start the control planes of a whole fleet on this machine, most without a data path, and judge what comes of events.
     ScaleRun(scale_run::ScaleRun),
+    /// Merge the logs of several processes into one timeline.
+    Timeline(Timeline),
     /// Print the default mix of requests.
     Mix,
     /// Host control planes of a scale run.
@@ -260,6 +263,13 @@
             Ok(spec) => block_on(scale_run::play(spec, options)),
             Err(problem) => wrong(&problem),
         },
+        Command::Timeline(options) => match timeline(&options) {
+            Ok(text) => {
+                print!("{text}");
+                ExitCode::SUCCESS
+            }
+            Err(error) => wrong(&error.to_string()),
+        },
         Command::Hollow { spec } => done(scale::hollow::host(&spec)),
         Command::Gateway { spec } => done(scale::gateway::serve(&spec)),
         Command::Sidecar { words } => curlewhub::program(std::iter::once("curlewhub".into()).chain(words)),
--- a/crates/lab/tests/rig.rs
+++ b/crates/lab/tests/rig.rs
@@ -60,6 +60,7 @@
             "ci/keepers.toml",
             "ci/system-calls.toml",
             "ci/disk-and-clock.toml",
+            "ci/discovery-queue.toml",
             "replaced.toml",
         ] {
             scope.spawn(move || holds(name));
@@ -74,6 +75,10 @@
     let (code, verdict, _) = run(&file("defects/many-attempts.toml"), &folder);
     assert_eq!(code, Some(1));
     assert!(broken(&verdict).contains(&"no more attempts than allowed"), "{:?}", broken(&verdict));
+    // Sidecars that use an old list for ten seconds, though they heed at once what they are told.
+    let (code, verdict, _) = run(&file("defects/late-lease.toml"), &folder);
+    assert_eq!(code, Some(1));
+    assert_eq!(broken(&verdict), ["nothing new once a drain counts as notified"]);
     let (code, verdict, _) = run(&file("defects/dead-program.toml"), &folder);
     assert_eq!(code, Some(1));
     let wanted = ["the schedule happened", "every process starts", "no process crashes"];
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -32,6 +32,7 @@
 mod clients;
 mod decider;
 pub mod discovery_load;
+pub mod list_notification;
 mod process;
 mod queue;
 mod retry;
--- a/crates/rig/src/campaign.rs
+++ b/crates/rig/src/campaign.rs
@@ -3,10 +3,12 @@
 use crate::checks::Check;
 use crate::fault::{FaultSpec, Kind, StateIs, Strikes};
 use crate::plan::{Member, Role, members};
-use crate::spec::{DrawSpec, RigSpec};
+use crate::spec::{DrawFleetSpec, DrawSpec, RigSpec};
 use comfy_table::{Table, presets};
+use curlewhub_config::Repeat;
 use curlewhub_config::units::{Size, Span};
 use curlewhub_fault_schedule::{Call, Errno};
+use curlewhub_standins::spec::DirectoryManner;
 use rand::seq::IndexedRandom;
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg32;
@@ -269,6 +271,9 @@
     let mut spec = RigSpec { seed, ..spec.clone() };
     if let Some(draw) = spec.draw.take() {
         let mut draws = Pcg32::seed_from_u64(seed);
+        if let Some(fleet) = &draw.fleet {
+            draw_fleet(&mut spec, fleet, &mut draws);
+        }
         let members = members(&spec);
         for _ in 0..draws.random_range(draw.faults.0..=draw.faults.1) {
             let fault = one(&spec, &draw, &members, &mut draws);
@@ -283,6 +288,33 @@
     Span(Duration::from_millis(draws.random_range(least..=most)))
 }
 
+/// What the fleet is made of: how many, how slow and how unkind discovery is, and what requests are owed.
+fn draw_fleet(spec: &mut RigSpec, fleet: &DrawFleetSpec, draws: &mut Pcg32) {
+    let halls = spec.halls().len().max(1);
+    let count = draws.random_range(fleet.sidecars.0..=fleet.sidecars.1.max(fleet.sidecars.0));
+    spec.sidecars.iter_mut().take(1).for_each(|group| group.count = count);
+    let sidecars: usize = spec.sidecars.iter().map(|group| group.count * halls).sum();
+    let longest = fleet.all_within.0.div_f64(sidecars.max(1) as f64);
+    let turn = between(fleet.turn, draws).0.min(longest).max(fleet.turn.0.0);
+    spec.discovery.calls_per_s = 1.0 / turn.as_secs_f64().max(1e-6);
+    let mut share = |shares: &[f64]| shares.choose(draws).copied().unwrap_or_default();
+    spec.discovery.manner = DirectoryManner {
+        notify_in_turn: share(&[0.0, 1.0]) > 0.5,
+        ends_watches: share(&[0.0, 0.5, 1.0]),
+        whole_first: share(&[0.0, 0.5, 1.0]),
+        omits_draining: share(&[0.0, 1.0]) > 0.5,
+        indented: share(&[0.0, 1.0]) > 0.5,
+        pieces: share(&[0.0, 0.3]),
+    };
+    for class in &mut spec.classes {
+        class.deadline = between(fleet.deadlines, draws);
+        class.objective = Span(class.deadline.0 / 2);
+        class.repeat =
+            [Repeat::Safe, Repeat::Keyed, Repeat::Never].choose(draws).copied().unwrap_or_default();
+        class.window = between(fleet.windows, draws);
+    }
+}
+
 /// One fault of the space: its kind, then what it strikes, then how badly.
 fn one(spec: &RigSpec, draw: &DrawSpec, members: &[Member], draws: &mut Pcg32) -> FaultSpec {
     let what = draw.kinds.choose(draws).copied().unwrap_or(Kind::Pause);
@@ -361,7 +393,11 @@
         }
         _ => {}
     }
-    if matches!(what, Kind::Restart | Kind::Roll) {
+    if what == Kind::Reload {
+        fault.rounds = Some(draws.random_range(1..=5));
+        fault.apart = Some(Span(Duration::from_millis(draws.random_range(0..=600))));
+    }
+    if matches!(what, Kind::Restart | Kind::Roll | Kind::Reload) {
         fault.lasts = None;
     }
     fault
--- a/crates/rig/src/checks.rs
+++ b/crates/rig/src/checks.rs
@@ -3,6 +3,7 @@
 use crate::fault::Kind;
 use crate::figures::{Figures, LossFigures, figures, micros, service};
 use crate::history::{Entry, History, Micros, Try, What};
+use crate::notified::{Change, Notified};
 use crate::plan::{Plan, Role};
 use crate::run::Ran;
 use crate::spec::{CheckSpec, Judged};
@@ -138,7 +139,9 @@
     let keyed = plan.spec.classes.iter().any(|class| class.repeat != Repeat::Safe);
     checks.extend(keyed.then(|| seen.runs()));
     let says_drain = |kind| matches!(kind, Kind::Drain | Kind::Remove);
-    checks.extend(plan.spec.faults.iter().any(|fault| says_drain(fault.what)).then_some(drains));
+    let drained = plan.spec.faults.iter().any(|fault| says_drain(fault.what));
+    checks.extend(drained.then_some(drains));
+    checks.extend((drained && !ran.views.is_empty()).then(|| seen.notified_drains(&ran.views)));
     let colds = seen.cold();
     checks.extend((colds.seen > 0).then_some(colds));
     checks.extend([seen.bounds(), seen.whole()]);
@@ -341,37 +344,39 @@
         finding.check()
     }
 
-    /// New requests to endpoints that drain, by what their sidecar could know; and how many came before it could.
+    /// New requests to endpoints that leave, behind the list that says so in their sidecar's own log; and how many came
+    /// before it could know.
     fn drains(&self) -> (Check, u64) {
         let mut finding = Finding::new("nothing new to a draining endpoint");
-        let mut lists: HashMap<&str, Vec<Micros>> = HashMap::new();
+        // Lists taken so far by what runs of each sidecar.
+        let mut lists: HashMap<&str, Vec<(Micros, u64)>> = HashMap::new();
+        let notified = Notified::new(self.plan, &BTreeMap::new(), &self.history.entries);
+        let leaving = self.leaving(&notified);
+        let (mut unknowing, mut taken) = (0, 0);
         for entry in self.entries() {
-            if matches!(&entry.what, What::Log { message, .. } if message.starts_with("list")) {
-                lists.entry(&entry.process).or_default().push(entry.at);
-            }
-        }
-        let mut since: Vec<(usize, Micros, Micros)> = Vec::new();
-        let notice = micros(self.plan.spec.discovery.notice.0);
-        for (n, fault) in self.plan.spec.faults.iter().enumerate() {
-            if matches!(fault.what, Kind::Drain | Kind::Remove) {
-                for (begin, end) in fault.times(self.plan.spec.lasts.0) {
-                    since.extend(
-                        self.plan.struck[n].iter().map(|e| (*e, micros(begin) + notice, micros(end))),
-                    );
+            let (endpoint, id, draining) = match &entry.what {
+                What::Listed { version } => {
+                    taken += 1;
+                    lists.entry(&entry.process).or_default().push((entry.at, *version));
+                    continue;
                 }
-            }
-        }
-        let mut unknowing = 0;
-        for entry in self.entries() {
-            let What::Came { endpoint, id, draining, .. } = &entry.what else { continue };
-            let told = since.iter().find(|(member, from, to)| {
-                *self.plan.members[*member].name == **endpoint && (*from..*to).contains(&entry.at)
-            });
-            let Some((_, from, _)) = told else { continue };
+                // A new process knows what it is told from then on.
+                What::Started => {
+                    lists.remove(&*entry.process);
+                    continue;
+                }
+                What::Came { endpoint, id, draining, .. } => (endpoint, id, draining),
+                _ => continue,
+            };
+            let left = leaving
+                .iter()
+                .find(|(name, change, end)| **name == **endpoint && (change.at..*end).contains(&entry.at));
+            let Some((_, change, _)) = left else { continue };
             finding.saw();
             let sidecar = self.tries.get(id).and_then(|one| self.name(&one.sidecar));
-            let known = sidecar.and_then(|name| lists.get(name)?.iter().find(|at| **at >= *from));
-            let after = known.map(|known| entry.at - known);
+            let has_it = |listed: &&(Micros, u64)| listed.0 >= change.at && listed.1 >= change.version;
+            let known = sidecar.and_then(|name| lists.get(name)?.iter().find(has_it));
+            let after = known.map(|(known, _)| entry.at - known);
             match after.filter(|after| *after > DRAIN_MOST + self.blur()) {
                 Some(after) => {
                     let text =
@@ -383,11 +388,61 @@
         }
         // That nothing came at all is as good: what was seen then is that the list told of it.
         if finding.seen == 0 {
-            finding.seen = lists.values().flatten().count() as u64;
+            finding.seen = taken;
         }
         (finding.check(), unknowing)
     }
 
+    /// New requests to endpoints whose drain counts as notified to their sidecar, by the protocol's clocks and the
+    /// records of discovery and endpoints.
+    fn notified_drains(&self, views: &BTreeMap<usize, String>) -> Check {
+        let mut finding = Finding::new("nothing new once a drain counts as notified");
+        let notified = Notified::new(self.plan, views, &self.history.entries);
+        let leaving = self.leaving(&notified);
+        for entry in self.entries() {
+            let What::Came { endpoint, id, .. } = &entry.what else { continue };
+            let Some(sidecar) = self.tries.get(id).and_then(|one| self.name(&one.sidecar)) else {
+                continue;
+            };
+            let drains = leaving.iter().filter(|(name, ..)| **name == **endpoint);
+            for (_, change, end) in drains.filter(|(_, change, end)| (change.at..*end).contains(&entry.at))
+            {
+                finding.saw();
+                let Some(notified_at) = notified.notified_at(sidecar, *change, entry.at) else { continue };
+                let late = entry.at - notified_at - DRAIN_MOST - self.blur();
+                if late > 0 && entry.at < *end {
+                    let since = (entry.at - notified_at) / 1000;
+                    let text = format!("{id} came to {endpoint} {since} ms after its drain counted");
+                    finding.wrong(late as f64, text, Some(entry.at), Some(sidecar));
+                }
+            }
+        }
+        // That nothing came at all is as good: what was seen then are the drains.
+        finding.seen += leaving.len() as u64;
+        finding.check()
+    }
+
+    /// Endpoints that drain or are removed: the change of the list, and until when.
+    fn leaving(&self, notified: &Notified) -> Vec<(&'a str, Change, Micros)> {
+        let mut leaving = Vec::new();
+        for (n, fault) in self.plan.spec.faults.iter().enumerate() {
+            if !matches!(fault.what, Kind::Drain | Kind::Remove) {
+                continue;
+            }
+            for (begin, end) in fault.times(self.plan.spec.lasts.0) {
+                let Some(change) = notified.change_from(micros(begin)) else { continue };
+                // Another change may have come first, before the list has noticed this one.
+                let noticed = micros(begin) + micros(self.plan.spec.discovery.notice.0);
+                let change =
+                    notified.change_from(noticed).filter(|c| c.at < noticed + 500_000).unwrap_or(change);
+                leaving.extend(
+                    self.plan.struck[n].iter().map(|e| (&*self.plan.members[*e].name, change, micros(end))),
+                );
+            }
+        }
+        leaving
+    }
+
     /// The work that comes to a cold endpoint over the time after which it topples, against what it bears.
     fn cold(&self) -> Check {
         let mut finding = Finding::new("no cold endpoint is pushed over");
--- a/crates/rig/src/fault.rs
+++ b/crates/rig/src/fault.rs
@@ -45,6 +45,12 @@
     DiscoveryShort,
     /// Discovery breaks off each answer half way.
     DiscoveryCut,
+    /// Discovery takes calls and says nothing, nor on watches that are open.
+    DiscoverySilent,
+    /// Discovery refuses each call.
+    DiscoveryRefuses,
+    /// Sidecars get new configurations, each of which names another address of discovery's.
+    Reload,
     /// Processes are killed, and started again at the end.
     Kill,
     /// Processes are killed while they write a file of their state, and started again at the end.
@@ -233,7 +239,8 @@
             Kind::Hang | Kind::Reset | Kind::Spoil => Strikes::Endpoints,
             Kind::CutOff => Strikes::Borders,
             Kind::DiscoveryDown | Kind::DiscoveryShort | Kind::DiscoveryCut => Strikes::Discovery,
-            Kind::Roll => Strikes::Sidecars,
+            Kind::DiscoverySilent | Kind::DiscoveryRefuses => Strikes::Discovery,
+            Kind::Roll | Kind::Reload => Strikes::Sidecars,
             Kind::Kill | Kind::KillWriting | Kind::End | Kind::Pause | Kind::Restart => Strikes::Processes,
             Kind::StateFull | Kind::StateUnwritable => Strikes::Processes,
             Kind::SystemCall | Kind::ShortIo | Kind::Disk | Kind::ClockStep => Strikes::Processes,
@@ -258,6 +265,8 @@
             Kind::Flap => Fields(&["on", "every", "for"], &["part", "of"]),
             Kind::CutOff => Fields(&["on"], &["one_way", "reset"]),
             Kind::DiscoveryDown | Kind::DiscoveryCut => Fields(&[], &[]),
+            Kind::DiscoverySilent | Kind::DiscoveryRefuses => Fields(&[], &[]),
+            Kind::Reload => Fields(&["on"], &["part", "apart", "rounds"]),
             Kind::DiscoveryShort => Fields(&["share"], &[]),
             Kind::Kill | Kind::KillWriting | Kind::End => Fields(&["on"], RESTART),
             Kind::Pause | Kind::StateFull | Kind::StateUnwritable => Fields(&["on"], &["part"]),
@@ -376,7 +385,7 @@
         for field in given.iter().filter(|f| **f != "for" && !needed.contains(f) && !allowed.contains(f)) {
             p.wants(false, at(field), &format!("not for {kind}"));
         }
-        let at_once = matches!(self.what, Kind::Restart | Kind::Roll);
+        let at_once = matches!(self.what, Kind::Restart | Kind::Roll | Kind::Reload);
         p.wants(!(at_once && self.lasts.is_some()), at("for"), "not for what happens at once");
         let end = self.at.0 + self.lasts.unwrap_or_default().0;
         p.wants(self.at < spec.lasts, at("at"), "before the end (`lasts`)");
--- a/crates/rig/src/history.rs
+++ b/crates/rig/src/history.rs
@@ -58,6 +58,22 @@
         /// What was done to it.
         done: &'static str,
     },
+    /// It was given a new configuration.
+    Reloaded,
+    /// A sidecar has taken a list or changes of this version.
+    Listed {
+        /// The version.
+        version: u64,
+    },
+    /// Discovery did something for a sidecar, by its own record.
+    Directory {
+        /// The view that the sidecar uses; none where it concerns all.
+        view: Option<usize>,
+        /// What: `called`, `written`, `watch ended`, `refused` or `changed`.
+        event: Rc<str>,
+        /// The version that it is of.
+        version: Option<u64>,
+    },
     /// It has ended.
     Ended {
         /// How.
@@ -351,6 +367,10 @@
             self.add(at, process, incarnation, What::May { closed });
             return Some(());
         }
+        if let ("list", Some(version)) = (message, line["rev"].as_u64()) {
+            self.add(at, process, incarnation, What::Listed { version });
+            return Some(());
+        }
         let level = line["level"].as_str().unwrap_or_default();
         if level == "DEBUG" || level == "TRACE" {
             return Some(());
@@ -383,6 +403,11 @@
                 let (endpoint, id) = (text(self, "endpoint")?, text(self, "id")?);
                 What::Ran { endpoint, id, key: text(self, "key") }
             }
+            "directory" => What::Directory {
+                view: line["view"].as_u64().map(|view| view as usize),
+                event: text(self, "event")?,
+                version: line["version"].as_u64(),
+            },
             became => What::Became { endpoint: text(self, "endpoint")?, became: self.name(became) },
         };
         self.add(at, process, 0, what);
--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod history;
 pub mod injection;
 pub mod links;
+mod notified;
 pub mod plan;
 pub mod process;
 pub mod relay;
--- a/crates/rig/src/run.rs
+++ b/crates/rig/src/run.rs
@@ -80,6 +80,8 @@
     pub history: History,
     /// The sidecars' addresses, by name.
     pub sidecars: BTreeMap<String, SocketAddr>,
+    /// The sidecars that have a view of discovery to themselves, by its number.
+    pub views: BTreeMap<usize, String>,
     /// What it cost.
     pub cost: Cost,
 }
@@ -132,6 +134,8 @@
     cost: RefCell<Cost>,
     /// What is to be told a person who waits.
     said: RefCell<Vec<String>>,
+    /// Which of its addresses of discovery's each sidecar uses.
+    moves: RefCell<BTreeMap<usize, usize>>,
 }
 
 /// Makes a run. Dropped before its end, it leaves no process behind.
@@ -179,7 +183,9 @@
         let path = folder.0.join("history.jsonl");
         history.write(&path).map_err(|e| format!("{}: {e}", path.display()))?;
     }
-    Ok(Ran { plan: rig.plan.clone(), history, sidecars, cost })
+    let views = rig.views.iter().enumerate().filter(|(_, site)| !site.name.is_empty());
+    let views = views.map(|(number, site)| (number, site.name.clone())).collect();
+    Ok(Ran { plan: rig.plan.clone(), history, sidecars, views, cost })
 }
 
 /// A second octet that no other run uses, and what holds it.
@@ -246,7 +252,7 @@
                 &views,
             )?);
         }
-        let (wires, relays, holding, history, steps, zero, said) = Default::default();
+        let (wires, relays, holding, history, steps, zero, said, moves) = Default::default();
         let cost =
             RefCell::new(Cost { processes: processes.iter().flatten().count() + 1, ..Cost::default() });
         let rig = Rig {
@@ -265,6 +271,7 @@
             zero,
             cost,
             said,
+            moves,
         };
         *rig.history.borrow_mut() = History::new(0);
         Ok(rig)
@@ -285,6 +292,29 @@
         self.history.borrow_mut().add(at, process, incarnation, what);
     }
 
+    /// The port of discovery's that a sidecar uses now.
+    pub(crate) fn discovery_port(&self, member: usize) -> String {
+        let site = self.plan.members[member].site(&self.plan.spec);
+        let view = self.views.iter().position(|view| *view == site).unwrap_or_default();
+        view_port(view, self.moves.borrow().get(&member).copied().unwrap_or_default())
+    }
+
+    /// Moves a sidecar to its next address of discovery's; the one that it leaves.
+    pub(crate) fn next_discovery(&self, member: usize) -> Result<SocketAddr, String> {
+        let before = self.at(self.discovery(), &self.discovery_port(member));
+        let moves = {
+            let mut moves = self.moves.borrow_mut();
+            let moves = moves.entry(member).or_default();
+            *moves += 1;
+            *moves
+        };
+        if moves > self.plan.spec.discovery.moves {
+            let name = &self.plan.members[member].name;
+            return Err(format!("{name}: discovery has no further address for it (`discovery.moves`)"));
+        }
+        Ok(before)
+    }
+
     pub fn discovery(&self) -> usize {
         self.plan.members.len() - 1
     }
@@ -706,6 +736,11 @@
     }
 }
 
+/// The port of a view of discovery's; the first is the one that sidecars start with.
+pub(crate) fn view_port(view: usize, number: usize) -> String {
+    if number == 0 { format!("view-{view}") } else { format!("view-{view}-{number}") }
+}
+
 /// Processor seconds of this process.
 fn own_cpu_s() -> f64 {
     let time = rustix::time::clock_gettime(rustix::time::ClockId::ProcessCPUTime);
@@ -742,7 +777,7 @@
             take("control".to_owned(), tcp)?;
             // It is the last of the members: all sites are known by now.
             for v in 0..views.len() {
-                take(format!("view-{v}"), tcp)?;
+                (0..=plan.spec.discovery.moves).try_for_each(|n| take(view_port(v, n), tcp))?;
             }
         }
         Role::Other => {
--- a/crates/rig/src/spec.rs
+++ b/crates/rig/src/spec.rs
@@ -5,12 +5,15 @@
 use curlewhub_config::Repeat;
 use curlewhub_config::units::{Size, Span};
 use curlewhub_model::RetrySpec;
-use curlewhub_standins::spec::MachineSpec;
+use curlewhub_standins::spec::{DirectoryManner, MachineSpec};
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
 use std::path::PathBuf;
 use std::time::Duration;
 
+/// Addresses that one sidecar can be moved to, at the most.
+const MAX_MOVES: usize = 40;
+
 /// Halls at the most: each has a third octet of the run's addresses.
 pub const HALLS_MOST: usize = 100;
 /// Processes and endpoints of a hall at the most: each has a fourth octet.
@@ -208,11 +211,24 @@
     pub calls_per_s: f64,
     /// A change shows in the list after this long.
     pub notice: Span,
+    /// A call that has waited for its turn for longer is refused.
+    pub timeout: Span,
+    /// Addresses that a sidecar can be moved to, beside its first one.
+    pub moves: usize,
+    /// What callers have to bear.
+    pub manner: DirectoryManner,
 }
 
 impl Default for DiscoverySpec {
     fn default() -> Self {
-        DiscoverySpec { hall: None, calls_per_s: 500.0, notice: Span(Duration::from_millis(200)) }
+        DiscoverySpec {
+            hall: None,
+            calls_per_s: 500.0,
+            notice: Span(Duration::from_millis(200)),
+            timeout: Span(Duration::from_secs(3)),
+            moves: 0,
+            manner: DirectoryManner::default(),
+        }
     }
 }
 
@@ -299,6 +315,25 @@
     pub begin: (Span, Span),
     /// Each lasts between these.
     pub lasts: (Span, Span),
+    /// What the fleet is made of is drawn too.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub fleet: Option<DrawFleetSpec>,
+}
+
+/// What is drawn of a fleet, before its schedule.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct DrawFleetSpec {
+    /// Sidecars of the first group in each hall, from the first to the second.
+    pub sidecars: (usize, usize),
+    /// A turn of discovery's takes between these, ...
+    pub turn: (Span, Span),
+    /// ... as long as all sidecars have a turn each within this.
+    pub all_within: Span,
+    /// Requests' deadlines lie between these; their objectives are half of that.
+    pub deadlines: (Span, Span),
+    /// Windows for repeats of keyed classes lie between these.
+    pub windows: (Span, Span),
 }
 
 fn blur() -> Span {
@@ -376,6 +411,7 @@
         let known = |hall: &String| halls.iter().any(|(name, _)| name == hall);
         p.wants(self.discovery.hall.as_ref().is_none_or(known), "discovery.hall", "a hall's name");
         p.wants(self.discovery.calls_per_s > 0.0, "discovery.calls_per_s", "over 0");
+        p.wants(self.discovery.moves <= MAX_MOVES, "discovery.moves", "0 to 40");
         p.wants(self.load.rate > 0.0 && self.load.rate <= 1e5, "load.rate", "over 0, up to 100000");
         p.wants((1..=100_000).contains(&self.load.open_most), "load.open_most", "1 to 100000");
         for (field, allowed) in self.load.retry.problems() {
--- a/crates/rig/src/tell.rs
+++ b/crates/rig/src/tell.rs
@@ -1,7 +1,7 @@
 //! What a run tells its processes: all files, written before any process starts, with the names in braces looked up.
 
 use crate::plan::{Member, Role, Side};
-use crate::run::Rig;
+use crate::run::{Rig, view_port};
 use crate::spec::Transport;
 use crate::texts::{self, Seen, Standing, fill, lay_over};
 use rand::seq::IndexedRandom;
@@ -32,6 +32,7 @@
 
     /// All files of all processes, checked before any is started.
     pub(crate) fn write_files(&self) -> Result<(), String> {
+        self.make_ways_of_moves()?;
         for (n, member) in self.plan.members.iter().enumerate() {
             if let Some(text) = self.text(n, member, false, &toml::Table::new())? {
                 std::fs::write(self.file(n), text).map_err(|e| format!("{}: {e}", member.name))?;
@@ -41,6 +42,16 @@
         std::fs::write(self.folder.join("files/mix.toml"), mix).map_err(|e| format!("mix: {e}"))
     }
 
+    /// Relays start with the run: those to addresses that sidecars are moved to later, too.
+    fn make_ways_of_moves(&self) -> Result<(), String> {
+        for (view, site) in self.views.iter().enumerate() {
+            for number in 1..=self.plan.spec.discovery.moves {
+                self.wire(site, self.discovery(), &view_port(view, number))?;
+            }
+        }
+        Ok(())
+    }
+
     /// The text of a member's file, where it has one; `set` is laid over a sidecar's.
     pub(crate) fn text(
         &self,
@@ -67,7 +78,8 @@
                 let all: Vec<_> = all.map(|(e, endpoint)| (endpoint, self.at(e, "serve"))).collect();
                 let (mut views, mut listens) = (Vec::new(), Vec::new());
                 for (v, site) in self.views.iter().enumerate() {
-                    listens.push(self.at(n, &format!("view-{v}")));
+                    let moves = 0..=self.plan.spec.discovery.moves;
+                    listens.push(moves.map(|m| self.at(n, &view_port(v, m))).collect::<Vec<_>>());
                     views.push(
                         self.seen(site)?.into_iter().map(|seen| (seen.id.to_owned(), seen.at)).collect(),
                     );
@@ -93,8 +105,7 @@
 
     fn sidecar_text(&self, n: usize, member: &Member, set: &toml::Table) -> Result<String, String> {
         let site = member.site(&self.plan.spec);
-        let view = self.views.iter().position(|view| *view == site).unwrap_or_default();
-        let discovery = self.wire(&site, self.discovery(), &format!("view-{view}"))?;
+        let discovery = self.wire(&site, self.discovery(), &self.discovery_port(n))?;
         let addresses = (self.at(n, "listen"), self.at(n, "operator"), discovery);
         let state = &self.process(n).state;
         let mut table = texts::sidecar(&self.plan, member, addresses, state, &self.seen(&site)?)?;
--- a/crates/rig/src/texts.rs
+++ b/crates/rig/src/texts.rs
@@ -189,13 +189,17 @@
     standing: &Standing,
     endpoints: &[(&Member, SocketAddr)],
     views: Option<Vec<BTreeMap<String, SocketAddr>>>,
-    listens: &[SocketAddr],
+    listens: &[Vec<SocketAddr>],
     cold: bool,
 ) -> Result<String, String> {
     let spec = &plan.spec;
     let lists = views.is_some();
     let views = views.into_iter().flatten().zip(listens);
-    let views = views.map(|(addresses, listen)| ViewSpec { listen: *listen, addresses }).collect();
+    let view = |(addresses, listens): (_, &Vec<SocketAddr>)| {
+        let (listen, also) = listens.split_first()?;
+        Some(ViewSpec { listen: *listen, also: also.to_vec(), addresses })
+    };
+    let views = views.filter_map(view).collect();
     let endpoint = |(member, at): &(&Member, SocketAddr)| {
         let group = &spec.endpoints[member.group];
         EndpointSpec {
@@ -220,6 +224,8 @@
         directory: DirectorySpec {
             calls_per_s: spec.discovery.calls_per_s,
             notice: spec.discovery.notice,
+            timeout: spec.discovery.timeout,
+            manner: spec.discovery.manner.clone(),
             views,
             ..DirectorySpec::default()
         },
--- a/crates/rig/tests/checks.rs
+++ b/crates/rig/tests/checks.rs
@@ -52,7 +52,11 @@
 }
 
 fn list() -> What {
-    What::Log { level: "INFO".to_owned(), message: "list".to_owned() }
+    What::Listed { version: 2 }
+}
+
+fn changed() -> What {
+    What::Directory { view: None, event: "changed".into(), version: Some(2) }
 }
 
 /// A run in which all is well, with more behind it: time in milliseconds, who, what.
@@ -76,6 +80,7 @@
         (80, "standins-b", ran("1", ENDPOINT, Some("k"))),
         (85, "standins-b", came("2", false, true, 30.0)),
         (1000, "rig", What::Fault { fault: 0, on: true, problem: None }),
+        (1200, "discovery", changed()),
         (1250, SIDECAR, list()),
         (1300, "standins-b", came("1", false, false, 30.0)),
         (2000, SIDECAR, What::Usage { kib: 9000, descriptors: 60 }),
@@ -88,7 +93,7 @@
     history.order();
     let sidecars = [(SIDECAR.to_owned(), AT.parse::<SocketAddr>().unwrap())].into();
     assert_eq!(plan.of(Role::Sidecar).count(), 12);
-    Ran { plan, history, sidecars, cost: Cost::default() }
+    Ran { plan, history, sidecars, views: Default::default(), cost: Cost::default() }
 }
 
 type Case = (&'static str, Vec<(i64, &'static str, What)>, &'static [&'static str]);
@@ -229,8 +234,50 @@
 fn a_drain_in_a_gap_of_discovery_is_counted_and_not_held_against_who_was_not_told() {
     let mut ran = played(&[(4000, "s", came("1", true, false, 1.0)), (8000, SIDECAR, list())]);
     // Without the list of the sound run.
-    ran.history.entries.retain(|entry| !(matches!(entry.what, What::Log { .. }) && entry.at < 2000 * MS));
+    ran.history
+        .entries
+        .retain(|entry| !(matches!(entry.what, What::Listed { .. }) && entry.at < 2000 * MS));
     let verdict = judge(&ran);
     assert!(verdict.passed, "{:?}", verdict.checks);
     assert_eq!(verdict.figures.unknowing, 1);
 }
+
+/// What discovery did for the sidecar, which has a view to itself.
+fn directory(event: &str, version: Option<u64>) -> What {
+    What::Directory { view: Some(0), event: event.into(), version }
+}
+
+#[test]
+fn a_drain_counts_as_notified_by_the_protocol_s_clocks_and_discovery_s_records_alone() {
+    // What happened, and from when on nothing may come: the grace of 250 ms and the blur of 50 ms behind it.
+    let cases = [
+        ("nothing", vec![], 1200 + 6000),
+        ("written", vec![(2000, "discovery", directory("written", Some(2)))], 2000),
+        ("an older version written", vec![(2000, "discovery", directory("written", Some(1)))], 1200 + 6000),
+        ("a watch ended in its place", vec![(1300, "discovery", directory("watch ended", None))], 3300),
+        ("a new configuration", vec![(1500, SIDECAR, What::Reloaded)], 5500),
+        ("a start", vec![(2000, SIDECAR, What::Started), (2010, SIDECAR, What::Ready)], 2000 + 6000),
+        (
+            "a stop over that time",
+            vec![
+                (1300, "discovery", directory("watch ended", None)),
+                (3000, SIDECAR, What::Done { done: "paused" }),
+                (6000, SIDECAR, What::Done { done: "goes on" }),
+            ],
+            6500,
+        ),
+    ];
+    let name = "nothing new once a drain counts as notified";
+    for (case, happened, notified) in cases {
+        for (at, wanted) in [(notified + 290, true), (notified + 310, false)] {
+            let came = (at, "s", came("1", true, false, 1.0));
+            let mut ran = played(&[&happened[..], &[came]].concat());
+            ran.views = [(0, SIDECAR.to_owned())].into();
+            // Its own word counts for nothing here.
+            ran.history.entries.retain(|entry| !matches!(entry.what, What::Listed { .. }));
+            let verdict = judge(&ran);
+            let check = verdict.checks.iter().find(|check| check.name == name).expect("the check is made");
+            assert_eq!(check.held, wanted, "{case}, {at}: {}", check.worst);
+        }
+    }
+}
--- a/crates/runtime/src/connect.rs
+++ b/crates/runtime/src/connect.rs
@@ -57,6 +57,11 @@
     )
 }
 
+/// Whether a call failed for lack of descriptors or memory, which closing a connection of our own would give back.
+pub fn lacks_resources(error: &io::Error) -> bool {
+    is_local(error) && Errno::from_io_error(error) != Some(Errno::INTR)
+}
+
 /// Opens a connection; an unreachable machine never answers, so the time is limited.
 ///
 /// # Errors
--- a/crates/runtime/src/discovery/mod.rs
+++ b/crates/runtime/src/discovery/mod.rs
@@ -5,7 +5,7 @@
 mod error;
 mod trace;
 
-use crate::events::{Call, Inbox, Input, News};
+use crate::events::{Call, Inbox, Input, ListStatus, News};
 use crate::guard::Guard;
 use crate::listing::Listing;
 use call::{Order, Report, Reports};
@@ -21,7 +21,7 @@
 use tokio::sync::mpsc::{self, UnboundedReceiver};
 use tokio::task::spawn_local;
 use tokio::time::{Instant, sleep_until};
-use tracing::{debug, info, warn};
+use tracing::{info, warn};
 
 /// Reports of calls that wait to be looked at, at the most; a call waits until there is room.
 const REPORTS_QUEUED: usize = 16;
@@ -37,7 +37,7 @@
     started: Instant,
     /// It has told us of the list since the start of the process.
     heard: Cell<bool>,
-    lease: Cell<Option<Instant>>,
+    status: Cell<Option<ListStatus>>,
     lease_state: Cell<Option<LeaseState>>,
     inbox: Inbox,
 }
@@ -59,9 +59,9 @@
         let rules = Rules { ask_within: rules.ask_within, drain_grace: rules.drain_grace };
         let client = RefCell::new(Client::new(mode, rules, seed, Duration::ZERO));
         let lease_state = Cell::new(Some(client.borrow().lease().state()));
-        let (heard, lease) = Default::default();
+        let (heard, status) = Default::default();
         let (address, started) = (Cell::new(address), Instant::now());
-        Rc::new(Discovery { address, mode, listing, client, started, heard, lease, lease_state, inbox })
+        Rc::new(Discovery { address, mode, listing, client, started, heard, status, lease_state, inbox })
     }
 
     /// Whether the list is as discovery has it, and not only as it was last held before the start.
@@ -90,7 +90,7 @@
         }
         loop {
             self.carry_out(&mut out, &reports);
-            self.pass_lease();
+            self.pass_status();
             let timer = self.client.borrow().next_timer().unwrap_or(self.now() + IDLE);
             tokio::select! {
                 biased;
@@ -174,20 +174,24 @@
         let _ = self.inbox.send(Input::List(News { membership, addresses: Vec::new() }));
     }
 
-    /// Tells the driver until when the list may be used, where that has changed.
-    fn pass_lease(&self) {
+    /// Tells the driver how the list stands, where that has changed.
+    fn pass_status(&self) {
         let client = self.client.borrow();
-        let (state, now) = (client.lease().state(), self.now());
-        let expires = client.lease().expires_at().map(|at| self.started + at);
+        let (lease, now) = (client.lease(), self.now());
+        let state = lease.state();
         let kind = |state: Option<LeaseState>| state.as_ref().map(std::mem::discriminant);
         if kind(self.lease_state.replace(Some(state))) != kind(Some(state)) {
-            let age = now.saturating_sub(client.lease().confirmed_at());
+            let age = now.saturating_sub(lease.confirmed_at());
             info!(?state, version = client.version(), age_ms = age.as_millis() as u64, "list freshness");
         }
-        if self.lease.replace(expires) != expires {
-            let left = expires.map(|at| at.saturating_duration_since(Instant::now()));
-            debug!(?left, "list lease");
-            let _ = self.inbox.send(Input::ListLease(expires));
+        let heard_at = self.started + lease.confirmed_at();
+        let status = ListStatus {
+            expires: lease.expires_at().map(|at| self.started + at),
+            version: client.version(),
+            unwatched_since: (state != LeaseState::Watching).then_some(heard_at),
+        };
+        if self.status.replace(Some(status)) != Some(status) {
+            let _ = self.inbox.send(Input::ListStatus(status)); // fails only while the process ends
         }
     }
 }
--- a/crates/runtime/src/driver.rs
+++ b/crates/runtime/src/driver.rs
@@ -5,7 +5,9 @@
 use super::call_observer::CallObserver;
 use super::clock::Clock;
 use super::endpoint_bans::EndpointBans;
-use super::events::{Answer, Arrival, Call, Client, Command, Ended, Forward, Inbox, Input, News};
+use super::events::{
+    Answer, Arrival, Call, Client, Command, Ended, Forward, Inbox, Input, ListStatus, News,
+};
 use super::figures::Hosts;
 use super::handover::overlap::{BalancerAccess, Overlap};
 use super::idempotency_keys::IdempotencyKeys;
@@ -99,6 +101,8 @@
     banned: HashSet<EndpointId>,
     /// Endpoints that are listed and drain.
     draining: HashSet<EndpointId>,
+    /// How the list stands, where discovery brings it.
+    list_status: Option<ListStatus>,
     /// Division of the overlap quota with another process.
     overlap: Overlap,
     calls: UnboundedSender<Call>,
@@ -135,6 +139,7 @@
             probes: 0,
             banned: HashSet::new(),
             draining: HashSet::new(),
+            list_status: None,
             overlap: Overlap::default(),
             calls,
             inbox,
@@ -218,7 +223,7 @@
                 self.handle(Event::ProbeEnded { endpoint, outcome, elapsed, report });
             }
             Input::List(news) => self.list(news),
-            Input::ListLease(expires) => self.list_lease(expires),
+            Input::ListStatus(status) => self.list_status(status),
             Input::Restore(snapshot, told) => {
                 let restored = self.balancer.restore(self.clock.now(), &snapshot);
                 let _ = told.send(restored); // who asked may have given up
@@ -241,8 +246,9 @@
         match command {
             Command::Hosts(told) => {
                 let down = self.balancer.avoided(self.clock.now());
-                let _ =
-                    told.send(Hosts { listed: self.addresses.len(), down, parts: self.overlap.parts() });
+                let (listed, parts) = (self.addresses.len(), self.overlap.parts());
+                let list = self.list_status;
+                let _ = told.send(Hosts { listed, down, parts, list });
             }
             Command::Zones(rights) => self.handle(Event::Zones(rights)),
             Command::ProbeZone { zone, count, within } => self.probe_zone(zone, count, within),
@@ -456,10 +462,18 @@
         self.handle(Event::Membership(news.membership));
     }
 
-    /// Nothing new begins from then on by the list that is held, neither chosen nor written.
-    fn list_lease(&mut self, expires: Option<Instant>) {
-        self.outbound.set_list_lease(expires);
-        let left = expires.map(|at| at.saturating_duration_since(Instant::now()));
+    /// Behind its expiry nothing new begins by the list that is held, neither chosen nor written.
+    fn list_status(&mut self, status: ListStatus) {
+        let before = self.list_status.replace(status).and_then(|before| before.expires);
+        if let Some(lapsed) = before.filter(|at| *at < Instant::now() && status.expires != Some(*at)) {
+            let lapsed_ms = lapsed.elapsed().as_millis() as u64;
+            info!(lapsed_ms, version = status.version, "list could not be used: requests were held");
+        }
+        if before == status.expires {
+            return;
+        }
+        self.outbound.set_list_lease(status.expires);
+        let left = status.expires.map(|at| at.saturating_duration_since(Instant::now()));
         let expires = left.map(|left| self.clock.now() + left);
         self.handle(Event::ListLease { expires });
     }
@@ -561,6 +575,14 @@
         if let (Some(key), Some((zone, cell))) = (open.key, self.balancer.place(endpoint)) {
             open.noted |= self.idempotency_keys.record_send(self.clock.now(), key, open.class, zone, cell);
         }
+        debug!(
+            request = id.0,
+            attempt = attempt.0,
+            endpoint = self.listing.uid(endpoint),
+            list_version = self.list_status.map(|list| list.version),
+            list_age_ms = self.list_status.map(|list| list.age().as_millis() as u64),
+            "attempt"
+        );
         let (cancel, mut cancelled) = oneshot::channel();
         open.tries.push(Try { endpoint, sent: now, cancel: Some(cancel) });
         open.out += 1;
--- a/crates/runtime/src/events.rs
+++ b/crates/runtime/src/events.rs
@@ -38,9 +38,8 @@
     ProbeEnded(EndpointId, Ended, Duration),
     /// News from discovery.
     List(News),
-    /// From then on nothing new may begin by the list that is held, until the next such word; none while nothing bounds
-    /// its use.
-    ListLease(Option<Instant>),
+    /// How the list that is held stands, until the next such word.
+    ListStatus(ListStatus),
     /// Start from what another process has learnt; told whether that is so.
     Restore(Box<Snapshot>, oneshot::Sender<bool>),
     /// The process must end: fail what is still open.
@@ -198,6 +197,24 @@
     pub addresses: Vec<(EndpointId, SocketAddr)>,
 }
 
+/// How the endpoint list that is held stands.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ListStatus {
+    /// From then on nothing new may begin by it; none while nothing bounds its use.
+    pub expires: Option<Instant>,
+    /// Its version, of the server that it is from.
+    pub version: u64,
+    /// When discovery was heard last, where no watch is up.
+    pub unwatched_since: Option<Instant>,
+}
+
+impl ListStatus {
+    /// For how long nothing has been heard of it; zero while a watch is up, and for a list that nobody changes.
+    pub fn age(&self) -> Duration {
+        self.unwatched_since.map_or(Duration::ZERO, |since| since.elapsed())
+    }
+}
+
 /// What the driver may ask of discovery.
 pub enum Call {
     /// Follow changes, or stop.
--- a/crates/runtime/src/figures.rs
+++ b/crates/runtime/src/figures.rs
@@ -7,6 +7,7 @@
 //! malformed, cut off, or left by its client before its answer. A request whose class can't be told
 //! stands under the class `unknown`.
 
+use crate::events::ListStatus;
 use std::cell::{Cell, RefCell};
 use std::fmt::Write;
 use std::rc::Rc;
@@ -43,6 +44,8 @@
     pub down: usize,
     /// Parts of 64 of what one sidecar may use that this process holds: fewer beside another process of it.
     pub parts: u32,
+    /// How the list stands, where discovery brings it.
+    pub list: Option<ListStatus>,
 }
 
 /// The counts since the start of the process.
@@ -167,6 +170,10 @@
         line("hosts_listed", "", hosts.listed as u64, "g");
         line("hosts_down", "", hosts.down as u64, "g");
         line("share_parts", "", u64::from(hosts.parts), "g");
+        if let Some(list) = hosts.list {
+            line("list_version", "", list.version, "g");
+            line("list_age_ms", "", list.age().as_millis() as u64, "g");
+        }
         for &Beside { name, value, counts } in self.beside.borrow().iter() {
             line(name, "", value, if counts { "c" } else { "g" });
         }
@@ -225,7 +232,7 @@
             verdict.into_iter().for_each(|verdict| counted.ends(verdict));
             open.push(counted);
         }
-        let hosts = Hosts { listed: 3, down: 1, parts: 64 };
+        let hosts = Hosts { listed: 3, down: 1, parts: 64, list: None };
         assert!(figures.report(hosts).contains("router.inflight:6|g\n"));
         drop(open);
         figures.written();
--- a/crates/runtime/src/inbound/mod.rs
+++ b/crates/runtime/src/inbound/mod.rs
@@ -5,6 +5,7 @@
 mod request;
 
 use crate::budget::{Budget, Holder, Permit};
+use crate::connect::lacks_resources;
 use crate::events::{Inbox, Input};
 use crate::figures::Figures;
 use crate::handover::Handover;
@@ -172,7 +173,10 @@
                 if !self.failing.replace(true) {
                     warn!(error = %e, "accept");
                 }
-                self.outbound.close_oldest_idle();
+                // A client that has gone before it was accepted, or a network that is down, is no lack of ours.
+                if lacks_resources(&e) {
+                    self.outbound.close_oldest_idle();
+                }
                 sleep(ACCEPT_PAUSE).await;
             }
         }
--- a/crates/runtime/tests/discovery.rs
+++ b/crates/runtime/tests/discovery.rs
@@ -55,8 +55,8 @@
         loop {
             match timeout(PATIENCE, self.told.recv()).await.expect("something is told") {
                 Some(Input::List(news)) => return news.membership,
-                Some(Input::ListLease(_)) => {}
-                _ => panic!("only lists and leases are told"),
+                Some(Input::ListStatus(_)) => {}
+                _ => panic!("only lists and how they stand are told"),
             }
         }
     }
@@ -275,8 +275,8 @@
             let told = timeout(PATIENCE, self.told.recv()).await.expect("something is told");
             let news = match told {
                 Some(Input::List(news)) => news,
-                Some(Input::ListLease(_)) => continue,
-                _ => panic!("only lists and leases are told"),
+                Some(Input::ListStatus(_)) => continue,
+                _ => panic!("only lists and how they stand are told"),
             };
             match news.membership {
                 Membership::Full(entries) | Membership::Delta(entries) if entries.len() == count => {
--- a/crates/standins/src/endpoint.rs
+++ b/crates/standins/src/endpoint.rs
@@ -50,7 +50,9 @@
     work: Notify,
     faults: Cell<ActiveFaults>,
     alive: Cell<bool>,
-    state: Cell<Option<State>>,
+    /// Faults that have it drain, and that take it from the list: each ends its own alone.
+    drains: Cell<u32>,
+    removals: Cell<u32>,
     /// Since when the published list has said that it drains.
     draining_since: Cell<Option<Instant>>,
     boot_ms: Cell<f64>,
@@ -90,7 +92,8 @@
             work: Notify::new(),
             faults,
             alive: Cell::new(true),
-            state: Cell::new(Some(State::Up)),
+            drains: Cell::default(),
+            removals: Cell::default(),
             draining_since,
             boot_ms,
             changed: watch::Sender::new(0),
@@ -104,9 +107,18 @@
         self.address
     }
 
+    /// What the list says of it while it is alive; none where it is removed.
+    fn listed_state(&self) -> Option<State> {
+        match (self.removals.get(), self.drains.get()) {
+            (0, 0) => Some(State::Up),
+            (0, _) => Some(State::Draining),
+            (_, _) => None,
+        }
+    }
+
     /// Its entry in the list; none if it is not listed.
     pub fn target(&self) -> Option<Target> {
-        let state = self.state.get().filter(|_| self.alive.get())?;
+        let state = self.listed_state().filter(|_| self.alive.get())?;
         Some(Target {
             uid: self.spec.id.clone(),
             endpoint: self.address,
@@ -151,15 +163,17 @@
             Fault::Slow { factor } => {
                 self.machine.borrow_mut().set_factor(now, if on { 1.0 / factor.max(1.0) } else { 1.0 });
             }
-            Fault::Drain => self.state.set(Some(if on { State::Draining } else { State::Up })),
-            Fault::Remove => self.state.set((!on).then_some(State::Up)),
+            Fault::Drain => count(&self.drains, on),
+            Fault::Remove => count(&self.removals, on),
             Fault::Heal => {
                 faults = ActiveFaults::default();
                 self.machine.borrow_mut().set_factor(now, 1.0);
-                self.state.set(Some(State::Up));
+                self.drains.set(0);
+                self.removals.set(0);
                 self.start_process();
             }
             Fault::DirectoryDown | Fault::DirectoryShort { .. } | Fault::DirectoryCut => {}
+            Fault::DirectorySilent | Fault::DirectoryRefuses | Fault::DirectoryMoved { .. } => {}
         }
         self.faults.set(faults);
         self.work.notify_one();
@@ -233,3 +247,8 @@
         let _ = changed.wait_for(|_| !self.faults.get().vanish).await;
     }
 }
+/// One more fault holds, or one fewer.
+fn count(faults: &Cell<u32>, on: bool) {
+    let now = faults.get();
+    faults.set(if on { now.saturating_add(1) } else { now.saturating_sub(1) });
+}
--- a/crates/standins/src/fault.rs
+++ b/crates/standins/src/fault.rs
@@ -44,6 +44,16 @@
     },
     /// Discovery breaks off each answer half way.
     DirectoryCut,
+    /// Discovery takes calls and says nothing to them, nor on watches that are open: what it took is lost.
+    DirectorySilent,
+    /// Discovery refuses each call.
+    DirectoryRefuses,
+    /// Nobody is to use this address of discovery's any more: new connections are refused at once, and those that are
+    /// open closed soon.
+    DirectoryMoved {
+        /// The address.
+        from: std::net::SocketAddr,
+    },
     /// All faults of that endpoint, or of discovery, end; an endpoint that was dead comes back cold.
     Heal,
 }
@@ -51,7 +61,15 @@
 impl Fault {
     /// Whether it befalls one endpoint, and not discovery; `Heal` may be of either.
     pub fn is_an_endpoints(&self) -> bool {
-        !matches!(self, Fault::DirectoryDown | Fault::DirectoryShort { .. } | Fault::DirectoryCut)
+        !matches!(
+            self,
+            Fault::DirectoryDown
+                | Fault::DirectoryShort { .. }
+                | Fault::DirectoryCut
+                | Fault::DirectorySilent
+                | Fault::DirectoryRefuses
+                | Fault::DirectoryMoved { .. }
+        )
     }
 
     /// Whether an order must name an endpoint.
--- a/crates/standins/src/fleet.rs
+++ b/crates/standins/src/fleet.rs
@@ -60,7 +60,7 @@
         Directory::new(world.clone(), spec.directory.clone(), spec.discovery, endpoints.clone()).await?;
     let control = TcpListener::bind(spec.control).await?;
     let addresses = Addresses {
-        discovery: directory.address()?,
+        discovery: directory.address(),
         control: control.local_addr()?,
         endpoints: endpoints.iter().map(|e| (e.spec.id.clone(), e.address())).collect(),
     };
--- a/crates/standins/src/spec.rs
+++ b/crates/standins/src/spec.rs
@@ -54,6 +54,26 @@
     pub idle_line: Span,
     /// Further addresses at which the list is told, with other addresses for the endpoints: what one site sees.
     pub views: Vec<ViewSpec>,
+    /// What a caller has to bear, beside faults.
+    pub manner: DirectoryManner,
+}
+
+/// What callers of discovery have to bear, though nothing is wrong with it.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct DirectoryManner {
+    /// A change on a watch takes its turn among the calls.
+    pub notify_in_turn: bool,
+    /// This part of the changes ends the watch in place of coming on it, 0 to 1.
+    pub ends_watches: f64,
+    /// This part of the watches begins with the whole list, whatever version was asked for, 0 to 1.
+    pub whole_first: f64,
+    /// Whole lists leave out endpoints that drain.
+    pub omits_draining: bool,
+    /// Lists come indented, over several lines.
+    pub indented: bool,
+    /// This part of what is written comes in pieces some milliseconds apart, 0 to 1.
+    pub pieces: f64,
 }
 
 /// Discovery as one site sees it.
@@ -62,6 +82,9 @@
 pub struct ViewSpec {
     /// Where it listens.
     pub listen: SocketAddr,
+    /// Further addresses of the same view, for configurations that move a sidecar from one to the next.
+    #[serde(default)]
+    pub also: Vec<SocketAddr>,
     /// The endpoints' addresses by id; one that is not here keeps its own.
     #[serde(default)]
     pub addresses: BTreeMap<String, SocketAddr>,
@@ -76,6 +99,7 @@
             notice: span(0),
             idle_line: span(2000),
             views: Vec::new(),
+            manner: DirectoryManner::default(),
         }
     }
 }
@@ -240,9 +264,18 @@
                 wants(choke.slower >= 1.0, at("machine.choke.slower"), "1 or more");
             }
         }
+        let manner = &self.directory.manner;
+        for (field, share) in [
+            ("ends_watches", manner.ends_watches),
+            ("whole_first", manner.whole_first),
+            ("pieces", manner.pieces),
+        ] {
+            wants((0.0..=1.0).contains(&share), format!("directory.manner.{field}"), "0 to 1");
+        }
         for (n, view) in self.directory.views.iter().enumerate() {
             let at = |field: &str| format!("directory.views[{n}].{field}");
             wants(view.listen.ip().is_loopback(), at("listen"), "on loopback");
+            wants(view.also.iter().all(|also| also.ip().is_loopback()), at("also"), "on loopback");
             for (id, address) in &view.addresses {
                 wants(ids.contains(id), at(&format!("addresses.{id}")), "an endpoint's id");
                 wants(address.ip().is_loopback(), at(&format!("addresses.{id}")), "on loopback");
