--- a/crates/discovery-client/src/lease.rs
+++ b/crates/discovery-client/src/lease.rs
@@ -7,6 +7,10 @@
 };
 use std::time::Duration;
 
+/// So many refusals in a row, behind a watch that discovery itself or a move ended, say that it is there and has too many
+/// callers: the next call is waited for as well.
+const REFUSALS_BORNE: u32 = 1;
+
 /// What stands between this process and the newest list.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum LeaseState {
@@ -57,10 +61,6 @@
     refusals: u32,
 }
 
-/// So many refusals in a row, behind a watch that discovery itself or a move ended, say that it is there and has too many
-/// callers: the next call is waited for as well.
-const REFUSALS_BORNE: u32 = 1;
-
 impl Lease {
     /// A lease on the list known at the start.
     pub fn new(mode: Mode, rules: Rules, now: Duration) -> Self {
--- a/crates/rig/src/notified.rs
+++ b/crates/rig/src/notified.rs
@@ -2,10 +2,10 @@
 //! discovery and of the rig alone: never by what the sidecar says.
 
 use crate::fault::Kind;
+use crate::figures::micros;
 use crate::history::{Entry, Micros, What};
 use crate::plan::{Plan, Role};
 use std::collections::{BTreeMap, HashMap};
-use std::time::Duration;
 
 /// A change counts as notified so long after discovery had it and could be reached.
 const AT_THE_LATEST: Micros = 6_000_000;
@@ -48,10 +48,6 @@
     unreachable: Vec<(Micros, Micros)>,
 }
 
-fn micros(time: Duration) -> Micros {
-    time.as_micros() as Micros
-}
-
 impl Notified {
     /// Reads a history; `views` has the sidecars with a view of discovery to themselves.
     pub fn new(plan: &Plan, views: &BTreeMap<usize, String>, entries: &[Entry]) -> Self {
--- a/crates/runtime/src/lib.rs
+++ b/crates/runtime/src/lib.rs
@@ -37,3 +37,4 @@
 pub mod streaming;
 pub mod time_left;
 pub mod timers;
+mod write_gate;
--- a/crates/runtime/src/outbound.rs
+++ b/crates/runtime/src/outbound.rs
@@ -10,6 +10,7 @@
 use super::spares::{REST, Spares};
 use super::streaming::{AnswerBody, BODY_MOST, FLOW_KIB, Flow, Payload, Sending, WHOLE_MOST};
 use super::time_left::{MAX_WRITE_DELAY, TimeLeft};
+use super::write_gate::WriteGate;
 use curlewhub_balance::{EndpointId, LoadField, Outcome, Settings};
 use curlewhub_connection_quota::{Leave, Refusal};
 use http_body_util::BodyExt;
@@ -25,7 +26,6 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
-use tokio::sync::Notify;
 use tokio::task::spawn_local;
 use tokio::time::{Instant, sleep, sleep_until, timeout};
 use tracing::{debug, warn};
@@ -139,7 +139,7 @@
     fn drop(&mut self) {
         // One that was left meanwhile, or has moved, is not kept.
         if let Some(link) = self.link.take()
-            && self.outbound.admits(self.endpoint, link.address)
+            && self.outbound.gate.admits(self.endpoint, link.address)
         {
             self.outbound.keep(self.endpoint, link);
         }
@@ -166,12 +166,7 @@
     budget: Rc<Budget>,
     slots: Rc<Slots>,
     figures: Rc<Figures>,
-    /// Where something new may be written to, and at which address.
-    doors: RefCell<HashMap<EndpointId, SocketAddr>>,
-    /// Some door was shut or moved, or the list's lease has changed.
-    shut: Notify,
-    /// From then on no request may begin by the list that is held.
-    list_lease: Cell<Option<Instant>>,
+    gate: WriteGate,
     /// Idle ones, the most recently used last.
     idle: RefCell<HashMap<EndpointId, Vec<Link>>>,
     /// What waits for resting connections have added up to.
@@ -202,9 +197,7 @@
             budget,
             slots,
             figures,
-            doors: RefCell::default(),
-            shut: Notify::new(),
-            list_lease: Cell::default(),
+            gate: WriteGate::default(),
             idle: RefCell::default(),
             spares: RefCell::default(),
             routes: RefCell::default(),
@@ -271,8 +264,10 @@
             let (this, terms) = (self.clone(), progress.terms.clone());
             link.heard.begins(Box::new(move || {
                 let holds = |terms: &Terms| terms.hold() && read_at.elapsed() < MAX_WRITE_DELAY;
-                let admits = this.admits(endpoint, address);
-                admits && terms.as_ref().is_none_or(|terms| holds(terms) && !this.list_lapsed())
+                match &terms {
+                    Some(terms) => holds(terms) && this.gate.is_open(endpoint, address),
+                    None => this.gate.admits(endpoint, address),
+                }
             }));
             let headed = Cell::new(false);
             let exchange = async {
@@ -410,70 +405,25 @@
 
     /// Lets something new be written to an endpoint at this address alone, or nothing at all.
     pub fn admit(&self, endpoint: EndpointId, at: Option<SocketAddr>) {
-        let mut doors = self.doors.borrow_mut();
-        let before = match at {
-            Some(at) => doors.insert(endpoint, at),
-            None => {
-                self.routes.borrow_mut().forget(endpoint);
-                doors.remove(&endpoint)
-            }
-        };
-        if before.is_some() && before != at {
-            self.shut.notify_waiters();
+        if at.is_none() {
+            self.routes.borrow_mut().forget(endpoint);
         }
-    }
-
-    fn admits(&self, endpoint: EndpointId, address: SocketAddr) -> bool {
-        self.doors.borrow().get(&endpoint) == Some(&address)
+        self.gate.admit(endpoint, at);
     }
 
     /// From then on no request may begin by the list that is held; one that waits for a connection is withdrawn.
     pub fn set_list_lease(&self, expires: Option<Instant>) {
-        self.list_lease.set(expires);
-        self.shut.notify_waiters();
-    }
-
-    fn list_lapsed(&self) -> bool {
-        self.list_lease.get().is_some_and(|expires| Instant::now() >= expires)
-    }
-
-    /// Ends once the list must not be used any more.
-    async fn list_lapses(&self) {
-        loop {
-            // Registered before the look, so that no change falls between the two.
-            let mut changed = pin!(self.shut.notified());
-            changed.as_mut().enable();
-            let expires = self.list_lease.get();
-            if self.list_lapsed() {
-                return;
-            }
-            tokio::select! {
-                () = changed => {}
-                () = sleep_until(expires.unwrap_or_else(Instant::now)), if expires.is_some() => {}
-            }
-        }
+        self.gate.set_list_lease(expires);
     }
 
     /// Ends once nothing of an attempt may be written any more.
     async fn withdrawn(&self, endpoint: EndpointId, address: SocketAddr, progress: &Progress) {
-        let shut = async {
-            loop {
-                // Registered before the look, so that no change falls between the two.
-                let mut shut = pin!(self.shut.notified());
-                shut.as_mut().enable();
-                if !self.admits(endpoint, address) {
-                    return;
-                }
-                shut.await;
-            }
-        };
         match &progress.terms {
             Some(terms) => tokio::select! {
-                () = shut => {}
+                () = self.gate.closed(endpoint, address) => {}
                 () = terms.broken() => {}
-                () = self.list_lapses() => {}
             },
-            None => shut.await,
+            None => self.gate.left(endpoint, address).await,
         }
     }
 
@@ -587,7 +537,7 @@
         let Some(permit) = self.budget.take(Holder::Endpoint) else { return };
         let Ok(link) = self.open(endpoint, address, slot, permit).await else { return };
         // It may have been left, or have moved, in the meantime.
-        if self.admits(endpoint, address) {
+        if self.gate.admits(endpoint, address) {
             debug!(endpoint = endpoint.0, "one more connection, for requests that waited");
             self.keep(endpoint, link);
         }
@@ -652,7 +602,7 @@
         let local = match error {
             ConnectError::Resources(_) => true,
             ConnectError::Route(_) => {
-                let listed = self.doors.borrow().len();
+                let listed = self.gate.admitted();
                 self.routes.borrow_mut().is_local(self.since.elapsed(), endpoint, listed)
             }
             ConnectError::Refused | ConnectError::TimedOut(_) | ConnectError::Failed(_) => false,
