--- a/crates/discovery-client/tests/lease.rs
+++ b/crates/discovery-client/tests/lease.rs
@@ -251,3 +251,34 @@
         assert_eq!(client.lease().expires_at(), None, "{mode:?}");
     }
 }
+
+/// Seen: a drain counted as notified 2.0 s behind its watch's end; discovery went down 20 ms later, and the call that was
+/// out failed. Requests went on by the old list. Cause: only the lease's end was looked at, which lies in the grace.
+#[test]
+fn what_was_notified_just_before_a_call_failed_stays_notified() {
+    let (mut client, watch) = watching(Mode::Ask);
+    client.ended(seconds(5.0), watch, Ending::Failed);
+    let expires = client.lease().expires_at();
+    let (_, call) = next_call(&mut client);
+    client.ended(seconds(7.02), call, Ending::Failed);
+    assert_eq!(client.lease().expires_at(), expires);
+}
+
+/// Seen: a process stood still for seven seconds and found its watch silent; a second later the wait for a newer list was
+/// given up. Cause: the wait was counted from the lease's end, through which nobody waited.
+#[test]
+fn a_wait_for_a_newer_list_begins_when_its_need_is_seen() {
+    let (mut client, watch) = watching(Mode::Ask);
+    client.ended(seconds(11.0), watch, Ending::Silent);
+    let expires = client.lease().expires_at().expect("a bound");
+    assert!(expires < seconds(8.0));
+    let (at, _) = next_call(&mut client);
+    while client.lease().expires_at().is_some() {
+        let at = client.next_timer().expect("it is given up").max(at);
+        assert!(at < seconds(60.0));
+        client.timer(at);
+        if client.lease().expires_at().is_none() {
+            assert!(at >= seconds(16.0), "{at:?}");
+        }
+    }
+}
