--- a/crates/discovery-client/src/client.rs
+++ b/crates/discovery-client/src/client.rs
@@ -362,7 +362,7 @@
     /// The watch in force is no more. Where another server is awaited already, its call goes on.
     fn watch_lost(&mut self, now: Duration, ending: Ending) {
         match ending {
-            Ending::Silent => self.lease.watch_silent(),
+            Ending::Silent => self.lease.watch_silent(now),
             Ending::Reset => self.lease.watch_reset(now),
             Ending::Refused | Ending::Local | Ending::Failed => self.lease.watch_ended(now),
         }
--- a/crates/discovery-client/src/lease.rs
+++ b/crates/discovery-client/src/lease.rs
@@ -59,6 +59,8 @@
     watched: bool,
     /// Calls refused since discovery was heard last.
     refusals: u32,
+    /// When this process saw that no watch is up: one that stood still sees it late.
+    unwatched_seen: Duration,
 }
 
 impl Lease {
@@ -66,7 +68,8 @@
     pub fn new(mode: Mode, rules: Rules, now: Duration) -> Self {
         let state = LeaseState::Unwatched { since: now };
         let (moved, watched, refusals) = Default::default();
-        Lease { mode, rules, state, confirmed_at: now, moved, last_call: now, watched, refusals }
+        let (confirmed_at, last_call, unwatched_seen) = (now, now, now);
+        Lease { mode, rules, state, confirmed_at, moved, last_call, watched, refusals, unwatched_seen }
     }
 
     /// What stands between this process and the newest list.
@@ -97,7 +100,7 @@
         self.confirmed_at = now;
         self.moved = self.moved.filter(|(newest, _)| *newest > epoch);
         if self.state != LeaseState::Watching {
-            self.state = LeaseState::Unwatched { since: now };
+            self.unwatched(now, LeaseState::Unwatched { since: now });
         }
     }
 
@@ -109,22 +112,26 @@
 
     /// The watch in force was left.
     pub fn watch_left(&mut self, now: Duration) {
-        self.state = LeaseState::Unwatched { since: now };
+        self.unwatched(now, LeaseState::Unwatched { since: now });
+    }
+
+    fn unwatched(&mut self, now: Duration, state: LeaseState) {
+        (self.state, self.unwatched_seen) = (state, now);
     }
 
     /// The watch in force ended, or what came on it could not be read.
     pub fn watch_ended(&mut self, now: Duration) {
-        self.state = LeaseState::WatchEnded { at: now };
+        self.unwatched(now, LeaseState::WatchEnded { at: now });
     }
 
     /// The watch in force was reset.
     pub fn watch_reset(&mut self, now: Duration) {
-        self.state = LeaseState::WatchReset { at: now, last_line: self.confirmed_at };
+        self.unwatched(now, LeaseState::WatchReset { at: now, last_line: self.confirmed_at });
     }
 
     /// The watch in force counts as dead.
-    pub fn watch_silent(&mut self) {
-        self.state = LeaseState::WatchSilent { last_line: self.confirmed_at };
+    pub fn watch_silent(&mut self, now: Duration) {
+        self.unwatched(now, LeaseState::WatchSilent { last_line: self.confirmed_at });
     }
 
     /// Nothing is followed: the list held is the only one.
@@ -165,7 +172,8 @@
             | LeaseState::WatchSilent { .. }
             | LeaseState::Unreachable => false,
         };
-        asked_while_there && self.expires_at().is_some_and(|at| at <= now)
+        // Discovery saw the end of the watch a little earlier than this process.
+        asked_while_there && self.notified_at().is_some_and(|at| at <= now + LEASE_SLACK)
     }
 
     /// Nothing newer is waited for any more.
@@ -184,7 +192,7 @@
 
     /// When to wait no longer for a newer list, though a call may still be out.
     pub fn given_up_at(&self) -> Option<Duration> {
-        self.expires_at().map(|expires| expires + MAX_HOLD)
+        self.expires_at().map(|expires| expires.max(self.unwatched_seen) + MAX_HOLD)
     }
 
     /// From when on an unseen change may count as notified.
