--- a/crates/balance/src/balance/members.rs
+++ b/crates/balance/src/balance/members.rs
@@ -68,7 +68,7 @@
         self.release_held(now, out);
     }
 
-    /// Bounds the use of the list. What is held while it may not be used goes on once it may again.
+    /// Bounds the use of the list. Requests held while it may not be used are released once it may again.
     pub(super) fn on_list_lease(
         &mut self,
         now: Duration,
--- a/crates/balance/tests/hedging.rs
+++ b/crates/balance/tests/hedging.rs
@@ -24,7 +24,7 @@
 
 #[test]
 fn silent_endpoints_get_second_copies_once_silence_is_evident() {
-    // Answers that never came held requests until their deadlines.
+    // Answers that were never sent held requests until their deadlines.
     let lone = sends(&falls_silent(copies(), 1).1).len();
     assert_eq!(lone, 2, "one long overdue gets a copy, and as that is never answered another one");
     let soon = sends(&falls_silent(copies(), 0).1).len();
--- a/crates/balance/tests/list_lease.rs
+++ b/crates/balance/tests/list_lease.rs
@@ -1,4 +1,4 @@
-//! Nothing begins by a list whose lease has run out, whatever it is for; what is held then goes on once it may be used.
+//! No attempt begins by a list whose lease has run out; held requests are released once it is renewed.
 
 mod support;
 use curlewhub_balance::*;
--- a/crates/curlewhub/tests/connections.rs
+++ b/crates/curlewhub/tests/connections.rs
@@ -8,6 +8,7 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::thread;
+use support::discovery::Discovery;
 use support::*;
 
 /// Holds answers back until it is let go, and counts what has come.
--- a/crates/curlewhub/tests/crossings/discovery.rs
+++ b/crates/curlewhub/tests/crossings/discovery.rs
@@ -265,7 +265,15 @@
     }
 }
 
-/// An endpoint that records when each request came.
+/// The sidecar's watch, up and with nothing to tell.
+fn opened_watch(stage: &Stage) -> Wire {
+    let (mut watch, _) = stage.request();
+    watch.write(CHUNKED);
+    watch.chunk(&format!("{}\n", list(8, false, &[])));
+    watch
+}
+
+/// An endpoint that records the arrival of each request.
 fn recording() -> (Peer, Arc<Mutex<Vec<Instant>>>) {
     let arrivals = Arc::<Mutex<Vec<Instant>>>::default();
     let of_peer = arrivals.clone();
@@ -277,7 +285,7 @@
 }
 
 /// Seen: discovery ended a watch in place of telling a drain on it, and the call behind that waited 2.6 s for its turn;
-/// requests went to the endpoint until the answer came, while the drain counted as notified 2.0 s behind the watch's
+/// requests went to the endpoint until the answer arrived, while the drain counted as notified 2.0 s behind the watch's
 /// end, and at once where lists are pushed.
 /// Cause: the list held was used without bound while a call was out. Proof: this test, in which nothing else happens.
 /// Discovery ends such a watch in order; one that is reset says that its process is gone, as in an outage.
@@ -295,9 +303,7 @@
                 config["settings"]["rules"]["drainGraceMs"] = json!(grace.as_millis() as f64);
                 config["settings"]["rules"]["askWithinMs"] = json!(10000.0);
                 let sidecar = Sidecar::start(&config);
-                let (mut watch, _) = stage.request();
-                watch.write(CHUNKED);
-                watch.chunk(&format!("{}\n", list(8, false, &[])));
+                let mut watch = opened_watch(&stage);
                 let stop = AtomicBool::new(false);
                 std::thread::scope(|scope| {
                     scope.spawn(|| keep_asking(&sidecar, &stop));
@@ -334,9 +340,7 @@
             scope.spawn(move || {
                 let (stage, (peer, arrivals)) = (Stage::new(), recording());
                 let (sidecar, _) = following(&stage, &peer, mode);
-                let (mut watch, _) = stage.request();
-                watch.write(CHUNKED);
-                watch.chunk(&format!("{}\n", list(8, false, &[])));
+                let watch = opened_watch(&stage);
                 let stop = AtomicBool::new(false);
                 std::thread::scope(|scope| {
                     scope.spawn(|| keep_asking(&sidecar, &stop));
--- a/crates/curlewhub/tests/crossings/last_moments.rs
+++ b/crates/curlewhub/tests/crossings/last_moments.rs
@@ -1,6 +1,7 @@
 //! What is told, begun and answered in the last moments of a request's time, of a client's stay, and of a process that
 //! is held up between its clock and its write.
 
+use super::support::discovery::Discovery;
 use super::support::script::*;
 use super::support::*;
 use serde_json::{Value, json};
--- a/crates/curlewhub/tests/crossings/limits.rs
+++ b/crates/curlewhub/tests/crossings/limits.rs
@@ -1,5 +1,6 @@
 //! Descriptors, floods and starts, while discovery is down or slow.
 
+use super::support::discovery::Discovery;
 use super::support::script::*;
 use super::support::*;
 use serde_json::json;
--- a/crates/curlewhub/tests/handover.rs
+++ b/crates/curlewhub/tests/handover.rs
@@ -5,6 +5,7 @@
 
 use serde_json::{Value, json};
 use std::os::unix::net::UnixListener;
+use support::discovery::Discovery;
 use support::*;
 
 /// A configuration for these endpoints whose discovery answers.
--- a/crates/curlewhub/tests/learnt.rs
+++ b/crates/curlewhub/tests/learnt.rs
@@ -5,6 +5,7 @@
 use serde_json::{Value, json};
 use std::path::PathBuf;
 use std::process::Command;
+use support::discovery::Discovery;
 use support::script::Wire;
 use support::*;
 
@@ -144,7 +145,7 @@
 
 /// Seen: in soak runs all sidecars of one machine answered up to 1.7 s late within the same second, while a sync on its
 /// disk took as long. How: a short snapshot was written by the thread that serves, and the rename waited for the disk.
-/// Proof: a pipe that nobody reads, in the place of the file, holds up who opens it as such a disk does; and the same
+/// Proof: a pipe that nobody reads, in the place of the file, holds up an opener as such a disk does; and the same
 /// schedules held on a file system in memory.
 #[test]
 fn a_disk_that_answers_late_holds_no_request_up() {
--- a/crates/curlewhub/tests/operator.rs
+++ b/crates/curlewhub/tests/operator.rs
@@ -7,6 +7,7 @@
 use std::io::Write;
 use std::net::TcpStream;
 use std::time::{Duration, Instant};
+use support::discovery::Discovery;
 use support::*;
 
 #[test]
--- a/crates/curlewhub/tests/queued_discovery.rs
+++ b/crates/curlewhub/tests/queued_discovery.rs
@@ -34,7 +34,7 @@
 
 type Arrivals = Arc<Mutex<Vec<(String, Instant)>>>;
 
-/// An endpoint that records when each request came.
+/// An endpoint that records the arrival of each request.
 fn recording(body: &'static str) -> (Peer, Arrivals) {
     let arrivals = Arrivals::default();
     let of_peer = arrivals.clone();
--- a/crates/curlewhub/tests/reload.rs
+++ b/crates/curlewhub/tests/reload.rs
@@ -5,6 +5,7 @@
 
 use serde_json::{Value, json};
 use std::time::Duration;
+use support::discovery::Discovery;
 use support::*;
 
 /// A sidecar that knows the first peer and follows this discovery, and its configuration.
--- a/crates/curlewhub/tests/sharing.rs
+++ b/crates/curlewhub/tests/sharing.rs
@@ -10,6 +10,7 @@
 use std::os::fd::AsFd;
 use std::os::unix::net::{UnixListener, UnixStream};
 use std::thread::JoinHandle;
+use support::discovery::Discovery;
 use support::*;
 
 /// A configuration for one endpoint whose discovery answers.
--- a/crates/curlewhub/tests/shutdown.rs
+++ b/crates/curlewhub/tests/shutdown.rs
@@ -8,6 +8,7 @@
 use std::net::SocketAddr;
 use std::thread;
 use std::time::{Duration, Instant};
+use support::discovery::Discovery;
 use support::script::*;
 use support::*;
 
--- a/crates/curlewhub/tests/storage.rs
+++ b/crates/curlewhub/tests/storage.rs
@@ -5,6 +5,7 @@
 use curlewhub_fault_schedule::{Call, Effect, Entry, Errno, Injection, Schedule, Switch, Target};
 use serde_json::{Value, json};
 use std::path::{Path, PathBuf};
+use support::discovery::Discovery;
 use support::*;
 
 /// Later than any test ends: an entry that starts then is off until it is switched on.
--- a/crates/curlewhub/tests/support/queued_discovery.rs
+++ b/crates/curlewhub/tests/support/queued_discovery.rs
@@ -16,7 +16,7 @@
 /// What the service did for a client, and when.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Event {
-    /// A call came.
+    /// A call has arrived.
     Called(String),
     /// A list of this version was written.
     Written(u64),
--- a/crates/curlewhub/tests/waits/list.rs
+++ b/crates/curlewhub/tests/waits/list.rs
@@ -1,5 +1,6 @@
 //! The built sidecar and its list of endpoints: known at start, watched, drained.
 
+use super::support::discovery::Discovery;
 use super::support::*;
 use serde_json::json;
 use std::sync::Arc;
@@ -200,7 +201,7 @@
                 config["discovery"] = json!(discovery.address.to_string());
                 sidecar.reload(&config.to_string());
                 wait_for("every cut", || asked.load(Ordering::SeqCst) >= cuts.len());
-                assert_eq!(sidecar.figure("hosts_listed"), 2, "the list as it was goes on");
+                assert_eq!(sidecar.figure("hosts_listed"), 2, "the list is unchanged");
                 assert_eq!(sidecar.ask("book", "r1").status(), 200);
             });
         }
--- a/crates/discovery-client/src/backoff.rs
+++ b/crates/discovery-client/src/backoff.rs
@@ -20,7 +20,7 @@
 }
 
 impl Backoff {
-    /// Something came: the next failure is a first one.
+    /// Discovery answered: the next failure is a first one.
     pub fn reset(&mut self) {
         *self = Backoff::default();
     }
--- a/crates/discovery-client/src/client.rs
+++ b/crates/discovery-client/src/client.rs
@@ -40,7 +40,7 @@
     Refused,
     /// This machine could not make it: nothing reached discovery.
     Local,
-    /// Anything else: nobody there, no answer in time, a connection that ended, or what came was no list.
+    /// Anything else: no connection, no answer in time, a connection that ended, or an answer that is no list.
     Failed,
     /// A watch that was up brought nothing for too long.
     Silent,
@@ -75,7 +75,7 @@
 pub enum Outcome {
     /// It may not be there.
     Failed,
-    /// It is there, and can't serve all who call it.
+    /// It is there, and has more callers than it can serve.
     Refused,
 }
 
@@ -208,20 +208,20 @@
         }
     }
 
-    /// A line of a watch has come whole: a list, changes, or an empty line.
+    /// A complete line of a watch: a list, changes, or an empty line.
     pub fn watch_line(&mut self, now: Duration, id: CallId, list: Option<List>) {
         let Some(at) = self.calls.iter().position(|call| call.id == id) else { return };
         let call = self.calls[at];
         match call.progress {
-            // Of a server whose list is not held, an empty line says nothing yet.
+            // Where no version of the server is held, an empty line confirms nothing.
             Progress::Waiting if list.is_none() && call.epoch > self.versions.epoch() => {}
             Progress::Waiting if self.opens(&call) => self.opened(now, at, list),
-            // The other call of two has opened before: what this one says of endpoints that leave is notified too.
+            // The other call of two has opened before; departures in this one count as notified too.
             Progress::Waiting => {
                 self.take_departures(call.epoch, list);
                 self.abandon(at);
             }
-            // A whole list of a newer server has come beside it: its versions are another server's.
+            // A whole list of a newer server is held already: this watch has another server's versions.
             Progress::Up if call.epoch < self.versions.epoch() => self.abandon(at),
             Progress::Up => {
                 self.backoff.reset();
@@ -238,7 +238,7 @@
         }
     }
 
-    /// A whole list has come.
+    /// The answer to a call for a whole list.
     pub fn whole_list(&mut self, now: Duration, id: CallId, list: List) {
         let Some(at) = self.calls.iter().position(|call| call.id == id) else { return };
         let call = self.calls.swap_remove(at);
@@ -253,13 +253,13 @@
         }
     }
 
-    /// A list broke off, or takes long to come: what it has said of endpoints that leave.
+    /// A list broke off, or takes long: its entries so far.
     pub fn torn(&mut self, id: CallId, list: List) {
         let Some(call) = self.calls.iter().find(|call| call.id == id).copied() else { return };
         self.take_departures(call.epoch, Some(list));
     }
 
-    /// A call has ended without what it was for, or a watch that was up has.
+    /// A call failed, or a watch that was up ended.
     pub fn ended(&mut self, now: Duration, id: CallId, ending: Ending) {
         let Some(at) = self.calls.iter().position(|call| call.id == id) else { return };
         let call = self.calls.swap_remove(at);
@@ -359,7 +359,7 @@
         self.actions.push(Action::Abandon(call.id));
     }
 
-    /// The watch in force is no more. Where another server is awaited already, its call goes on.
+    /// The watch in force has ended. A call to another server that is awaited already is kept.
     fn watch_lost(&mut self, now: Duration, ending: Ending) {
         match ending {
             Ending::Silent => self.lease.watch_silent(now),
--- a/crates/discovery-client/src/lease.rs
+++ b/crates/discovery-client/src/lease.rs
@@ -50,7 +50,7 @@
     mode: Mode,
     rules: Rules,
     state: LeaseState,
-    /// When discovery was heard last.
+    /// When discovery last sent anything.
     confirmed_at: Duration,
     /// The first move whose server has not been heard yet, and the newest epoch since.
     moved: Option<(Epoch, Duration)>,
@@ -77,7 +77,7 @@
         self.state
     }
 
-    /// When discovery was heard last, or the start.
+    /// When discovery last sent anything, or the start.
     pub fn confirmed_at(&self) -> Duration {
         self.confirmed_at
     }
@@ -95,7 +95,7 @@
         self.moved = self.moved.filter(|(newest, _)| *newest > epoch || !complete);
     }
 
-    /// A whole list of the server of this epoch came, while no watch is up.
+    /// A whole list of the server of this epoch was received, while no watch is up.
     pub fn listed(&mut self, now: Duration, epoch: Epoch) {
         self.confirmed_at = now;
         self.moved = self.moved.filter(|(newest, _)| *newest > epoch);
@@ -119,7 +119,7 @@
         (self.state, self.unwatched_seen) = (state, now);
     }
 
-    /// The watch in force ended, or what came on it could not be read.
+    /// The watch in force ended, or a line of it could not be read.
     pub fn watch_ended(&mut self, now: Duration) {
         self.unwatched(now, LeaseState::WatchEnded { at: now });
     }
--- a/crates/discovery-client/src/timing.rs
+++ b/crates/discovery-client/src/timing.rs
@@ -35,8 +35,7 @@
 pub const WATCH_SILENCE_TIMEOUT: Duration = Duration::from_millis(2600);
 /// A line that has begun is whole within this, however steadily its bytes come.
 pub const LINE_TIMEOUT: Duration = Duration::from_millis(1500);
-/// A list that has begun and goes on for this long may have broken off: what it said by then of endpoints that leave
-/// counts now, as they must get nothing new within a quarter of a second ...
+/// A list that is still incomplete after this long may have broken off: departures in it count now, as they must get nothing new within a quarter of a second ...
 pub const TORN_AFTER: Duration = Duration::from_millis(100);
 /// ... and once it has paused for this long it has, and is asked for again.
 pub const PAUSE_TIMEOUT: Duration = Duration::from_millis(700);
--- a/crates/discovery-client/src/versions.rs
+++ b/crates/discovery-client/src/versions.rs
@@ -67,8 +67,8 @@
         self.pending.as_ref().is_some_and(|pending| pending.len() > PENDING_CHANGES_LIMIT)
     }
 
-    /// A whole list came beside the watch, asked for when `held` was the version held: the list to take, if it is not
-    /// older than what the watch has brought.
+    /// A whole list that was requested while `held` was the version held: the list to apply, unless the watch has
+    /// brought something newer.
     pub fn whole_list(&mut self, epoch: Epoch, held: u64, mut list: List) -> Option<List> {
         if epoch < self.epoch {
             return None;
--- a/crates/lab/tests/timeline.rs
+++ b/crates/lab/tests/timeline.rs
@@ -60,7 +60,7 @@
 #[test]
 fn what_holds_no_log_is_told() {
     let folder = Folder::new("no-logs");
-    let (code, _, said) = timeline(&folder, &[]);
-    assert_eq!(code, Some(2), "{said}");
-    assert!(said.contains("no log in it"), "{said}");
+    let (code, _, errors) = timeline(&folder, &[]);
+    assert_eq!(code, Some(2), "{errors}");
+    assert!(errors.contains("no log in it"), "{errors}");
 }
--- a/crates/rig/src/act.rs
+++ b/crates/rig/src/act.rs
@@ -85,7 +85,7 @@
             Kind::DiscoveryRefuses => {
                 self.directory(&json!({"do": "directory_refuses"}), ends.then_some(lasts)).await
             }
-            Kind::Reload => self.reload(&fault, &struck).await,
+            Kind::Reload => self.reload(&fault, &struck).await.map_err(|error| error.to_string()),
             Kind::Pause => self.all_done(&struck, Signal::STOP, "paused", false),
             Kind::Kill => {
                 self.killed(&struck, "killed").await?;
@@ -202,7 +202,7 @@
         Ok(())
     }
 
-    async fn directory(&self, order: &Value, lasts: Option<Duration>) -> Result<(), String> {
+    pub(crate) async fn directory(&self, order: &Value, lasts: Option<Duration>) -> Result<(), String> {
         let mut order = order.clone();
         if let Some(lasts) = lasts {
             order["for"] = json!(Span(lasts));
@@ -429,36 +429,6 @@
         }
     }
 
-    /// Gives sidecars new configurations, side by side; each names the next address of discovery's.
-    async fn reload(&self, fault: &FaultSpec, struck: &[usize]) -> Result<(), String> {
-        let rounds = fault.rounds.unwrap_or(1);
-        for round in 0..rounds {
-            if round > 0 {
-                sleep(fault.apart.unwrap_or_default().0).await;
-            }
-            for member in struck {
-                self.move_discovery(*member).await?;
-            }
-        }
-        Ok(())
-    }
-
-    async fn move_discovery(&self, member: usize) -> Result<(), String> {
-        let process = self.process(member);
-        let before = self.next_discovery(member)?;
-        let text = self.text(member, &self.plan.members[member], false, &toml::Table::new())?;
-        let (file, failed) = (self.file(member), |e: std::io::Error| format!("{}: {e}", process.name));
-        // Replaced as a whole: a process that starts now reads the one or the other.
-        let new = file.with_extension("new");
-        std::fs::write(&new, text.unwrap_or_default()).map_err(failed)?;
-        std::fs::rename(new, file).map_err(failed)?;
-        self.note(&process.name, process.incarnations.get(), What::Reloaded);
-        process.signal(None, Signal::HUP, false);
-        let order = json!({"do": "directory_moved", "from": before.to_string()});
-        // The address that is left closes behind the new configuration, as a real one does.
-        self.directory(&order, None).await
-    }
-
     /// Replaces sidecars one after another.
     async fn roll(&self, fault: &FaultSpec, struck: &[usize]) -> Result<(), String> {
         let mut problems = Vec::new();
--- a/crates/rig/src/checks.rs
+++ b/crates/rig/src/checks.rs
@@ -344,7 +344,7 @@
         finding.check()
     }
 
-    /// New requests to endpoints that leave, behind the list that says so in their sidecar's own log; and how many came
+    /// New requests to endpoints that leave, behind the list that says so in their sidecar's own log; and how many arrived
     /// before it could know.
     fn drains(&self) -> (Check, u64) {
         let mut finding = Finding::new("nothing new to a draining endpoint");
@@ -386,7 +386,7 @@
                 None => unknowing += u64::from(*draining),
             }
         }
-        // That nothing came at all is as good: what was seen then is that the list told of it.
+        // That nothing arrived at all is as good: what was seen then is that the list told of it.
         if finding.seen == 0 {
             finding.seen = taken;
         }
@@ -412,12 +412,12 @@
                 let late = entry.at - notified_at - DRAIN_MOST - self.blur();
                 if late > 0 && entry.at < *end {
                     let since = (entry.at - notified_at) / 1000;
-                    let text = format!("{id} came to {endpoint} {since} ms after its drain counted");
+                    let text = format!("{id} arrived at {endpoint} {since} ms after its drain counted");
                     finding.wrong(late as f64, text, Some(entry.at), Some(sidecar));
                 }
             }
         }
-        // That nothing came at all is as good: what was seen then are the drains.
+        // That nothing arrived at all is as good: what was seen then are the drains.
         finding.seen += leaving.len() as u64;
         finding.check()
     }
--- a/crates/rig/src/notified.rs
+++ b/crates/rig/src/notified.rs
@@ -11,9 +11,9 @@
 const AT_THE_LATEST: Micros = 6_000_000;
 /// So long behind the end of a watch on which it should have come.
 const BEHIND_WATCH_END: Micros = 2_000_000;
-/// So long behind a new configuration that came after it.
+/// So long behind a later configuration.
 const BEHIND_RELOAD: Micros = 4_000_000;
-/// A process that was stopped has what it has missed so long after it goes on.
+/// A process that was stopped has what it has missed so long after it resumes.
 const BEHIND_PAUSE: Micros = 500_000;
 
 /// The name of the process whose list sidecars follow.
@@ -110,7 +110,7 @@
         let reloaded = seen.reloads.iter().filter(|at| **at >= from).map(|at| at + BEHIND_RELOAD);
         let bounds_by_call = ended.chain(reloaded).filter(|at| !self.is_unreachable(*at));
         let first = written.chain(bounds_by_call).chain([latest]).min()?;
-        // What was notified to a process that stood still is known to it once it goes on.
+        // A stopped process learns what was notified meanwhile once it resumes.
         let pause = seen.pauses.iter().find(|(begin, end)| (*begin..*end).contains(&first));
         Some(pause.map_or(first, |(_, end)| end.saturating_add(BEHIND_PAUSE)))
     }
@@ -137,7 +137,7 @@
             Kind::Cut | Kind::Degrade | Kind::Stall | Kind::CutAfter => {
                 fault.from.iter().chain(&fault.to).any(of_discovery)
             }
-            // Discovery is in no zone: who is cut off from outside is cut off from it.
+            // Discovery is in no zone: a zone that is cut off is cut off from it.
             Kind::CutOff => true,
             Kind::Kill | Kind::End | Kind::Pause | Kind::Restart => fault.on.iter().any(of_discovery),
             Kind::SystemCall | Kind::ShortIo => true,
--- a/crates/rig/src/run.rs
+++ b/crates/rig/src/run.rs
@@ -1,24 +1,22 @@
 //! A run: everything is started, the schedule happens while requests come, all ends, and the history is gathered.
 
-use crate::door::{Door, Ways};
 use crate::history::{History, Step, What, unix_us};
 use crate::injection::Injected;
-use crate::links::{Holding, Link};
+use crate::links::Holding;
 use crate::plan::{Member, Plan, Role, Side};
+use crate::ports::{DISCOVERY_OCTET, Ports, member_ports, octet};
 use crate::process::{Process, Ready, Start};
-use crate::relay::{AnyRelay, Datagrams, Passed, Relay};
-use crate::spec::Transport;
+use crate::relay::AnyRelay;
 use crate::texts::fill;
+use crate::wires::Wire;
 use rustix::process::Signal;
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeMap, HashMap};
+use std::collections::BTreeMap;
 use std::ffi::OsString;
-use std::io;
-use std::net::{Ipv4Addr, SocketAddr, TcpListener, UdpSocket};
+use std::net::{Ipv4Addr, SocketAddr};
 use std::path::PathBuf;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::sync::watch;
 use tokio::task::JoinSet;
 use tokio::time::{Instant, sleep, sleep_until};
 
@@ -31,16 +29,6 @@
 const USAGE_EVERY: Duration = Duration::from_secs(1);
 /// Beyond a sidecar's longest deadline, until one that was told to end is killed.
 const END_MOST: Duration = Duration::from_secs(4);
-/// Runs that can go on at once on one machine: each has a second octet of 127.x of its own.
-const OCTETS: std::ops::Range<u32> = 20..220;
-/// Held while a run uses its octet.
-const OCTET_PORT: u16 = 39_999;
-/// The first port that a process may have; those in use are passed over.
-const FIRST_PORT: u16 = 7070;
-const PORTS_TRIED: u16 = 200;
-/// Third octets of discovery and of the relays; halls come below them.
-const DISCOVERY_OCTET: u8 = 250;
-const RELAY_OCTET: u8 = 251;
 
 /// How a run is made.
 #[derive(Clone, Debug)]
@@ -86,22 +74,6 @@
     pub cost: Cost,
 }
 
-/// Where the ports of a member are.
-pub(crate) type Ports = BTreeMap<String, (Transport, SocketAddr)>;
-
-/// The link from a site to one port.
-struct Wire {
-    from: Side,
-    /// The member, by its place.
-    to: usize,
-    target: SocketAddr,
-    at: SocketAddr,
-    link: watch::Sender<Link>,
-    passed: Rc<Passed>,
-    /// Others come by the same address: the way is told by where they come from.
-    door: bool,
-}
-
 /// A folder that goes with its run, unless it is to stay.
 struct Folder(PathBuf, bool);
 
@@ -118,24 +90,24 @@
     pub plan: Plan,
     pub processes: Vec<Option<Rc<Process>>>,
     pub ports: Vec<Ports>,
-    wires: RefCell<Vec<Wire>>,
+    pub(crate) wires: RefCell<Vec<Wire>>,
     /// Made and not started yet.
-    relays: RefCell<Vec<AnyRelay>>,
+    pub(crate) relays: RefCell<Vec<AnyRelay>>,
     pub holding: RefCell<Holding>,
     history: RefCell<History>,
     pub(crate) folder: PathBuf,
     own: PathBuf,
-    octet: u8,
+    pub(crate) octet: u8,
     /// Sites in the order of their views of discovery.
     pub(crate) views: Vec<Side>,
     /// By how much the stamps of processes were off, by name.
     pub(crate) steps: RefCell<BTreeMap<String, Vec<Step>>>,
     zero: Cell<Option<Instant>>,
-    cost: RefCell<Cost>,
+    pub(crate) cost: RefCell<Cost>,
     /// What is to be told a person who waits.
     said: RefCell<Vec<String>>,
     /// Which of its addresses of discovery's each sidecar uses.
-    moves: RefCell<BTreeMap<usize, usize>>,
+    pub(crate) moves: RefCell<BTreeMap<usize, usize>>,
 }
 
 /// Makes a run. Dropped before its end, it leaves no process behind.
@@ -188,34 +160,6 @@
     Ok(Ran { plan: rig.plan.clone(), history, sidecars, views, cost })
 }
 
-/// A second octet that no other run uses, and what holds it.
-pub(crate) fn octet() -> Option<(u8, TcpListener)> {
-    let (first, count) = (std::process::id() % OCTETS.len() as u32, OCTETS.len() as u32);
-    (0..count).find_map(|n| {
-        let octet = (OCTETS.start + (first + n) % count) as u8;
-        let held = TcpListener::bind((Ipv4Addr::new(127, octet, 255, 254), OCTET_PORT)).ok()?;
-        Some((octet, held))
-    })
-}
-
-/// A port that is free at this address, from this one on.
-fn free(ip: Ipv4Addr, first: &mut u16, transport: Transport) -> Result<SocketAddr, String> {
-    let from = *first;
-    for _ in 0..PORTS_TRIED {
-        let at = SocketAddr::from((ip, *first));
-        *first += 1;
-        let bound = match transport {
-            Transport::Tcp => TcpListener::bind(at).is_ok(),
-            Transport::Udp => UdpSocket::bind(at).is_ok(),
-            Transport::Both => TcpListener::bind(at).is_ok() && UdpSocket::bind(at).is_ok(),
-        };
-        if bound {
-            return Ok(at);
-        }
-    }
-    Err(format!("no free port at {ip} from {from} on"))
-}
-
 impl Rig {
     fn new(plan: Plan, own: PathBuf, folder: PathBuf, octet: u8) -> Result<Rig, String> {
         let halls = plan.spec.halls();
@@ -292,29 +236,6 @@
         self.history.borrow_mut().add(at, process, incarnation, what);
     }
 
-    /// The port of discovery's that a sidecar uses now.
-    pub(crate) fn discovery_port(&self, member: usize) -> String {
-        let site = self.plan.members[member].site(&self.plan.spec);
-        let view = self.views.iter().position(|view| *view == site).unwrap_or_default();
-        view_port(view, self.moves.borrow().get(&member).copied().unwrap_or_default())
-    }
-
-    /// Moves a sidecar to its next address of discovery's; the one that it leaves.
-    pub(crate) fn next_discovery(&self, member: usize) -> Result<SocketAddr, String> {
-        let before = self.at(self.discovery(), &self.discovery_port(member));
-        let moves = {
-            let mut moves = self.moves.borrow_mut();
-            let moves = moves.entry(member).or_default();
-            *moves += 1;
-            *moves
-        };
-        if moves > self.plan.spec.discovery.moves {
-            let name = &self.plan.members[member].name;
-            return Err(format!("{name}: discovery has no further address for it (`discovery.moves`)"));
-        }
-        Ok(before)
-    }
-
     pub fn discovery(&self) -> usize {
         self.plan.members.len() - 1
     }
@@ -326,102 +247,6 @@
         found.map_or(self.discovery(), |(n, _)| n)
     }
 
-    /// The relay through which a site reaches a port; made where there is none yet.
-    pub(crate) fn wire(&self, from: &Side, to: usize, port: &str) -> Result<SocketAddr, String> {
-        let Some((transport, target)) = self.ports[to].get(port).copied() else {
-            return Err(format!("{} has no port `{port}`", self.plan.members[to].name));
-        };
-        if transport == Transport::Both {
-            return self.door(to, target);
-        }
-        let mut wires = self.wires.borrow_mut();
-        let known = wires.iter().find(|wire| wire.to == to && wire.from == *from && wire.target == target);
-        if let Some(wire) = known {
-            return Ok(wire.at);
-        }
-        let link = watch::Sender::new(Link::default());
-        let passed = Rc::<Passed>::default();
-        let ip = SocketAddr::from((Ipv4Addr::new(127, self.octet, RELAY_OCTET, 1), 0));
-        let seed = self.plan.spec.seed.wrapping_add(wires.len() as u64 * 7919);
-        let failed = |e: io::Error| format!("a relay to {}: {e}", self.plan.members[to].name);
-        let (heard, counts) = (link.subscribe(), passed.clone());
-        let (at, relay) = match transport {
-            Transport::Tcp => {
-                let relay = Relay::new(ip, target, heard, counts, seed).map_err(failed)?;
-                (relay.address(), AnyRelay::Streams(relay))
-            }
-            Transport::Udp | Transport::Both => {
-                let relay = Datagrams::new(ip, target, heard, counts, seed).map_err(failed)?;
-                (relay.address().map_err(failed)?, AnyRelay::Datagrams(relay))
-            }
-        };
-        self.relays.borrow_mut().push(relay);
-        wires.push(Wire { from: from.clone(), to, target, at, link, passed, door: false });
-        Ok(at)
-    }
-
-    /// The door of a port; made where there is none yet.
-    fn door(&self, to: usize, target: SocketAddr) -> Result<SocketAddr, String> {
-        let mut wires = self.wires.borrow_mut();
-        if let Some(known) = wires.iter().find(|wire| wire.door && wire.to == to && wire.target == target) {
-            return Ok(known.at);
-        }
-        let first = wires.len();
-        let nowhere = SocketAddr::from((Ipv4Addr::new(127, self.octet, RELAY_OCTET, 1), 0));
-        let mut way = |from: Side| {
-            let (link, passed) = (watch::Sender::new(Link::default()), Rc::<Passed>::default());
-            let heard = (link.subscribe(), passed.clone());
-            wires.push(Wire { from, to, target, at: nowhere, link, passed, door: true });
-            heard
-        };
-        let none = Side { name: String::new(), group: String::new(), hall: None, region: None };
-        let others = way(none);
-        let mut sites: Vec<(Side, _)> = Vec::new();
-        let mut known = HashMap::new();
-        for (n, member) in self.plan.members.iter().enumerate().filter(|(_, m)| m.role != Role::Endpoint) {
-            let Some((_, at)) = self.ports[n].values().next() else { continue };
-            let site = member.site(&self.plan.spec);
-            let heard = match sites.iter().find(|(known, _)| *known == site) {
-                Some((_, heard)) => heard,
-                None => {
-                    sites.push((site.clone(), way(site)));
-                    &sites[sites.len() - 1].1
-                }
-            };
-            known.insert(at.ip(), heard.clone());
-        }
-        let seed = self.plan.spec.seed.wrapping_add(first as u64 * 7919);
-        let failed = |e: io::Error| format!("a door of {}: {e}", self.plan.members[to].name);
-        let door = Door::new(nowhere, target, Ways { known, others }, seed).map_err(failed)?;
-        let at = door.address();
-        wires[first..].iter_mut().for_each(|wire| wire.at = at);
-        self.relays.borrow_mut().push(AnyRelay::Door(Box::new(door)));
-        Ok(at)
-    }
-
-    fn start_relays(&self, tasks: &mut JoinSet<()>) {
-        let relays = self.relays.borrow().len();
-        for relay in self.relays.borrow_mut().drain(..) {
-            tasks.spawn_local(async move {
-                let _ = relay.run().await; // one that can't listen refuses, which the checks find
-            });
-        }
-        self.cost.borrow_mut().relays = relays;
-    }
-
-    /// Works out anew what holds for each link.
-    pub fn relink(&self) {
-        let holding = self.holding.borrow();
-        for wire in self.wires.borrow().iter() {
-            let link = holding.link(&wire.from, &self.plan.members[wire.to].side);
-            wire.link.send_if_modified(|held| {
-                let changed = *held != link;
-                *held = link;
-                changed
-            });
-        }
-    }
-
     pub fn process(&self, n: usize) -> &Rc<Process> {
         // Of endpoints there is none; they are never asked for.
         self.processes[n].as_ref().unwrap_or_else(|| unreachable!("an endpoint is no process"))
@@ -736,55 +561,8 @@
     }
 }
 
-/// The port of a view of discovery's; the first is the one that sidecars start with.
-pub(crate) fn view_port(view: usize, number: usize) -> String {
-    if number == 0 { format!("view-{view}") } else { format!("view-{view}-{number}") }
-}
-
 /// Processor seconds of this process.
 fn own_cpu_s() -> f64 {
     let time = rustix::time::clock_gettime(rustix::time::ClockId::ProcessCPUTime);
     time.tv_sec as f64 + time.tv_nsec as f64 / 1e9
 }
-
-/// The ports that a member listens on.
-fn member_ports(plan: &Plan, member: &Member, ip: Ipv4Addr, views: &[Side]) -> Result<Ports, String> {
-    let mut first = FIRST_PORT;
-    let mut ports = Ports::new();
-    let mut take = |name: String, transport: Transport| {
-        let at = free(ip, &mut first, transport)?;
-        ports.insert(name, (transport, at));
-        Ok::<(), String>(())
-    };
-    let tcp = Transport::Tcp;
-    match member.role {
-        Role::Sidecar => {
-            // The third is for a successor beside it, whose operators' address must be another one.
-            for name in ["listen", "operator", "operator-2"] {
-                take(name.to_owned(), tcp)?;
-            }
-            for (name, transport) in &plan.spec.sidecars[member.group].ports {
-                take(name.clone(), *transport)?;
-            }
-        }
-        Role::Endpoint => take("serve".to_owned(), tcp)?,
-        Role::Standins => {
-            take("discovery".to_owned(), tcp)?;
-            take("control".to_owned(), tcp)?;
-        }
-        Role::Discovery => {
-            take("discovery".to_owned(), tcp)?;
-            take("control".to_owned(), tcp)?;
-            // It is the last of the members: all sites are known by now.
-            for v in 0..views.len() {
-                (0..=plan.spec.discovery.moves).try_for_each(|n| take(view_port(v, n), tcp))?;
-            }
-        }
-        Role::Other => {
-            for (name, transport) in &plan.spec.processes[member.group].ports {
-                take(name.clone(), *transport)?;
-            }
-        }
-    }
-    Ok(ports)
-}
--- a/crates/rig/src/scale/run.rs
+++ b/crates/rig/src/scale/run.rs
@@ -1,8 +1,8 @@
 //! A scale run: all is started, versions are decided and events happen, and what came of that is gathered.
 
 use crate::history::unix_us;
+use crate::ports::octet;
 use crate::process::call as call_lines;
-use crate::run::octet;
 use crate::scale::judge::{Decided, Outage};
 use crate::scale::layout::{Layout, REAL_PORTS};
 use crate::scale::proc::Managed;
--- a/crates/rig/src/tell.rs
+++ b/crates/rig/src/tell.rs
@@ -1,7 +1,8 @@
 //! What a run tells its processes: all files, written before any process starts, with the names in braces looked up.
 
+use crate::moves::view_port;
 use crate::plan::{Member, Role, Side};
-use crate::run::{Rig, view_port};
+use crate::run::Rig;
 use crate::spec::Transport;
 use crate::texts::{self, Seen, Standing, fill, lay_over};
 use rand::seq::IndexedRandom;
@@ -32,7 +33,7 @@
 
     /// All files of all processes, checked before any is started.
     pub(crate) fn write_files(&self) -> Result<(), String> {
-        self.make_ways_of_moves()?;
+        self.make_relays_of_moves().map_err(|error| error.to_string())?;
         for (n, member) in self.plan.members.iter().enumerate() {
             if let Some(text) = self.text(n, member, false, &toml::Table::new())? {
                 std::fs::write(self.file(n), text).map_err(|e| format!("{}: {e}", member.name))?;
@@ -42,16 +43,6 @@
         std::fs::write(self.folder.join("files/mix.toml"), mix).map_err(|e| format!("mix: {e}"))
     }
 
-    /// Relays start with the run: those to addresses that sidecars are moved to later, too.
-    fn make_ways_of_moves(&self) -> Result<(), String> {
-        for (view, site) in self.views.iter().enumerate() {
-            for number in 1..=self.plan.spec.discovery.moves {
-                self.wire(site, self.discovery(), &view_port(view, number))?;
-            }
-        }
-        Ok(())
-    }
-
     /// The text of a member's file, where it has one; `set` is laid over a sidecar's.
     pub(crate) fn text(
         &self,
--- /dev/null
+++ b/crates/runtime/src/attempt_terms.rs
@@ -0,0 +1,59 @@
+//! How far an attempt has come, and what must hold when its first byte is written.
+
+use super::events::Client;
+use super::time_left::TimeLeft;
+use curlewhub_balance::Outcome;
+use std::cell::Cell;
+use std::rc::Rc;
+use tokio::time::{Instant, sleep_until};
+
+/// How far an attempt has come: what is stopped before its last byte was handed over never ran.
+pub struct Progress {
+    /// All of the request was handed over.
+    pub(super) whole: Rc<Cell<bool>>,
+    /// Of a request's attempt, and no probe.
+    pub(super) terms: Option<Terms>,
+}
+
+/// What must hold as a request's first byte is written, whatever the attempt has waited for until then.
+#[derive(Clone)]
+pub struct Terms {
+    /// Its client is still there.
+    pub client: Client,
+    /// A repeat of what may have run begins by then; none where nothing has.
+    pub begin_by: Option<Instant>,
+    /// What its endpoint is told of the client's time.
+    pub time_left: TimeLeft,
+}
+
+impl Terms {
+    /// Whether they hold now.
+    pub(super) fn hold(&self) -> bool {
+        !self.client.has_gone() && self.begin_by.is_none_or(|by| Instant::now() < by)
+    }
+
+    /// Ends once they don't hold any more.
+    pub(super) async fn broken(&self) {
+        tokio::select! {
+            () = self.client.gone() => {}
+            () = sleep_until(self.begin_by.unwrap_or_else(Instant::now)), if self.begin_by.is_some() => {}
+        }
+    }
+}
+
+impl Progress {
+    /// An attempt of a request under these terms, of which nothing has been written.
+    pub fn of_request(terms: Terms) -> Self {
+        Progress { whole: Rc::default(), terms: Some(terms) }
+    }
+
+    /// A probe.
+    pub fn of_probe() -> Self {
+        Progress { whole: Rc::default(), terms: None }
+    }
+
+    /// The outcome of no longer waiting: a request not written whole proves that it never ran.
+    pub fn given_up(&self) -> Outcome {
+        if self.whole.get() { Outcome::TimedOut } else { Outcome::ConnectFailed }
+    }
+}
--- a/crates/runtime/src/discovery/body.rs
+++ b/crates/runtime/src/discovery/body.rs
@@ -45,7 +45,7 @@
     }
 
     /// Reads on, no longer than until `due`, however steadily something comes. Where the body may have broken off it
-    /// says so once, and goes on.
+    /// reports that once, and keeps reading.
     pub async fn read(&mut self, due: Instant) -> Result<Progress, CallError> {
         let begun = !self.text.trim_ascii().is_empty();
         let until = match (begun, self.paused) {
--- a/crates/runtime/src/discovery/call.rs
+++ b/crates/runtime/src/discovery/call.rs
@@ -1,4 +1,4 @@
-//! One call to discovery: made, read to its end, and reported as it goes.
+//! One call to discovery: made, read to its end, and reported as it proceeds.
 
 use super::body::{BodyReader, Progress};
 use super::error::{CallError, Part};
@@ -182,8 +182,8 @@
         }
     }
 
-    /// Reports what a list has said of endpoints that leave before it broke off: a drain that was notified is notified,
-    /// whatever came of the rest. What is up or missing may stand otherwise behind the break, and waits for a list.
+    /// Reports the complete entries of a list that broke off: a drain in them counts as notified. Entries that are up, and
+    /// missing ones, may read otherwise behind the break; they wait for a complete list.
     async fn report_torn(&self, text: &[u8]) {
         let list = List::torn(text);
         if !list.targets.is_empty() {
--- a/crates/runtime/src/discovery/error.rs
+++ b/crates/runtime/src/discovery/error.rs
@@ -14,7 +14,7 @@
     /// This machine could not make it: nothing reached discovery.
     #[error("not made: {0}")]
     Local(#[source] io::Error),
-    /// No connection came up within its part of the call's time.
+    /// No connection was established within its part of the call's time.
     #[error("no connection in time")]
     ConnectTimeout,
     /// The connection failed.
@@ -23,7 +23,7 @@
     /// The exchange broke.
     #[error("the exchange broke: {0}")]
     Broke(#[source] hyper::Error),
-    /// No answer came within the call's time.
+    /// There was no answer within the call's time.
     #[error("no answer in time")]
     NoAnswer,
     /// The request could not be built.
@@ -40,16 +40,16 @@
     /// A body that had begun paused or trickled for too long.
     #[error("{0} broke off")]
     BrokeOff(Part),
-    /// Nothing came for too long.
+    /// Nothing was received for too long.
     #[error("{0} fell silent")]
     Silent(Part),
     /// A watch's body ended.
     #[error("the watch ended")]
     WatchEnded,
-    /// What came is longer than any list.
+    /// The answer is longer than any list.
     #[error("{0} is too long")]
     TooLong(Part),
-    /// What came is no list.
+    /// The answer is no list.
     #[error("{part} brought what is no list: {source}")]
     NoList {
         /// What brought it.
@@ -57,7 +57,7 @@
         /// What is wrong with it.
         source: serde_json::Error,
     },
-    /// A whole list was asked for, and another came.
+    /// A whole list was requested, and the answer has changes only.
     #[error("the list is not whole")]
     NotWhole,
 }
@@ -95,7 +95,7 @@
         text
     }
 
-    /// Why no connection to discovery came up.
+    /// Classifies an error of connect(2).
     pub(super) fn of_connect(error: io::Error) -> Self {
         match ConnectError::from(error) {
             ConnectError::Resources(error) | ConnectError::Route(error) => CallError::Local(error),
--- a/crates/runtime/src/discovery/mod.rs
+++ b/crates/runtime/src/discovery/mod.rs
@@ -79,8 +79,7 @@
         news
     }
 
-    /// Carries out the driver's calls. Each is answered by an event, whether it was made before or after it; a watch
-    /// then goes on.
+    /// Carries out the driver's calls. Each is answered by an event; a watch stays open after it.
     pub async fn run(self: Rc<Self>, mut calls: UnboundedReceiver<Call>) {
         let (reports, mut reported) = mpsc::channel(REPORTS_QUEUED);
         let mut out = HashMap::new();
--- a/crates/runtime/src/driver.rs
+++ b/crates/runtime/src/driver.rs
@@ -2,23 +2,24 @@
 //! actions. It decides nothing, but keeps what must hold whatever is decided: one final answer a
 //! request, no attempt beyond the limit or the deadline, nothing sent for what is finished.
 
+mod list;
+mod probes;
+
+use super::attempt_terms::{Progress, Terms};
 use super::call_observer::CallObserver;
 use super::clock::Clock;
 use super::endpoint_bans::EndpointBans;
-use super::events::{
-    Answer, Arrival, Call, Client, Command, Ended, Forward, Inbox, Input, ListStatus, News,
-};
+use super::events::{Answer, Arrival, Call, Client, Command, Ended, Forward, Inbox, Input, ListStatus};
 use super::figures::Hosts;
 use super::handover::overlap::{BalancerAccess, Overlap};
 use super::idempotency_keys::IdempotencyKeys;
 use super::lifecycle::{Lifecycle, State};
 use super::listing::Listing;
-use super::outbound::{Outbound, Progress, Terms};
+use super::outbound::Outbound;
 use super::time_left::TimeLeft;
 use super::timers::Timers;
 use curlewhub_balance::{
-    Action, AttemptEnded, AttemptNo, Balancer, ClassId, EndpointId, EndpointInfo, EndpointState, Event,
-    Membership, Outcome, RequestId, TimerToken, ZoneId,
+    Action, AttemptEnded, AttemptNo, Balancer, ClassId, EndpointId, Event, Outcome, RequestId, TimerToken,
 };
 use std::collections::{HashMap, HashSet, VecDeque};
 use std::net::SocketAddr;
@@ -27,11 +28,9 @@
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender};
 use tokio::sync::{oneshot, watch};
 use tokio::task::spawn_local;
-use tokio::time::{Instant, sleep_until, timeout};
+use tokio::time::{Instant, sleep_until};
 use tracing::{debug, error, info, warn};
 
-/// A start that lies ahead by less is put down to clocks that differ a little.
-const START_SLACK: Duration = Duration::from_secs(1);
 /// Unusual outcomes are summed up in the log this often.
 const SUMMARY: Duration = Duration::from_secs(10);
 
@@ -396,88 +395,6 @@
         self.tidy(id);
     }
 
-    /// Warns of endpoints whose stated start lies ahead of this machine's clock. The statement itself stays: the module
-    /// counts no start as later than now, and one that was rewritten on each listing would look like a new start each time.
-    fn warn_of_future_starts(&self, entries: &[EndpointInfo]) {
-        let now = self.clock.now();
-        for entry in entries {
-            let ahead = entry.started.map_or(Duration::ZERO, |started| started.saturating_sub(now));
-            if ahead > START_SLACK {
-                let endpoint = self.listing.uid(entry.id);
-                warn!(endpoint, field = "boot_ms", ?ahead, "it lies in the future: taken for now");
-            }
-        }
-    }
-
-    fn list(&mut self, news: News) {
-        for (id, address) in &news.addresses {
-            let before = self.addresses.insert(*id, *address);
-            if before.is_some_and(|before| before != *address) {
-                self.outbound.close_idle(*id);
-            }
-        }
-        let named: Vec<EndpointId> = news.addresses.iter().map(|(id, _)| *id).collect();
-        if let Membership::Full(entries) | Membership::Cached(entries) | Membership::Delta(entries) =
-            &news.membership
-        {
-            self.warn_of_future_starts(entries);
-        }
-        let (whole, entries) = match &news.membership {
-            Membership::Full(entries) | Membership::Cached(entries) => (true, entries),
-            Membership::Delta(entries) => (false, entries),
-            Membership::Failed | Membership::Refused => {
-                return self.handle(Event::Membership(news.membership));
-            }
-        };
-        for entry in entries {
-            match entry.state {
-                EndpointState::Draining => self.draining.insert(entry.id),
-                EndpointState::Ready | EndpointState::Gone => self.draining.remove(&entry.id),
-            };
-        }
-        for entry in entries.iter().filter(|entry| entry.state != EndpointState::Ready) {
-            // Nothing new goes there.
-            self.outbound.close_idle(entry.id);
-            let state = if entry.state == EndpointState::Gone { "gone" } else { "draining" };
-            info!(endpoint = self.listing.uid(entry.id), state, "endpoint leaves");
-            if entry.state == EndpointState::Gone {
-                self.addresses.remove(&entry.id);
-            }
-        }
-        if whole {
-            let outbound = &self.outbound;
-            let listed: HashSet<EndpointId> = entries.iter().map(|entry| entry.id).collect();
-            self.addresses.retain(|id, _| {
-                let stays = listed.contains(id);
-                if !stays {
-                    outbound.close_idle(*id);
-                    outbound.admit(*id, None);
-                }
-                stays
-            });
-            self.draining.retain(|id| listed.contains(id));
-        }
-        named.into_iter().for_each(|id| self.admit(id));
-        self.listing.keep(|id| self.addresses.contains_key(&id) || self.banned.contains(&id));
-        self.handle(Event::Membership(news.membership));
-    }
-
-    /// Behind its expiry nothing new begins by the list that is held, neither chosen nor written.
-    fn list_status(&mut self, status: ListStatus) {
-        let before = self.list_status.replace(status).and_then(|before| before.expires);
-        if let Some(lapsed) = before.filter(|at| *at < Instant::now() && status.expires != Some(*at)) {
-            let lapsed_ms = lapsed.elapsed().as_millis() as u64;
-            info!(lapsed_ms, version = status.version, "list could not be used: requests were held");
-        }
-        if before == status.expires {
-            return;
-        }
-        self.outbound.set_list_lease(status.expires);
-        let left = status.expires.map(|at| at.saturating_duration_since(Instant::now()));
-        let expires = left.map(|left| self.clock.now() + left);
-        self.handle(Event::ListLease { expires });
-    }
-
     /// Lets the overlap use the balancer, and carries out the actions that it returns.
     fn share(&mut self, update: impl FnOnce(&mut Overlap, &mut BalancerAccess<'_>)) {
         let mut actions = Vec::new();
@@ -612,50 +529,6 @@
         });
     }
 
-    fn probe(&mut self, endpoint: EndpointId) {
-        let address = self.addresses.get(&endpoint).filter(|_| !self.banned.contains(&endpoint));
-        let Some(&address) = address else {
-            let (outcome, elapsed, report) = (Outcome::ConnectFailed, Duration::ZERO, None);
-            return self.due.push_back(Event::ProbeEnded { endpoint, outcome, elapsed, report });
-        };
-        let (outbound, inbox, sent) = (self.outbound.clone(), self.inbox.clone(), Instant::now());
-        spawn_local(async move {
-            let ended = outbound.probe(endpoint, address).await;
-            let _ = inbox.send(Input::ProbeEnded(endpoint, ended, sent.elapsed()));
-        });
-    }
-
-    /// Probes some endpoints of a zone, others each time.
-    fn probe_zone(&mut self, zone: ZoneId, count: u32, within: Duration) {
-        let usable = |id: &EndpointId| {
-            !self.banned.contains(id) && self.balancer.place(*id).is_some_and(|(place, _)| place == zone)
-        };
-        let mut there: Vec<EndpointId> = self.addresses.keys().copied().filter(usable).collect();
-        there.sort_unstable();
-        if there.is_empty() {
-            // Nobody is listed there: as good as nobody who answers.
-            (0..count).for_each(|_| self.call_observer.zone_probe_ended(zone, false));
-        }
-        for _ in 0..there.len().min(count as usize) {
-            self.probes = self.probes.wrapping_add(1);
-            let endpoint = there[self.probes % there.len()];
-            let (outbound, address, observer) =
-                (self.outbound.clone(), self.addresses[&endpoint], self.call_observer.clone());
-            spawn_local(async move {
-                let ended =
-                    timeout(within, outbound.probe(endpoint, address)).await.map(|ended| ended.outcome);
-                if matches!(ended, Ok(Outcome::LocalFault)) {
-                    return; // nobody was asked
-                }
-                // Whatever it says, somebody is there who says it.
-                observer.zone_probe_ended(
-                    zone,
-                    matches!(ended, Ok(Outcome::Ok | Outcome::Error | Outcome::Full)),
-                );
-            });
-        }
-    }
-
     /// Gives a request its final answer, unless it has had one.
     fn finish(&mut self, id: RequestId, answer: Answer) {
         let Some(open) = self.requests.get_mut(&id) else { return };
--- a/crates/runtime/src/lib.rs
+++ b/crates/runtime/src/lib.rs
@@ -10,6 +10,8 @@
 //!
 //! `events` has the values that pass between these parts, so that they depend on no internals of each other.
 
+mod aged_connections;
+pub mod attempt_terms;
 pub mod budget;
 pub mod call_observer;
 pub mod clock;
@@ -27,6 +29,7 @@
 pub mod learned_state;
 pub mod lifecycle;
 pub mod listing;
+mod load_report;
 pub mod operator;
 pub mod outbound;
 pub mod shutdown;
--- a/crates/runtime/src/outbound.rs
+++ b/crates/runtime/src/outbound.rs
@@ -1,22 +1,25 @@
 //! Connections to endpoints: attempts and probes, and how they end.
 
+use super::aged_connections::{AGED, AgedConnections};
+use super::attempt_terms::{Progress, Terms};
 use super::budget::{Budget, Holder, Permit};
 use super::connect::{ConnectError, RouteFaults, connect};
-use super::events::{Client, Ended, tell_time_left};
+use super::events::{Ended, tell_time_left};
 use super::figures::Figures;
 use super::guard::Guard;
+use super::load_report::LoadReportReader;
 use super::slots::{Slot, Slots};
 use super::socket::{BUFFER_MOST, Heard, Socket};
 use super::spares::{REST, Spares};
 use super::streaming::{AnswerBody, BODY_MOST, FLOW_KIB, Flow, Payload, Sending, WHOLE_MOST};
-use super::time_left::{MAX_WRITE_DELAY, TimeLeft};
+use super::time_left::MAX_WRITE_DELAY;
 use super::write_gate::WriteGate;
-use curlewhub_balance::{EndpointId, LoadField, Outcome, Settings};
+use curlewhub_balance::{EndpointId, Outcome, Settings};
 use curlewhub_connection_quota::{Leave, Refusal};
 use http_body_util::BodyExt;
 use hyper::body::{Body, Bytes, Incoming};
 use hyper::client::conn::http1::{self, SendRequest};
-use hyper::{HeaderMap, Request, Response, StatusCode, header};
+use hyper::{Request, Response, StatusCode, header};
 use hyper_util::rt::TokioIo;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
@@ -28,7 +31,7 @@
 use std::time::Duration;
 use tokio::task::spawn_local;
 use tokio::time::{Instant, sleep, sleep_until, timeout};
-use tracing::{debug, warn};
+use tracing::debug;
 
 /// Part of the endpoints' idle time after which we close a connection ourselves: what is written to
 /// one that the endpoint is just closing ends as a reset, and an unsafe request is then lost for good.
@@ -47,66 +50,9 @@
 /// An answer of which the length says that it is long flows on after this at the latest; until then it may
 /// still prove spoilt, and be had again.
 const LONG_HOLD: Duration = Duration::from_millis(200);
-/// A connection idle for this long is aged: something on the way, or the endpoint, may have dropped it
-/// well before the stated time, and resets the next request on it.
-const AGED: Duration = Duration::from_millis(100);
-/// So many resets of aged connections, less a part of one for each answer on one, and they are given up ...
-const AGED_RESETS: f64 = 2.0;
-const AGED_ANSWER: f64 = 0.05;
-/// ... for this long: a reset loses an unsafe request for good, a new connection only costs a handshake.
-const AGED_PAUSE: Duration = Duration::from_secs(30);
 /// Limit of an attempt's connection where the settings say nothing.
 const CONNECT_UNSTATED: Duration = Duration::from_millis(500);
 
-/// How far an attempt has come: what is stopped before its last byte was handed over never ran.
-pub struct Progress {
-    whole: Rc<Cell<bool>>,
-    /// Of a request's attempt, and no probe.
-    terms: Option<Terms>,
-}
-
-/// What must hold as a request's first byte is written, whatever the attempt has waited for until then.
-#[derive(Clone)]
-pub struct Terms {
-    /// Its client is still there.
-    pub client: Client,
-    /// A repeat of what may have run begins by then; none where nothing has.
-    pub begin_by: Option<Instant>,
-    /// What its endpoint is told of the client's time.
-    pub time_left: TimeLeft,
-}
-
-impl Terms {
-    fn hold(&self) -> bool {
-        !self.client.has_gone() && self.begin_by.is_none_or(|by| Instant::now() < by)
-    }
-
-    /// Ends once they don't hold any more.
-    async fn broken(&self) {
-        tokio::select! {
-            () = self.client.gone() => {}
-            () = sleep_until(self.begin_by.unwrap_or_else(Instant::now)), if self.begin_by.is_some() => {}
-        }
-    }
-}
-
-impl Progress {
-    /// An attempt of a request under these terms, of which nothing has been written.
-    pub fn of_request(terms: Terms) -> Self {
-        Progress { whole: Rc::default(), terms: Some(terms) }
-    }
-
-    /// A probe.
-    pub fn of_probe() -> Self {
-        Progress { whole: Rc::default(), terms: None }
-    }
-
-    /// The outcome of no longer waiting: a request not written whole proves that it never ran.
-    pub fn given_up(&self) -> Outcome {
-        if self.whole.get() { Outcome::TimedOut } else { Outcome::ConnectFailed }
-    }
-}
-
 struct Link {
     sender: SendRequest<Sending>,
     heard: Rc<Heard>,
@@ -176,10 +122,8 @@
     since: Instant,
     connect_timeout: Duration,
     idle_most: Duration,
-    /// What speaks against aged connections, and until when they are not used.
-    aged_resets: Cell<f64>,
-    aged_until: Cell<Option<Instant>>,
-    fields: Vec<LoadField>,
+    aged: AgedConnections,
+    load_reports: LoadReportReader,
 }
 
 impl Outbound {
@@ -202,11 +146,10 @@
             spares: RefCell::default(),
             routes: RefCell::default(),
             since: Instant::now(),
-            aged_resets: Cell::default(),
-            aged_until: Cell::default(),
+            aged: AgedConnections::default(),
             connect_timeout: or(connect, CONNECT_UNSTATED),
             idle_most,
-            fields: settings.load_reports.fields.clone(),
+            load_reports: LoadReportReader::new(settings.load_reports.fields.clone()),
         })
     }
 
@@ -274,7 +217,7 @@
                 match link.sender.try_send_request(request).await {
                     Ok(response) => {
                         headed.set(true);
-                        let report = self.inline_report(response.headers());
+                        let report = self.load_reports.in_headers(response.headers());
                         (self.read(response).await, report)
                     }
                     Err(error) => {
@@ -292,7 +235,7 @@
             };
             // What breaks on the way, or at this machine, says nothing of age.
             if !fresh && idle >= AGED && !link.heard.broke_elsewhere() {
-                self.learn_aged(read.is_none() && link.heard.began().is_none());
+                self.aged.record(read.is_none() && link.heard.began().is_none());
             }
             if link.heard.withheld() {
                 progress.whole.set(false);
@@ -385,7 +328,7 @@
         match timeout(PROBE, self.attempt(endpoint, address, request, &progress)).await {
             Ok(mut ended) => {
                 let AnswerBody::Whole(body) = &ended.body else { return Ended::bare(Outcome::Error) };
-                let in_body = std::str::from_utf8(body).ok().and_then(|text| self.report(text));
+                let in_body = std::str::from_utf8(body).ok().and_then(|text| self.load_reports.read(text));
                 ended.report = in_body.or(ended.report);
                 ended
             }
@@ -474,27 +417,10 @@
     }
 
     fn usable(&self, link: &Link) -> bool {
-        let paused = self.aged_until.get().is_some_and(|until| Instant::now() < until);
-        let most = if paused { AGED.min(self.idle_most) } else { self.idle_most };
+        let most = self.aged.idle_limit(self.idle_most);
         !link.sender.is_closed() && link.idle_since.elapsed() < most
     }
 
-    /// Lets the end of an attempt on an aged connection speak for or against them all.
-    fn learn_aged(&self, reset: bool) {
-        let change = if reset { 1.0 } else { -AGED_ANSWER };
-        let resets = (self.aged_resets.get() + change).max(0.0);
-        self.aged_resets.set(resets);
-        if resets >= AGED_RESETS {
-            // One more is enough to give them up again after the pause.
-            self.aged_resets.set(AGED_RESETS - 1.0);
-            self.aged_until.set(Some(Instant::now() + AGED_PAUSE));
-            warn!(
-                seconds = AGED_PAUSE.as_secs(),
-                "aged connections are reset at the next request: not used for a while"
-            );
-        }
-    }
-
     /// The most recently used idle connection that has rested, or else one once it has: the others may
     /// then age and be closed.
     async fn take_idle(self: &Rc<Self>, endpoint: EndpointId, address: SocketAddr) -> Option<Link> {
@@ -610,23 +536,6 @@
         debug!(endpoint = endpoint.0, %error, local, "no connection");
         if local { Outcome::LocalFault } else { Outcome::ConnectFailed }
     }
-
-    fn inline_report(&self, headers: &HeaderMap) -> Option<Vec<f64>> {
-        self.report(headers.get("x-server-load")?.to_str().ok()?)
-    }
-
-    /// The values of the settings' fields, in their order; none unless all are there.
-    fn report(&self, text: &str) -> Option<Vec<f64>> {
-        let value = |field: &LoadField| {
-            let pairs = text.trim().split(',').filter_map(|pair| pair.split_once('='));
-            let (_, value) = pairs.into_iter().find(|(name, _)| *name == wire_name(*field))?;
-            value.trim().parse::<f64>().ok().filter(|v| v.is_finite() && *v >= 0.0)
-        };
-        if self.fields.is_empty() {
-            return None;
-        }
-        self.fields.iter().map(value).collect()
-    }
 }
 
 /// Ends once an answer has begun and pauses for too long, or its head takes too long. What comes ahead of
@@ -643,16 +552,3 @@
         sleep(ANSWER_PAUSE / 8).await;
     }
 }
-
-/// A load report's field as endpoints name it.
-fn wire_name(field: LoadField) -> &'static str {
-    match field {
-        LoadField::Outstanding => "inflight",
-        LoadField::Backlog => "queue",
-        LoadField::Utilization => "util",
-        LoadField::RecentMs => "latency_ms",
-        LoadField::Throughput => "qps",
-        LoadField::ErrorsPerS => "eps",
-        LoadField::Other => "",
-    }
-}
--- a/crates/standins/src/discovery/record.rs
+++ b/crates/standins/src/discovery/record.rs
@@ -9,7 +9,7 @@
 /// Something that discovery did.
 #[derive(Clone, Copy, Debug)]
 pub(super) enum Event {
-    /// A call came.
+    /// A call has arrived.
     Called,
     /// A list or changes of this version were written whole.
     Written(u64),
