--- a/crates/lab/tests/rig.rs
+++ b/crates/lab/tests/rig.rs
@@ -127,6 +127,18 @@
     }
 }
 
+/// Seeds of the short soak: fleets of two to ten processes, and schedules around discovery.
+#[test]
+fn the_short_soak_holds_for_its_seeds() {
+    let folder = Folder::new("soak");
+    let out = folder.0.join("out");
+    let words = ["campaign", &file("ci/soak.toml"), "--seeds", "1..7", "--jobs", "3", "--shrink", "0"];
+    let output = rig(&words).args(["--out", out.to_str().unwrap()]).output().unwrap();
+    let text = String::from_utf8_lossy(&output.stdout).into_owned();
+    assert_eq!(output.status.code(), Some(0), "{text}");
+    assert!(text.contains("6 of 6 runs held"), "{text}");
+}
+
 #[test]
 fn a_campaign_goes_on_after_a_failure_and_makes_the_failing_schedule_small() {
     let folder = Folder::new("campaign");
