Bind a stand-in's endpoint with SO_REUSEADDR

Cause: the address had connections of an earlier process in TIME_WAIT, and SO_REUSEPORT alone only passes those that had it too. Evidence: the listed test starts a stand-in behind such a connection; it failed on the code before. Change: the socket is bound with SO_REUSEADDR, which lets connections in TIME_WAIT pass and no listener.

--- a/crates/standins/src/endpoint.rs
+++ b/crates/standins/src/endpoint.rs
@@ -64,6 +64,8 @@
 
 fn socket(at: SocketAddr) -> io::Result<TcpSocket> {
     let socket = if at.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
+    // Connections in TIME_WAIT of a process that had the address before do not keep it.
+    socket.set_reuseaddr(true)?;
     socket.set_reuseport(true)?;
     socket.bind(at)?;
     Ok(socket)
--- a/crates/standins/tests/fleet.rs
+++ b/crates/standins/tests/fleet.rs
@@ -250,10 +250,7 @@
     assert!(unknown.to_string().contains("sed"), "{unknown}");
 }
 
-/// Seen: a fleet of stand-ins did not start, as one of its addresses was in use (three of some 200 runs, each behind
-/// others on the same machine). How it arose: the address had belonged to another kind of process before, whose
-/// connections were still in TIME_WAIT. Cause: the endpoint bound it without SO_REUSEADDR, and SO_REUSEPORT only
-/// lets it pass connections that had that option too. Proof: this start, behind such a connection.
+/// Guards against a stand-in that finds its address in use because of closed connections of an earlier process.
 #[test]
 fn an_endpoint_takes_an_address_with_connections_of_an_earlier_process_in_time_wait() {
     let earlier = TcpListener::bind(("127.0.0.1", 0)).unwrap();
