--- a/crates/curlewhub/tests/crossings/discovery.rs
+++ b/crates/curlewhub/tests/crossings/discovery.rs
@@ -367,3 +367,55 @@
         }
     });
 }
+
+/// Ends threads that go by this also where the test fails: they are waited for.
+struct StopOnDrop<'a>(&'a AtomicBool);
+
+impl Drop for StopOnDrop<'_> {
+    fn drop(&mut self) {
+        self.0.store(true, Ordering::SeqCst);
+    }
+}
+
+/// Refuses each call to discovery at once until told to stop.
+fn refuse_calls(stage: &Stage, stop: &AtomicBool) {
+    while !stop.load(Ordering::SeqCst) {
+        let Some(mut wire) = stage.take_within(Duration::from_millis(20)) else { continue };
+        if wire.read().is_some() {
+            wire.write(&answer("503 Service Unavailable", "", ""));
+        }
+    }
+}
+
+/// Guards against a process that starts behind a crowd of callers and sends by the list it was started with for ever.
+#[test]
+fn a_process_whose_calls_are_refused_from_its_start_on_sends_nothing_after_six_seconds() {
+    let grace = Duration::from_millis(250);
+    let (stage, (peer, arrivals)) = (Stage::new(), recording());
+    let mut config = operated(&[&peer]);
+    config["discovery"] = json!(stage.address.to_string());
+    config["settings"]["discovery"] = json!("subscribe");
+    config["settings"]["rules"]["drainGraceMs"] = json!(grace.as_millis() as f64);
+    config["settings"]["rules"]["askWithinMs"] = json!(10000.0);
+    let sidecar = Sidecar::start(&config);
+    let started = Instant::now();
+    let (stop_refusing, stop_asking) = (AtomicBool::new(false), AtomicBool::new(false));
+    std::thread::scope(|scope| {
+        let _ends = (StopOnDrop(&stop_refusing), StopOnDrop(&stop_asking));
+        let refusing = scope.spawn(|| refuse_calls(&stage, &stop_refusing));
+        scope.spawn(|| keep_asking(&sidecar, &stop_asking));
+        wait_for("requests", || arrivals.lock().unwrap().len() > 20);
+        let bound = started + TOLD + grace;
+        std::thread::sleep((bound + Duration::from_secs(2)).saturating_duration_since(Instant::now()));
+        stop_refusing.store(true, Ordering::SeqCst);
+        refusing.join().unwrap();
+        tell(&stage, &list(9, true, &[target("s-0", peer.address, "up")]).to_string());
+        let answered = Instant::now();
+        let served_again = || arrivals.lock().unwrap().last().is_some_and(|at| *at > answered);
+        wait_for("requests by the newer list", served_again);
+        stop_asking.store(true, Ordering::SeqCst);
+        let arrivals = arrivals.lock().unwrap();
+        let begun = arrivals.iter().filter(|at| (bound + SLOW / 2..answered).contains(*at)).count();
+        assert_eq!(begun, 0, "requests went there by a list that nobody had confirmed");
+    });
+}
--- a/crates/model/tests/discovery_load.rs
+++ b/crates/model/tests/discovery_load.rs
@@ -74,6 +74,25 @@
     }
 }
 
+/// Guards against a fleet whose calls behind an outage fill discovery's queue, so that callers that start are refused too.
+#[test]
+fn behind_an_outage_discovery_works_for_calls_that_it_answers() {
+    for starting in [34, 110] {
+        for seed in 1..=8 {
+            let discovery = Discovery {
+                calls_per_second: 52.0,
+                wait_limit: Duration::from_secs(2),
+                queue_limit: Duration::from_millis(4200),
+            };
+            let callers = Callers { waiting: 345, starting, starting_within: Duration::from_secs(6) };
+            let played = recover(discovery, callers, module_waits, seed);
+            let answered = f64::from(345 + starting);
+            let goodput = answered / (answered + played.worked_in_vain as f64);
+            assert!(goodput > 0.95, "{starting} start, seed {seed}: {goodput:.3}, {played:?}");
+        }
+    }
+}
+
 #[test]
 fn equal_seeds_give_equal_runs() {
     assert_eq!(play(300, module_waits, 5), play(300, module_waits, 5));
--- a/crates/model/tests/list_notification.rs
+++ b/crates/model/tests/list_notification.rs
@@ -39,6 +39,17 @@
     }
 }
 
+/// Guards against old lists in use where discovery can't answer the whole fleet within the time of notification.
+#[test]
+fn however_crowded_discovery_is_no_sidecar_uses_an_old_list_once_the_change_counts_as_notified() {
+    for (sidecars, turn_ms) in [(30, 350), (300, 20), (300, 100), (300, 350), (1900, 20)] {
+        for moves in [None, moves(4)] {
+            let played = notify(Scene { moves, ..scene(sidecars, turn_ms) }, 1);
+            assert_eq!(played.used_too_long, 0.0, "{sidecars} at {turn_ms} ms, {moves:?}: {played:?}");
+        }
+    }
+}
+
 #[test]
 fn configurations_in_a_row_cost_discovery_fewer_calls_than_there_are_configurations() {
     for seed in 1..=20 {
