Bound the use of the endpoint list in every state in which discovery may be there

Cause: the lease was given up. A process that starts took its first refusal for an outage (Unreachable, without a bound); so did one behind a second refusal, behind any failed call after a reset or silent watch, after three faults of its own machine, and after ten seconds of waiting whatever was out. Each of these can be a discovery that is there and has too many callers. Change: a failed call says what it shows: no connection (it could not be reached when the call began), no answer, held and then refused (an outage or a crowd), or answered at once (it is there). Unreachable has a time at which it may be back, and so a deadline; behind a refusal at once the state is Crowded. There is no end of a wait but a newer list: give_up and MAX_HOLD are gone.

--- a/crates/discovery-client/src/client.rs
+++ b/crates/discovery-client/src/client.rs
@@ -2,8 +2,10 @@
 
 use crate::backoff::Backoff;
 use crate::calls::{CallId, CallKind, Epoch, OutCall, Progress};
-use crate::lease::{Lease, LeaseState};
-use crate::timing::{MAX_SPREAD, MAX_WATCH_CALLS, MOVES_SETTLE, MOVES_SETTLE_LIMIT, SECOND_CALL_AFTER};
+use crate::lease::{FailedCall, Lease, LeaseState, Reachability};
+use crate::timing::{
+    MAX_SPREAD, MAX_WATCH_CALLS, MOVES_SETTLE, MOVES_SETTLE_LIMIT, REFUSED_AT_ONCE, SECOND_CALL_AFTER,
+};
 use crate::versions::Versions;
 use curlewhub_config::list::List;
 use rand_core::{RngCore, SeedableRng};
@@ -12,8 +14,6 @@
 
 /// Calls that are out at once, over all servers, at the most.
 const MAX_CALLS_OUT: usize = 8;
-/// So many faults of this machine in a row say nothing of discovery; more of them keep it from being reached.
-const MAX_LOCAL_FAULTS: u32 = 2;
 
 /// How lists reach the process.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -36,11 +36,15 @@
 /// How a call or a watch ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Ending {
-    /// It was answered, and not by a list: discovery is there, and has too many callers.
+    /// It was answered, and not by a list: discovery, or what stands for it, does not serve it.
     Refused,
     /// This machine could not make it: nothing reached discovery.
     Local,
-    /// Anything else: no connection, no answer in time, a connection that ended, or an answer that is no list.
+    /// No connection was established.
+    NotConnected,
+    /// There was no answer in time, or the connection broke before one.
+    Unanswered,
+    /// Anything else: an answer that is no list, or a watch that was ended in order.
     Failed,
     /// A watch that was up brought nothing for too long.
     Silent,
@@ -85,6 +89,7 @@
     versions: Versions,
     lease: Lease,
     backoff: Backoff,
+    whole_list_backoff: Backoff,
     draws: Pcg32,
     /// The server to be followed.
     target: Epoch,
@@ -102,7 +107,6 @@
     crowded: bool,
     /// One of the calls that are out for a watch on the target, or were along with them, was refused.
     refused: bool,
-    local_faults: u32,
     actions: Vec<Action>,
 }
 
@@ -113,6 +117,7 @@
             versions: Versions::new(0),
             lease: Lease::new(mode, rules, now),
             backoff: Backoff::default(),
+            whole_list_backoff: Backoff::default(),
             draws: Pcg32::seed_from_u64(seed),
             target: Epoch::default(),
             following: false,
@@ -124,7 +129,6 @@
             unsettled_since: None,
             crowded: false,
             refused: false,
-            local_faults: 0,
             actions: Vec::new(),
         }
     }
@@ -173,7 +177,7 @@
         for call in std::mem::take(&mut self.calls) {
             self.actions.push(Action::Abandon(call.id));
         }
-        self.lease.unbounded();
+        self.lease.not_followed();
         self.actions.push(Action::Unchanged);
     }
 
@@ -246,6 +250,7 @@
         match self.versions.whole_list(call.epoch, call.held, list) {
             Some(list) => {
                 self.lease.listed(now, call.epoch);
+                self.whole_list_backoff.reset();
                 self.next_whole_list = None;
                 self.actions.push(Action::Take(list));
             }
@@ -275,16 +280,12 @@
 
     /// When [`timer`](Self::timer) is to be called.
     pub fn next_timer(&self) -> Option<Duration> {
-        let times =
-            [self.next_watch, self.next_whole_list, self.second_call_at(), self.lease.given_up_at()];
+        let times = [self.next_watch, self.next_whole_list, self.second_call_at()];
         times.into_iter().flatten().min()
     }
 
-    /// Makes the calls that are due, and ends a wait for a newer list that has become too long.
+    /// Makes the calls that are due.
     pub fn timer(&mut self, now: Duration) {
-        if self.lease.given_up_at().is_some_and(|at| at <= now) {
-            self.lease.give_up();
-        }
         if self.next_watch.is_some_and(|at| at <= now) || self.second_call_at().is_some_and(|at| at <= now)
         {
             self.call_watch(now);
@@ -333,7 +334,6 @@
         }
         self.versions.watch_opened(call.epoch, list.as_ref());
         self.backoff.reset();
-        self.local_faults = 0;
         if call.epoch == self.target {
             (self.crowded, self.next_watch, self.unsettled_since) = (false, None, None);
         }
@@ -362,9 +362,13 @@
     /// The watch in force has ended. A call to another server that is awaited already is kept.
     fn watch_lost(&mut self, now: Duration, ending: Ending) {
         match ending {
-            Ending::Silent => self.lease.watch_silent(now),
+            Ending::Silent => self.lease.watch_silent(),
             Ending::Reset => self.lease.watch_reset(now),
-            Ending::Refused | Ending::Local | Ending::Failed => self.lease.watch_ended(now),
+            Ending::Refused
+            | Ending::Local
+            | Ending::NotConnected
+            | Ending::Unanswered
+            | Ending::Failed => self.lease.watch_ended(now),
         }
         self.actions.push(Action::Report(Outcome::Failed));
         if self.waiting_on_target() == 0 && self.next_watch.is_none() {
@@ -383,35 +387,30 @@
             }
             return;
         }
-        self.local_faults = if ending == Ending::Local { self.local_faults + 1 } else { 0 };
         let refused = self.refused;
-        if refused {
-            self.lease.refused(now);
-        } else if ending != Ending::Local || self.local_faults > MAX_LOCAL_FAULTS {
-            self.lease.unreachable(now);
-        }
         self.actions.push(Action::Report(if refused { Outcome::Refused } else { Outcome::Failed }));
         let (took, draw) = (now.saturating_sub(self.last_watch_call.max(call.began)), self.draw());
         let wait = match ending {
             _ if refused => self.backoff.refused(took, draw),
             Ending::Local => self.backoff.local(took, draw),
-            Ending::Refused | Ending::Failed | Ending::Silent | Ending::Reset => {
-                self.backoff.failed(took, draw)
-            }
+            _ => self.backoff.failed(took, draw),
         };
         self.next_watch = Some(now + wait);
+        let ending = if refused { Ending::Refused } else { ending };
+        if let Some(shows) = reachability(ending, now.saturating_sub(call.began)) {
+            self.lease.call_failed(now, FailedCall { shows, began: call.began });
+        }
     }
 
     fn whole_list_failed(&mut self, now: Duration, call: &OutCall, ending: Ending) {
         let refused = ending == Ending::Refused;
         self.actions.push(Action::Report(if refused { Outcome::Refused } else { Outcome::Failed }));
         if self.versions.needs_whole_list() && call.epoch == self.versions.epoch() {
-            self.lease.unreachable(now);
             let (took, draw) = (now.saturating_sub(call.began), self.draw());
             let wait = match ending {
-                Ending::Refused => curlewhub_balance::refused_wait(took, draw),
-                Ending::Local => self.backoff.local(took, draw),
-                Ending::Failed | Ending::Silent | Ending::Reset => self.backoff.failed(took, draw),
+                Ending::Refused => self.whole_list_backoff.refused(took, draw),
+                Ending::Local => self.whole_list_backoff.local(took, draw),
+                _ => self.whole_list_backoff.failed(took, draw),
             };
             self.next_whole_list = Some(now + wait);
         }
@@ -451,3 +450,14 @@
         f64::from(self.draws.next_u32()) / f64::from(u32::MAX)
     }
 }
+
+/// What a call that ended so after so long says of whether discovery can be reached; nothing where it was not made.
+fn reachability(ending: Ending, took: Duration) -> Option<Reachability> {
+    match ending {
+        Ending::Local => None,
+        Ending::NotConnected => Some(Reachability::Unreachable),
+        Ending::Unanswered => Some(Reachability::Silent),
+        Ending::Refused if took >= REFUSED_AT_ONCE => Some(Reachability::InDoubt),
+        Ending::Refused | Ending::Failed | Ending::Silent | Ending::Reset => Some(Reachability::Reachable),
+    }
+}
--- a/crates/discovery-client/src/lease.rs
+++ b/crates/discovery-client/src/lease.rs
@@ -3,15 +3,13 @@
 use crate::Epoch;
 use crate::client::{Mode, Rules};
 use crate::timing::{
-    LEASE_SLACK, MAX_HOLD, NOTIFIED_AFTER_MOVE, NOTIFIED_AFTER_WATCH_END, NOTIFIED_WITHIN, STALL_ALLOWANCE,
+    LEASE_SLACK, LONGEST_OUTAGE, NOTIFIED_AFTER_MOVE, NOTIFIED_AFTER_WATCH_END, NOTIFIED_WITHIN,
+    STALL_ALLOWANCE,
 };
 use std::time::Duration;
 
-/// So many refusals in a row, behind a watch that discovery itself or a move ended, say that it is there and has too many
-/// callers: the next call is waited for as well.
-const REFUSALS_BORNE: u32 = 1;
-
-/// What stands between this process and the newest list.
+/// What stands between this process and the newest list. Each state but the first and the last has a deadline for the
+/// use of the list.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum LeaseState {
     /// A watch is up: what changes is notified as it is written.
@@ -38,13 +36,46 @@
         /// Its last line.
         last_line: Duration,
     },
-    /// A call since has failed: discovery can't be reached, and the last list serves.
+    /// Discovery could not be reached, so that it notified nothing.
+    Unreachable {
+        /// Since when: the end of a watch, or the first call that showed it.
+        since: Duration,
+        /// When a call last showed it.
+        last_shown: Duration,
+    },
+    /// Discovery refuses calls at once, so it is there again.
+    Crowded {
+        /// The earliest time at which it may have come back.
+        back_at: Duration,
+    },
+    /// Nothing is followed: the list that is held is the only one.
+    NotFollowed,
+}
+
+/// What a call that failed says of whether discovery can be reached.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Reachability {
+    /// No connection was established: it could not be reached when the call began.
     Unreachable,
+    /// Nothing came on the connection: it hangs, or is cut off.
+    Silent,
+    /// The call was held and then refused, as in an outage that still lasts and as before too many callers.
+    InDoubt,
+    /// It answered at once, or with what is no list: it can be reached.
+    Reachable,
+}
+
+/// A call for a watch that failed, after which no other is out.
+#[derive(Clone, Copy, Debug)]
+pub struct FailedCall {
+    /// What it says of discovery.
+    pub shows: Reachability,
+    /// When it began.
+    pub began: Duration,
 }
 
 /// From when on the list that is held must not be used for anything new, because a change that this process has not
-/// seen may count as notified. While a call is out that will have its turn, to wait for it costs little; once it has
-/// failed, discovery can't be reached, nothing counts as notified, and the last list serves for as long as that lasts.
+/// seen may count as notified. Nothing but a newer list, or word that there is none, ends that.
 #[derive(Debug)]
 pub struct Lease {
     mode: Mode,
@@ -57,19 +88,13 @@
     last_call: Duration,
     /// A watch has been up since the start.
     watched: bool,
-    /// Calls refused since discovery was heard last.
-    refusals: u32,
-    /// When this process saw that no watch is up: one that stood still sees it late.
-    unwatched_seen: Duration,
 }
 
 impl Lease {
     /// A lease on the list known at the start.
     pub fn new(mode: Mode, rules: Rules, now: Duration) -> Self {
         let state = LeaseState::Unwatched { since: now };
-        let (moved, watched, refusals) = Default::default();
-        let (confirmed_at, last_call, unwatched_seen) = (now, now, now);
-        Lease { mode, rules, state, confirmed_at, moved, last_call, watched, refusals, unwatched_seen }
+        Lease { mode, rules, state, confirmed_at: now, moved: None, last_call: now, watched: false }
     }
 
     /// What stands between this process and the newest list.
@@ -90,7 +115,7 @@
     /// The watch in force opened or brought a line; it follows the server of this epoch, whose list is held completely
     /// or a whole one is still owed.
     pub fn heard(&mut self, now: Duration, epoch: Epoch, complete: bool) {
-        (self.state, self.watched, self.refusals) = (LeaseState::Watching, true, 0);
+        (self.state, self.watched) = (LeaseState::Watching, true);
         self.confirmed_at = now;
         self.moved = self.moved.filter(|(newest, _)| *newest > epoch || !complete);
     }
@@ -100,7 +125,7 @@
         self.confirmed_at = now;
         self.moved = self.moved.filter(|(newest, _)| *newest > epoch);
         if self.state != LeaseState::Watching {
-            self.unwatched(now, LeaseState::Unwatched { since: now });
+            self.state = LeaseState::Unwatched { since: now };
         }
     }
 
@@ -112,108 +137,121 @@
 
     /// The watch in force was left.
     pub fn watch_left(&mut self, now: Duration) {
-        self.unwatched(now, LeaseState::Unwatched { since: now });
-    }
-
-    fn unwatched(&mut self, now: Duration, state: LeaseState) {
-        (self.state, self.unwatched_seen) = (state, now);
+        self.state = LeaseState::Unwatched { since: now };
     }
 
     /// The watch in force ended, or a line of it could not be read.
     pub fn watch_ended(&mut self, now: Duration) {
-        self.unwatched(now, LeaseState::WatchEnded { at: now });
+        self.state = LeaseState::WatchEnded { at: now };
     }
 
     /// The watch in force was reset.
     pub fn watch_reset(&mut self, now: Duration) {
-        self.unwatched(now, LeaseState::WatchReset { at: now, last_line: self.confirmed_at });
+        self.state = LeaseState::WatchReset { at: now, last_line: self.confirmed_at };
     }
 
     /// The watch in force counts as dead.
-    pub fn watch_silent(&mut self, now: Duration) {
-        self.unwatched(now, LeaseState::WatchSilent { last_line: self.confirmed_at });
+    pub fn watch_silent(&mut self) {
+        self.state = LeaseState::WatchSilent { last_line: self.confirmed_at };
     }
 
-    /// Nothing is followed: the list held is the only one.
-    pub fn unbounded(&mut self) {
-        (self.state, self.moved) = (LeaseState::Unreachable, None);
+    /// Nothing is followed.
+    pub fn not_followed(&mut self) {
+        (self.state, self.moved) = (LeaseState::NotFollowed, None);
     }
 
-    /// No call is out any more, and the last one was refused.
-    pub fn refused(&mut self, now: Duration) {
-        self.refusals += 1;
-        let was_there = match self.state {
-            LeaseState::WatchEnded { .. } => true,
-            LeaseState::Unwatched { .. } => self.watched,
+    /// A call failed. What may have been notified before stays notified.
+    pub fn call_failed(&mut self, now: Duration, call: FailedCall) {
+        if self.may_have_been_notified(now) {
+            return;
+        }
+        let since = match call.shows {
+            Reachability::Unreachable => Some(call.began),
+            Reachability::Silent if !self.was_there() => self.outage_since(now).or(Some(self.confirmed_at)),
+            Reachability::InDoubt if !self.was_there() => self.outage_since(now),
+            Reachability::Silent | Reachability::InDoubt => None,
+            Reachability::Reachable => {
+                if let LeaseState::Unreachable { since, last_shown } = self.state {
+                    self.state = LeaseState::Crowded { back_at: back_at(since, last_shown) };
+                }
+                None
+            }
+        };
+        if let Some(since) = since {
+            let last_shown = if call.shows == Reachability::InDoubt { now } else { call.began };
+            self.state = LeaseState::Unreachable { since, last_shown };
+        }
+    }
+
+    /// Since when an outage may last of which calls that are held and refused would be a sign.
+    fn outage_since(&self, now: Duration) -> Option<Duration> {
+        match self.state {
+            LeaseState::Unreachable { since, .. } => Some(since),
+            LeaseState::Unwatched { .. } => Some(now),
+            LeaseState::WatchReset { at, .. } => Some(at),
             LeaseState::Watching
-            | LeaseState::WatchReset { .. }
+            | LeaseState::WatchEnded { .. }
             | LeaseState::WatchSilent { .. }
-            | LeaseState::Unreachable => false,
-        };
-        if !was_there || self.refusals > REFUSALS_BORNE {
-            self.unreachable(now);
+            | LeaseState::Crowded { .. }
+            | LeaseState::NotFollowed => None,
         }
     }
 
-    /// No call is out any more, and the last one failed. What may have been notified before stays notified.
-    pub fn unreachable(&mut self, now: Duration) {
-        if !self.may_have_been_notified(now) {
-            self.give_up();
+    /// Whether discovery was there when the watch ended, or has been seen since.
+    fn was_there(&self) -> bool {
+        match self.state {
+            LeaseState::Watching | LeaseState::WatchEnded { .. } | LeaseState::Crowded { .. } => true,
+            LeaseState::Unwatched { .. } => self.watched,
+            LeaseState::WatchReset { .. }
+            | LeaseState::WatchSilent { .. }
+            | LeaseState::Unreachable { .. }
+            | LeaseState::NotFollowed => false,
         }
     }
 
     /// Whether a change may count as notified that discovery had while it could be reached.
     fn may_have_been_notified(&self, now: Duration) -> bool {
-        let asked_while_there = match self.state {
-            LeaseState::WatchEnded { .. } => self.mode == Mode::Ask,
-            LeaseState::Unwatched { .. } => self.mode == Mode::Ask && self.watched,
-            LeaseState::Watching
-            | LeaseState::WatchReset { .. }
-            | LeaseState::WatchSilent { .. }
-            | LeaseState::Unreachable => false,
-        };
+        let asked_while_there = self.mode == Mode::Ask && self.was_there();
         // Discovery saw the end of the watch a little earlier than this process.
         asked_while_there && self.notified_at().is_some_and(|at| at <= now + LEASE_SLACK)
     }
 
-    /// Nothing newer is waited for any more.
-    pub fn give_up(&mut self) {
-        if self.state != LeaseState::Watching {
-            self.state = LeaseState::Unreachable;
-        }
-        self.moved = None;
-    }
-
-    /// From when on nothing new may begin by this list; none while nothing bounds it.
+    /// From when on nothing new may begin by this list; none while a watch is up, or nothing is followed.
     pub fn expires_at(&self) -> Option<Duration> {
         let allowance = self.rules.drain_grace.saturating_sub(STALL_ALLOWANCE + LEASE_SLACK);
         self.notified_at().map(|notified_at| notified_at + allowance)
     }
 
-    /// When to wait no longer for a newer list, though a call may still be out.
-    pub fn given_up_at(&self) -> Option<Duration> {
-        self.expires_at().map(|expires| expires.max(self.unwatched_seen) + MAX_HOLD)
-    }
-
     /// From when on an unseen change may count as notified.
     fn notified_at(&self) -> Option<Duration> {
+        let by_move = self.moved.map(|(_, since)| since + NOTIFIED_AFTER_MOVE);
+        match (self.notified_by_state(), by_move) {
+            // What could not be reached could not notify anything of the new server's either.
+            (Some(by_state), Some(by_move)) if matches!(self.state, LeaseState::Unreachable { .. }) => {
+                Some(by_state.max(by_move))
+            }
+            (by_state, by_move) => by_state.into_iter().chain(by_move).min(),
+        }
+    }
+
+    fn notified_by_state(&self) -> Option<Duration> {
         let at_the_latest = self.confirmed_at + NOTIFIED_WITHIN;
-        let by_state = match self.state {
-            LeaseState::Watching | LeaseState::Unreachable => None,
-            // The move's own bound holds where lists are pushed.
-            LeaseState::Unwatched { .. } if self.mode == Mode::Push && self.moved.is_some() => None,
-            LeaseState::Unwatched { since } => Some(self.unwatched_since(since)),
-            LeaseState::WatchEnded { at } => {
-                Some(self.unwatched_since(at).min(at + NOTIFIED_AFTER_WATCH_END))
+        let by_watch = match self.state {
+            LeaseState::Watching | LeaseState::NotFollowed => return None,
+            LeaseState::Unreachable { since, last_shown } => {
+                return Some(back_at(since, last_shown) + NOTIFIED_WITHIN);
             }
+            LeaseState::Crowded { back_at } => return Some(back_at + NOTIFIED_WITHIN),
+            // The move's own bound holds where lists are pushed.
+            LeaseState::Unwatched { .. } if self.mode == Mode::Push && self.moved.is_some() => return None,
+            LeaseState::Unwatched { since } => self.unwatched_since(since),
+            LeaseState::WatchEnded { at } => self.unwatched_since(at).min(at + NOTIFIED_AFTER_WATCH_END),
             LeaseState::WatchReset { at, last_line } => {
-                Some(self.unwatched_since(at).min(last_line + NOTIFIED_WITHIN))
+                self.unwatched_since(at).min(last_line + NOTIFIED_WITHIN)
             }
-            LeaseState::WatchSilent { last_line } => Some(last_line + NOTIFIED_WITHIN),
+            LeaseState::WatchSilent { last_line } => last_line + NOTIFIED_WITHIN,
         };
-        let by_state = by_state.map(|at| at.min(at_the_latest));
-        let by_move = self.moved.map(|(_, since)| since + NOTIFIED_AFTER_MOVE);
-        by_state.into_iter().chain(by_move).min()
+        Some(by_watch.min(at_the_latest))
     }
 
     /// Without a watch: where lists are pushed, what discovery has counts at once; where it is asked, the settings' time
@@ -225,3 +263,9 @@
         }
     }
 }
+
+/// The earliest time at which a discovery may have come back that could not be reached. Signs of an outage that last for
+/// longer than one are as likely those of too many callers.
+fn back_at(since: Duration, last_shown: Duration) -> Duration {
+    last_shown.min(since + LONGEST_OUTAGE)
+}
--- a/crates/discovery-client/src/lib.rs
+++ b/crates/discovery-client/src/lib.rs
@@ -19,6 +19,6 @@
 pub use backoff::Backoff;
 pub use calls::{CallId, CallKind, Epoch};
 pub use client::{Action, Client, Ending, Mode, Outcome, Rules};
-pub use lease::{Lease, LeaseState};
+pub use lease::{FailedCall, Lease, LeaseState, Reachability};
 pub use versions::{PENDING_CHANGES_LIMIT, Versions};
 pub use watch_state::WatchState;
--- a/crates/discovery-client/src/timing.rs
+++ b/crates/discovery-client/src/timing.rs
@@ -15,10 +15,11 @@
 /// Beyond that, what a clock's reading and a scheduler's turn may blur.
 pub const LEASE_SLACK: Duration = Duration::from_millis(50);
 
-/// For so long at the most nothing begins for want of a newer list: a discovery that has too many callers would otherwise
-/// stop a whole fleet for as long as that lasts. It covers an outage of 5 s that begins as a change is notified, and the
-/// longest wait and call behind it.
-pub const MAX_HOLD: Duration = Duration::from_secs(10);
+/// Calls that are held and then refused, or bring nothing, are a sign of an outage for this long; the longest outage that
+/// the operators' pages name.
+pub const LONGEST_OUTAGE: Duration = Duration::from_secs(8);
+/// A call that is refused within this was not held until a limit.
+pub const REFUSED_AT_ONCE: Duration = Duration::from_secs(1);
 
 /// A call that has not brought a whole list, or a watch's first line, by then has failed. Calls wait in turn for up to
 /// 3 s at the sites known, and to leave just before the turn comes gives up a place in the queue.
--- a/crates/model/src/list_notification.rs
+++ b/crates/model/src/list_notification.rs
@@ -58,6 +58,9 @@
     pub in_time: f64,
     /// Part of the sidecars that used an older list after that.
     pub used_too_long: f64,
+    /// Part of the sidecars on whose watch nothing of the change had come when it counted as notified and the grace was
+    /// over, though the watch was up: they could not know that they wait for something.
+    pub untold: f64,
     /// Seconds in which a sidecar began nothing for want of a newer list, in the mean.
     pub held_s: f64,
     /// Calls of a sidecar from the first configuration or the change on, in the mean.
@@ -96,6 +99,8 @@
     has_change: Option<Duration>,
     /// From when on the change counts as notified.
     notified: Duration,
+    /// When its watch ended, or the change was made without one.
+    told: Option<Duration>,
     /// Since when its lease has run out, while it has.
     lease: Option<Duration>,
     held: Duration,
@@ -142,6 +147,7 @@
             refused: 0,
             has_change: None,
             notified: change_at + AT_THE_LATEST,
+            told: None,
             lease: None,
             held: Duration::ZERO,
         };
@@ -202,6 +208,8 @@
             }
             Step::Change => {
                 self.version += 1;
+                let without_watch = self.sidecars.iter_mut().filter(|sidecar| sidecar.watch.is_none());
+                without_watch.for_each(|sidecar| sidecar.told = Some(now));
                 let watching = (0..self.sidecars.len()).filter(|n| self.sidecars[*n].watch.is_some());
                 let jobs: Vec<Job> = watching.map(|sidecar| Job::Notify { sidecar }).collect();
                 self.queue.extend(jobs);
@@ -231,6 +239,7 @@
             Some(Job::Notify { sidecar }) => {
                 let of = &mut self.sidecars[sidecar];
                 if let Some(watch) = of.watch.take() {
+                    of.told = Some(now);
                     of.notified = of.notified.min(now + BEHIND_WATCH_END);
                     of.client.ended(now, watch, Ending::Failed);
                 }
@@ -296,6 +305,7 @@
         Notification {
             in_time: mean(&|sidecar| part(has_by(sidecar, sidecar.notified + GRACE))),
             used_too_long: mean(&|sidecar| part(sidecar.used_too_long(end))),
+            untold: mean(&|sidecar| part(sidecar.untold())),
             held_s: mean(&|sidecar| sidecar.held.as_secs_f64()),
             calls: mean(&|sidecar| sidecar.calls as f64),
             refused: mean(&|sidecar| sidecar.refused as f64),
@@ -319,6 +329,11 @@
         self.lease = self.client.lease().expires_at().map(|expires| expires.max(now));
     }
 
+    /// Whether its watch was up, with nothing of the change, when that counted as notified and the grace was over.
+    fn untold(&self) -> bool {
+        self.told.is_none_or(|told| told > self.notified + GRACE)
+    }
+
     /// Whether it could begin requests by the old list when the change counted as notified and the grace was over.
     fn used_too_long(&self, end: Duration) -> bool {
         let over = self.notified + GRACE;
--- a/crates/runtime/src/discovery/error.rs
+++ b/crates/runtime/src/discovery/error.rs
@@ -103,11 +103,13 @@
         }
     }
 
-    /// What it says of discovery; a watch that was up may have fallen silent.
+    /// How the call ended; a watch that was up may have fallen silent.
     pub(super) fn ending(&self, watch_was_up: bool) -> Ending {
         match self {
             CallError::Refused(_) => Ending::Refused,
             CallError::Local(_) => Ending::Local,
+            CallError::ConnectTimeout | CallError::Connect(_) => Ending::NotConnected,
+            CallError::Broke(_) | CallError::NoAnswer => Ending::Unanswered,
             CallError::Silent(_) if watch_was_up => Ending::Silent,
             CallError::BodyBroke { source, .. } if watch_was_up && is_reset(source) => Ending::Reset,
             _ => Ending::Failed,
