Spread refused calls to discovery and let their waits grow, so that a fleet does not crowd it

Cause: every refused call came again 3.6 s to 4.8 s after its start, however often: 345 callers make 82 calls a second of a discovery that serves 52. Change: the first two refusals are waited for as before, further ones for 3.6 s to 9 s, from the fifth on growing by half each. Where refusals are known to be due to too many callers (discovery ended the watch, or refused at once) they are spread from the first on and double. The balancer's own asking counts refusals apart from other failures. Why it works: by the end of an outage of 8 s callers are in their third wait, spread over 5.4 s and not 1.2 s, so that calls come no faster than they are served; a crowd that lasts halves its calls with each round.

--- a/crates/balance/src/balance.rs
+++ b/crates/balance/src/balance.rs
@@ -13,7 +13,7 @@
 mod snapshot;
 
 pub use facts::Portion;
-pub use members::refused_wait;
+pub use members::{RefusalCause, refused_wait};
 pub use snapshot::{AGE_MOST, EndpointSnapshot, Snapshot};
 
 use crate::held::{Held, Kind, Walk};
@@ -181,6 +181,7 @@
     stale: f64,
     reaped_after: Duration,
     ask_failures: u32,
+    ask_refusals: u32,
     asked: Duration,
     /// Since when discovery has failed.
     list_old: Option<Duration>,
@@ -256,6 +257,7 @@
             stale: 0.0,
             reaped_after: Duration::MAX,
             ask_failures: 0,
+            ask_refusals: 0,
             asked: now,
             list_old: None,
             list_expires: None,
--- a/crates/balance/src/balance/members.rs
+++ b/crates/balance/src/balance/members.rs
@@ -14,16 +14,45 @@
 const ASK_BACKOFF: f64 = 0.5;
 const ASK_DOUBLES: u32 = 1;
 const ASK_LEAST: f64 = 0.15;
-/// Wait behind a call that is refused, from its start. A queue that callers keep full fails all that it
-/// accepts, so a fleet comes less often than that; an answer 1.2 s behind the longest is there in those 6 s.
-const REFUSED_WAIT: f64 = 3.6;
-const REFUSED_SPREAD: f64 = 1.2;
+/// Waits behind calls that are refused, in seconds from their start, shortest and longest: with a call behind
+/// it a drain is known in time after a short outage.
+const FIRST_REFUSED_WAIT: (f64, f64) = (3.6, 4.8);
+/// So many refusals in a row are waited for like that, unless they are known to be due to too many callers.
+const FIRST_REFUSALS: u32 = 2;
+/// The same behind further ones. A queue that callers keep full fails all that it accepts: a fleet comes less
+/// often than it is served.
+const REFUSED_WAIT: (f64, f64) = (3.6, 9.0);
+/// Behind so many refusals in a row each further one makes waits longer by the factor below, up to the limit.
+const REFUSALS_WITHOUT_GROWTH: u32 = 4;
+/// The same where refusals are known to be due to too many callers.
+const CROWDED_WITHOUT_GROWTH: u32 = 1;
+const REFUSED_GROWTH: f64 = 1.5;
+const CROWDED_GROWTH: f64 = 2.0;
+const REFUSED_GROWTH_LIMIT: f64 = 40.0;
 /// The first call is spread over an eighth of the time in which to ask, or of this: time is left for it.
 const ASK_FIRST: Duration = Duration::from_secs(12);
 
-/// The wait behind a call that discovery refused after it took so long, by a draw from 0 to 1.
-pub fn refused_wait(took: Duration, draw: f64) -> Duration {
-    let wait = REFUSED_WAIT + REFUSED_SPREAD * draw - took.as_secs_f64();
+/// Why discovery refuses calls, as far as it is known.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RefusalCause {
+    /// It may be down, or have too many callers.
+    Unknown,
+    /// It is there, and has too many callers.
+    TooManyCallers,
+}
+
+/// The wait behind a call that discovery refused after it took so long, behind so many refusals in a row, by
+/// a draw from 0 to 1.
+pub fn refused_wait(refusals_before: u32, cause: RefusalCause, took: Duration, draw: f64) -> Duration {
+    let (first, without_growth, growth) = match cause {
+        RefusalCause::Unknown => (FIRST_REFUSALS, REFUSALS_WITHOUT_GROWTH, REFUSED_GROWTH),
+        RefusalCause::TooManyCallers => (0, CROWDED_WITHOUT_GROWTH, CROWDED_GROWTH),
+    };
+    let (shortest, longest) = if refusals_before < first { FIRST_REFUSED_WAIT } else { REFUSED_WAIT };
+    let growing = refusals_before.saturating_sub(without_growth).min(64);
+    let factor = growth.powi(growing as i32).min(REFUSED_GROWTH_LIMIT);
+    let from_start = factor * (shortest + (longest - shortest) * draw);
+    let wait = from_start - took.as_secs_f64();
     Duration::from_secs_f64(wait.max(ASK_LEAST * draw))
 }
 
@@ -40,9 +69,12 @@
                     let doubled = ASK_BACKOFF * f64::from(1u32 << self.ask_failures.min(ASK_DOUBLES));
                     let (draw, took) = (self.draws.uniform(), now.saturating_sub(self.asked));
                     let wait = (doubled * (0.5 + draw) - took.as_secs_f64()).max(ASK_LEAST * draw);
-                    let wait =
-                        if refused { refused_wait(took, draw) } else { Duration::from_secs_f64(wait) };
+                    let wait = match refused {
+                        true => refused_wait(self.ask_refusals, RefusalCause::Unknown, took, draw),
+                        false => Duration::from_secs_f64(wait),
+                    };
                     self.ask_failures = self.ask_failures.saturating_add(1);
+                    self.ask_refusals = self.ask_refusals.saturating_add(u32::from(refused));
                     self.set_timer(wait, Timer::Ask, out);
                 }
                 return;
@@ -59,7 +91,7 @@
             let wait = self.settings.rules.ask_within.min(ASK_FIRST).mul_f64(self.draws.uniform() / 8.0);
             self.set_timer(wait, Timer::Ask, out);
         } else {
-            self.ask_failures = 0;
+            (self.ask_failures, self.ask_refusals) = (0, 0);
         }
         if !std::mem::replace(&mut self.started, true) {
             let size = (WINDOW_START * self.part()).max(1.0);
--- a/crates/balance/src/lib.rs
+++ b/crates/balance/src/lib.rs
@@ -28,6 +28,6 @@
 mod uses;
 mod zones;
 
-pub use balance::{AGE_MOST, Balancer, EndpointSnapshot, Portion, Snapshot, refused_wait};
+pub use balance::{AGE_MOST, Balancer, EndpointSnapshot, Portion, RefusalCause, Snapshot, refused_wait};
 pub use names::EndpointNames;
 pub use types::*;
--- a/crates/discovery-client/src/backoff.rs
+++ b/crates/discovery-client/src/backoff.rs
@@ -1,7 +1,7 @@
 //! Waits between calls that fail.
 
 use crate::timing::{MAX_SPREAD, MAX_WAIT};
-use curlewhub_balance::refused_wait;
+use curlewhub_balance::{RefusalCause, refused_wait};
 use std::time::Duration;
 
 /// Wait before the first call after a failure, counted from the start of the one that failed; doubles with each.
@@ -17,6 +17,7 @@
 #[derive(Debug, Default)]
 pub struct Backoff {
     failures: u32,
+    refusals: u32,
 }
 
 impl Backoff {
@@ -27,9 +28,11 @@
 
     /// The wait behind a call that discovery refused after it took so long, by a draw from 0 to 1: too many call, and
     /// each further call takes another caller's turn.
-    pub fn refused(&mut self, took: Duration, draw: f64) -> Duration {
+    pub fn refused(&mut self, cause: RefusalCause, took: Duration, draw: f64) -> Duration {
+        let wait = refused_wait(self.refusals, cause, took, draw);
+        self.refusals = self.refusals.saturating_add(1);
         self.failures = self.failures.saturating_add(1);
-        refused_wait(took, draw)
+        wait
     }
 
     /// The wait behind a call that failed otherwise after it took so long, by a draw from 0 to 1. A call that waited in
--- a/crates/discovery-client/src/client.rs
+++ b/crates/discovery-client/src/client.rs
@@ -7,6 +7,7 @@
     MAX_SPREAD, MAX_WATCH_CALLS, MOVES_SETTLE, MOVES_SETTLE_LIMIT, REFUSED_AT_ONCE, SECOND_CALL_AFTER,
 };
 use crate::versions::Versions;
+use curlewhub_balance::RefusalCause;
 use curlewhub_config::list::List;
 use rand_core::{RngCore, SeedableRng};
 use rand_pcg::Pcg32;
@@ -391,7 +392,7 @@
         self.actions.push(Action::Report(if refused { Outcome::Refused } else { Outcome::Failed }));
         let (took, draw) = (now.saturating_sub(self.last_watch_call.max(call.began)), self.draw());
         let wait = match ending {
-            _ if refused => self.backoff.refused(took, draw),
+            _ if refused => self.backoff.refused(self.lease.refusal_cause(), took, draw),
             Ending::Local => self.backoff.local(took, draw),
             _ => self.backoff.failed(took, draw),
         };
@@ -408,7 +409,9 @@
         if self.versions.needs_whole_list() && call.epoch == self.versions.epoch() {
             let (took, draw) = (now.saturating_sub(call.began), self.draw());
             let wait = match ending {
-                Ending::Refused => self.whole_list_backoff.refused(took, draw),
+                Ending::Refused => {
+                    self.whole_list_backoff.refused(RefusalCause::TooManyCallers, took, draw)
+                }
                 Ending::Local => self.whole_list_backoff.local(took, draw),
                 _ => self.whole_list_backoff.failed(took, draw),
             };
--- a/crates/discovery-client/src/lease.rs
+++ b/crates/discovery-client/src/lease.rs
@@ -6,6 +6,7 @@
     LEASE_SLACK, LONGEST_OUTAGE, NOTIFIED_AFTER_MOVE, NOTIFIED_AFTER_WATCH_END, NOTIFIED_WITHIN,
     STALL_ALLOWANCE,
 };
+use curlewhub_balance::RefusalCause;
 use std::time::Duration;
 
 /// What stands between this process and the newest list. Each state but the first and the last has a deadline for the
@@ -197,6 +198,11 @@
         }
     }
 
+    /// Why discovery refuses calls, as far as the state tells.
+    pub fn refusal_cause(&self) -> RefusalCause {
+        if self.was_there() { RefusalCause::TooManyCallers } else { RefusalCause::Unknown }
+    }
+
     /// Whether discovery was there when the watch ended, or has been seen since.
     fn was_there(&self) -> bool {
         match self.state {
--- a/crates/lab/src/discovery_load.rs
+++ b/crates/lab/src/discovery_load.rs
@@ -2,7 +2,7 @@
 //! its sidecars wait behind calls that failed.
 
 use comfy_table::{Table, presets};
-use curlewhub_balance::refused_wait;
+use curlewhub_balance::{RefusalCause, refused_wait};
 use curlewhub_discovery_client::timing::{CALL_TIMEOUT, MAX_SPREAD, SECOND_CALL_AFTER};
 use curlewhub_model::discovery_load::{
     Callers, Discovery, Failures, Outage, Recovery, RetryWait, recover_from,
@@ -51,7 +51,11 @@
     ("as before, doubled to 4 s", doubled_to_four_seconds, Calls::OneAtATime),
     ("0.65 to 1.35 s", about_one_second, Calls::OneAtATime),
     ("1.3 to 2.7 s", wide_two_seconds, Calls::OneAtATime),
-    ("3.6 to 4.8 s behind a refusal, from the call's start", by_refusal, Calls::OneAtATime),
+    (
+        "3.6 to 4.8 s behind a refusal, 3.6 to 9 s and more behind the third, from the call's start",
+        by_refusal,
+        Calls::OneAtATime,
+    ),
     ("the same, and a second call beside one that brings nothing (built)", by_refusal, Calls::SecondBeside),
 ];
 
@@ -80,7 +84,7 @@
 
 fn by_refusal(failures: Failures, draw: f64) -> Duration {
     match failures.refused {
-        true => refused_wait(failures.took, draw),
+        true => refused_wait(failures.before, RefusalCause::Unknown, failures.took, draw),
         // All calls that fail otherwise are given up here, after they took all of their time.
         false => MAX_SPREAD.mul_f64(draw),
     }
--- a/crates/runtime/tests/discovery.rs
+++ b/crates/runtime/tests/discovery.rs
@@ -1,7 +1,7 @@
 //! Calls to discovery that cross: several asked for at once, and answers that come in another order than they were
 //! asked for in.
 
-use curlewhub_balance::{Discovery as Mode, Membership, Rules, refused_wait};
+use curlewhub_balance::{Discovery as Mode, Membership, RefusalCause, Rules, refused_wait};
 use curlewhub_config::Names;
 use curlewhub_discovery_client::Backoff;
 use curlewhub_discovery_client::timing::{CALL_TIMEOUT, MAX_SPREAD, MAX_WAIT, NOTIFIED_WITHIN};
@@ -155,7 +155,7 @@
 #[test]
 fn a_refusal_keeps_callers_away_from_the_start_of_their_call_on() {
     for took in [Duration::from_millis(20), Duration::from_secs(2), CALL_TIMEOUT] {
-        let wait = |n| Backoff::default().refused(took, f64::from(n) / 20.0) + took;
+        let wait = |n| Backoff::default().refused(RefusalCause::Unknown, took, f64::from(n) / 20.0) + took;
         let waits: Vec<Duration> = (0..=20).map(wait).collect();
         assert!(
             waits[0] >= Duration::from_millis(3500),
@@ -284,7 +284,7 @@
                 }
                 news @ (Membership::Failed | Membership::Refused) => {
                     let wait = match news {
-                        Membership::Refused => refused_wait(Duration::ZERO, 1.0),
+                        Membership::Refused => refused_wait(0, RefusalCause::Unknown, Duration::ZERO, 1.0),
                         _ => MAX_SPREAD,
                     };
                     self.failures.push((Instant::now(), news));
