Take a call that is refused along with a held one beside it for held as well

Cause: behind an outage a process has two calls out, 2.75 s apart. Discovery fails the first at its limit of 3.0 s and the second with it, after 0.25 s; that one ended last and read as refused at once, so as a discovery that is there, and requests were held for 1.8 s. Change: the longest time that a refused call of those out together was held says what they show.

--- a/crates/discovery-client/src/client.rs
+++ b/crates/discovery-client/src/client.rs
@@ -108,6 +108,8 @@
     crowded: bool,
     /// One of the calls that are out for a watch on the target, or were along with them, was refused.
     refused: bool,
+    /// For how long a call of those was held before it was refused, at the longest.
+    longest_refused: Duration,
     actions: Vec<Action>,
 }
 
@@ -130,6 +132,7 @@
             unsettled_since: None,
             crowded: false,
             refused: false,
+            longest_refused: Duration::ZERO,
             actions: Vec::new(),
         }
     }
@@ -381,6 +384,10 @@
     fn watch_call_failed(&mut self, now: Duration, call: &OutCall, ending: Ending) {
         self.crowded |= ending == Ending::Refused;
         self.refused |= ending == Ending::Refused;
+        let held = now.saturating_sub(call.began);
+        if ending == Ending::Refused {
+            self.longest_refused = self.longest_refused.max(held);
+        }
         if self.waiting_on_target() > 0 {
             // The other call keeps its turn; what it brings decides, and the wait is that behind a refusal.
             if !self.refused {
@@ -397,8 +404,8 @@
             _ => self.backoff.failed(took, draw),
         };
         self.next_watch = Some(now + wait);
-        let ending = if refused { Ending::Refused } else { ending };
-        if let Some(shows) = reachability(ending, now.saturating_sub(call.began)) {
+        let (ending, held) = if refused { (Ending::Refused, self.longest_refused) } else { (ending, held) };
+        if let Some(shows) = reachability(ending, held) {
             self.lease.call_failed(now, FailedCall { shows, began: call.began });
         }
     }
@@ -420,7 +427,9 @@
     }
 
     fn call_watch(&mut self, now: Duration) {
-        self.refused &= self.waiting_on_target() > 0;
+        if self.waiting_on_target() == 0 {
+            (self.refused, self.longest_refused) = (false, Duration::ZERO);
+        }
         self.next_watch = None;
         self.unsettled_since = None;
         self.last_watch_call = now;
--- a/crates/discovery-client/tests/lease.rs
+++ b/crates/discovery-client/tests/lease.rs
@@ -116,6 +116,20 @@
     }
 }
 
+/// Guards against an outage that is not seen where the refusal of a held call takes the one beside it along at once.
+#[test]
+fn a_call_that_is_refused_along_with_a_held_one_beside_it_counts_as_held() {
+    let (mut client, watch) = watching(Mode::Ask);
+    client.watch_line(seconds(5.0), watch, None);
+    client.ended(seconds(5.0), watch, Ending::Reset);
+    let (at, first) = next_call(&mut client);
+    let (_, second) = next_call(&mut client);
+    let refused_at = at + seconds(3.0);
+    client.ended(refused_at, first, Ending::Refused);
+    client.ended(refused_at, second, Ending::Refused);
+    assert_eq!(client.lease().expires_at(), Some(refused_at + NOTIFIED_WITHIN + ALLOWANCE));
+}
+
 #[test]
 fn a_refusal_at_once_behind_an_outage_counts_its_end_from_the_refusal_before() {
     let (mut client, watch) = watching(Mode::Ask);
