Count an outage only up to the beginning of the last call that shows it

Cause: a held and refused call was taken for an outage up to its end; discovery may have come back while the call was held. A refusal at once ended no state but Unreachable, so that held ones behind it were taken for an outage again. Change: the beginning counts. The bound of a move yields only to calls that failed after the move. A refusal at once leads to Crowded from each state without a watch, with the deadline that it had.

--- a/crates/discovery-client/src/lease.rs
+++ b/crates/discovery-client/src/lease.rs
@@ -41,13 +41,13 @@
     Unreachable {
         /// Since when: the end of a watch, or the first call that showed it.
         since: Duration,
-        /// When a call last showed it.
-        last_shown: Duration,
+        /// The beginning of the last call that showed it.
+        last_call: Duration,
     },
     /// Discovery refuses calls at once, so it is there again.
     Crowded {
-        /// The earliest time at which it may have come back.
-        back_at: Duration,
+        /// From when on a change that it had meanwhile may count as notified.
+        notified_at: Duration,
     },
     /// Nothing is followed: the list that is held is the only one.
     NotFollowed,
@@ -60,7 +60,7 @@
     Unreachable,
     /// Nothing came on the connection: it hangs, or is cut off.
     Silent,
-    /// The call was held and then refused, as in an outage that still lasts and as before too many callers.
+    /// The call was held and then refused, as in an outage and as before too many callers.
     InDoubt,
     /// It answered at once, or with what is no list: it can be reached.
     Reachable,
@@ -172,15 +172,14 @@
             Reachability::InDoubt if !self.was_there() => self.outage_since(now),
             Reachability::Silent | Reachability::InDoubt => None,
             Reachability::Reachable => {
-                if let LeaseState::Unreachable { since, last_shown } = self.state {
-                    self.state = LeaseState::Crowded { back_at: back_at(since, last_shown) };
+                if let Some(notified_at) = self.notified_by_state().filter(|_| !self.was_there()) {
+                    self.state = LeaseState::Crowded { notified_at };
                 }
                 None
             }
         };
         if let Some(since) = since {
-            let last_shown = if call.shows == Reachability::InDoubt { now } else { call.began };
-            self.state = LeaseState::Unreachable { since, last_shown };
+            self.state = LeaseState::Unreachable { since, last_call: call.began };
         }
     }
 
@@ -231,23 +230,27 @@
     /// From when on an unseen change may count as notified.
     fn notified_at(&self) -> Option<Duration> {
         let by_move = self.moved.map(|(_, since)| since + NOTIFIED_AFTER_MOVE);
-        match (self.notified_by_state(), by_move) {
-            // What could not be reached could not notify anything of the new server's either.
-            (Some(by_state), Some(by_move)) if matches!(self.state, LeaseState::Unreachable { .. }) => {
-                Some(by_state.max(by_move))
+        match (self.state, by_move) {
+            // What could not be reached since the move could not notify anything of the new server's either.
+            (LeaseState::Unreachable { last_call, .. }, Some(_)) if self.moved_before(last_call) => {
+                self.notified_by_state()
             }
-            (by_state, by_move) => by_state.into_iter().chain(by_move).min(),
+            _ => self.notified_by_state().into_iter().chain(by_move).min(),
         }
     }
 
+    fn moved_before(&self, at: Duration) -> bool {
+        self.moved.is_some_and(|(_, since)| since <= at)
+    }
+
     fn notified_by_state(&self) -> Option<Duration> {
         let at_the_latest = self.confirmed_at + NOTIFIED_WITHIN;
         let by_watch = match self.state {
             LeaseState::Watching | LeaseState::NotFollowed => return None,
-            LeaseState::Unreachable { since, last_shown } => {
-                return Some(back_at(since, last_shown) + NOTIFIED_WITHIN);
+            LeaseState::Unreachable { since, last_call } => {
+                return Some(back_at(since, last_call) + NOTIFIED_WITHIN);
             }
-            LeaseState::Crowded { back_at } => return Some(back_at + NOTIFIED_WITHIN),
+            LeaseState::Crowded { notified_at } => return Some(notified_at),
             // The move's own bound holds where lists are pushed.
             LeaseState::Unwatched { .. } if self.mode == Mode::Push && self.moved.is_some() => return None,
             LeaseState::Unwatched { since } => self.unwatched_since(since),
@@ -272,6 +275,6 @@
 
 /// The earliest time at which a discovery may have come back that could not be reached. Signs of an outage that last for
 /// longer than one are as likely those of too many callers.
-fn back_at(since: Duration, last_shown: Duration) -> Duration {
-    last_shown.min(since + LONGEST_OUTAGE)
+fn back_at(since: Duration, last_call: Duration) -> Duration {
+    last_call.min(since + LONGEST_OUTAGE)
 }
