--- a/crates/rig/src/campaign.rs
+++ b/crates/rig/src/campaign.rs
@@ -378,7 +378,9 @@
         Kind::SystemCall => {
             let drawn = INTERRUPTIBLE.choose(draws).map_or(Call::Recv, |call| *call);
             (fault.calls, fault.errno) = (vec![drawn], Some(Errno::Eintr));
-            fault.nth = Some(draws.random_range(2..30));
+            let nth = draws.random_range(2..30);
+            // Clients keep their connections: few calls of `accept` are made in a fault's time.
+            fault.nth = Some(if drawn == Call::Accept { 2 } else { nth });
         }
         Kind::ShortIo => fault.bytes = Some(draws.random_range(1..200)),
         Kind::Disk => fault.errno = [Errno::Enospc, Errno::Eio].choose(draws).copied(),
