Hold nothing back for a whole list that is refused beside a new server's watch

Cause: with the lease bounded, a move's 4 s held until the whole list beside the new watch was there; those calls are refused in a crowd and back off. The watch had told by then all that changed at the server, which is what may count as notified. A new server that refuses one held call is waited out, a second is taken for an outage counted from the move, with its bound. Refusals of a server that was just named, or of one at the start, grow as in doubt. The first two waits are 3.6 s to 4.8 s whatever the cause.

--- a/crates/balance/src/balance/members.rs
+++ b/crates/balance/src/balance/members.rs
@@ -17,7 +17,7 @@
 /// Waits behind calls that are refused, in seconds from their start, shortest and longest: with a call behind
 /// it a drain is known in time after a short outage.
 const FIRST_REFUSED_WAIT: (f64, f64) = (3.6, 4.8);
-/// So many refusals in a row are waited for like that, unless they are known to be due to too many callers.
+/// So many refusals in a row are waited for like that.
 const FIRST_REFUSALS: u32 = 2;
 /// The same behind further ones. A queue that callers keep full fails all that it accepts: a fleet comes less
 /// often than it is served.
@@ -25,7 +25,7 @@
 /// Behind so many refusals in a row each further one makes waits longer by the factor below, up to the limit.
 const REFUSALS_WITHOUT_GROWTH: u32 = 4;
 /// The same where refusals are known to be due to too many callers.
-const CROWDED_WITHOUT_GROWTH: u32 = 1;
+const CROWDED_WITHOUT_GROWTH: u32 = FIRST_REFUSALS - 1;
 const REFUSED_GROWTH: f64 = 1.5;
 const CROWDED_GROWTH: f64 = 2.0;
 const REFUSED_GROWTH_LIMIT: f64 = 4.0;
@@ -44,11 +44,12 @@
 /// The wait behind a call that discovery refused after it took so long, behind so many refusals in a row, by
 /// a draw from 0 to 1.
 pub fn refused_wait(refusals_before: u32, cause: RefusalCause, took: Duration, draw: f64) -> Duration {
-    let (first, without_growth, growth) = match cause {
-        RefusalCause::Unknown => (FIRST_REFUSALS, REFUSALS_WITHOUT_GROWTH, REFUSED_GROWTH),
-        RefusalCause::TooManyCallers => (0, CROWDED_WITHOUT_GROWTH, CROWDED_GROWTH),
+    let (without_growth, growth) = match cause {
+        RefusalCause::Unknown => (REFUSALS_WITHOUT_GROWTH, REFUSED_GROWTH),
+        RefusalCause::TooManyCallers => (CROWDED_WITHOUT_GROWTH, CROWDED_GROWTH),
     };
-    let (shortest, longest) = if refusals_before < first { FIRST_REFUSED_WAIT } else { REFUSED_WAIT };
+    let (shortest, longest) =
+        if refusals_before < FIRST_REFUSALS { FIRST_REFUSED_WAIT } else { REFUSED_WAIT };
     let growing = refusals_before.saturating_sub(without_growth).min(64);
     let factor = growth.powi(growing as i32).min(REFUSED_GROWTH_LIMIT);
     let from_start = factor * (shortest + (longest - shortest) * draw);
--- a/crates/discovery-client/src/client.rs
+++ b/crates/discovery-client/src/client.rs
@@ -414,6 +414,7 @@
         let refused = ending == Ending::Refused;
         self.actions.push(Action::Report(if refused { Outcome::Refused } else { Outcome::Failed }));
         if self.versions.needs_whole_list() && call.epoch == self.versions.epoch() {
+            self.lease.whole_list_failed();
             let (took, draw) = (now.saturating_sub(call.began), self.draw());
             let wait = match ending {
                 Ending::Refused => {
--- a/crates/discovery-client/src/lease.rs
+++ b/crates/discovery-client/src/lease.rs
@@ -9,6 +9,9 @@
 use curlewhub_balance::RefusalCause;
 use std::time::Duration;
 
+/// So many calls in a row that a server just named holds and refuses are waited out.
+const REFUSALS_BORNE: u32 = 1;
+
 /// What stands between this process and the newest list. Each state but the first and the last has a deadline for the
 /// use of the list.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -89,13 +92,16 @@
     last_call: Duration,
     /// A watch has been up since the start.
     watched: bool,
+    /// Calls that were held and refused since discovery was heard or moved.
+    refusals: u32,
 }
 
 impl Lease {
     /// A lease on the list known at the start.
     pub fn new(mode: Mode, rules: Rules, now: Duration) -> Self {
         let state = LeaseState::Unwatched { since: now };
-        Lease { mode, rules, state, confirmed_at: now, moved: None, last_call: now, watched: false }
+        let (moved, watched, refusals) = Default::default();
+        Lease { mode, rules, state, confirmed_at: now, moved, last_call: now, watched, refusals }
     }
 
     /// What stands between this process and the newest list.
@@ -116,7 +122,7 @@
     /// The watch in force opened or brought a line; it follows the server of this epoch, whose list is held completely
     /// or a whole one is still owed.
     pub fn heard(&mut self, now: Duration, epoch: Epoch, complete: bool) {
-        (self.state, self.watched) = (LeaseState::Watching, true);
+        (self.state, self.watched, self.refusals) = (LeaseState::Watching, true, 0);
         self.confirmed_at = now;
         self.moved = self.moved.filter(|(newest, _)| *newest > epoch || !complete);
     }
@@ -130,10 +136,18 @@
         }
     }
 
+    /// A whole list that is owed beside a watch was not brought. What has changed at the server was: its watch began with it.
+    pub fn whole_list_failed(&mut self) {
+        if self.state == LeaseState::Watching {
+            self.moved = None;
+        }
+    }
+
     /// The server of this epoch is to be followed from now on.
     pub fn moved(&mut self, now: Duration, epoch: Epoch) {
         let since = self.moved.map_or(now, |(_, since)| since);
         self.moved = Some((epoch, since));
+        self.refusals = 0;
     }
 
     /// The watch in force was left.
@@ -166,6 +180,7 @@
         if self.may_have_been_notified(now) {
             return;
         }
+        self.refusals += u32::from(call.shows == Reachability::InDoubt);
         let since = match call.shows {
             Reachability::Unreachable => Some(call.began),
             Reachability::Silent if !self.was_there() => self.outage_since(now).or(Some(self.confirmed_at)),
@@ -187,7 +202,7 @@
     fn outage_since(&self, now: Duration) -> Option<Duration> {
         match self.state {
             LeaseState::Unreachable { since, .. } => Some(since),
-            LeaseState::Unwatched { .. } => Some(now),
+            LeaseState::Unwatched { .. } => Some(self.moved.map_or(now, |(_, since)| since)),
             LeaseState::WatchReset { at, .. } => Some(at),
             LeaseState::Watching
             | LeaseState::WatchEnded { .. }
@@ -199,14 +214,21 @@
 
     /// Why discovery refuses calls, as far as the state tells.
     pub fn refusal_cause(&self) -> RefusalCause {
-        if self.was_there() { RefusalCause::TooManyCallers } else { RefusalCause::Unknown }
+        match self.state {
+            LeaseState::Unwatched { .. } => RefusalCause::Unknown,
+            _ if self.was_there() => RefusalCause::TooManyCallers,
+            _ => RefusalCause::Unknown,
+        }
     }
 
     /// Whether discovery was there when the watch ended, or has been seen since.
     fn was_there(&self) -> bool {
         match self.state {
             LeaseState::Watching | LeaseState::WatchEnded { .. } | LeaseState::Crowded { .. } => true,
-            LeaseState::Unwatched { .. } => self.watched,
+            // A server that was just named is taken to be there, until it has refused more than one call.
+            LeaseState::Unwatched { .. } => {
+                self.watched && (self.moved.is_none() || self.refusals <= REFUSALS_BORNE)
+            }
             LeaseState::WatchReset { .. }
             | LeaseState::WatchSilent { .. }
             | LeaseState::Unreachable { .. }
--- a/crates/discovery-client/tests/lease.rs
+++ b/crates/discovery-client/tests/lease.rs
@@ -337,3 +337,17 @@
         assert_eq!(client.lease().expires_at(), expires, "{at:?}");
     }
 }
+
+/// Guards against a fleet that moves to another server and holds its requests until each has a whole list beside its watch.
+#[test]
+fn a_whole_list_that_is_refused_beside_a_new_server_s_watch_holds_nothing_back() {
+    let (mut client, _) = watching(Mode::Ask);
+    client.moved(seconds(5.0));
+    let watch = one_call(&mut client);
+    client.watch_line(seconds(5.2), watch, Some(changes(9)));
+    assert!(client.lease().expires_at().is_some());
+    let (at, whole_list) = next_call(&mut client);
+    client.ended(at + seconds(0.01), whole_list, Ending::Refused);
+    assert_eq!(client.lease().expires_at(), None);
+    assert!(client.next_timer().is_some_and(|next| next > at), "it is asked for again");
+}
