Log the memory that is counted beside what the process holds

Nothing in the log told what was counted and what was held.

Change: beside the summary, every 10 s, a line 'memory' has the limit, what is counted for clients, endpoints and bodies, and the kernel's count of the process's own pages and of the program's file, in KiB.

--- a/crates/curlewhub/src/serve.rs
+++ b/crates/curlewhub/src/serve.rs
@@ -276,7 +276,7 @@
         let inbound = Inbound::new(
             config.settings.clone(),
             &config.names,
-            budget,
+            budget.clone(),
             outbound.clone(),
             lifecycle.clone(),
             metrics.clone(),
@@ -292,6 +292,7 @@
         let fleet = member::join(&config, &metrics, &commands, clock, reloader.clone());
         let dependencies = Dependencies {
             outbound: outbound.clone(),
+            budget,
             listing: list_source.listing.clone(),
             bans: bans.clone(),
             lifecycle: lifecycle.clone(),
--- a/crates/runtime/src/budget.rs
+++ b/crates/runtime/src/budget.rs
@@ -61,6 +61,19 @@
     kib: usize,
 }
 
+/// Memory that is counted as in use, by holder, in KiB.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct MemoryUsage {
+    /// The configured memory.
+    pub limit: usize,
+    /// Connections of clients.
+    pub clients: usize,
+    /// Connections to endpoints.
+    pub endpoints: usize,
+    /// Buffered and streamed bodies.
+    pub bodies: usize,
+}
+
 /// One socket in use; released when dropped.
 pub struct Permit {
     budget: Rc<Budget>,
@@ -174,6 +187,16 @@
         self.clients.get() + self.shed.get()
     }
 
+    /// The memory that is counted as in use.
+    pub fn memory_usage(&self) -> MemoryUsage {
+        MemoryUsage {
+            limit: self.memory_mb * 1024,
+            clients: self.clients.get() * KIB_PER_CLIENT,
+            endpoints: 0,
+            bodies: self.body_kib.get(),
+        }
+    }
+
     /// Waits until a client's socket is released.
     pub async fn client_released(&self) {
         self.client_released.notified().await;
--- a/crates/runtime/src/driver.rs
+++ b/crates/runtime/src/driver.rs
@@ -6,6 +6,7 @@
 mod probes;
 
 use super::attempt_terms::{AttemptProgress, WriteConditions};
+use super::budget::Budget;
 use super::call_observer::CallObserver;
 use super::clock::Clock;
 use super::endpoint_bans::EndpointBans;
@@ -19,6 +20,7 @@
 use super::lifecycle::{Lifecycle, State};
 use super::listing::Listing;
 use super::outbound::Outbound;
+use super::process_memory::ProcessMemory;
 use super::time_left::TimeLeft;
 use super::timers::Timers;
 use curlewhub_balance::{
@@ -70,6 +72,8 @@
 pub struct Dependencies {
     /// Connections to endpoints.
     pub outbound: Rc<Outbound>,
+    /// Sockets and memory in use.
+    pub budget: Rc<Budget>,
     /// The ids and names of endpoints.
     pub listing: Rc<Listing>,
     /// Endpoints that operators have banned.
@@ -96,6 +100,7 @@
     unusual_outcomes: HashMap<&'static str, u64>,
     summary_at: Instant,
     outbound: Rc<Outbound>,
+    budget: Rc<Budget>,
     listing: Rc<Listing>,
     bans: Rc<EndpointBans>,
     lifecycle: Rc<Lifecycle>,
@@ -125,7 +130,7 @@
         list_commands: UnboundedSender<ListCommand>,
         inbox: Inbox,
     ) -> Self {
-        let Dependencies { outbound, listing, bans, lifecycle, idempotency_keys, call_observer } =
+        let Dependencies { outbound, budget, listing, bans, lifecycle, idempotency_keys, call_observer } =
             dependencies;
         Driver {
             balancer,
@@ -138,6 +143,7 @@
             unusual_outcomes: HashMap::new(),
             summary_at: Instant::now() + SUMMARY_INTERVAL,
             outbound,
+            budget,
             listing,
             bans,
             lifecycle,
@@ -199,28 +205,49 @@
         self.with_overlap(|overlap, access| overlap.sample_if_due(open, access));
         if now >= self.summary_at {
             self.summary_at = now + SUMMARY_INTERVAL;
-            let mut counts: Vec<_> = self.unusual_outcomes.drain().collect();
-            counts.sort();
-            // These counts show leaks: what is kept must stay in proportion to what is open and listed.
-            let (open, timers, module) =
-                (self.requests.len(), self.timers.len(), self.balancer.tracked_items());
-            let (listed, names, links) =
-                (self.addresses.len(), self.listing.endpoint_count(), self.outbound.idle_count());
-            info!(
-                seconds = SUMMARY_INTERVAL.as_secs(),
-                outcomes = ?counts,
-                open,
-                timers,
-                module,
-                listed,
-                names,
-                idle = links,
-                full = self.outbound.full_refusals(),
-                "summary"
-            );
+            self.log_summary();
+            self.log_memory();
         }
     }
 
+    /// Logs the unusual outcomes since the last summary, and counts that show leaks: what is kept must stay in
+    /// proportion to what is open and listed.
+    fn log_summary(&mut self) {
+        let mut counts: Vec<_> = self.unusual_outcomes.drain().collect();
+        counts.sort();
+        let (open, timers, module) =
+            (self.requests.len(), self.timers.len(), self.balancer.tracked_items());
+        let (listed, names, links) =
+            (self.addresses.len(), self.listing.endpoint_count(), self.outbound.idle_count());
+        info!(
+            seconds = SUMMARY_INTERVAL.as_secs(),
+            outcomes = ?counts,
+            open,
+            timers,
+            module,
+            listed,
+            names,
+            idle = links,
+            full = self.outbound.full_refusals(),
+            "summary"
+        );
+    }
+
+    /// Logs the memory that is counted, by holder, beside what the process really holds, in KiB.
+    fn log_memory(&self) {
+        let counted = self.budget.memory_usage();
+        let held = ProcessMemory::read().unwrap_or_default();
+        info!(
+            limit = counted.limit,
+            clients = counted.clients,
+            endpoints = counted.endpoints,
+            bodies = counted.bodies,
+            own = held.own_kib,
+            file = held.file_kib,
+            "memory"
+        );
+    }
+
     fn handle_input(&mut self, input: Input) {
         match input {
             Input::RequestReceived(received) => self.request_received(*received),
--- a/crates/runtime/src/lib.rs
+++ b/crates/runtime/src/lib.rs
@@ -33,6 +33,7 @@
 mod load_report;
 pub mod operator;
 pub mod outbound;
+mod process_memory;
 pub mod shutdown;
 pub mod slots;
 pub mod socket;
