Split response bodies and framing from the files that had grown

Moved, not changed: the tests of runtime and of the sidecar's streams, races, waits and spares pass as before.

--- a/crates/runtime/src/events.rs
+++ b/crates/runtime/src/events.rs
@@ -2,7 +2,8 @@
 //! updates of the endpoint list, and operators' commands. They are plain values without logic of their own.
 
 use crate::figures::EndpointSummary;
-use crate::streaming::{RequestBody, ResponseBody};
+use crate::response_body::ResponseBody;
+use crate::streaming::RequestBody;
 use curlewhub_balance::{
     AttemptNo, EndpointId, Membership, Outcome, RequestId, ShareTransfer, Snapshot, ZoneAdmissions, ZoneId,
 };
--- a/crates/runtime/src/inbound/exchange.rs
+++ b/crates/runtime/src/inbound/exchange.rs
@@ -5,8 +5,9 @@
 use super::request::{Rejection, bad_request, body_rejection, remove_hop_by_hop_headers, text_response};
 use crate::events::{ClientStatus, FinalResponse, ForwardedRequest, Inbox, Input, ReceivedRequest};
 use crate::figures::{RequestMetrics, RequestOutcome};
+use crate::response_body::ResponseBody;
 use crate::streaming::{
-    BodyError, MAX_BODY_BYTES, ReceivedBody, RequestBody, ResponseBody, StreamingUpload, receive_body,
+    BodyError, MAX_BODY_BYTES, ReceivedBody, RequestBody, StreamingUpload, receive_body,
 };
 use curlewhub_balance::RequestId;
 use hyper::body::{Body, Bytes, Frame, Incoming, SizeHint};
--- a/crates/runtime/src/inbound/request.rs
+++ b/crates/runtime/src/inbound/request.rs
@@ -1,7 +1,8 @@
 //! Parses and validates the head of a client's request.
 
 use super::Inbound;
-use crate::streaming::{BodyError, ResponseBody};
+use crate::response_body::ResponseBody;
+use crate::streaming::BodyError;
 use curlewhub_balance::{ClassId, RequestId, Semantics, TenantId};
 use hyper::header::{self, HeaderMap, HeaderName};
 use hyper::{Method, Response, StatusCode};
--- a/crates/runtime/src/message_memory.rs
+++ b/crates/runtime/src/message_memory.rs
@@ -229,3 +229,19 @@
         short.into_iter().chain(self.pieces.into_iter().map(Bytes::from_owner)).collect()
     }
 }
+
+/// A complete body, in pieces.
+#[derive(Default)]
+pub struct BufferedBody(pub Vec<Bytes>);
+
+impl BufferedBody {
+    /// Its length in bytes.
+    pub fn len(&self) -> usize {
+        self.0.iter().map(Bytes::len).sum()
+    }
+
+    /// Whether it is empty.
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+}
--- a/crates/runtime/src/outbound.rs
+++ b/crates/runtime/src/outbound.rs
@@ -8,28 +8,21 @@
 use super::figures::Metrics;
 use super::guard::AbortOnDrop;
 use super::load_report::LoadReportReader;
-use super::message_memory::{BodyBuffer, Purpose};
+use super::response_body::{ReadResponse, ResponseBody, StreamingResponse, read_response};
 use super::slots::{Slot, Slots};
 use super::socket::{ExtraMemory, MAX_BUFFER, Socket, SocketMonitor};
 use super::spares::{REUSE_DELAY, SpareConnections};
-use super::stream_window::StreamWindow;
-use super::streaming::{
-    BufferedBody, MAX_BODY_BYTES, MAX_BUFFERED_RESPONSE, OutgoingBody, RequestBody, ResponseBody,
-    StreamingResponse,
-};
+use super::streaming::{OutgoingBody, RequestBody};
 use super::time_left::MAX_WRITE_DELAY;
 use super::write_gate::WriteGate;
 use curlewhub_balance::{EndpointId, Outcome, Settings};
 use curlewhub_connection_quota::{Admission, Refusal};
-use http_body_util::BodyExt;
-use hyper::body::{Body, Bytes, Incoming};
 use hyper::client::conn::http1::{self, SendRequest};
-use hyper::{Request, Response, StatusCode, header};
+use hyper::{Request, header};
 use hyper_util::rt::TokioIo;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::pin::pin;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -53,9 +46,6 @@
 const RESPONSE_STALL_TIMEOUT: Duration = Duration::from_millis(700);
 /// A response's head must be complete within this of its first byte, however steadily it arrives.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(2);
-/// A response that states a long length is streamed after this at the latest; until then it may still turn
-/// out to be invalid, and the request be sent again.
-const STREAM_AFTER: Duration = Duration::from_millis(200);
 /// Connect timeout if the settings state none.
 const DEFAULT_CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -108,13 +98,6 @@
     Failed(Outcome),
 }
 
-/// What has been read of a response.
-enum ReadResponse {
-    Complete(Outcome, BufferedBody),
-    /// The beginning of a long one, and the rest.
-    Streaming(Vec<Bytes>, Incoming, StreamWindow),
-}
-
 /// The connections to all endpoints.
 pub struct Outbound {
     budget: Rc<Budget>,
@@ -232,7 +215,7 @@
                     Ok(response) => {
                         has_head.set(true);
                         let report = self.load_reports.in_headers(response.headers());
-                        (self.read_response(response).await, report)
+                        (read_response(response, self.budget.messages()).await, report)
                     }
                     Err(error) => {
                         if error.message().is_some() {
@@ -289,54 +272,6 @@
         }
     }
 
-    /// Reads a response; none if it is invalid. It is buffered until it is complete, so that a break
-    /// becomes an outcome and never a truncated response. An invalid response proves nothing, not even that
-    /// the request was not processed. Only a successful one that is long, or finds no memory, is streamed.
-    async fn read_response(&self, response: Response<Incoming>) -> Option<ReadResponse> {
-        let (head, mut body) = response.into_parts();
-        let not_processed = head.headers.get("x-not-processed").is_some_and(|v| v.as_bytes() == b"1");
-        let outcome = match head.status {
-            StatusCode::OK => Outcome::Ok,
-            StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT if not_processed => {
-                Outcome::Rejected
-            }
-            _ => Outcome::Error,
-        };
-        drop(head); // it keeps a read buffer
-        let min_length = body.size_hint().lower();
-        if min_length > MAX_BODY_BYTES {
-            return None;
-        }
-        if outcome != Outcome::Ok {
-            let is_complete = skip_body(&mut body).await;
-            return is_complete.then(|| ReadResponse::Complete(outcome, BufferedBody::default()));
-        }
-        let is_long = min_length > MAX_BUFFERED_RESPONSE as u64;
-        let mut buffer = BodyBuffer::new(self.budget.messages(), Purpose::AnswerOrHead);
-        let mut stream_timer = pin!(sleep(STREAM_AFTER));
-        let rest = loop {
-            let frame = tokio::select! {
-                biased;
-                frame = body.frame() => frame,
-                () = stream_timer.as_mut(), if is_long && !buffer.is_empty() => break Bytes::new(),
-            };
-            let data = match frame {
-                None => return Some(ReadResponse::Complete(outcome, BufferedBody(buffer.into_pieces()))),
-                Some(frame) => frame.ok()?.into_data().unwrap_or_default(), // trailers are not forwarded
-            };
-            let taken = buffer.push(&data);
-            if taken < data.len() || buffer.len() > MAX_BUFFERED_RESPONSE {
-                break data.slice(taken..);
-            }
-        };
-        let window = StreamWindow::default();
-        let mut first = buffer.into_pieces();
-        if !rest.is_empty() {
-            first.push(window.add(rest));
-        }
-        Some(ReadResponse::Streaming(first, body, window))
-    }
-
     /// Returns a connection to the pool, to be reused after `REUSE_DELAY`. One whose buffers have grown is closed.
     fn release(&self, endpoint: EndpointId, mut connection: Connection) {
         if connection.has_grown || connection.monitor.holds_scarce_memory() {
@@ -584,19 +519,6 @@
     }
 }
 
-/// Reads and drops the body of a response that is not passed on; false if it is invalid or too long.
-async fn skip_body(body: &mut Incoming) -> bool {
-    let mut length = 0;
-    while let Some(frame) = body.frame().await {
-        let Ok(frame) = frame else { return false };
-        length += frame.data_ref().map_or(0, Bytes::len);
-        if length > MAX_BUFFERED_RESPONSE {
-            return false;
-        }
-    }
-    true
-}
-
 /// Returns once a response that has begun pauses for too long, or its head takes too long. An informational
 /// (1xx) response does not tell when the final one will arrive.
 async fn stalled(monitor: &SocketMonitor, informational: &AtomicBool, has_head: &Cell<bool>) {
--- a/crates/runtime/src/socket.rs
+++ b/crates/runtime/src/socket.rs
@@ -2,6 +2,7 @@
 
 use super::connect::is_local;
 use super::figures::Metrics;
+use super::framing::Framing;
 use super::interrupts::{is_retryable, uninterrupted};
 use super::message_memory::{MessageMemory, Purpose, Reservation};
 use socket2::SockRef;
@@ -97,57 +98,6 @@
 /// Returns whether a message may still be written.
 pub type WriteCheck = Box<dyn Fn() -> bool>;
 
-/// The framing headers that a message head contains, found while its bytes are read.
-#[derive(Default)]
-struct Framing {
-    /// The beginning of the current line, in lower case.
-    line: Vec<u8>,
-    /// A non-empty line was read.
-    has_line: bool,
-    /// The head is complete.
-    is_complete: bool,
-    has_length: bool,
-    has_transfer_encoding: bool,
-    /// Bytes of the head so far, and of informational responses before it.
-    length: usize,
-    /// The head belongs to an informational (1xx) response; another one follows.
-    is_informational: bool,
-}
-
-impl Framing {
-    /// The beginning of an informational response, in lower case.
-    const INFORMATIONAL: &[u8] = b"http/1.1 1";
-    /// Length of the longest header name searched for, with its colon.
-    const MAX_NAME_LEN: usize = b"transfer-encoding:".len();
-
-    fn scan(&mut self, bytes: &[u8]) {
-        for byte in bytes {
-            match byte {
-                _ if self.is_complete => return,
-                b'\n' => {
-                    self.length += 1;
-                    self.is_informational |= !self.has_line && self.line.starts_with(Self::INFORMATIONAL);
-                    self.has_length |= self.line.starts_with(b"content-length:");
-                    self.has_transfer_encoding |= self.line.starts_with(b"transfer-encoding:");
-                    // Empty lines may precede a request; after its first line an empty one ends the head.
-                    self.is_complete = self.has_line && self.line.is_empty();
-                    self.has_line |= !self.line.is_empty();
-                    self.line.clear();
-                    if self.is_complete && std::mem::take(&mut self.is_informational) {
-                        (self.is_complete, self.has_line) = (false, false);
-                    }
-                }
-                _ => {
-                    self.length += 1;
-                    if *byte != b'\r' && self.line.len() < Self::MAX_NAME_LEN {
-                        self.line.push(byte.to_ascii_lowercase());
-                    }
-                }
-            }
-        }
-    }
-}
-
 /// The socket itself, for hyper.
 pub struct Socket {
     monitor: Rc<SocketMonitor>,
--- a/crates/runtime/src/streaming.rs
+++ b/crates/runtime/src/streaming.rs
@@ -1,8 +1,8 @@
-//! Request and response bodies. Those that are too long to be buffered completely, or find no memory for it, are
-//! streamed in pieces, each side as fast as the other reads.
+//! Request bodies. One that is too long to be buffered completely, or finds no memory for it, is streamed as fast as
+//! its endpoint reads.
 
 use super::figures::Metrics;
-use super::message_memory::{BodyBuffer, MessageMemory, Purpose};
+use super::message_memory::{BodyBuffer, BufferedBody, MessageMemory, Purpose};
 use super::socket::SocketMonitor;
 use super::stream_window::StreamWindow;
 use hyper::body::{Body, Bytes, Frame, Incoming, SizeHint};
@@ -19,9 +19,6 @@
 
 /// Maximum length of any body: 32 MB, counted as MiB.
 pub const MAX_BODY_BYTES: u64 = 32 << 20;
-/// A response is buffered until it is complete up to this length, in bytes: if it turns out to be invalid
-/// until then, the request can still be sent again.
-pub const MAX_BUFFERED_RESPONSE: usize = 64 * 1024;
 /// A request body is buffered until it is complete up to this length, in bytes, if memory allows. So most
 /// requests are balanced only once their timeout runs, occupy no endpoint connection while they arrive, and
 /// can be sent again.
@@ -34,9 +31,6 @@
 const INITIAL_BODY_TIME: Duration = Duration::from_millis(2800);
 /// Limit of the time that bytes which arrived faster than the lowest rate can earn in advance.
 const MAX_EARNED_TIME: Duration = Duration::from_secs(2);
-/// Longest pause of an endpoint's response while it is streamed to the client: a response that still makes
-/// progress is not cut off, and one that hangs is not waited for indefinitely.
-const STREAM_STALL_TIMEOUT: Duration = Duration::from_secs(10);
 /// Delay of the last byte of a buffered body behind the rest. A connection that was dropped, or is about to
 /// be, answers the first bytes with a reset. An endpoint starts to process a request at its last byte, so a
 /// request that is reset before it was not processed and may be sent again, even if it is unsafe. This
@@ -137,22 +131,6 @@
     }
 }
 
-/// A complete body, in pieces.
-#[derive(Default)]
-pub struct BufferedBody(pub Vec<Bytes>);
-
-impl BufferedBody {
-    /// Its length in bytes.
-    pub fn len(&self) -> usize {
-        self.0.iter().map(Bytes::len).sum()
-    }
-
-    /// Whether it is empty.
-    pub fn is_empty(&self) -> bool {
-        self.len() == 0
-    }
-}
-
 /// A request body as far as it has been received.
 pub enum ReceivedBody {
     /// All of it.
@@ -413,107 +391,3 @@
         self.length.map_or_else(SizeHint::new, |length| SizeHint::with_exact(length - self.sent))
     }
 }
-
-/// A long response of an endpoint that is streamed to the client.
-pub struct StreamingResponse {
-    first: VecDeque<Bytes>,
-    rest: Incoming,
-    length: u64,
-    window: StreamWindow,
-    stall_timer: Option<Pin<Box<Sleep>>>,
-    /// Called once the response is complete: its connection can then be reused. If it is dropped uncalled,
-    /// the connection closes.
-    on_complete: Option<Box<dyn FnOnce()>>,
-}
-
-impl StreamingResponse {
-    /// A response of which `first` has been received and `rest` is to be read.
-    pub fn new(
-        first: Vec<Bytes>,
-        rest: Incoming,
-        window: StreamWindow,
-        on_complete: Box<dyn FnOnce()>,
-    ) -> Self {
-        let on_complete = Some(on_complete);
-        StreamingResponse { first: first.into(), rest, length: 0, window, stall_timer: None, on_complete }
-    }
-
-    /// Its length, if the endpoint has stated it.
-    pub fn size_hint(&self) -> SizeHint {
-        let first: u64 = self.first.iter().map(|piece| piece.len() as u64).sum();
-        self.rest.size_hint().exact().map_or_else(SizeHint::new, |rest| SizeHint::with_exact(first + rest))
-    }
-
-    /// Whether it is complete.
-    pub fn is_complete(&self) -> bool {
-        self.on_complete.is_none()
-    }
-
-    /// Polls for the next piece, once earlier ones are written. After an error the client connection is reset, so
-    /// that the client can tell that the response is incomplete.
-    pub fn poll(&mut self, cx: &mut Context<'_>) -> Poll<Option<io::Result<Bytes>>> {
-        if let Some(piece) = self.first.pop_front() {
-            return Poll::Ready(Some(Ok(self.pass_on(piece))));
-        }
-        ready!(self.window.poll_ready(cx));
-        loop {
-            match Pin::new(&mut self.rest).poll_frame(cx) {
-                Poll::Ready(None) => {
-                    self.complete();
-                    return Poll::Ready(None);
-                }
-                Poll::Ready(Some(Err(e))) => return Poll::Ready(Some(Err(io::Error::other(e)))),
-                Poll::Ready(Some(Ok(frame))) => {
-                    self.stall_timer = None;
-                    let Ok(data) = frame.into_data() else { continue }; // trailers are not forwarded
-                    if self.length + data.len() as u64 > MAX_BODY_BYTES {
-                        return Poll::Ready(Some(Err(io::Error::other("response body too long"))));
-                    }
-                    let data = self.window.add(data);
-                    return Poll::Ready(Some(Ok(self.pass_on(data))));
-                }
-                Poll::Pending => {
-                    let timer =
-                        self.stall_timer.get_or_insert_with(|| Box::pin(sleep(STREAM_STALL_TIMEOUT)));
-                    ready!(timer.as_mut().poll(cx));
-                    return Poll::Ready(Some(Err(io::ErrorKind::TimedOut.into())));
-                }
-            }
-        }
-    }
-
-    /// Counts a piece that is handed over for writing, which may be the last.
-    fn pass_on(&mut self, piece: Bytes) -> Bytes {
-        self.length += piece.len() as u64;
-        if self.first.is_empty() && self.rest.is_end_stream() {
-            self.complete();
-        }
-        piece
-    }
-
-    fn complete(&mut self) {
-        if let Some(on_complete) = self.on_complete.take() {
-            on_complete();
-        }
-    }
-}
-
-/// The body of an endpoint's response.
-pub enum ResponseBody {
-    /// It is complete.
-    Buffered(BufferedBody),
-    /// It is still being received.
-    Streaming(Box<StreamingResponse>),
-}
-
-impl ResponseBody {
-    /// A body of these bytes.
-    pub fn from_static(bytes: &'static [u8]) -> Self {
-        ResponseBody::Buffered(BufferedBody(vec![Bytes::from_static(bytes)]))
-    }
-
-    /// No body.
-    pub fn empty() -> Self {
-        ResponseBody::Buffered(BufferedBody::default())
-    }
-}
