Give the measured memory of a connection, and what little memory is enough for

By the log's line 'memory', loads of 10 s with 30 to 300 clients held 34 to 43 KiB of their own pages for each connection; 52 KiB are counted. 16 MB with 30 clients: 13,312 KiB resident; 8 MB with 14: 10,584 KiB, of which about 7,700 are the program's file.

--- a/crates/lab/src/capacity/page.rs
+++ b/crates/lab/src/capacity/page.rs
@@ -284,7 +284,7 @@
 | --- | --- | --- |
 | program | 11 MiB, at most a half | 8.4 MiB resident before the first client, of which 7.6 MiB are the program's file; list, learned state, refused clients, what the allocator keeps |
 | a successor's start | 1 MiB and an eighth of the rest | its own pages, and its first connections, while its predecessor uses all else |
-| connections | five eighths of what is left, 52 KiB each | 45 KiB for each were held with 90 clients and messages of 60 kB, 36 KiB with 500 and short ones |
+| connections | five eighths of what is left, 52 KiB each | 34 to 43 KiB for each were held (own pages less those of the start and of long messages; loads of 10 s, 30 to 300 clients, short and long messages, fast and slow peers) |
 | long messages | the rest | bodies from 4 KiB on, heads from 8 KiB on, larger read buffers |
 
 | memory, descriptors | connections, of them clients | long messages | most resident, long messages both ways | with short ones |
@@ -293,6 +293,9 @@
 | 64 MB, 1,024 | 558, 279 | 17.0 MiB | 39,924 KiB, 180 clients | 22,904 KiB |
 | 192 MB, 1,024 | 976, 610 | 107.8 MiB | 124,932 KiB, 500 clients | 44,704 KiB |
 
+With 16 MB and 256 descriptors, 30 clients and long messages both ways took 13,312 KiB. With 8 MB the program's file alone is about 7,700 KiB
+resident, and 14 clients took 10,584 KiB with it.
+
 Not part of it: buffers of the kernel's sockets, files in the state directory.
 
 ";
