--- a/crates/curlewhub/tests/memory.rs
+++ b/crates/curlewhub/tests/memory.rs
@@ -8,7 +8,7 @@
 use serde_json::json;
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
-use support::memory::{LongLoad, Pace, Traffic, Watch, config, served_share};
+use support::memory::{Answers, LongLoad, Pace, Traffic, Watch, config, served_share};
 use support::{Sidecar, unused_address, wait_for};
 
 /// Time for which each load runs.
@@ -24,15 +24,21 @@
     LOADS.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
-/// Runs a load; checks what the sidecar held, and that nearly all requests were served.
-fn check(memory_mb: usize, what: &str, traffic: Traffic) {
+/// Runs a load on a sidecar with these limits; how its requests ended, and what the sidecar held.
+fn run(memory_mb: usize, sockets: usize, traffic: Traffic) -> (Answers, Watch) {
     let _load = exclusively();
-    let sidecar = Sidecar::start(&config(memory_mb, 1024, traffic));
+    let sidecar = Sidecar::start(&config(memory_mb, sockets, traffic));
     let mut watch = Watch::default();
     let load = LongLoad::start(sidecar.address, traffic);
     watch.watch(&[&sidecar], LOAD_TIME);
     let answers = load.stop();
     watch.read(&[&sidecar]);
+    (answers, watch)
+}
+
+/// Runs a load; checks what the sidecar held, and that nearly all requests were served.
+fn check(memory_mb: usize, what: &str, traffic: Traffic) {
+    let (answers, watch) = run(memory_mb, 1024, traffic);
     println!("{what}, {memory_mb} MB: {answers:?}");
     watch.assert_within(memory_mb, what);
     let share = served_share(&answers);
@@ -87,15 +93,22 @@
 #[test]
 fn invalid_answers_and_retries_stay_within_the_memory() {
     let traffic = Traffic { clients: 90, body: LONG, answer: LONG, invalid_every: 6, ..Traffic::default() };
-    let _load = exclusively();
-    let sidecar = Sidecar::start(&config(32, 1024, traffic));
-    let mut watch = Watch::default();
-    let load = LongLoad::start(sidecar.address, traffic);
-    watch.watch(&[&sidecar], LOAD_TIME);
-    println!("invalid answers: {:?}", load.stop());
+    let (answers, watch) = run(32, 1024, traffic);
+    println!("invalid answers: {answers:?}");
     watch.assert_within(32, "invalid answers");
 }
 
+/// Guards against clients that are refused, and those that wait for a place, taking a sidecar over its memory.
+#[test]
+fn more_clients_than_are_admitted_stay_within_the_memory() {
+    let traffic = Traffic { clients: 250, body: LONG, answer: LONG, ..Traffic::default() };
+    let (answers, watch) = run(32, 1024, traffic);
+    println!("more clients than are admitted: {answers:?}");
+    watch.assert_within(32, "more clients than are admitted");
+    assert!(answers.contains_key("200") && answers.contains_key("503"), "{answers:?}");
+    assert!(!answers.contains_key("no answer") && !answers.contains_key("cut off"), "{answers:?}");
+}
+
 /// Guards against two processes of a sidecar taking more than its memory together.
 #[test]
 fn a_sidecar_and_its_successor_stay_within_the_memory_together() {
@@ -153,12 +166,7 @@
             ..Traffic::default()
         };
         let what = format!("seed {seed}, {sockets} descriptors, {traffic:?}");
-        let _load = exclusively();
-        let sidecar = Sidecar::start(&config(memory_mb, sockets, traffic));
-        let mut watch = Watch::default();
-        let load = LongLoad::start(sidecar.address, traffic);
-        watch.watch(&[&sidecar], LOAD_TIME);
-        let answers = load.stop();
+        let (answers, watch) = run(memory_mb, sockets, traffic);
         println!("{what}: {answers:?}");
         watch.assert_within(memory_mb, &what);
         assert!(answers.keys().all(|end| end.parse::<u16>().is_ok()), "{what}: {answers:?}");
--- a/crates/curlewhub/tests/support/memory.rs
+++ b/crates/curlewhub/tests/support/memory.rs
@@ -109,7 +109,7 @@
     EndlessHead,
     /// It is a rejection with a long body.
     LongRejection,
-    /// It states a length of 3 GB and goes on.
+    /// It states a length of 3 GB, and far more of it arrives than may be buffered.
     Endless,
 }
 
--- a/crates/runtime/src/budget.rs
+++ b/crates/runtime/src/budget.rs
@@ -18,6 +18,7 @@
 const MAX_SHED_CLIENTS: usize = 24;
 /// Operator connections at a time, out of the reserve.
 const MAX_OPERATORS: usize = 8;
+
 /// Who holds a socket.
 #[derive(Clone, Copy, PartialEq)]
 pub enum Holder {
--- a/crates/runtime/src/driver.rs
+++ b/crates/runtime/src/driver.rs
@@ -4,6 +4,7 @@
 
 mod list;
 mod probes;
+mod summary;
 
 use super::attempt_terms::{AttemptProgress, WriteConditions};
 use super::budget::Budget;
@@ -20,7 +21,6 @@
 use super::lifecycle::{Lifecycle, State};
 use super::listing::Listing;
 use super::outbound::Outbound;
-use super::process_memory::ProcessMemory;
 use super::time_left::TimeLeft;
 use super::timers::Timers;
 use curlewhub_balance::{
@@ -30,15 +30,13 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
+use summary::{SUMMARY_INTERVAL, outcome_name};
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender};
 use tokio::sync::{oneshot, watch};
 use tokio::task::spawn_local;
 use tokio::time::{Instant, sleep_until};
 use tracing::{debug, error, info, warn};
 
-/// Interval at which the counts of unusual outcomes are logged.
-const SUMMARY_INTERVAL: Duration = Duration::from_secs(10);
-
 /// An attempt of an open request.
 struct Attempt {
     endpoint: EndpointId,
@@ -210,44 +208,6 @@
         }
     }
 
-    /// Logs the unusual outcomes since the last summary, and counts that show leaks: what is kept must stay in
-    /// proportion to what is open and listed.
-    fn log_summary(&mut self) {
-        let mut counts: Vec<_> = self.unusual_outcomes.drain().collect();
-        counts.sort();
-        let (open, timers, module) =
-            (self.requests.len(), self.timers.len(), self.balancer.tracked_items());
-        let (listed, names, links) =
-            (self.addresses.len(), self.listing.endpoint_count(), self.outbound.idle_count());
-        info!(
-            seconds = SUMMARY_INTERVAL.as_secs(),
-            outcomes = ?counts,
-            open,
-            timers,
-            module,
-            listed,
-            names,
-            idle = links,
-            full = self.outbound.full_refusals(),
-            "summary"
-        );
-    }
-
-    /// Logs the memory that is counted, by holder, beside what the process really holds, in KiB.
-    fn log_memory(&self) {
-        let counted = self.budget.memory_usage();
-        let held = ProcessMemory::read().unwrap_or_default();
-        info!(
-            clients = counted.clients,
-            endpoints = counted.endpoints,
-            messages = counted.messages,
-            message_limit = counted.message_limit,
-            own = held.own_kib,
-            file = held.file_kib,
-            "memory"
-        );
-    }
-
     fn handle_input(&mut self, input: Input) {
         match input {
             Input::RequestReceived(received) => self.request_received(*received),
@@ -616,10 +576,6 @@
             self.requests.remove(&id);
         }
     }
-
-    fn count_outcome(&mut self, outcome: &'static str) {
-        *self.unusual_outcomes.entry(outcome).or_default() += 1;
-    }
 }
 
 /// Returns at this time, or at the deadline if that is moved to an earlier time.
@@ -632,17 +588,3 @@
         }
     }
 }
-
-fn outcome_name(outcome: Outcome) -> &'static str {
-    match outcome {
-        Outcome::Ok => "ok",
-        Outcome::Error => "error",
-        Outcome::Rejected => "turned away",
-        Outcome::TimedOut => "timed out",
-        Outcome::ConnectFailed => "not connected",
-        Outcome::LocalFault => "fault of this machine",
-        Outcome::Reset => "reset",
-        Outcome::Cancelled => "cancelled",
-        Outcome::NotSent => "moot",
-    }
-}
--- a/crates/runtime/src/memory_division.rs
+++ b/crates/runtime/src/memory_division.rs
@@ -1,15 +1,17 @@
-//! How the configured memory is divided: between the program, connections and messages, and
-//! between two processes of the sidecar during a handover.
+//! How the configured memory is divided: between the program, connections and messages, and between two processes of
+//! the sidecar during a handover.
 
 use super::socket::READ_LEN;
 
+/// More memory than this is taken for this much, in MiB: 1 TiB.
+const MAX_MEMORY_MB: usize = 1 << 20;
 /// Memory of the program itself, in KiB: its code and libraries, the endpoint list, learned state, the log, refused
 /// clients and operators, and what the allocator keeps.
 const PROGRAM_KIB: usize = 11 * 1024;
 /// If the sidecar has little memory, the program counts as this fraction of it.
 const MAX_PROGRAM_DIVISOR: usize = 2;
 /// Own memory of a successor that serves no client yet, in KiB. It shares the pages of the program's file.
-const SUCCESSOR_KIB: usize = 1024;
+pub const SUCCESSOR_KIB: usize = 1024;
 /// Divisor: the part of the memory for connections and messages that is left for a successor's start.
 const SUCCESSOR_DIVISOR: usize = 8;
 /// While both processes live, a successor gets this fraction of the memory at most.
@@ -26,7 +28,7 @@
 pub const KIB_PER_CONNECTION: usize = CONNECTION_KIB + READ_BUFFERS * READ_LEN / 1024;
 
 /// A part of the sidecar's memory, and its division.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Division {
     /// Limit of the connections.
     pub connections: usize,
@@ -43,10 +45,15 @@
 impl SidecarMemory {
     /// What the program leaves of the configured memory.
     pub fn new(memory_mb: usize) -> Self {
-        let all_kib = memory_mb.saturating_mul(1024);
+        let all_kib = memory_mb.min(MAX_MEMORY_MB) * 1024;
         SidecarMemory(all_kib - PROGRAM_KIB.min(all_kib / MAX_PROGRAM_DIVISOR))
     }
 
+    /// All of it.
+    pub fn total_kib(self) -> usize {
+        self.0
+    }
+
     /// The part of a process that is alone. It leaves enough for a successor's start.
     pub fn alone_kib(self) -> usize {
         (self.0 - self.0 / SUCCESSOR_DIVISOR).saturating_sub(SUCCESSOR_KIB)
@@ -77,40 +84,3 @@
         Division { connections, clients, message_kib }
     }
 }
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn parts_never_exceed_the_whole() {
-        for memory_mb in [8, 16, 32, 56, 64, 192, 2048] {
-            let memory = SidecarMemory::new(memory_mb);
-            for descriptors in [16, 208, 592, 976, 4048, 100_000] {
-                for part_kib in [memory.alone_kib(), memory.successor_kib(descriptors, 2 * descriptors)] {
-                    let division = Division::new(part_kib, descriptors);
-                    let taken = division.connections * KIB_PER_CONNECTION + division.message_kib;
-                    assert!(taken <= part_kib, "{memory_mb} MB, {descriptors}: {division:?}");
-                }
-            }
-        }
-    }
-
-    #[test]
-    fn predecessor_and_successor_together_stay_within_the_sidecars_memory() {
-        for memory_mb in [8, 16, 32, 56, 64, 192, 2048] {
-            let memory = SidecarMemory::new(memory_mb);
-            for descriptors in [64, 256, 1024] {
-                // At its start a successor is left a quarter of the descriptors, whatever its predecessor uses.
-                let start = memory.successor_kib(descriptors / 4, descriptors);
-                assert!(memory.alone_kib() + SUCCESSOR_KIB + start <= memory.0, "{memory_mb} MB");
-                for predecessor_kib in (0..=memory.alone_kib()).step_by(64) {
-                    let left = memory.successor_descriptors(predecessor_kib, descriptors);
-                    assert!(left >= descriptors / 4, "{memory_mb} MB, {predecessor_kib} KiB in use");
-                    let successor_kib = memory.successor_kib(left, descriptors);
-                    assert!(predecessor_kib + SUCCESSOR_KIB + successor_kib <= memory.0);
-                }
-            }
-        }
-    }
-}
--- a/crates/runtime/src/message_memory.rs
+++ b/crates/runtime/src/message_memory.rs
@@ -130,8 +130,8 @@
 impl Piece {
     /// An empty piece; none if no memory is available.
     fn new(memory: &Arc<MessageMemory>, purpose: Purpose) -> Option<Self> {
-        let free = memory.free_pieces().pop();
         let reservation = memory.try_reserve(PIECE_LEN, purpose)?;
+        let free = memory.free_pieces().pop();
         let pages = match free {
             Some(pages) => pages,
             None => MmapMut::map_anon(PIECE_LEN).ok()?,
--- a/crates/runtime/src/outbound.rs
+++ b/crates/runtime/src/outbound.rs
@@ -156,6 +156,7 @@
         // An informational (1xx) response does not tell when the final one will arrive.
         let informational = Arc::new(AtomicBool::new(false));
         let seen = informational.clone();
+        let has_long_head = is_long_head(&request);
         hyper::ext::on_informational(&mut request, move |_| seen.store(true, Ordering::Relaxed));
         loop {
             let acquired = tokio::select! {
@@ -192,7 +193,7 @@
                 set_timeout_header(request.headers_mut(), left);
             }
             let metrics = progress.conditions.as_ref().map(|_| self.metrics.clone());
-            connection.has_grown |= is_long_head(&request);
+            connection.has_grown |= has_long_head;
             let request =
                 request.clone().map(|body| OutgoingBody::new(&body, fully_sent, monitor, metrics));
             let idle = connection.idle_since.elapsed();
--- a/crates/runtime/src/process_memory.rs
+++ b/crates/runtime/src/process_memory.rs
@@ -20,7 +20,8 @@
         Self::parse(&fs::read_to_string(STATUS_FILE).ok()?)
     }
 
-    fn parse(status: &str) -> Option<Self> {
+    /// Parses the kernel's report; none if a figure is missing.
+    pub fn parse(status: &str) -> Option<Self> {
         let kib = |name: &str| {
             let value = status.lines().find_map(|line| line.strip_prefix(name))?;
             value.split_whitespace().next()?.parse().ok()
@@ -28,17 +29,3 @@
         Some(ProcessMemory { own_kib: kib("RssAnon:")?, file_kib: kib("RssFile:")? })
     }
 }
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn resident_pages_are_read_from_the_kernels_report() {
-        let status =
-            "VmRSS:\t    9000 kB\nRssAnon:\t     836 kB\nRssFile:\t    7520 kB\nRssShmem:\t 0 kB\n";
-        assert_eq!(ProcessMemory::parse(status), Some(ProcessMemory { own_kib: 836, file_kib: 7520 }));
-        assert_eq!(ProcessMemory::parse("VmRSS:\t9000 kB\n"), None);
-        assert!(ProcessMemory::read().is_some_and(|memory| memory.own_kib > 0));
-    }
-}
--- a/crates/runtime/src/response_body.rs
+++ b/crates/runtime/src/response_body.rs
@@ -76,11 +76,7 @@
             break data.slice(taken..);
         }
     };
-    let window = StreamWindow::default();
-    let mut first = buffer.into_pieces();
-    if !rest.is_empty() {
-        first.push(window.add(rest));
-    }
+    let (first, window) = StreamWindow::after(buffer, rest);
     Some(ReadResponse::Streaming(first, body, window))
 }
 
--- a/crates/runtime/src/socket.rs
+++ b/crates/runtime/src/socket.rs
@@ -326,9 +326,10 @@
                 return Poll::Pending;
             };
             ready?;
-            match monitor.stream.try_read(buf.initialize_unfilled_to(read_len)) {
+            let unfilled = buf.initialize_unfilled_to(read_len);
+            match monitor.stream.try_read(unfilled) {
                 Ok(count) => {
-                    monitor.read(&buf.initialize_unfilled_to(read_len)[..count], read_len);
+                    monitor.read(&unfilled[..count], read_len);
                     buf.advance(count);
                     return Poll::Ready(Ok(()));
                 }
--- a/crates/runtime/src/stream_window.rs
+++ b/crates/runtime/src/stream_window.rs
@@ -1,6 +1,7 @@
 //! Back pressure within a streamed body: how many bytes may be handed over for writing before earlier ones are
 //! written.
 
+use super::message_memory::BodyBuffer;
 use super::socket::READ_LEN;
 use hyper::body::Bytes;
 use std::sync::{Arc, Mutex, PoisonError};
@@ -31,6 +32,17 @@
 }
 
 impl StreamWindow {
+    /// The window of a body that is streamed from here on, and its beginning: what is buffered, and the rest of the last
+    /// chunk.
+    pub fn after(buffer: BodyBuffer, rest: Bytes) -> (Vec<Bytes>, Self) {
+        let window = StreamWindow::default();
+        let mut beginning = buffer.into_pieces();
+        if !rest.is_empty() {
+            beginning.push(window.add(rest));
+        }
+        (beginning, window)
+    }
+
     /// Waits until the next chunk may be handed over.
     pub fn poll_ready(&self, cx: &mut Context<'_>) -> Poll<()> {
         let mut state = lock(&self.0);
--- a/crates/runtime/src/streaming.rs
+++ b/crates/runtime/src/streaming.rs
@@ -159,11 +159,7 @@
             break data.slice(taken..);
         }
     };
-    let window = StreamWindow::default();
-    let mut buffered = buffer.into_pieces();
-    if !rest.is_empty() {
-        buffered.push(window.add(rest));
-    }
+    let (buffered, window) = StreamWindow::after(buffer, rest);
     Ok(ReceivedBody::Streaming(Rc::new(StreamingUpload {
         source: RefCell::new(source),
         buffered: RefCell::new(buffered),
