--- a/crates/runtime/src/driver.rs
+++ b/crates/runtime/src/driver.rs
@@ -21,7 +21,7 @@
 use super::lifecycle::{Lifecycle, State};
 use super::listing::Listing;
 use super::outbound::Outbound;
-use super::time_left::TimeLeft;
+use super::time_left::{TimeLeft, deadline_passed};
 use super::timers::Timers;
 use curlewhub_balance::{
     Action, AttemptEnded, AttemptNo, Balancer, ClassId, EndpointId, Event, Outcome, RequestId, TimerToken,
@@ -30,7 +30,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
-use summary::{SUMMARY_INTERVAL, outcome_name};
+use summary::SUMMARY_INTERVAL;
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender};
 use tokio::sync::{oneshot, watch};
 use tokio::task::spawn_local;
@@ -578,13 +578,16 @@
     }
 }
 
-/// Returns at this time, or at the deadline if that is moved to an earlier time.
-async fn deadline_passed(deadline: &mut watch::Receiver<Instant>, until: Instant) {
-    loop {
-        let at = (*deadline.borrow_and_update()).min(until);
-        tokio::select! {
-            () = sleep_until(at) => return,
-            Ok(()) = deadline.changed() => {}
-        }
+fn outcome_name(outcome: Outcome) -> &'static str {
+    match outcome {
+        Outcome::Ok => "ok",
+        Outcome::Error => "error",
+        Outcome::Rejected => "turned away",
+        Outcome::TimedOut => "timed out",
+        Outcome::ConnectFailed => "not connected",
+        Outcome::LocalFault => "fault of this machine",
+        Outcome::Reset => "reset",
+        Outcome::Cancelled => "cancelled",
+        Outcome::NotSent => "moot",
     }
 }
--- a/crates/runtime/src/driver/summary.rs
+++ b/crates/runtime/src/driver/summary.rs
@@ -2,7 +2,6 @@
 
 use super::Driver;
 use crate::process_memory::ProcessMemory;
-use curlewhub_balance::Outcome;
 use std::time::Duration;
 use tracing::info;
 
@@ -53,18 +52,3 @@
         *self.unusual_outcomes.entry(outcome).or_default() += 1;
     }
 }
-
-/// The name of an outcome in the log.
-pub(super) fn outcome_name(outcome: Outcome) -> &'static str {
-    match outcome {
-        Outcome::Ok => "ok",
-        Outcome::Error => "error",
-        Outcome::Rejected => "turned away",
-        Outcome::TimedOut => "timed out",
-        Outcome::ConnectFailed => "not connected",
-        Outcome::LocalFault => "fault of this machine",
-        Outcome::Reset => "reset",
-        Outcome::Cancelled => "cancelled",
-        Outcome::NotSent => "moot",
-    }
-}
--- a/crates/runtime/src/time_left.rs
+++ b/crates/runtime/src/time_left.rs
@@ -3,7 +3,7 @@
 
 use std::time::Duration;
 use tokio::sync::watch;
-use tokio::time::Instant;
+use tokio::time::{Instant, sleep_until};
 
 /// A request is written within this of reading its remaining time, or not at all: the standing test grants
 /// 0.15 s of slack.
@@ -47,3 +47,14 @@
         attempt.min(self.deadline.borrow().saturating_duration_since(now))
     }
 }
+
+/// Returns at this time, or at the deadline if that is moved to an earlier time.
+pub async fn deadline_passed(deadline: &mut watch::Receiver<Instant>, until: Instant) {
+    loop {
+        let at = (*deadline.borrow_and_update()).min(until);
+        tokio::select! {
+            () = sleep_until(at) => return,
+            Ok(()) = deadline.changed() => {}
+        }
+    }
+}
