Let the budget alone own the number of descriptors

The budget now says what a new successor gets, and the handover passes it on. Tests of the handover, of sharing and of the successor's memory pass.

--- a/crates/curlewhub/src/serve.rs
+++ b/crates/curlewhub/src/serve.rs
@@ -89,13 +89,7 @@
         let metrics = Metrics::new(config.names.classes.iter().map(|class| class.name.clone()));
         let lifecycle = Lifecycle::new(longest_deadline(config));
         let (commands, command_queue) = mpsc::unbounded_channel();
-        let handover = Handover::new(
-            &config.state_dir,
-            config.listen,
-            config.sockets,
-            budget.clone(),
-            commands.clone(),
-        );
+        let handover = Handover::new(&config.state_dir, config.listen, budget.clone(), commands.clone());
         Ok(CoreComponents {
             clock,
             balancer,
--- a/crates/runtime/src/budget.rs
+++ b/crates/runtime/src/budget.rs
@@ -18,6 +18,8 @@
 const MAX_SHED_CLIENTS: usize = 24;
 /// Operator connections at a time, out of the reserve.
 const MAX_OPERATORS: usize = 8;
+/// A new successor gets one in this many descriptors: until it is ready it only talks to discovery.
+const INITIAL_ALLOWANCE_DIVISOR: usize = 4;
 
 /// Who holds a socket.
 #[derive(Clone, Copy, PartialEq)]
@@ -104,9 +106,11 @@
         self.set_limits(descriptors, self.sidecar_memory.successor_kib(descriptors, self.descriptors));
     }
 
-    /// Leaves this many descriptors to a successor. Its memory is not part of this process's.
-    pub fn set_predecessor(&self, left_to_successor: usize) {
-        self.set_limits(self.descriptors - left_to_successor, self.sidecar_memory.alone_kib());
+    /// Leaves a new successor its first descriptors; returns how many. Its memory is not part of this process's.
+    pub fn set_predecessor(&self) -> usize {
+        let allowance = self.descriptors / INITIAL_ALLOWANCE_DIVISOR;
+        self.set_limits(self.descriptors - allowance, self.sidecar_memory.alone_kib());
+        allowance
     }
 
     /// Sets the descriptors and the memory of this process. Permits and reservations beyond the new limits are not
--- a/crates/runtime/src/handover/mod.rs
+++ b/crates/runtime/src/handover/mod.rs
@@ -48,8 +48,6 @@
 pub struct Handover {
     state_dir: PathBuf,
     listen: SocketAddr,
-    /// Descriptors that this process may use while it is alone.
-    descriptors: usize,
     budget: Rc<Budget>,
     commands: Commands,
     /// The clients' listening socket; none once this process accepts no more.
@@ -64,18 +62,11 @@
 }
 
 impl Handover {
-    /// For the sidecar with this listen address and state directory, and this many descriptors.
-    pub fn new(
-        state_dir: &Path,
-        listen: SocketAddr,
-        descriptors: usize,
-        budget: Rc<Budget>,
-        commands: Commands,
-    ) -> Rc<Self> {
+    /// For the sidecar with this listen address and state directory.
+    pub fn new(state_dir: &Path, listen: SocketAddr, budget: Rc<Budget>, commands: Commands) -> Rc<Self> {
         Rc::new(Handover {
             state_dir: state_dir.to_owned(),
             listen,
-            descriptors,
             budget,
             commands,
             listener: RefCell::default(),
--- a/crates/runtime/src/handover/predecessor.rs
+++ b/crates/runtime/src/handover/predecessor.rs
@@ -22,8 +22,6 @@
 /// Descriptors that a terminating process may open beyond those in use: its open requests still need connections to
 /// endpoints.
 const TERMINATING_HEADROOM: usize = 4;
-/// A new successor gets one in this many descriptors: until it is ready it only talks to discovery.
-const INITIAL_ALLOWANCE_DIVISOR: usize = 4;
 
 impl Handover {
     /// Hands over to each successor that connects, one after the other, until the process ends.
@@ -73,9 +71,7 @@
         for uid in bans.all() {
             peer.send(Message::Ban { uid, banned: true });
         }
-        let allowance = self.descriptors / INITIAL_ALLOWANCE_DIVISOR;
-        peer.send(Message::DescriptorAllowance(allowance));
-        self.budget.set_predecessor(allowance);
+        peer.send(Message::DescriptorAllowance(self.budget.set_predecessor()));
         let connection = Connection::new(stream);
         self.has_successor.set(true);
         self.peer_connected(&peer, false);
