Choose a test's unused address by a socket that never listens

Cause: unused_address bound a listener and dropped it. A child process that another test is starting just then holds a copy of the listener between fork and exec, which goes on accepting at that address; the test took it for the successor, and the exec reset what it had accepted. Ruled out: more than eight callers, a late line (the file's tests took 0.8 s), and ports of other tests (each address has a loopback IP of its own). The sidecar is not at fault.

No check is changed.

--- a/crates/curlewhub/tests/support/mod.rs
+++ b/crates/curlewhub/tests/support/mod.rs
@@ -7,6 +7,7 @@
 pub mod script;
 
 use serde_json::{Value, json};
+use socket2::{Domain, Socket, Type};
 use std::collections::HashMap;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
@@ -231,9 +232,13 @@
 }
 
 /// An address where nothing listens. Each call returns another loopback IP, so that no other test's sidecar and no
-/// client's local port is ever bound to the address.
+/// client's local port is ever bound to the address. It is chosen by a socket that never listens: another test's process
+/// that is just being started holds a copy of it for a moment, and would accept and reset connections.
 pub fn unused_address() -> SocketAddr {
-    listener_on_unique_ip().local_addr().unwrap()
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+    socket.set_reuse_address(true).unwrap();
+    socket.bind(&SocketAddr::new(unique_loopback_ip(), 0).into()).unwrap();
+    socket.local_addr().unwrap().as_socket().expect("an IP address")
 }
 
 /// A listener that stays bound from the choice of its port on, so that nothing else can take the port before its use.
