--- a/crates/runtime/src/driver/summary.rs
+++ b/crates/runtime/src/driver/summary.rs
@@ -7,6 +7,8 @@
 
 /// Interval between two summaries.
 pub(super) const SUMMARY_INTERVAL: Duration = Duration::from_secs(10);
+/// The log target of these lines; log filters and readers of the log name it.
+const LOG_TARGET: &str = "curlewhub_runtime::driver";
 
 impl Driver {
     /// Logs the unusual outcomes since the last summary, and counts that show leaks: what is kept must stay in
@@ -19,6 +21,7 @@
         let (listed, names, links) =
             (self.addresses.len(), self.listing.endpoint_count(), self.outbound.idle_count());
         info!(
+            target: LOG_TARGET,
             seconds = SUMMARY_INTERVAL.as_secs(),
             outcomes = ?counts,
             open,
@@ -37,6 +40,7 @@
         let counted = self.budget.memory_usage();
         let held = ProcessMemory::read().unwrap_or_default();
         info!(
+            target: LOG_TARGET,
             clients = counted.clients,
             endpoints = counted.endpoints,
             messages = counted.messages,
