Test journals' locks in a process that starts no children

Two other tests of the same binary start processes; a child that has been forked but has not executed its program yet holds the locks of journals that the test has closed, so the file seems to be in use. The sidecar itself starts no processes.

Change: the two tests that start processes are in a binary of their own, file_size_limit, unchanged; what both files use is in tests/support.

--- a/crates/keys/tests/storage.rs
+++ b/crates/keys/tests/storage.rs
@@ -1,65 +1,24 @@
 //! Journals on failing disks, after a kill in the middle of a write, and after steps of the wall clock.
+//!
+//! No test of this file starts a process: until a child has executed its program it keeps the locks of
+//! journals that another test closes.
+
+mod support;
 
 use curlewhub_keys::{
     ClockAnchor, Entry, Journal, JournalFolder, KeyTable, MAX_KEYS, OtherJournals, RETRY_INTERVAL,
     RetryingJournal, decode, shift,
 };
 use proptest::prelude::*;
-use std::collections::BTreeSet;
-use std::path::{Path, PathBuf};
-use std::process::Command;
+use std::path::Path;
 use std::time::Duration;
+use support::{Folder, NOW, SECOND, WINDOW, ZONES_HASH, anchor, entry, write};
 
-const NOW: Duration = Duration::from_secs(1_000_000);
-const WINDOW: Duration = Duration::from_secs(6);
-const ZONES_HASH: u64 = 9;
 const HEADER_BYTES: usize = 16;
 const SLOT_BYTES: usize = 40;
-const SECOND: Duration = Duration::from_secs(1);
 /// Written by the last build without anchors: keys 0 to 3, of which key 1 was forgotten.
 const JOURNAL_WITHOUT_ANCHOR: &[u8] = include_bytes!("fixtures/journal-v1.bin");
 
-fn entry(key: u64, sent: Duration) -> Entry {
-    Entry { key, zone: key as u32, cell: key << 40, sent, window: WINDOW }
-}
-
-/// A folder that is removed at the end of the test.
-struct Folder(PathBuf);
-
-impl Folder {
-    fn new(name: &str) -> Folder {
-        let path = std::env::temp_dir().join(format!("curlewhub-storage-{name}-{}", std::process::id()));
-        std::fs::create_dir_all(&path).unwrap();
-        Folder(path)
-    }
-
-    fn location(&self) -> JournalFolder {
-        JournalFolder { folder: self.0.clone(), sidecar: "s".to_owned(), zones_hash: ZONES_HASH }
-    }
-
-    fn others(&self) -> OtherJournals {
-        OtherJournals::new(&self.0, "s", None, ZONES_HASH)
-    }
-
-    fn keys(&self) -> BTreeSet<u64> {
-        self.others().read().0.into_iter().map(|entry| entry.key).collect()
-    }
-}
-
-impl Drop for Folder {
-    fn drop(&mut self) {
-        let _ = std::fs::remove_dir_all(&self.0);
-    }
-}
-
-fn anchor(unix: Duration, since_boot: Duration) -> ClockAnchor {
-    ClockAnchor::new(b"a boot", unix, since_boot, since_boot)
-}
-
-fn write(own: &mut RetryingJournal, table: &mut KeyTable, key: u64) -> std::io::Result<()> {
-    own.write(NOW, &table.insert(NOW, entry(key, NOW)).unwrap())
-}
-
 #[test]
 fn a_journal_without_an_anchor_is_read() {
     let contents = decode(JOURNAL_WITHOUT_ANCHOR, ZONES_HASH).unwrap();
@@ -124,50 +83,6 @@
     assert_eq!((own.dirty_slots(), folder.keys().len()), (0, 301));
 }
 
-/// The part of the next test that runs in a child process, under a limit on the size of files.
-#[test]
-fn child_process_writes_under_a_file_size_limit() {
-    if std::env::var_os("CURLEWHUB_UNDER_A_LIMIT").is_none() {
-        return;
-    }
-    let folder = Folder::new("limit");
-    let (mut own, problem) = RetryingJournal::open(folder.location(), NOW, Some(anchor(NOW, SECOND)));
-    assert!(problem.is_none());
-    let mut table = KeyTable::default();
-    let failed: Vec<u64> = (0..60).filter(|key| write(&mut own, &mut table, *key).is_err()).collect();
-    assert!(failed.len() > 10 && failed.len() < 50, "{failed:?}");
-    assert_eq!(own.dirty_slots(), failed.len());
-    let written: BTreeSet<u64> = (0..60).filter(|key| !failed.contains(key)).collect();
-    assert_eq!(folder.keys(), written, "a half-written slot affected others");
-    // A slot within the limit can still be written. A dirty slot gets its newest value after the limit is
-    // lifted.
-    own.write(NOW, &table.forget(0).unwrap()).unwrap();
-    own.write(NOW, &table.forget(59).unwrap()).unwrap_err();
-    assert!(own.retry(NOW).is_err());
-    let process = std::process::id().to_string();
-    let lifted = Command::new("prlimit").args(["--fsize=unlimited", "--pid", &process]).status().unwrap();
-    assert!(lifted.success());
-    own.retry(NOW).unwrap();
-    assert!(!own.needs_retry());
-    assert_eq!(folder.keys(), (1..59).collect());
-    println!("under a limit: done");
-}
-
-#[test]
-fn slots_rejected_by_a_file_size_limit_are_written_after_it_is_lifted() {
-    let own = std::env::current_exe().unwrap();
-    let script = "trap '' XFSZ; ulimit -S -f 2; \
-        exec \"$0\" --exact child_process_writes_under_a_file_size_limit --nocapture";
-    let output = Command::new("sh")
-        .args(["-c", script])
-        .arg(own)
-        .env("CURLEWHUB_UNDER_A_LIMIT", "1")
-        .output()
-        .unwrap();
-    let stdout = String::from_utf8_lossy(&output.stdout).into_owned();
-    assert!(output.status.success() && stdout.contains("under a limit: done"), "{output:?}");
-}
-
 /// The entries that are decoded from these bytes; none if the decoder rejects them.
 fn read_entries(bytes: &[u8]) -> Vec<Entry> {
     decode(bytes, ZONES_HASH).map(|contents| contents.entries).unwrap_or_default()
