Test memory with chunks, unstated lengths, second attempts and bodies of 32 MiB

Need: the memory's tests sent only bodies of stated lengths up to 4 MB, and none forced a second attempt.

Change: three tests on real processes at 32 MB, with the bound of the stated limit: chunks of 100 bytes and of 50 kB and answers that end with their connection; bodies and answers of 32 MiB; late answers, where the endpoints count more requests than the clients sent. An answer of another length than the endpoint's no longer counts as served in any of the file's tests.

--- a/crates/curlewhub/tests/memory.rs
+++ b/crates/curlewhub/tests/memory.rs
@@ -6,9 +6,12 @@
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use serde_json::json;
-use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
-use support::memory::{Answers, LongLoad, Pace, Traffic, Watch, config, served_share};
+use support::memory::{
+    Answers, BodyFraming, LongLoad, Pace, Traffic, Watch, config, config_with_counter, served_share,
+};
 use support::{Sidecar, unused_address, wait_for};
 
 /// Time for which each load runs.
@@ -17,6 +20,8 @@
 const SLOW: Pace = Pace { pause: Duration::from_millis(100) };
 /// Length of long bodies and answers, in bytes.
 const LONG: usize = 1_000_000;
+/// The greatest length of a body, in bytes.
+const LONGEST: usize = 32 << 20;
 
 /// One load at a time, so that each is served as fast as this machine can.
 fn exclusively() -> MutexGuard<'static, ()> {
@@ -89,6 +94,49 @@
     check(32, "heads of 50 kB", heads);
 }
 
+/// Guards against bodies of the greatest length taking a sidecar over its memory.
+#[test]
+fn the_longest_bodies_and_answers_stay_within_the_memory() {
+    let traffic = Traffic { clients: 8, body: LONGEST, answer: LONGEST, ..Traffic::default() };
+    check(32, "the longest messages", traffic);
+}
+
+/// Guards against chunks, short or long, and answers of no stated length taking a sidecar over its memory.
+#[test]
+fn messages_of_no_stated_length_stay_within_the_memory() {
+    let traffic = Traffic { clients: 90, body: 100_000, answer: 100_000, ..Traffic::default() };
+    for framing in [BodyFraming::Chunked(100), BodyFraming::Chunked(50_000), BodyFraming::UntilClose] {
+        check(32, &format!("{framing:?}"), Traffic { framing, ..traffic });
+    }
+}
+
+/// Guards against second attempts beside late ones taking a sidecar over its memory.
+#[test]
+fn hedged_requests_stay_within_the_memory() {
+    let _load = exclusively();
+    let traffic = Traffic {
+        clients: 60,
+        body: 60_000,
+        answer: 60_000,
+        work: Duration::from_millis(50),
+        late_every: 20,
+        ..Traffic::default()
+    };
+    let received = Arc::new(AtomicUsize::new(0));
+    let sidecar = Sidecar::start(&config_with_counter(32, 1024, traffic, &received));
+    let mut watch = Watch::default();
+    let load = LongLoad::start(sidecar.address, traffic);
+    watch.watch(&[&sidecar], LOAD_TIME);
+    let answers = load.stop();
+    watch.read(&[&sidecar]);
+    let received = received.load(Ordering::SeqCst);
+    println!("hedged: {answers:?}, {received} attempts");
+    watch.assert_within(32, "hedged");
+    let requests: usize = answers.values().sum();
+    assert!(received > requests, "{received} attempts of {requests} requests");
+    assert!(served_share(&answers) >= 0.98, "{answers:?}");
+}
+
 /// Guards against invalid answers, and the retries that they cause, taking a sidecar over its memory.
 #[test]
 fn invalid_answers_and_retries_stay_within_the_memory() {
--- a/crates/curlewhub/tests/support/memory.rs
+++ b/crates/curlewhub/tests/support/memory.rs
@@ -16,6 +16,8 @@
 const PIECE: usize = 64 * 1024;
 /// A client gives up an answer that it has not read to its end by then.
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(25);
+/// Delay of late answers: long enough for a second attempt, and far shorter than a request's timeout.
+const LATE_BY: Duration = Duration::from_secs(4);
 /// Endpoints of a load.
 const ENDPOINTS: usize = 9;
 
@@ -26,6 +28,49 @@
     pub pause: Duration,
 }
 
+/// How a body is framed.
+#[derive(Clone, Copy, Debug)]
+pub enum BodyFraming {
+    /// Its length is stated.
+    Length,
+    /// Chunks of this length, in bytes.
+    Chunked(usize),
+    /// The length of a request's body is stated; an answer's body ends with its connection.
+    UntilClose,
+}
+
+impl BodyFraming {
+    /// The header that states the framing of a request's body.
+    fn request_header(self, length: usize) -> String {
+        match self {
+            BodyFraming::Chunked(_) => "Transfer-Encoding: chunked".to_owned(),
+            BodyFraming::Length | BodyFraming::UntilClose => format!("Content-Length: {length}"),
+        }
+    }
+
+    /// The header that states the framing of an answer's body.
+    fn answer_header(self, length: usize) -> String {
+        match self {
+            BodyFraming::UntilClose => "Connection: close".to_owned(),
+            BodyFraming::Length | BodyFraming::Chunked(_) => self.request_header(length),
+        }
+    }
+
+    /// A body of this many of these bytes, as it is sent.
+    fn encode(self, byte: u8, length: usize) -> Vec<u8> {
+        let body = vec![byte; length];
+        let BodyFraming::Chunked(chunk_len) = self else { return body };
+        let mut encoded = Vec::new();
+        for chunk in body.chunks(chunk_len) {
+            encoded.extend_from_slice(format!("{:x}\r\n", chunk.len()).as_bytes());
+            encoded.extend_from_slice(chunk);
+            encoded.extend_from_slice(b"\r\n");
+        }
+        encoded.extend_from_slice(b"0\r\n\r\n");
+        encoded
+    }
+}
+
 /// What clients send and endpoints answer.
 #[derive(Clone, Copy, Debug)]
 pub struct Traffic {
@@ -36,6 +81,8 @@
     pub body: usize,
     /// Length of each answer, in bytes.
     pub answer: usize,
+    /// How the bodies of requests and answers are framed.
+    pub framing: BodyFraming,
     /// How fast endpoints read requests.
     pub endpoint: Pace,
     /// How fast clients read answers.
@@ -44,6 +91,8 @@
     pub work: Duration,
     /// One in this many answers of an endpoint is invalid, in one way after the other; none if zero.
     pub invalid_every: usize,
+    /// One in this many answers of an endpoint is late by [`LATE_BY`]; none if zero.
+    pub late_every: usize,
 }
 
 impl Default for Traffic {
@@ -53,10 +102,12 @@
             header: 0,
             body: 4,
             answer: 2_000,
+            framing: BodyFraming::Length,
             endpoint: Pace::default(),
             client: Pace::default(),
             work: Duration::from_millis(100),
             invalid_every: 0,
+            late_every: 0,
         }
     }
 }
@@ -76,15 +127,45 @@
     true
 }
 
+/// Reads a chunked body at this pace; its length, or none if the connection ends before.
+fn read_chunks(from: &mut impl BufRead, pace: Pace) -> Option<usize> {
+    let mut total = 0;
+    loop {
+        let mut line = String::new();
+        from.read_line(&mut line).ok().filter(|count| *count > 0)?;
+        let length = usize::from_str_radix(line.trim_end(), 16).ok()?;
+        let line_end = "\r\n".len();
+        let is_read = read_bytes(from, length, pace) && read_bytes(from, line_end, Pace::default());
+        if !is_read {
+            return None;
+        }
+        total += length;
+        if length == 0 {
+            return Some(total);
+        }
+    }
+}
+
 /// A message head: its first line, the body's length, and whether the connection ends after it.
 struct Head {
     first_line: String,
     length: usize,
+    is_chunked: bool,
     closes: bool,
 }
 
+impl Head {
+    /// Reads the body that follows at this pace; its length, or none if the connection ends before.
+    fn read_body(&self, from: &mut impl BufRead, pace: Pace) -> Option<usize> {
+        if self.is_chunked {
+            return read_chunks(from, pace);
+        }
+        read_bytes(from, self.length, pace).then_some(self.length)
+    }
+}
+
 fn read_head(from: &mut impl BufRead) -> Option<Head> {
-    let mut head = Head { first_line: String::new(), length: 0, closes: false };
+    let mut head = Head { first_line: String::new(), length: 0, is_chunked: false, closes: false };
     from.read_line(&mut head.first_line).ok().filter(|count| *count > 0)?;
     loop {
         let mut line = String::new();
@@ -96,6 +177,7 @@
         if let Some(length) = line.strip_prefix("content-length: ") {
             head.length = length.parse().ok()?;
         }
+        head.is_chunked |= line == "transfer-encoding: chunked";
         head.closes |= line == "connection: close";
     }
 }
@@ -144,19 +226,26 @@
     }
 }
 
+/// Whether this number is one in `every`, beginning with zero; never if `every` is zero.
+fn is_one_in(number: usize, every: usize) -> bool {
+    every > 0 && number.is_multiple_of(every)
+}
+
 /// What the connections of an endpoint share.
 struct Endpoint {
     traffic: Traffic,
+    /// The body of each answer, as it is sent.
     body: Vec<u8>,
     answers: AtomicUsize,
+    /// Requests that all endpoints have received.
+    received: Arc<AtomicUsize>,
 }
 
 impl Endpoint {
-    /// How the next answer is invalid, if it is.
-    fn next_invalid(&self) -> Option<InvalidAnswer> {
+    /// How the answer of this number is invalid, if it is.
+    fn invalid(&self, number: usize) -> Option<InvalidAnswer> {
         let every = self.traffic.invalid_every;
-        let number = self.answers.fetch_add(1, Ordering::SeqCst);
-        (every > 0 && number.is_multiple_of(every)).then(|| WAYS[number / every % WAYS.len()])
+        is_one_in(number, every).then(|| WAYS[number / every % WAYS.len()])
     }
 
     /// Answers requests one after another until the connection ends.
@@ -164,26 +253,34 @@
         let mut reader = BufReader::with_capacity(PIECE, stream);
         loop {
             let head = read_head(&mut reader)?;
-            if !read_bytes(&mut reader, head.length, self.traffic.endpoint) {
-                return None;
-            }
+            self.received.fetch_add(1, Ordering::SeqCst);
+            head.read_body(&mut reader, self.traffic.endpoint)
+                .filter(|length| *length == self.traffic.body)?;
             thread::sleep(self.traffic.work);
-            if let Some(way) = self.next_invalid() {
+            let number = self.answers.fetch_add(1, Ordering::SeqCst);
+            if is_one_in(number, self.traffic.late_every) {
+                thread::sleep(LATE_BY);
+            }
+            if let Some(way) = self.invalid(number) {
                 let _ = write_invalid(reader.get_mut(), way, &self.body);
                 return None;
             }
-            let answer = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", self.body.len());
-            reader.get_mut().write_all(answer.as_bytes()).ok()?;
+            let framing = self.traffic.framing;
+            let header = framing.answer_header(self.traffic.answer);
+            reader.get_mut().write_all(format!("HTTP/1.1 200 OK\r\n{header}\r\n\r\n").as_bytes()).ok()?;
             reader.get_mut().write_all(&self.body).ok()?;
+            if matches!(framing, BodyFraming::UntilClose) {
+                return None;
+            }
         }
     }
 }
 
-fn start_endpoint(traffic: Traffic) -> SocketAddr {
+fn start_endpoint(traffic: Traffic, received: Arc<AtomicUsize>) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     let address = listener.local_addr().unwrap();
-    let endpoint =
-        Arc::new(Endpoint { traffic, body: vec![b'a'; traffic.answer], answers: AtomicUsize::new(0) });
+    let body = traffic.framing.encode(b'a', traffic.answer);
+    let endpoint = Arc::new(Endpoint { traffic, body, answers: AtomicUsize::new(0), received });
     thread::spawn(move || {
         for stream in listener.incoming().flatten() {
             let endpoint = endpoint.clone();
@@ -195,25 +292,34 @@
 
 /// A configuration with this memory and these descriptors, whose endpoints answer as `traffic` says.
 pub fn config(memory_mb: usize, sockets: usize, traffic: Traffic) -> Value {
-    let addresses: Vec<_> = (0..ENDPOINTS).map(|_| start_endpoint(traffic)).collect();
+    config_with_counter(memory_mb, sockets, traffic, &Arc::default())
+}
+
+/// As [`config`]; the endpoints count the requests that they receive.
+pub fn config_with_counter(
+    memory_mb: usize,
+    sockets: usize,
+    traffic: Traffic,
+    received: &Arc<AtomicUsize>,
+) -> Value {
+    let addresses: Vec<_> = (0..ENDPOINTS).map(|_| start_endpoint(traffic, received.clone())).collect();
     let mut config = config_for_addresses(&addresses);
     config["limits"]["memory_mb"] = json!(memory_mb);
     config["limits"]["sockets"] = json!(sockets);
     config
 }
 
-fn long_request(id: &str, traffic: Traffic) -> Vec<u8> {
-    let mut text = request("pay", id, "10000m")
+/// The head of a request with a body.
+fn request_head(id: &str, traffic: Traffic) -> String {
+    let mut head = request("pay", id, "10000m")
         .replace("Idempotency-Key: k1", &format!("Idempotency-Key: {id}"))
-        .replace("Content-Length: 4", &format!("Content-Length: {}", traffic.body))
+        .replace("Content-Length: 4", &traffic.framing.request_header(traffic.body))
         .replace("\r\n\r\nbody", "\r\n\r\n");
     if traffic.header > 0 {
-        text =
-            text.replace("X-Tenant-Id", &format!("X-Pad: {}\r\nX-Tenant-Id", "h".repeat(traffic.header)));
+        head =
+            head.replace("X-Tenant-Id", &format!("X-Pad: {}\r\nX-Tenant-Id", "h".repeat(traffic.header)));
     }
-    let mut bytes = text.into_bytes();
-    bytes.resize(bytes.len() + traffic.body, b'b');
-    bytes
+    head
 }
 
 /// How requests ended, by status or else by what was seen.
@@ -225,8 +331,8 @@
     answers.get("200").copied().unwrap_or(0) as f64 / all.max(1) as f64
 }
 
-/// Sends requests one after another until stopped.
-fn run_client(to: SocketAddr, name: usize, traffic: Traffic, stop: &AtomicBool) -> Answers {
+/// Sends requests with this body one after another until stopped.
+fn run_client(to: SocketAddr, name: usize, traffic: Traffic, body: &[u8], stop: &AtomicBool) -> Answers {
     let mut answers = Answers::new();
     let mut kept: Option<BufReader<TcpStream>> = None;
     for number in 0.. {
@@ -241,14 +347,19 @@
             thread::sleep(Duration::from_millis(20));
             continue;
         };
-        let written = connection.get_mut().write_all(&long_request(&format!("c{name}-{number}"), traffic));
+        let request = [request_head(&format!("c{name}-{number}"), traffic).as_bytes(), body].concat();
+        let written = connection.get_mut().write_all(&request);
         let head = read_head(&mut connection);
+        let length = head.as_ref().and_then(|head| head.read_body(&mut connection, traffic.client));
+        let status = head.as_ref().and_then(|head| head.first_line.split(' ').nth(1)).unwrap_or_default();
         let end = match &head {
-            None if written.is_ok() => "no answer".to_owned(),
-            None => "closed while the request was written".to_owned(),
-            Some(head) if !read_bytes(&mut connection, head.length, traffic.client) => "cut off".to_owned(),
-            Some(head) => head.first_line.split(' ').nth(1).unwrap_or_default().to_owned(),
-        };
+            None if written.is_ok() => "no answer",
+            None => "closed while the request was written",
+            Some(_) if length.is_none() => "cut off",
+            Some(_) if status == "200" && length != Some(traffic.answer) => "of another length",
+            Some(_) => status,
+        }
+        .to_owned();
         if end == "503" {
             thread::sleep(Duration::from_millis(200));
         }
@@ -269,10 +380,11 @@
 impl LongLoad {
     pub fn start(to: SocketAddr, traffic: Traffic) -> LongLoad {
         let stop = Arc::new(AtomicBool::new(false));
+        let body: Arc<[u8]> = traffic.framing.encode(b'b', traffic.body).into();
         let threads = (0..traffic.clients)
             .map(|name| {
-                let stop = stop.clone();
-                thread::spawn(move || run_client(to, name, traffic, &stop))
+                let (stop, body) = (stop.clone(), body.clone());
+                thread::spawn(move || run_client(to, name, traffic, &body, &stop))
             })
             .collect();
         LongLoad { stop, threads }
