Keep connections after long heads while there is memory for their buffers

Seen: the repair of the memory closed the client's and the endpoint's connection after each head over 8 KiB (the endpoint's from 6 KiB on), whatever memory was free.

Cause: hyper's buffers stay as long as the longest head made them, and only the time of the message was reserved.

Change: the reservation stays with the connection, one more is made for an endpoint's write buffer, and the connection is closed only if less than half of the memory for long messages is free: the rule that enlarged read buffers had already, so that idle connections never hold more than half. The test fails before: Connection: close on the first answer.

--- a/crates/curlewhub/tests/memory.rs
+++ b/crates/curlewhub/tests/memory.rs
@@ -12,7 +12,7 @@
 use support::memory::{
     Answers, BodyFraming, LongLoad, Pace, Traffic, Watch, config, config_with_counter, served_share,
 };
-use support::{Sidecar, unused_address, wait_for};
+use support::{Client, Peer, Sidecar, request, unused_address, wait_for};
 
 /// Time for which each load runs.
 const LOAD_TIME: Duration = Duration::from_secs(3);
@@ -137,6 +137,22 @@
     assert!(served_share(&answers) >= 0.98, "{answers:?}");
 }
 
+/// Guards against connections that end after each long head although there is memory for their buffers.
+#[test]
+fn connections_are_kept_after_long_heads_while_there_is_memory() {
+    let peer = Peer::serving("ok");
+    let sidecar = Sidecar::start(&support::config(&[&peer]));
+    let mut client = Client::connect(sidecar.address).unwrap();
+    let long_header = format!("X-Pad: {}\r\nX-Tenant-Id", "h".repeat(20_000));
+    for number in 0..5 {
+        client
+            .send(&request("quote", &format!("r-{number}"), "10000m").replace("X-Tenant-Id", &long_header));
+        let answer = client.receive().expect("an answer on the same connection");
+        assert_eq!((answer.status(), answer.header("connection")), (200, ""), "request {number}");
+    }
+    assert_eq!(peer.closed_by_sidecar(), 0);
+}
+
 /// Guards against invalid answers, and the retries that they cause, taking a sidecar over its memory.
 #[test]
 fn invalid_answers_and_retries_stay_within_the_memory() {
--- a/crates/runtime/src/message_memory.rs
+++ b/crates/runtime/src/message_memory.rs
@@ -23,15 +23,15 @@
     RequestBody,
     /// Buffering an answer, or a long head.
     AnswerOrHead,
-    /// A larger read buffer, which makes a connection faster.
-    ReadBuffer,
+    /// A buffer that stays larger than a connection needs, which makes it faster.
+    GrownBuffer,
 }
 
 impl Purpose {
     /// Quarters of the limit up to which memory is reserved for this: what only helps leaves some for what is needed.
     fn quarters(self) -> usize {
         match self {
-            Purpose::ReadBuffer => 2,
+            Purpose::GrownBuffer => 2,
             Purpose::RequestBody => 3,
             Purpose::AnswerOrHead => 4,
         }
--- a/crates/runtime/src/outbound.rs
+++ b/crates/runtime/src/outbound.rs
@@ -273,9 +273,11 @@
         }
     }
 
-    /// Returns a connection to the pool, to be reused after `REUSE_DELAY`. One whose buffers have grown is closed.
+    /// Returns a connection to the pool, to be reused after `REUSE_DELAY`. One whose buffers have grown is closed if their
+    /// memory is needed elsewhere.
     fn release(&self, endpoint: EndpointId, mut connection: Connection) {
-        if connection.has_grown || connection.monitor.holds_scarce_memory() {
+        let has_memory = !connection.has_grown || connection.monitor.keep_write_buffer();
+        if !has_memory || connection.monitor.holds_scarce_memory() {
             return;
         }
         connection.idle_since = Instant::now();
--- a/crates/runtime/src/socket.rs
+++ b/crates/runtime/src/socket.rs
@@ -50,9 +50,11 @@
     /// Tracks the framing headers of incoming requests.
     framing: RefCell<Framing>,
     extra_memory: ExtraMemory,
-    /// Memory for a long head, and for an enlarged read buffer. Both stay until the connection ends, as the buffers do.
+    /// Memory for a long head that was read, for an enlarged read buffer, and for a write buffer that has grown for a
+    /// long head. They stay until the connection ends, as the buffers do.
     head_memory: RefCell<Option<Reservation>>,
     read_memory: RefCell<Option<Reservation>>,
+    write_memory: RefCell<Option<Reservation>>,
     /// Bytes of the current body, as far as each read brought as much as it could.
     fast_bytes: Cell<usize>,
     /// Metrics in which the attempt is to be recorded after the next write.
@@ -118,6 +120,7 @@
             extra_memory,
             head_memory: RefCell::default(),
             read_memory: RefCell::default(),
+            write_memory: RefCell::default(),
             fast_bytes: Cell::default(),
             count_after_write: RefCell::default(),
             write_check: RefCell::default(),
@@ -173,18 +176,28 @@
         framing.has_length && framing.has_transfer_encoding
     }
 
-    /// Whether buffers have grown for a long head, or those that have grown for long bodies are needed elsewhere. Then
-    /// the connection should not be kept.
+    /// Reserves memory for a write buffer that has grown for a long head, beyond the time of its message; false if there
+    /// is too little. Then the connection should not be kept.
+    pub fn keep_write_buffer(&self) -> bool {
+        let mut write_memory = self.write_memory.borrow_mut();
+        if write_memory.is_none() {
+            *write_memory = self.extra_memory.memory.try_reserve(MAX_BUFFER, Purpose::GrownBuffer);
+        }
+        write_memory.is_some()
+    }
+
+    /// Whether its buffers have grown and their memory is needed elsewhere. Then the connection should not be kept.
     pub fn holds_scarce_memory(&self) -> bool {
-        let is_enlarged = self.read_memory.borrow().is_some();
-        self.head_memory.borrow().is_some()
-            || (is_enlarged && self.extra_memory.memory.is_exhausted(ENLARGED_LEN, Purpose::ReadBuffer))
+        let grown = [&self.head_memory, &self.read_memory, &self.write_memory];
+        let has_grown = grown.iter().any(|memory| memory.borrow().is_some());
+        has_grown && self.extra_memory.memory.is_exhausted(ENLARGED_LEN, Purpose::GrownBuffer)
     }
 
     /// Releases memory beyond what every connection may take: the buffers that had grown are gone.
     pub fn release_extra_memory(&self) {
         self.head_memory.take();
         self.read_memory.take();
+        self.write_memory.take();
     }
 
     /// How many bytes may be read now: fewer than the read buffer holds, because hyper enlarges a buffer that a read
@@ -205,7 +218,7 @@
     fn enlarge(&self) -> bool {
         let mut read_memory = self.read_memory.borrow_mut();
         if read_memory.is_none() && self.fast_bytes.get() >= ENLARGE_AFTER {
-            *read_memory = self.extra_memory.memory.try_reserve(ENLARGED_LEN, Purpose::ReadBuffer);
+            *read_memory = self.extra_memory.memory.try_reserve(ENLARGED_LEN, Purpose::GrownBuffer);
             self.fast_bytes.set(0);
         }
         read_memory.is_some()
--- a/crates/runtime/tests/message_memory.rs
+++ b/crates/runtime/tests/message_memory.rs
@@ -68,8 +68,8 @@
 #[test]
 fn request_bodies_and_larger_read_buffers_leave_memory_for_answers_and_heads() {
     let memory = memory(400);
-    let larger = memory.try_reserve(200 * KIB, Purpose::ReadBuffer).unwrap();
-    assert!(memory.try_reserve(KIB, Purpose::ReadBuffer).is_none());
+    let larger = memory.try_reserve(200 * KIB, Purpose::GrownBuffer).unwrap();
+    assert!(memory.try_reserve(KIB, Purpose::GrownBuffer).is_none());
     let body = memory.try_reserve(100 * KIB, Purpose::RequestBody).unwrap();
     assert!(memory.try_reserve(KIB, Purpose::RequestBody).is_none());
     let answer = memory.try_reserve(100 * KIB, Purpose::AnswerOrHead).unwrap();
