Log what bounds the list after a server change, and which endpoints leave it

`list freshness` now also shows the newest server, the server that the list is from, whether its whole list is known, and how long the list may be used; it is logged whenever the bound begins or ends. Endpoints that a whole list leaves out are logged as `unlisted`, and at debug level each response's endpoints with its call.

--- a/crates/discovery-client/src/client.rs
+++ b/crates/discovery-client/src/client.rs
@@ -159,6 +159,21 @@
         self.versions.version()
     }
 
+    /// The server that the current configuration names.
+    pub fn server(&self) -> Epoch {
+        self.server
+    }
+
+    /// The server that the current list is from.
+    pub fn list_server(&self) -> Epoch {
+        self.versions.epoch()
+    }
+
+    /// Whether the whole list of the server that the current list is from is still missing.
+    pub fn needs_whole_list(&self) -> bool {
+        self.versions.needs_whole_list()
+    }
+
     /// Whether a watch is open, on the current server or on an earlier one.
     pub fn is_watching(&self) -> bool {
         self.open_watch().is_some()
--- a/crates/runtime/src/discovery/mod.rs
+++ b/crates/runtime/src/discovery/mod.rs
@@ -22,7 +22,7 @@
 use tokio::sync::mpsc::{self, UnboundedReceiver};
 use tokio::task::spawn_local;
 use tokio::time::{Instant, sleep_until};
-use tracing::{info, warn};
+use tracing::{debug, info, warn};
 
 /// Maximum number of queued reports of calls; a call that reports more waits.
 const MAX_QUEUED_REPORTS: usize = 16;
@@ -39,7 +39,7 @@
     /// Discovery has sent a list, or confirmed it, since the start of the process.
     confirmed: Cell<bool>,
     status: Cell<Option<ListStatus>>,
-    lease_state: Cell<Option<LeaseState>>,
+    logged_freshness: Cell<Option<Freshness>>,
     inbox: Inbox,
 }
 
@@ -59,8 +59,7 @@
         };
         let rules = LeaseSettings { ask_within: rules.ask_within, drain_grace: rules.drain_grace };
         let client = RefCell::new(Client::new(mode, rules, seed, Duration::ZERO));
-        let lease_state = Cell::new(Some(client.borrow().lease().state()));
-        let (confirmed, status) = Default::default();
+        let (confirmed, status, logged_freshness) = Default::default();
         let (address, started_at) = (Cell::new(address), Instant::now());
         Rc::new(Discovery {
             address,
@@ -70,7 +69,7 @@
             started_at,
             confirmed,
             status,
-            lease_state,
+            logged_freshness,
             inbox,
         })
     }
@@ -138,10 +137,12 @@
         match report {
             Report::Line(list) => {
                 self.confirmed.set(true);
+                list.iter().for_each(|list| log_received(id, "watch", list));
                 client.watch_line(now, id, list);
             }
             Report::WholeList(list) => {
                 self.confirmed.set(true);
+                log_received(id, "whole list", &list);
                 client.whole_list(now, id, list);
             }
             Report::Partial(list) => {
@@ -187,14 +188,10 @@
 
     /// Sends the status of the list to the driver if it has changed.
     fn send_status(&self) {
+        self.log_freshness();
         let client = self.client.borrow();
-        let (lease, now) = (client.lease(), self.now());
+        let lease = client.lease();
         let state = lease.state();
-        let kind = |state: Option<LeaseState>| state.as_ref().map(std::mem::discriminant);
-        if kind(self.lease_state.replace(Some(state))) != kind(Some(state)) {
-            let age = now.saturating_sub(lease.confirmed_at());
-            info!(?state, version = client.version(), age_ms = age.as_millis() as u64, "list freshness");
-        }
         let confirmed_at = self.started_at + lease.confirmed_at();
         let status = ListStatus {
             expires_at: lease.expires_at().map(|at| self.started_at + at),
@@ -205,4 +202,55 @@
             let _ = self.inbox.send(Input::ListStatus(status)); // fails only while the process ends
         }
     }
+
+    /// Logs what bounds the use of the list, if that has changed.
+    fn log_freshness(&self) {
+        let client = self.client.borrow();
+        let lease = client.lease();
+        let freshness = Freshness {
+            state: lease.state(),
+            is_bounded: lease.expires_at().is_some(),
+            needs_whole_list: client.needs_whole_list(),
+        };
+        if self.logged_freshness.replace(Some(freshness)).is_some_and(|logged| logged.is_like(&freshness)) {
+            return;
+        }
+        let now = self.now();
+        let millis = |time: Duration| time.as_millis() as u64;
+        info!(
+            state = ?freshness.state,
+            version = client.version(),
+            server = client.server().0,
+            list_server = client.list_server().0,
+            whole = !freshness.needs_whole_list,
+            age_ms = millis(now.saturating_sub(lease.confirmed_at())),
+            lease_ms = lease.expires_at().map(|at| millis(at.saturating_sub(now))),
+            "list freshness"
+        );
+    }
+}
+
+/// What bounds the use of the list, as it was last logged.
+#[derive(Clone, Copy)]
+struct Freshness {
+    state: LeaseState,
+    is_bounded: bool,
+    needs_whole_list: bool,
+}
+
+impl Freshness {
+    /// Whether nothing but times differs.
+    fn is_like(&self, other: &Freshness) -> bool {
+        std::mem::discriminant(&self.state) == std::mem::discriminant(&other.state)
+            && self.is_bounded == other.is_bounded
+            && self.needs_whole_list == other.needs_whole_list
+    }
+}
+
+/// Logs which endpoints discovery named in response to a call.
+fn log_received(id: CallId, kind: &str, list: &EndpointList) {
+    if !list.targets.is_empty() {
+        let uids: Vec<&str> = list.targets.iter().map(|target| target.uid.as_str()).collect();
+        debug!(call = id.0, kind, rev = list.rev, whole = list.is_complete, ?uids, "list received");
+    }
 }
--- a/crates/runtime/src/driver/list.rs
+++ b/crates/runtime/src/driver/list.rs
@@ -70,6 +70,7 @@
             self.addresses.retain(|id, _| {
                 let stays = listed.contains(id);
                 if !stays {
+                    info!(endpoint = self.listing.uid(*id), state = "unlisted", "endpoint leaves");
                     outbound.close_idle(*id);
                     outbound.set_admitted(*id, None);
                 }
