Use only endpoints that a new server has named once its list counts as notified

Cause, a bound on old knowledge that ends without evidence for what it covered: `Lease::whole_list_failed` ended the deadline of a server change as soon as a call for the whole list failed while the new server's watch was open.

Change: each server change keeps its deadline (`server_changes.rs`) until a whole list of that server or a later one comes. When it passes, the endpoints that no server since the change has named on its watch go out of use (`Action::Restrict`), and the others go on without a bound; with none named the lease stays expired. The lease on the whole list ends only behind the restriction in the driver's queue, so a stall between the two sends nothing. Out of use means for the balancer's choices, retries, second attempts, held requests, probes, pooled connections and the write gate alike; what was learned of an endpoint stays, and a change or the whole list that names it brings it back without a cold start. Several servers in a row have one deadline each. Calls that a new server holds or leaves without an answer no longer move its deadline, as they don't show that it could not be reached; failed connects do, until a call has reached it.

The test `a_refused_whole_list_does_not_bound_the_lease_while_the_new_server_s_watch_is_open` asserted the fault. In its place `while_a_new_server_refuses_its_whole_list_the_endpoints_that_it_has_named_stay_in_use` keeps its reason, a fleet that moves is served, and asserts the bound as well. `versions.rs` passes its lists by value now, as `watch_opened` returns the list to apply.

--- a/crates/balance/src/balance.rs
+++ b/crates/balance/src/balance.rs
@@ -105,6 +105,8 @@
     cold_since: Option<Duration>,
     /// Taken out of use by an operator.
     banned: bool,
+    /// Out of use until discovery names it again.
+    unconfirmed: bool,
     /// When its ban was lifted: it may have restarted meanwhile, whatever the list says so far.
     reinstated_at: Option<Duration>,
     in_flight: u32,
@@ -326,7 +328,7 @@
 
 impl Endpoint {
     fn is_ready(&self) -> bool {
-        self.info.state == EndpointState::Ready && !self.banned
+        self.info.state == EndpointState::Ready && !self.banned && !self.unconfirmed
     }
 
     fn add_penalty(&mut self, now: Duration, penalty: f64) {
--- a/crates/balance/src/balance/members.rs
+++ b/crates/balance/src/balance/members.rs
@@ -68,6 +68,10 @@
 
 impl Balancer {
     pub(super) fn on_membership(&mut self, now: Duration, update: Membership, out: &mut Vec<Action>) {
+        if let Membership::Restrict(ids) = update {
+            self.restrict_endpoints(now, &ids);
+            return self.dispatch_queued(now, out);
+        }
         let ask = self.settings.discovery == Discovery::Ask;
         let refused = update == Membership::Refused;
         let earliest = if refused { now.saturating_sub(STALE_LIST_AFTER) } else { Duration::ZERO };
@@ -93,6 +97,7 @@
                 return;
             }
             Membership::Delta(entries) => self.update_endpoints(now, entries),
+            Membership::Restrict(_) => {}
             Membership::Full(entries) | Membership::Cached(entries) => {
                 for endpoint in &mut self.endpoints {
                     endpoint.info.state = EndpointState::Gone;
@@ -135,6 +140,15 @@
         self.list_expires_at.is_some_and(|at| now >= at)
     }
 
+    /// Takes all endpoints except these out of use until they are named again.
+    fn restrict_endpoints(&mut self, now: Duration, ids: &[EndpointId]) {
+        let named: HashSet<&EndpointId> = ids.iter().collect();
+        for endpoint in &mut self.endpoints {
+            endpoint.unconfirmed = !named.contains(&endpoint.info.id);
+        }
+        self.choose_subset(now);
+    }
+
     fn update_endpoints(&mut self, now: Duration, entries: Vec<EndpointInfo>) {
         let limit = (INITIAL_LIMIT * self.caller_fraction()).max(1.0);
         let nonempty = !entries.is_empty();
@@ -154,6 +168,7 @@
                             (cold_since, self.rng.uniform(), now);
                     }
                     self.endpoints[i].info = info;
+                    self.endpoints[i].unconfirmed = false;
                 }
                 None if info.state == EndpointState::Gone => {}
                 None => {
@@ -161,6 +176,7 @@
                     self.index.insert(info.id, self.endpoints.len());
                     self.endpoints.push(Endpoint {
                         banned: self.banned.contains(&info.id),
+                        unconfirmed: false,
                         ramping_up: cold_since.is_none(),
                         info,
                         cold_since,
--- a/crates/balance/tests/support/mod.rs
+++ b/crates/balance/tests/support/mod.rs
@@ -82,6 +82,11 @@
                 self.record_list(now, list);
             }
             Event::Membership(Membership::Delta(list)) => self.record_list(now, list),
+            Event::Membership(Membership::Restrict(named)) => {
+                for id in self.listed.keys().filter(|id| !named.contains(id)) {
+                    self.drain_notified.entry(*id).or_insert(now);
+                }
+            }
             Event::Request(request) => {
                 self.requests.entry(request.id).or_insert(TrackedRequest {
                     class: request.class.0,
--- a/crates/curlewhub/tests/races/main.rs
+++ b/crates/curlewhub/tests/races/main.rs
@@ -9,4 +9,5 @@
 mod deadlines;
 mod discovery;
 mod limits;
+mod server_changes;
 mod settings;
--- a/crates/curlewhub/tests/support/mod.rs
+++ b/crates/curlewhub/tests/support/mod.rs
@@ -1,6 +1,7 @@
 //! Starts the built sidecar as a process, with scripted clients and endpoints for it on loopback.
 #![allow(dead_code)]
 
+pub mod crowded_discovery;
 pub mod discovery;
 pub mod memory;
 pub mod queued_discovery;
--- a/crates/discovery-client/src/client.rs
+++ b/crates/discovery-client/src/client.rs
@@ -71,6 +71,9 @@
     Cancel(CallId),
     /// Apply this whole list, or these changes.
     Apply(EndpointList),
+    /// Use only the endpoints with these uids, and those that later changes name, until a whole list is applied: the
+    /// list of a new server counts as notified, and it has named no others.
+    Restrict(Vec<String>),
     /// Discovery answers again, and the list has not changed.
     Unchanged,
     /// A call failed, or the watch ended. The current list stays.
@@ -139,9 +142,9 @@
         }
     }
 
-    /// Sets the version of the list that is known at the start.
-    pub fn set_initial_version(&mut self, version: u64) {
-        self.versions = Versions::new(version);
+    /// Sets the list that is known at the start.
+    pub fn set_initial_list(&mut self, list: &EndpointList) {
+        self.versions = Versions::from_initial(list);
     }
 
     /// Returns the actions to carry out, in order.
@@ -216,7 +219,7 @@
     pub fn server_changed(&mut self, now: Duration) {
         let awaiting_answer = self.server > self.versions.epoch();
         self.server = Epoch(self.server.0 + 1);
-        self.lease.server_changed(now, self.server);
+        self.lease.server_changed(now, self.server, !awaiting_answer);
         self.following = true;
         self.overloaded = false;
         self.backoff.reset();
@@ -302,12 +305,13 @@
 
     /// When [`timer`](Self::timer) has to be called next.
     pub fn next_timer(&self) -> Option<Duration> {
-        let times = [self.next_watch, self.next_whole_list, self.second_call_at()];
+        let times = [self.next_watch, self.next_whole_list, self.second_call_at(), self.next_restriction()];
         times.into_iter().flatten().min()
     }
 
-    /// Makes the calls that are due.
+    /// Does what is due.
     pub fn timer(&mut self, now: Duration) {
+        self.restrict_to_named(now);
         if self.next_watch.is_some_and(|at| at <= now) || self.second_call_at().is_some_and(|at| at <= now)
         {
             self.start_watch_call(now);
@@ -318,6 +322,23 @@
         }
     }
 
+    /// When the next server change counts as notified. None if its server has not named any endpoint: then nothing stays
+    /// in use.
+    fn next_restriction(&self) -> Option<Duration> {
+        let (epoch, notified_at) = self.lease.incomplete_server_change()?;
+        self.versions.named_since(epoch).map(|_| notified_at)
+    }
+
+    /// Takes the endpoints out of use that only servers before a change have named, once the change counts as notified.
+    fn restrict_to_named(&mut self, now: Duration) {
+        while let Some((epoch, notified_at)) = self.lease.incomplete_server_change() {
+            let named = (notified_at <= now).then(|| self.versions.named_since(epoch)).flatten();
+            let Some(uids) = named else { return };
+            self.lease.restricted_to_named(epoch);
+            self.actions.push(Action::Restrict(uids));
+        }
+    }
+
     /// When to start a second watch call while the first is pending, which an outage may have lost. None after a
     /// refusal, or after discovery has ended the watch itself: it is available then, and each call takes a place in
     /// its queue.
@@ -355,7 +376,7 @@
         for active in self.calls.iter_mut().filter(|active| active.id == call.id) {
             active.state = CallState::Open;
         }
-        self.versions.watch_opened(call.epoch, list.as_ref());
+        let list = self.versions.watch_opened(call.epoch, list);
         self.backoff.reset();
         if call.epoch == self.server {
             (self.overloaded, self.next_watch, self.server_change_pending_since) = (false, None, None);
@@ -370,6 +391,7 @@
         let missing = self.versions.needs_whole_list();
         self.lease.line_received(now, epoch, !missing);
         self.next_whole_list = missing.then(|| self.next_whole_list.unwrap_or(now));
+        self.restrict_to_named(now);
     }
 
     fn apply_departures(&mut self, epoch: Epoch, list: Option<EndpointList>) {
@@ -401,6 +423,9 @@
     }
 
     fn watch_call_failed(&mut self, now: Duration, call: &ActiveCall, reason: EndReason) {
+        if !matches!(reason, EndReason::NotConnected | EndReason::LocalError) {
+            self.lease.server_reached();
+        }
         self.overloaded |= reason == EndReason::Refused;
         self.any_refused |= reason == EndReason::Refused;
         let held = now.saturating_sub(call.started_at);
@@ -435,8 +460,10 @@
     fn whole_list_failed(&mut self, now: Duration, call: &ActiveCall, reason: EndReason) {
         let refused = reason == EndReason::Refused;
         self.actions.push(Action::Report(if refused { Outcome::Refused } else { Outcome::Failed }));
+        if call.epoch == self.server && !matches!(reason, EndReason::NotConnected | EndReason::LocalError) {
+            self.lease.server_reached();
+        }
         if self.versions.needs_whole_list() && call.epoch == self.versions.epoch() {
-            self.lease.whole_list_failed();
             let (took, random) = (now.saturating_sub(call.started_at), self.random_fraction());
             let wait = match reason {
                 EndReason::Refused => {
--- a/crates/discovery-client/src/lease.rs
+++ b/crates/discovery-client/src/lease.rs
@@ -2,9 +2,9 @@
 
 use crate::Epoch;
 use crate::client::{LeaseSettings, Mode};
+use crate::server_changes::ServerChanges;
 use crate::timing::{
-    LEASE_SLACK, LONGEST_OUTAGE, NOTIFIED_AFTER_SERVER_CHANGE, NOTIFIED_AFTER_WATCH_END, NOTIFIED_WITHIN,
-    STALL_ALLOWANCE,
+    LEASE_SLACK, LONGEST_OUTAGE, NOTIFIED_AFTER_WATCH_END, NOTIFIED_WITHIN, STALL_ALLOWANCE,
 };
 use curlewhub_balance::RefusalCause;
 use std::time::Duration;
@@ -88,9 +88,8 @@
     state: LeaseState,
     /// When anything was last received from discovery.
     confirmed_at: Duration,
-    /// The newest server, as long as it has not answered, and the time of the first server change since the last
-    /// answer.
-    server_change: Option<(Epoch, Duration)>,
+    /// The server changes that no whole list has completed.
+    server_changes: ServerChanges,
     last_call: Duration,
     /// Whether a watch was open at any time since the start.
     has_watched: bool,
@@ -102,13 +101,13 @@
     /// Creates the lease on the list that is known at the start.
     pub fn new(mode: Mode, settings: LeaseSettings, now: Duration) -> Self {
         let state = LeaseState::Unwatched { since: now };
-        let (server_change, has_watched, held_refusals) = Default::default();
+        let (server_changes, has_watched, held_refusals) = Default::default();
         Lease {
             mode,
             settings,
             state,
             confirmed_at: now,
-            server_change,
+            server_changes,
             last_call: now,
             has_watched,
             held_refusals,
@@ -135,31 +134,39 @@
     pub fn line_received(&mut self, now: Duration, epoch: Epoch, complete: bool) {
         (self.state, self.has_watched, self.held_refusals) = (LeaseState::Watching, true, 0);
         self.confirmed_at = now;
-        self.server_change = self.server_change.filter(|(newest, _)| *newest > epoch || !complete);
+        if complete {
+            self.server_changes.completed(epoch);
+        }
     }
 
     /// Records a whole list from the server `epoch`. Without an open watch, the time without a watch starts again.
     pub fn whole_list_received(&mut self, now: Duration, epoch: Epoch) {
         self.confirmed_at = now;
-        self.server_change = self.server_change.filter(|(newest, _)| *newest > epoch);
+        self.server_changes.completed(epoch);
         if self.state != LeaseState::Watching {
             self.state = LeaseState::Unwatched { since: now };
         }
     }
 
-    /// Records that the call for a missing whole list failed. With an open watch, the deadline of the server change no
-    /// longer applies: the watch began with the changes at that server.
-    pub fn whole_list_failed(&mut self) {
-        if self.state == LeaseState::Watching {
-            self.server_change = None;
-        }
+    /// Records the switch to the server `epoch`; `previous_answered` is whether the server before it has answered.
+    pub fn server_changed(&mut self, now: Duration, epoch: Epoch, previous_answered: bool) {
+        self.server_changes.server_named(now, epoch, previous_answered);
+        self.held_refusals = 0;
     }
 
-    /// Records the switch to the server `epoch`.
-    pub fn server_changed(&mut self, now: Duration, epoch: Epoch) {
-        let since = self.server_change.map_or(now, |(_, since)| since);
-        self.server_change = Some((epoch, since));
-        self.held_refusals = 0;
+    /// Records that a call has shown that the newest server can be reached.
+    pub fn server_reached(&mut self) {
+        self.server_changes.newest_reached();
+    }
+
+    /// The oldest server whose list is not known completely, and when it counts as notified.
+    pub fn incomplete_server_change(&self) -> Option<(Epoch, Duration)> {
+        self.server_changes.oldest().map(|change| (change.epoch, change.notified_at))
+    }
+
+    /// Records that only endpoints that the server `epoch` or a later one has named are in use.
+    pub fn restricted_to_named(&mut self, epoch: Epoch) {
+        self.server_changes.completed(epoch);
     }
 
     /// Records that the open watch was cancelled.
@@ -184,11 +191,14 @@
 
     /// Records that the list is no longer followed.
     pub fn unfollowed(&mut self) {
-        (self.state, self.server_change) = (LeaseState::NotFollowed, None);
+        (self.state, self.server_changes) = (LeaseState::NotFollowed, ServerChanges::default());
     }
 
     /// Records a failed watch call. If a change may already count as notified, the lease does not change.
     pub fn call_failed(&mut self, now: Duration, call: FailedCall) {
+        if call.reachability == Reachability::Unreachable {
+            self.server_changes.newest_unreachable(now, call.started_at);
+        }
         if self.may_have_been_notified(now) {
             return;
         }
@@ -217,7 +227,9 @@
     fn outage_start(&self, now: Duration) -> Option<Duration> {
         match self.state {
             LeaseState::Unreachable { since, .. } => Some(since),
-            LeaseState::Unwatched { .. } => Some(self.server_change.map_or(now, |(_, since)| since)),
+            LeaseState::Unwatched { .. } => {
+                Some(self.server_changes.oldest().map_or(now, |change| change.since))
+            }
             LeaseState::WatchReset { at, .. } => Some(at),
             LeaseState::Watching
             | LeaseState::WatchEnded { .. }
@@ -243,7 +255,7 @@
             // A newly named server is assumed to be available until it has held and refused more than one call.
             LeaseState::Unwatched { .. } => {
                 self.has_watched
-                    && (self.server_change.is_none() || self.held_refusals <= TOLERATED_REFUSALS)
+                    && (self.server_changes.is_empty() || self.held_refusals <= TOLERATED_REFUSALS)
             }
             LeaseState::WatchReset { .. }
             | LeaseState::WatchSilent { .. }
@@ -268,21 +280,7 @@
 
     /// When a change that was not received may first count as notified.
     fn notified_at(&self) -> Option<Duration> {
-        let by_server_change = self.server_change.map(|(_, since)| since + NOTIFIED_AFTER_SERVER_CHANGE);
-        match (self.state, by_server_change) {
-            // Discovery that could not be reached since the server change cannot have notified a change of the new
-            // server.
-            (LeaseState::Unreachable { last_call, .. }, Some(_))
-                if self.server_changed_before(last_call) =>
-            {
-                self.notified_by_state()
-            }
-            _ => self.notified_by_state().into_iter().chain(by_server_change).min(),
-        }
-    }
-
-    fn server_changed_before(&self, at: Duration) -> bool {
-        self.server_change.is_some_and(|(_, since)| since <= at)
+        self.notified_by_state().into_iter().chain(self.server_changes.notified_at()).min()
     }
 
     fn notified_by_state(&self) -> Option<Duration> {
@@ -294,7 +292,7 @@
             }
             LeaseState::Crowded { notified_at } => return Some(notified_at),
             // In push mode the deadline of the server change applies.
-            LeaseState::Unwatched { .. } if self.mode == Mode::Push && self.server_change.is_some() => {
+            LeaseState::Unwatched { .. } if self.mode == Mode::Push && !self.server_changes.is_empty() => {
                 return None;
             }
             LeaseState::Unwatched { since } => self.notified_without_watch(since),
--- a/crates/discovery-client/src/versions.rs
+++ b/crates/discovery-client/src/versions.rs
@@ -1,24 +1,36 @@
 //! Orders whole lists and changes, also across the switch from one server to another.
 
 use crate::Epoch;
-use curlewhub_config::list::{EndpointList, Target, TargetState};
+use crate::origin::Origin;
+use crate::partial_list::PartialList;
+use curlewhub_config::list::{EndpointList, TargetState};
+use std::collections::HashMap;
 
 /// The maximum number of changes kept while a whole list is missing. If there are more, the watch is started again.
 pub const PENDING_CHANGES_LIMIT: usize = 16_384;
+/// The maximum number of servers whose changes are kept while no whole list has been received.
+const MAX_PARTIAL_LISTS: usize = 8;
 
 /// The version of the current list, and the server that it is from.
 #[derive(Debug)]
 pub struct Versions {
     epoch: Epoch,
     version: u64,
-    /// While the whole list of this server is missing: the changes from its watch, with their versions.
-    pending: Option<Vec<(u64, Target)>>,
+    /// While the whole list of this server is missing: the changes from its watch, last, and before them those from
+    /// the watches on servers before it whose whole lists are missing too.
+    partial_lists: Vec<PartialList>,
+    origin: Origin,
 }
 
 impl Versions {
     /// Starts with the version of the list that is known at the start.
     pub fn new(version: u64) -> Self {
-        Versions { epoch: Epoch::default(), version, pending: None }
+        Versions { epoch: Epoch::default(), version, partial_lists: Vec::new(), origin: Origin::default() }
+    }
+
+    /// Starts with the list that is known at the start.
+    pub fn from_initial(list: &EndpointList) -> Self {
+        Versions { origin: Origin::new(list), ..Versions::new(list.rev) }
     }
 
     /// The server that the current list is from.
@@ -38,34 +50,44 @@
 
     /// Whether the whole list of the server is still missing.
     pub fn needs_whole_list(&self) -> bool {
-        self.pending.is_some()
+        !self.partial_lists.is_empty()
     }
 
     /// Records that a watch on this server is now the open one; `first` is the list in its first line, `None` if that
-    /// line was empty.
-    pub fn watch_opened(&mut self, epoch: Epoch, first: Option<&EndpointList>) {
-        if epoch > self.epoch {
+    /// line was empty. Returns the list to apply: a whole one if the changes of a new server make the list of version 0
+    /// the list of that server.
+    pub fn watch_opened(&mut self, epoch: Epoch, first: Option<EndpointList>) -> Option<EndpointList> {
+        let is_new = epoch > self.epoch;
+        let first = first.map(|list| match is_new.then(|| self.origin.with_changes(&list)).flatten() {
+            Some(whole) => whole,
+            None => list,
+        });
+        if is_new {
             (self.epoch, self.version) = (epoch, 0);
-            self.pending = Some(Vec::new());
+            self.partial_lists.push(PartialList::new(epoch));
+            if self.partial_lists.len() > MAX_PARTIAL_LISTS {
+                self.partial_lists.remove(0);
+            }
         }
-        if let Some(list) = first {
+        if let Some(list) = &first {
             self.apply_watch_line(list);
         }
+        first
     }
 
     /// Records a whole list or changes from the open watch.
     pub fn apply_watch_line(&mut self, list: &EndpointList) {
         self.version = list.rev;
         if list.is_complete {
-            self.pending = None;
-        } else if let Some(pending) = &mut self.pending {
-            pending.extend(list.targets.iter().map(|target| (list.rev, target.clone())));
+            self.partial_lists.clear();
+        } else if let Some(newest) = self.partial_lists.last_mut() {
+            newest.record(list);
         }
     }
 
     /// Whether more changes than [`PENDING_CHANGES_LIMIT`] wait for the whole list.
     pub fn pending_limit_exceeded(&self) -> bool {
-        self.pending.as_ref().is_some_and(|pending| pending.len() > PENDING_CHANGES_LIMIT)
+        self.partial_lists.iter().map(PartialList::len).sum::<usize>() > PENDING_CHANGES_LIMIT
     }
 
     /// Merges a whole list, requested when the current version was `version_at_request`, with pending changes.
@@ -80,16 +102,14 @@
             return None;
         }
         if epoch > self.epoch {
-            (self.epoch, self.version, self.pending) = (epoch, list.rev, None);
+            (self.epoch, self.version) = (epoch, list.rev);
+            self.partial_lists.clear();
             return Some(list);
         }
-        if let Some(pending) = self.pending.take() {
-            for (version, change) in pending {
-                if version > list.rev {
-                    apply_change(&mut list.targets, change);
-                }
-            }
+        if let Some(partial_list) = self.partial_lists.pop() {
+            self.partial_lists.clear();
             self.version = self.version.max(list.rev);
+            partial_list.apply_newer(&mut list);
             return Some(list);
         }
         // Changes received on the watch since the request are newer than the list. If there were none, a lower version
@@ -101,6 +121,20 @@
         Some(list)
     }
 
+    /// Returns the uids of the endpoints that the server `epoch` and later ones have named; `None` if none of them is up.
+    pub fn named_since(&self, epoch: Epoch) -> Option<Vec<String>> {
+        let mut states = HashMap::new();
+        for partial_list in self.partial_lists.iter().filter(|partial_list| partial_list.epoch >= epoch) {
+            partial_list.states(&mut states);
+        }
+        if !states.values().any(|state| *state == TargetState::Up) {
+            return None;
+        }
+        let mut uids: Vec<String> = states.into_keys().map(str::to_owned).collect();
+        uids.sort_unstable();
+        Some(uids)
+    }
+
     /// Returns the departures (draining or removed entries) of a partial list; `None` if there are none, or if the
     /// list is older than the current one.
     pub fn departures(&self, epoch: Epoch, mut list: EndpointList) -> Option<EndpointList> {
@@ -110,11 +144,3 @@
         (!old && !list.targets.is_empty()).then_some(list)
     }
 }
-
-/// Replaces the entry of an endpoint by its change.
-fn apply_change(targets: &mut Vec<Target>, change: Target) {
-    targets.retain(|target| target.uid != change.uid);
-    if change.state != TargetState::Removed {
-        targets.push(change);
-    }
-}
--- a/crates/discovery-client/tests/lease.rs
+++ b/crates/discovery-client/tests/lease.rs
@@ -1,6 +1,6 @@
 //! How long the current list may be used, for each way in which its watch can end.
 
-use curlewhub_config::list::EndpointList;
+use curlewhub_config::list::{EndpointList, Target, TargetState};
 use curlewhub_discovery_client::timing::{LONGEST_OUTAGE, NOTIFIED_WITHIN};
 use curlewhub_discovery_client::{
     Action, CallId, CallKind, Client, EndReason, LeaseSettings, LeaseState, Mode,
@@ -27,6 +27,41 @@
     EndpointList { rev, is_complete: true, targets: Vec::new() }
 }
 
+fn entry(uid: &str, state: TargetState) -> Target {
+    Target {
+        uid: uid.to_owned(),
+        endpoint: "127.0.0.1:7070".parse().unwrap(),
+        az: String::new(),
+        model: String::new(),
+        pod_group: 0,
+        state,
+        capacity_hint: 1.0,
+        boot_ms: 0.0,
+    }
+}
+
+/// Changes that name these endpoints as up.
+fn naming(rev: u64, uids: &[&str]) -> EndpointList {
+    let targets = uids.iter().map(|uid| entry(uid, TargetState::Up)).collect();
+    EndpointList { rev, is_complete: false, targets }
+}
+
+/// A change that names this endpoint as draining.
+fn leaving(rev: u64, uid: &str) -> EndpointList {
+    EndpointList { rev, is_complete: false, targets: vec![entry(uid, TargetState::Draining)] }
+}
+
+/// Lets the time pass, and returns the restrictions to named endpoints.
+fn restrictions(client: &mut Client, now: Duration) -> Vec<Vec<String>> {
+    client.take_actions();
+    client.timer(now);
+    let restricted = client.take_actions().into_iter().filter_map(|action| match action {
+        Action::Restrict(uids) => Some(uids),
+        _ => None,
+    });
+    restricted.collect()
+}
+
 /// Returns the numbers and kinds of the calls that were started.
 fn calls(client: &mut Client) -> Vec<(CallId, CallKind)> {
     let started = client.take_actions().into_iter().filter_map(|action| match action {
@@ -231,21 +266,20 @@
 
 #[test]
 fn a_new_server_s_watch_that_begins_with_changes_still_needs_the_whole_list() {
-    let (mut client, _) = watching(Mode::Ask);
-    client.server_changed(seconds(5.0));
-    let watch = one_call(&mut client);
-    // None of its versions is known, so an empty line confirms nothing.
-    client.watch_line(seconds(5.1), watch, None);
-    assert!(client.lease().expires_at().is_some());
-    client.watch_line(seconds(5.2), watch, Some(changes(9)));
-    assert!(client.lease().expires_at().is_some(), "the rest of the list is not known yet");
-    client.take_actions();
-    client.timer(client.next_timer().expect("the whole list is due"));
-    let started = calls(&mut client);
-    assert!(matches!(started[..], [(_, CallKind::WholeList)]), "{started:?}");
-    client.whole_list(seconds(5.5), started[0].0, whole(9));
-    assert_eq!(client.lease().expires_at(), None);
-    assert_eq!(client.version(), 9);
+    for mode in [Mode::Ask, Mode::Push] {
+        let (mut client, _) = watching(mode);
+        client.server_changed(seconds(5.0));
+        let watch = one_call(&mut client);
+        // None of its versions is known, so an empty line confirms nothing.
+        client.watch_line(seconds(7.8), watch, None);
+        assert!(client.lease().expires_at().is_some(), "{mode:?}");
+        client.watch_line(seconds(7.9), watch, Some(changes(9)));
+        assert!(client.lease().expires_at().is_some(), "{mode:?}: the rest of the list is not known yet");
+        let (_, whole_list) = next_call(&mut client);
+        client.whole_list(seconds(8.0), whole_list, whole(9));
+        assert_eq!(client.lease().expires_at(), None, "{mode:?}");
+        assert_eq!(client.version(), 9, "{mode:?}");
+    }
 }
 
 /// Discovery has ended the watch itself, so it is available, and refusals mean that it has too many callers.
@@ -350,17 +384,145 @@
     }
 }
 
-/// Guards against a fleet that switches to another server and queues all requests until each sidecar has received a
-/// whole list in addition to its watch.
+/// Guards against endpoints that only the server before had named, and against a fleet that switches to another server
+/// and queues all requests until each sidecar has received a whole list in addition to its watch.
 #[test]
-fn a_refused_whole_list_does_not_bound_the_lease_while_the_new_server_s_watch_is_open() {
-    let (mut client, _) = watching(Mode::Ask);
+fn while_a_new_server_refuses_its_whole_list_the_endpoints_that_it_has_named_stay_in_use() {
+    for mode in [Mode::Ask, Mode::Push] {
+        for refused_after in [0.01_f64, 3.0] {
+            let (mut client, _) = watching(mode);
+            client.server_changed(seconds(5.0));
+            let watch = one_call(&mut client);
+            client.watch_line(seconds(7.8), watch, Some(naming(9, &["b", "a"])));
+            let bound = Some(seconds(9.0) + ALLOWANCE);
+            let (_, whole_list) = next_call(&mut client);
+            client.call_ended(seconds(7.8 + refused_after.min(1.1)), whole_list, EndReason::Refused);
+            assert_eq!(client.lease().expires_at(), bound, "{mode:?}: a refusal confirms nothing");
+            assert_eq!(restrictions(&mut client, seconds(8.99)), Vec::<Vec<String>>::new(), "{mode:?}");
+            assert_eq!(
+                restrictions(&mut client, seconds(9.0)),
+                [["a", "b"]],
+                "{mode:?}: as it counts as notified"
+            );
+            assert_eq!(
+                client.lease().expires_at(),
+                None,
+                "{mode:?}: the server has confirmed what is in use"
+            );
+            // For as long as the whole list is refused.
+            while client.next_timer().is_some_and(|at| at < seconds(200.0)) {
+                let (at, whole_list) = next_call(&mut client);
+                client.call_ended(at + seconds(refused_after), whole_list, EndReason::Refused);
+                assert_eq!(client.lease().expires_at(), None, "{mode:?}, {at:?}");
+            }
+            assert!(client.next_timer().is_some(), "{mode:?}: it is requested again");
+        }
+    }
+}
+
+/// Guards against the use of endpoints that nothing from the new server covers.
+#[test]
+fn a_new_server_that_names_no_endpoint_leaves_none_in_use() {
+    for first in [changes(9), leaving(9, "a")] {
+        let (mut client, _) = watching(Mode::Push);
+        client.server_changed(seconds(5.0));
+        let watch = one_call(&mut client);
+        client.watch_line(seconds(7.8), watch, Some(first));
+        let bound = Some(seconds(9.0) + ALLOWANCE);
+        while client.next_timer().is_some_and(|at| at < seconds(60.0)) {
+            let (at, whole_list) = next_call(&mut client);
+            client.call_ended(at + seconds(2.0), whole_list, EndReason::Refused);
+            assert_eq!(client.lease().expires_at(), bound, "{at:?}");
+        }
+        // A change that names an endpoint takes this one into use at once, and no other.
+        client.take_actions();
+        client.watch_line(seconds(60.0), watch, Some(naming(10, &["b"])));
+        let restricted = client.take_actions().into_iter().any(|action| match action {
+            Action::Restrict(uids) => uids.contains(&"b".to_owned()),
+            _ => false,
+        });
+        assert!(restricted);
+        assert_eq!(client.lease().expires_at(), None);
+    }
+}
+
+/// Guards against a deadline of the first server that also ends what the second one has named, and the reverse.
+#[test]
+fn after_several_server_changes_each_deadline_covers_the_endpoints_of_the_servers_before_it() {
+    let (mut client, _) = watching(Mode::Push);
     client.server_changed(seconds(5.0));
     let watch = one_call(&mut client);
-    client.watch_line(seconds(5.2), watch, Some(changes(9)));
-    assert!(client.lease().expires_at().is_some());
-    let (at, whole_list) = next_call(&mut client);
-    client.call_ended(at + seconds(0.01), whole_list, EndReason::Refused);
+    client.watch_line(seconds(5.1), watch, Some(naming(9, &["a", "b"])));
+    client.server_changed(seconds(7.0));
+    let watch = one_call(&mut client);
+    assert_eq!(restrictions(&mut client, seconds(9.0)), [["a", "b"]], "the first server has named them");
+    assert_eq!(client.lease().expires_at(), Some(seconds(11.0) + ALLOWANCE), "the second one has not");
+    client.watch_line(seconds(9.5), watch, Some(naming(2, &["b"])));
+    client.timer(seconds(9.5));
+    let whole_list = one_call(&mut client);
+    assert_eq!(restrictions(&mut client, seconds(11.0)), [["b"]]);
+    assert_eq!(client.lease().expires_at(), None);
+    client.whole_list(seconds(12.0), whole_list, whole(2));
     assert_eq!(client.lease().expires_at(), None);
-    assert!(client.next_timer().is_some_and(|next| next > at), "it is requested again");
+    assert!(!client.needs_whole_list());
+}
+
+/// Ends each call in the same way after `took` for 50 s, and returns when the list could be used, in steps of 10 ms.
+fn used_while_calls_fail(
+    client: &mut Client,
+    from: Duration,
+    took: Duration,
+    reason: EndReason,
+) -> Vec<Duration> {
+    let (mut active, mut used) = (Vec::new(), Vec::new());
+    for step in 0..5000 {
+        let now = from + Duration::from_millis(10 * step);
+        if client.next_timer().is_some_and(|at| at <= now) {
+            client.timer(now);
+        }
+        active.extend(calls(client).into_iter().map(|(id, _)| (now + took, id)));
+        for (_, id) in active.extract_if(.., |(at, _)| *at <= now) {
+            client.call_ended(now, id, reason);
+        }
+        if client.lease().expires_at().is_none_or(|expires| now < expires) {
+            used.push(now);
+        }
+    }
+    used
+}
+
+/// Guards against a server that holds calls, and so may have been available, being taken for unreachable.
+#[test]
+fn calls_that_a_new_server_holds_do_not_extend_the_deadline_of_its_change() {
+    for mode in [Mode::Ask, Mode::Push] {
+        for reason in [EndReason::Refused, EndReason::NoResponse, EndReason::Failed] {
+            for took in [0.01, 1.2, 2.0, 3.2] {
+                let (mut client, _) = watching(mode);
+                client.server_changed(seconds(5.0));
+                let used = used_while_calls_fail(&mut client, seconds(5.0), seconds(took), reason);
+                let last = used.last().copied();
+                let bound = seconds(9.0) + ALLOWANCE;
+                assert!(last.is_some_and(|last| last < bound), "{mode:?}, {reason:?}, {took}: {last:?}");
+            }
+        }
+    }
+}
+
+/// Guards against a sidecar that stops serving because its new discovery server is down.
+#[test]
+fn a_new_server_that_cannot_be_reached_extends_the_deadline_of_its_change_until_a_call_reaches_it() {
+    for mode in [Mode::Ask, Mode::Push] {
+        let (mut client, _) = watching(mode);
+        client.server_changed(seconds(5.0));
+        let failing = EndReason::NotConnected;
+        let used = used_while_calls_fail(&mut client, seconds(5.0), seconds(0.01), failing);
+        assert_eq!(used.len(), 5000, "{mode:?}: it is down all the time");
+        // It holds calls, and is down again after that.
+        let latest = client.lease().expires_at().expect("a bound");
+        let refused = used_while_calls_fail(&mut client, seconds(55.0), seconds(2.0), EndReason::Refused);
+        let used = used_while_calls_fail(&mut client, seconds(105.0), seconds(0.01), failing);
+        let last = refused.last().copied();
+        assert!(used.is_empty(), "{mode:?}: {:?}", used.first());
+        assert!(last.is_some_and(|last| last < latest), "{mode:?}: {last:?}, {latest:?}");
+    }
 }
--- a/crates/discovery-client/tests/notified_changes.rs
+++ b/crates/discovery-client/tests/notified_changes.rs
@@ -58,7 +58,7 @@
     fn new(seed: u64) -> Self {
         let rules = LeaseSettings { ask_within: Duration::from_secs(10), drain_grace: GRACE };
         let mut client = Client::new(Mode::Ask, rules, seed, Duration::ZERO);
-        client.set_initial_version(1);
+        client.set_initial_list(&EndpointList { rev: 1, is_complete: true, targets: Vec::new() });
         client.follow(Duration::ZERO);
         History {
             client,
@@ -209,6 +209,7 @@
                     });
                 }
                 Action::Cancel(id) => self.calls.retain(|call| call.id != id),
+                Action::Restrict(_) => unreachable!("all lists are whole"),
                 Action::Apply(_) | Action::Unchanged | Action::Report(_) => {}
             }
         }
--- a/crates/model/src/list_notification.rs
+++ b/crates/model/src/list_notification.rs
@@ -287,7 +287,7 @@
                     sidecar.waiting.remove(&id);
                     sidecar.watch = sidecar.watch.filter(|watch| *watch != id);
                 }
-                Action::Apply(_) | Action::Unchanged | Action::Report(_) => {}
+                Action::Apply(_) | Action::Restrict(_) | Action::Unchanged | Action::Report(_) => {}
             }
         }
         self.sidecars[number].account(now);
--- a/crates/runtime/src/discovery/mod.rs
+++ b/crates/runtime/src/discovery/mod.rs
@@ -81,7 +81,7 @@
 
     /// Translates the cached list that the process starts with.
     pub fn cached(&self, list: EndpointList) -> ListUpdate {
-        self.client.borrow_mut().set_initial_version(list.rev);
+        self.client.borrow_mut().set_initial_list(&list);
         let mut update = self.listing.update(list);
         if let Membership::Full(entries) | Membership::Delta(entries) = update.membership {
             update.membership = Membership::Cached(entries);
@@ -167,6 +167,7 @@
                 }
                 Action::Cancel(id) => drop(running.remove(&id)),
                 Action::Apply(list) => self.send_update(list),
+                Action::Restrict(uids) => self.send_restriction(&uids),
                 Action::Unchanged => self.send_membership(Membership::Delta(Vec::new())),
                 Action::Report(Outcome::Failed) => self.send_membership(Membership::Failed),
                 Action::Report(Outcome::Refused) => self.send_membership(Membership::Refused),
@@ -182,6 +183,11 @@
         let _ = self.inbox.send(Input::ListUpdate(update)); // fails only while the process ends
     }
 
+    fn send_restriction(&self, uids: &[String]) {
+        info!(entries = uids.len(), "list restricted to what the new server has named");
+        let _ = self.inbox.send(Input::ListUpdate(self.listing.restriction(uids))); // fails only while the process ends
+    }
+
     fn send_membership(&self, membership: Membership) {
         let _ = self.inbox.send(Input::ListUpdate(ListUpdate { membership, addresses: Vec::new() }));
     }
--- a/crates/runtime/src/driver.rs
+++ b/crates/runtime/src/driver.rs
@@ -110,6 +110,8 @@
     banned: HashSet<EndpointId>,
     /// Endpoints that are listed as draining.
     draining: HashSet<EndpointId>,
+    /// Endpoints that are listed, and out of use until discovery names them again.
+    unconfirmed: HashSet<EndpointId>,
     /// The status of the list; none for a static list.
     list_status: Option<ListStatus>,
     /// Division of the overlap quota with another process.
@@ -150,6 +152,7 @@
             zone_probes: 0,
             banned: HashSet::new(),
             draining: HashSet::new(),
+            unconfirmed: HashSet::new(),
             list_status: None,
             overlap: Overlap::default(),
             list_commands,
@@ -297,10 +300,11 @@
         self.handle_event(Event::Ban { endpoint: id, banned });
     }
 
-    /// Admits new requests to an endpoint if it is listed, not draining and not banned; otherwise forbids
-    /// them.
+    /// Admits new requests to an endpoint if it is listed and confirmed, not draining and not banned;
+    /// otherwise forbids them.
     fn update_admission(&self, id: EndpointId) {
-        let admitted = !self.banned.contains(&id) && !self.draining.contains(&id);
+        let out_of_use = [&self.banned, &self.draining, &self.unconfirmed];
+        let admitted = !out_of_use.iter().any(|ids| ids.contains(&id));
         self.outbound.set_admitted(id, self.addresses.get(&id).copied().filter(|_| admitted));
     }
 
--- a/crates/runtime/src/driver/list.rs
+++ b/crates/runtime/src/driver/list.rs
@@ -48,8 +48,13 @@
             Membership::Failed | Membership::Refused => {
                 return self.handle_event(Event::Membership(update.membership));
             }
+            Membership::Restrict(named) => {
+                self.restrict_endpoints(&named.iter().copied().collect());
+                return self.handle_event(Event::Membership(update.membership));
+            }
         };
         for entry in entries {
+            self.unconfirmed.remove(&entry.id);
             match entry.state {
                 EndpointState::Draining => self.draining.insert(entry.id),
                 EndpointState::Ready | EndpointState::Gone => self.draining.remove(&entry.id),
@@ -77,12 +82,23 @@
                 stays
             });
             self.draining.retain(|id| listed.contains(id));
+            self.unconfirmed.retain(|id| listed.contains(id));
         }
         updated.into_iter().for_each(|id| self.update_admission(id));
         self.listing.retain(|id| self.addresses.contains_key(&id) || self.banned.contains(&id));
         self.handle_event(Event::Membership(update.membership));
     }
 
+    /// Takes all endpoints except these out of use until they are named again.
+    fn restrict_endpoints(&mut self, named: &HashSet<EndpointId>) {
+        self.unconfirmed = self.addresses.keys().copied().filter(|id| !named.contains(id)).collect();
+        for id in &self.unconfirmed {
+            info!(endpoint = self.listing.uid(*id), state = "unconfirmed", "endpoint leaves");
+            self.outbound.close_idle(*id);
+            self.update_admission(*id);
+        }
+    }
+
     /// Applies a new status of the list. After the list has expired, no endpoint is chosen from it and no
     /// request is written on its basis.
     pub(super) fn apply_list_status(&mut self, status: ListStatus) {
--- a/crates/runtime/src/driver/probes.rs
+++ b/crates/runtime/src/driver/probes.rs
@@ -10,7 +10,8 @@
 impl Driver {
     /// Probes an endpoint for the balancer.
     pub(super) fn probe(&mut self, endpoint: EndpointId) {
-        let address = self.addresses.get(&endpoint).filter(|_| !self.banned.contains(&endpoint));
+        let out_of_use = self.banned.contains(&endpoint) || self.unconfirmed.contains(&endpoint);
+        let address = self.addresses.get(&endpoint).filter(|_| !out_of_use);
         let Some(&address) = address else {
             let (outcome, elapsed, report) = (Outcome::ConnectFailed, Duration::ZERO, None);
             return self.pending_events.push_back(Event::ProbeEnded { endpoint, outcome, elapsed, report });
@@ -26,6 +27,7 @@
     pub(super) fn probe_zone(&mut self, zone: ZoneId, count: u32, within: Duration) {
         let usable = |id: &EndpointId| {
             !self.banned.contains(id)
+                && !self.unconfirmed.contains(id)
                 && self.balancer.location(*id).is_some_and(|(its_zone, _)| its_zone == zone)
         };
         let mut candidates: Vec<EndpointId> = self.addresses.keys().copied().filter(usable).collect();
