Take a missing whole list from a second watch call, and make no third beside the open watch

And a whole list on the first line of a call that is not needed was used for its departures alone, although the whole list was missing and was being refused.

`watch_call_failed` returns if the other call has opened, and `apply_redundant_line` takes a whole list that is missing.

--- a/crates/discovery-client/src/client.rs
+++ b/crates/discovery-client/src/client.rs
@@ -245,10 +245,10 @@
             // An empty line confirms nothing if no version of the list of that server is known.
             CallState::Pending if list.is_none() && call.epoch > self.versions.epoch() => {}
             CallState::Pending if self.becomes_open_watch(&call) => self.watch_opened(now, at, list),
-            // The other of two watch calls has opened first. Departures in this line count as notified all the same.
+            // The other of two watch calls has opened first. What this line says counts as notified all the same.
             CallState::Pending => {
-                self.apply_departures(call.epoch, list);
                 self.cancel(at);
+                self.apply_redundant_line(now, &call, list);
             }
             // The current list is from a newer server, and the versions on this watch are of an older one.
             CallState::Open if call.epoch < self.versions.epoch() => self.cancel(at),
@@ -267,11 +267,24 @@
         }
     }
 
+    /// Applies the first line of a watch that is not needed: a whole list if that is missing, or else departures alone.
+    fn apply_redundant_line(&mut self, now: Duration, call: &ActiveCall, list: Option<EndpointList>) {
+        let is_missing = self.versions.needs_whole_list() && call.epoch == self.versions.epoch();
+        match list {
+            Some(list) if list.is_complete && is_missing => self.apply_whole_list(now, call, list),
+            list => self.apply_departures(call.epoch, list),
+        }
+    }
+
     /// Handles the answer to a call for a whole list.
     pub fn whole_list(&mut self, now: Duration, id: CallId, list: EndpointList) {
         let Some(at) = self.calls.iter().position(|call| call.id == id) else { return };
         let call = self.calls.swap_remove(at);
         self.overloaded &= call.epoch != self.server;
+        self.apply_whole_list(now, &call, list);
+    }
+
+    fn apply_whole_list(&mut self, now: Duration, call: &ActiveCall, list: EndpointList) {
         match self.versions.merge_whole_list(call.epoch, call.version_at_start, list) {
             Some(list) => {
                 self.lease.whole_list_received(now, call.epoch);
@@ -423,6 +436,9 @@
     }
 
     fn watch_call_failed(&mut self, now: Duration, call: &ActiveCall, reason: EndReason) {
+        if self.open_watch().is_some_and(|open| open.epoch == call.epoch) {
+            return; // the other of two watch calls has opened
+        }
         if !matches!(reason, EndReason::NotConnected | EndReason::LocalError) {
             self.lease.server_reached();
         }
--- a/crates/discovery-client/tests/lease.rs
+++ b/crates/discovery-client/tests/lease.rs
@@ -526,3 +526,27 @@
         assert!(last.is_some_and(|last| last < latest), "{mode:?}: {last:?}, {latest:?}");
     }
 }
+
+/// Guards against calls that a crowded server answers in vain: a second watch call beside the open watch, and a whole
+/// list on it that is discarded although it is missing.
+#[test]
+fn a_second_watch_call_is_used_for_the_missing_whole_list_and_not_repeated() {
+    let second_call = |client: &mut Client| {
+        client.server_changed(seconds(5.0));
+        let first = one_call(client);
+        let (at, second) = next_call(client);
+        client.watch_line(at, second, Some(naming(9, &["a"])));
+        (at, first)
+    };
+    let (mut client, _) = watching(Mode::Ask);
+    let (at, first) = second_call(&mut client);
+    client.watch_line(at, first, Some(whole(9)));
+    assert!(!client.needs_whole_list());
+    assert_eq!(client.lease().expires_at(), None);
+    let (mut client, _) = watching(Mode::Ask);
+    let (at, first) = second_call(&mut client);
+    client.call_ended(at, first, EndReason::NoResponse);
+    client.timer(at + seconds(1.0));
+    let started = calls(&mut client);
+    assert!(matches!(started[..], [(_, CallKind::WholeList)]), "the watch is open: {started:?}");
+}
