Keep the bound of an expired list when a new server's watch opens

The state of the server before (its watch ended, a change counted as notified 2 s later) gave way to `Watching`, and the deadline of the server change started anew at the move.

The deadline of a server change is now no later than the bound that the list had when the server was named (`ServerChanges::server_named`). What the new server names is in use at once where that bound has passed.

--- a/crates/discovery-client/src/lease.rs
+++ b/crates/discovery-client/src/lease.rs
@@ -150,7 +150,8 @@
 
     /// Records the switch to the server `epoch`; `previous_answered` is whether the server before it has answered.
     pub fn server_changed(&mut self, now: Duration, epoch: Epoch, previous_answered: bool) {
-        self.server_changes.server_named(now, epoch, previous_answered);
+        let current_bound = self.notified_by_state();
+        self.server_changes.server_named(now, epoch, previous_answered, current_bound);
         self.held_refusals = 0;
     }
 
--- a/crates/discovery-client/src/server_changes.rs
+++ b/crates/discovery-client/src/server_changes.rs
@@ -28,9 +28,18 @@
 
 impl ServerChanges {
     /// Records that a configuration names the server `epoch`. `previous_answered` is whether the server named before has
-    /// answered. If it has not, its deadline goes on: what it would have told counts as notified by then.
-    pub fn server_named(&mut self, now: Duration, epoch: Epoch, previous_answered: bool) {
-        let notified_at = now + NOTIFIED_AFTER_SERVER_CHANGE;
+    /// answered. If it has not, its deadline goes on: what it would have told counts as notified by then. So does
+    /// `current_bound`, when a change of the current list may count as notified: the new server's answer covers only what
+    /// it names.
+    pub fn server_named(
+        &mut self,
+        now: Duration,
+        epoch: Epoch,
+        previous_answered: bool,
+        current_bound: Option<Duration>,
+    ) {
+        let deadline = now + NOTIFIED_AFTER_SERVER_CHANGE;
+        let notified_at = current_bound.map_or(deadline, |bound| bound.min(deadline));
         match self.incomplete.last_mut().filter(|_| !previous_answered) {
             Some(unanswered) => {
                 (unanswered.epoch, unanswered.was_reached) = (epoch, false);
--- a/crates/discovery-client/tests/lease.rs
+++ b/crates/discovery-client/tests/lease.rs
@@ -527,6 +527,38 @@
     }
 }
 
+/// Guards against an expired list that a server change takes into use again: the new server's watch opens, and covers
+/// only what it names.
+#[test]
+fn a_server_change_does_not_renew_a_lease_that_expires_earlier() {
+    for (mode, notified_at) in [(Mode::Ask, 7.0), (Mode::Push, 5.0)] {
+        for moved_at in [6.0, 8.0] {
+            let (mut client, watch) = watching(mode);
+            client.watch_line(seconds(5.0), watch, None);
+            client.call_ended(seconds(5.0), watch, EndReason::Failed);
+            let bound = Some(seconds(notified_at) + ALLOWANCE);
+            assert_eq!(client.lease().expires_at(), bound, "{mode:?}");
+            client.server_changed(seconds(moved_at));
+            assert_eq!(
+                client.lease().expires_at(),
+                bound,
+                "{mode:?}, {moved_at}: the new server has not answered"
+            );
+            let watch = one_call(&mut client);
+            client.watch_line(seconds(moved_at + 0.1), watch, Some(changes(9)));
+            assert_eq!(
+                client.lease().expires_at(),
+                bound,
+                "{mode:?}, {moved_at}: it has named no endpoint"
+            );
+            client.take_actions();
+            client.watch_line(seconds(moved_at + 0.2), watch, Some(naming(10, &["a"])));
+            let restricted = restrictions(&mut client, seconds(notified_at.max(moved_at + 0.2)));
+            assert!(client.lease().expires_at().is_none(), "{mode:?}, {moved_at}: {restricted:?}");
+        }
+    }
+}
+
 /// Guards against calls that a crowded server answers in vain: a second watch call beside the open watch, and a whole
 /// list on it that is discarded although it is missing.
 #[test]
