Bound a list whose server restarts its numbering, and one that is no longer followed

A watch that opens anew at the same server ends the bound of the list, as its first line holds what changed since. Where that line is at a lower version than it was asked to continue, the server has lost count, and the line covers only what it names. The whole list counts as missing then, the bound goes on, and behind it only named endpoints are used.

`unfollow` dropped every bound (`NotFollowed`). The state is gone: a list that is not followed is one without a watch.

--- a/crates/discovery-client/src/client.rs
+++ b/crates/discovery-client/src/client.rs
@@ -195,13 +195,13 @@
     }
 
     /// Stops following the list.
-    pub fn unfollow(&mut self) {
+    pub fn unfollow(&mut self, now: Duration) {
         self.following = false;
         (self.next_watch, self.next_whole_list) = (None, None);
         for call in std::mem::take(&mut self.calls) {
             self.actions.push(Action::Cancel(call.id));
         }
-        self.lease.unfollowed();
+        self.lease.watch_cancelled(now);
         self.actions.push(Action::Unchanged);
     }
 
@@ -389,6 +389,10 @@
         for active in self.calls.iter_mut().filter(|active| active.id == call.id) {
             active.state = CallState::Open;
         }
+        if self.versions.restarts_numbering(call.epoch, list.as_ref()) {
+            self.versions.numbering_restarted();
+            self.lease.numbering_restarted(now, call.epoch);
+        }
         let list = self.versions.watch_opened(call.epoch, list);
         self.backoff.reset();
         if call.epoch == self.server {
--- a/crates/discovery-client/src/lease.rs
+++ b/crates/discovery-client/src/lease.rs
@@ -12,8 +12,8 @@
 /// How many calls a newly named server may hold and then refuse before that counts as a sign of an outage.
 const TOLERATED_REFUSALS: u32 = 1;
 
-/// Whether changes of the list reach this process, and why not. Every state except the first and the last limits how
-/// long the list may be used. Log lines show the names of the variants and their fields.
+/// Whether changes of the list reach this process, and why not. Every state except the first limits how long the list may
+/// be used. Log lines show the names of the variants and their fields.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum LeaseState {
     /// A watch is open, and changes are notified as they are written.
@@ -52,8 +52,6 @@
         /// When a change made in the meantime may first count as notified.
         notified_at: Duration,
     },
-    /// The list is not followed, and the current one stays in use.
-    NotFollowed,
 }
 
 /// What a failed call shows about whether discovery can be reached.
@@ -170,7 +168,15 @@
         self.server_changes.completed(epoch);
     }
 
-    /// Records that the open watch was cancelled.
+    /// Records that the server `epoch` has begun its watch with changes after a version that it does not have yet: it has
+    /// restarted its numbering, and the list is confirmed only as far as it names endpoints. The bound of the list goes on.
+    pub fn numbering_restarted(&mut self, now: Duration, epoch: Epoch) {
+        let deadline = now + NOTIFIED_WITHIN;
+        let notified_at = self.notified_by_state().map_or(deadline, |bound| bound.min(deadline));
+        self.server_changes.list_lost(now, epoch, notified_at);
+    }
+
+    /// Records that the open watch was cancelled, or that the list is no longer followed.
     pub fn watch_cancelled(&mut self, now: Duration) {
         self.state = LeaseState::Unwatched { since: now };
     }
@@ -190,11 +196,6 @@
         self.state = LeaseState::WatchSilent { last_line: self.confirmed_at };
     }
 
-    /// Records that the list is no longer followed.
-    pub fn unfollowed(&mut self) {
-        (self.state, self.server_changes) = (LeaseState::NotFollowed, ServerChanges::default());
-    }
-
     /// Records a failed watch call. If a change may already count as notified, the lease does not change.
     pub fn call_failed(&mut self, now: Duration, call: FailedCall) {
         if call.reachability == Reachability::Unreachable {
@@ -235,8 +236,7 @@
             LeaseState::Watching
             | LeaseState::WatchEnded { .. }
             | LeaseState::WatchSilent { .. }
-            | LeaseState::Crowded { .. }
-            | LeaseState::NotFollowed => None,
+            | LeaseState::Crowded { .. } => None,
         }
     }
 
@@ -260,8 +260,7 @@
             }
             LeaseState::WatchReset { .. }
             | LeaseState::WatchSilent { .. }
-            | LeaseState::Unreachable { .. }
-            | LeaseState::NotFollowed => false,
+            | LeaseState::Unreachable { .. } => false,
         }
     }
 
@@ -287,7 +286,7 @@
     fn notified_by_state(&self) -> Option<Duration> {
         let latest = self.confirmed_at + NOTIFIED_WITHIN;
         let by_watch = match self.state {
-            LeaseState::Watching | LeaseState::NotFollowed => return None,
+            LeaseState::Watching => return None,
             LeaseState::Unreachable { since, last_call } => {
                 return Some(earliest_recovery(since, last_call) + NOTIFIED_WITHIN);
             }
--- a/crates/runtime/src/discovery/mod.rs
+++ b/crates/runtime/src/discovery/mod.rs
@@ -122,7 +122,7 @@
         let (mut client, now) = (self.client.borrow_mut(), self.now());
         match command {
             ListCommand::Watch(true) => client.follow(now),
-            ListCommand::Watch(false) => client.unfollow(),
+            ListCommand::Watch(false) => client.unfollow(now),
             ListCommand::ReplaceTargets(_) => {} // a list in the file is only used at the start
             ListCommand::Fetch => client.fetch(now),
             ListCommand::SetAddress(address) => {
