Hand over which endpoints the predecessor's list allows to be used

The handover passed bans, learned state and quotas, and nothing of the list.

A successor that has not heard of discovery when it becomes ready asks its predecessor (`LIST`), which answers with the uids that its list allows to be used (`LISTED`); others are out of use until discovery names them (`Membership::Restrict`). A predecessor of an earlier build does not answer, and the successor goes on as before after 0.25 s; an earlier successor does not ask.

--- a/crates/curlewhub/src/serve.rs
+++ b/crates/curlewhub/src/serve.rs
@@ -220,10 +220,23 @@
 }
 
 impl Startup {
+    /// If discovery has not been heard, endpoints that the predecessor was notified are leaving must not be used by the list
+    /// of the start.
+    async fn restrict_stale_list(&self) {
+        if self.list_source.discovery.as_ref().is_none_or(|discovery| discovery.is_fresh()) {
+            return;
+        }
+        if let Some(uids) = self.handover.request_usable_endpoints().await {
+            let command = ListCommand::RestrictInitialList(uids);
+            let _ = self.list_source.list_commands.send(command); // fails only while the process ends
+        }
+    }
+
     /// Makes the process ready, and then serves handovers to successors. Does not return.
     async fn run(&self, has_predecessor: bool) {
         if has_predecessor {
             self.list_source.wait_for_fresh_list().await;
+            self.restrict_stale_list().await;
         }
         // As late as possible, so that the predecessor's state is recent; this process has not learned
         // anything yet.
--- a/crates/curlewhub/tests/handover.rs
+++ b/crates/curlewhub/tests/handover.rs
@@ -5,6 +5,7 @@
 
 use serde_json::{Value, json};
 use std::os::unix::net::UnixListener;
+use support::crowded_discovery::{CallResult, CrowdedDiscovery, FirstLine};
 use support::discovery::Discovery;
 use support::*;
 
@@ -141,3 +142,40 @@
     wait_for("its yes", || next.call("PING") == "YES\n");
     assert_eq!(next.metric("hosts_listed"), 2);
 }
+
+/// Guards against a successor that starts while discovery is down, and sends to endpoints whose drain its predecessor was
+/// notified of, because it has only the list of its configuration.
+#[test]
+fn a_successor_without_discovery_uses_no_endpoint_that_its_predecessor_knew_to_drain() {
+    let peers = [Peer::serving("ok"), Peer::serving("ok"), Peer::serving("ok")];
+    let mut config = config_with_operator(&peers.each_ref());
+    let entries: Vec<Value> = config["known"]["targets"].as_array().unwrap().clone();
+    let discovery = CrowdedDiscovery::start(entries, FirstLine::WholeList);
+    config["discovery"] = json!(discovery.address.to_string());
+    config["settings"]["rules"]["askWithinMs"] = json!(10000.0);
+    let mut old = Sidecar::start(&config);
+    old.wait_for_log("discovery watch opened");
+    let leaving = [target("s-0", peers[0].address, "draining"), target("s-1", peers[1].address, "removed")];
+    discovery.send_changes(2, &leaving);
+    wait_for("both to leave", || old.log().matches("endpoint leaves").count() == 2);
+    // Discovery goes down.
+    discovery.set_watch_calls(CallResult::Reset);
+    discovery.set_whole_list_calls(CallResult::Reset);
+    let next = old.successor(&config);
+    wait_for("the successor's yes", || next.call("PING") == "YES\n");
+    old.signal("-TERM");
+    assert!(old.wait_for_exit().success());
+    let before = peers.each_ref().map(Peer::request_count);
+    for number in 0..40 {
+        assert_eq!(next.send_request("quote", &format!("r{number}")).status(), 200);
+    }
+    let after = peers.each_ref().map(Peer::request_count);
+    assert_eq!(after[..2], before[..2], "requests to endpoints that have left");
+    // Once discovery is back, its whole list decides.
+    discovery.set_watch_calls(CallResult::Answered);
+    discovery.set_whole_list_calls(CallResult::Answered);
+    wait_for("the use of all that it lists", || {
+        next.send_request("quote", "again");
+        peers.iter().all(|peer| peer.request_count() > 0)
+    });
+}
--- a/crates/runtime/src/discovery/mod.rs
+++ b/crates/runtime/src/discovery/mod.rs
@@ -125,6 +125,8 @@
             ListCommand::Watch(false) => client.unfollow(now),
             ListCommand::ReplaceTargets(_) => {} // a list in the file is only used at the start
             ListCommand::Fetch => client.fetch(now),
+            ListCommand::RestrictInitialList(uids) if !self.is_fresh() => self.send_restriction(&uids),
+            ListCommand::RestrictInitialList(_) => {}
             ListCommand::SetAddress(address) => {
                 self.address.set(address);
                 client.server_changed(now);
@@ -184,7 +186,7 @@
     }
 
     fn send_restriction(&self, uids: &[String]) {
-        info!(entries = uids.len(), "list restricted to what the new server has named");
+        info!(entries = uids.len(), "list restricted");
         let _ = self.inbox.send(Input::ListUpdate(self.listing.restriction(uids))); // fails only while the process ends
     }
 
--- a/crates/runtime/src/driver.rs
+++ b/crates/runtime/src/driver.rs
@@ -249,6 +249,7 @@
                 let list = self.list_status;
                 let _ = reply.send(EndpointSummary { listed, down, parts, list });
             }
+            Command::ListUsableEndpoints(reply) => drop(reply.send(self.usable_endpoints())),
             Command::SetZoneAdmissions(admissions) => self.handle_event(Event::Zones(admissions)),
             Command::ProbeZone { zone, count, within } => self.probe_zone(zone, count, within),
             Command::CaptureSnapshot(reply) => drop(reply.send(self.balancer.snapshot(self.clock.now()))),
--- a/crates/runtime/src/driver/list.rs
+++ b/crates/runtime/src/driver/list.rs
@@ -89,6 +89,15 @@
         self.handle_event(Event::Membership(update.membership));
     }
 
+    /// The uids of the endpoints that the list allows to be used, in order. Bans are apart from the list.
+    pub(super) fn usable_endpoints(&self) -> Vec<String> {
+        let usable = |id: &&EndpointId| !self.draining.contains(id) && !self.unconfirmed.contains(id);
+        let mut uids: Vec<String> =
+            self.addresses.keys().filter(usable).map(|id| self.listing.uid(*id)).collect();
+        uids.sort_unstable();
+        uids
+    }
+
     /// Takes all endpoints except these out of use until they are named again.
     fn restrict_endpoints(&mut self, named: &HashSet<EndpointId>) {
         self.unconfirmed = self.addresses.keys().copied().filter(|id| !named.contains(id)).collect();
--- a/crates/runtime/src/events.rs
+++ b/crates/runtime/src/events.rs
@@ -57,6 +57,8 @@
 pub enum Command {
     /// Replies with how many endpoints are listed and how many of them are avoided.
     SummarizeEndpoints(oneshot::Sender<EndpointSummary>),
+    /// Replies with the uids of the endpoints that the list allows to be used.
+    ListUsableEndpoints(oneshot::Sender<Vec<String>>),
     /// Replies with a snapshot of the balancer's learned state.
     CaptureSnapshot(oneshot::Sender<Snapshot>),
     /// Bans the endpoint with this uid, or lifts its ban.
@@ -227,6 +229,8 @@
     Watch(bool),
     /// Fetches the whole list once.
     Fetch,
+    /// Uses only the endpoints with these uids of the list of the start, unless discovery has confirmed it.
+    RestrictInitialList(Vec<String>),
     /// Sets the address of the discovery server.
     SetAddress(SocketAddr),
     /// Replaces the static list.
--- a/crates/runtime/src/handover/mod.rs
+++ b/crates/runtime/src/handover/mod.rs
@@ -7,7 +7,8 @@
 //!
 //! After the descriptor both sides send [`Message`]s:
 //! 1. The predecessor sends its bans and then the successor's allowance of descriptors. From then on the successor runs.
-//! 2. Once all else is ready, the successor asks for the learned state.
+//! 2. Once all else is ready, the successor asks for the learned state, and before that, if it has not heard of discovery, for
+//!    the endpoints that the predecessor's list allows to be used.
 //! 3. While both live, a ban that one of them accepts is in force in both before its caller gets an answer, and both
 //!    exchange quota parts (see [`overlap`]).
 //!
@@ -185,6 +186,8 @@
             Message::DescriptorAllowance(count) => self.budget.set_successor(count),
             Message::LearnedStateRequest => self.send_learned_state(peer).await,
             Message::LearnedState(bytes) => peer.learned_state_received(bytes),
+            Message::UsableEndpointsRequest => self.send_usable_endpoints(peer).await,
+            Message::UsableEndpoints(uids) => peer.usable_endpoints_received(uids),
             Message::Overlap(message) => {
                 let _ = self.commands.send(Command::PeerMessage(peer.link, message));
             }
@@ -210,6 +213,15 @@
         }
     }
 
+    /// Sends the endpoints that the list allows to be used.
+    async fn send_usable_endpoints(&self, peer: &Peer) {
+        let (reply, listed) = oneshot::channel();
+        let _ = self.commands.send(Command::ListUsableEndpoints(reply)); // fails only while this process ends
+        if let Ok(uids) = listed.await {
+            peer.send(Message::UsableEndpoints(uids));
+        }
+    }
+
     /// The path of the Unix socket. The name is stable, since processes of different builds meet there.
     fn socket_path(&self) -> PathBuf {
         let name = format!("curlewhub-handover-{}-{}.sock", self.listen.ip(), self.listen.port());
--- a/crates/runtime/src/handover/peer.rs
+++ b/crates/runtime/src/handover/peer.rs
@@ -17,14 +17,17 @@
     awaiting_ban: RefCell<VecDeque<oneshot::Sender<()>>>,
     /// The caller that awaits the learned state.
     awaiting_learned_state: Cell<Option<oneshot::Sender<Vec<u8>>>>,
+    /// The caller that awaits the usable endpoints.
+    awaiting_usable_endpoints: Cell<Option<oneshot::Sender<Vec<String>>>>,
 }
 
 impl Peer {
     /// A peer, and the queue of messages that are to be written to it.
     pub(super) fn new(link: u64) -> (Rc<Self>, UnboundedReceiver<Message>) {
         let (outgoing, queue) = unbounded_channel();
-        let (awaiting_ban, awaiting_learned_state) = Default::default();
-        (Rc::new(Peer { link, outgoing, awaiting_ban, awaiting_learned_state }), queue)
+        let (awaiting_ban, awaiting_learned_state, awaiting_usable_endpoints) = Default::default();
+        let peer = Peer { link, outgoing, awaiting_ban, awaiting_learned_state, awaiting_usable_endpoints };
+        (Rc::new(peer), queue)
     }
 
     /// Queues a message; it is dropped if the peer has disconnected.
@@ -60,6 +63,20 @@
         received
     }
 
+    /// Asks for the endpoints that the peer's list allows to be used; resolves once they were received.
+    pub(super) fn request_usable_endpoints(&self) -> oneshot::Receiver<Vec<String>> {
+        let (reply, received) = oneshot::channel();
+        self.awaiting_usable_endpoints.set(Some(reply));
+        self.send(Message::UsableEndpointsRequest);
+        received
+    }
+
+    pub(super) fn usable_endpoints_received(&self, uids: Vec<String>) {
+        if let Some(reply) = self.awaiting_usable_endpoints.take() {
+            let _ = reply.send(uids); // the caller may have given up
+        }
+    }
+
     pub(super) fn learned_state_received(&self, bytes: Vec<u8>) {
         if let Some(reply) = self.awaiting_learned_state.take() {
             let _ = reply.send(bytes); // the caller may have given up
--- a/crates/runtime/src/handover/protocol.rs
+++ b/crates/runtime/src/handover/protocol.rs
@@ -8,6 +8,8 @@
 //! | `SPARE N` | the descriptors that the successor may use |
 //! | `LEARN` | asks the predecessor for its learned state |
 //! | `LEARNT BASE64` | the learned state, as an encoded snapshot |
+//! | `LIST` | asks the predecessor which endpoints its list allows to be used |
+//! | `LISTED UIDS` | their uids, as a JSON array |
 //! | `NEED N` | the sender's demand |
 //! | `GIVE N PORTION` | parts of the overlap quota, and the balancer's state for them in JSON |
 
@@ -41,6 +43,10 @@
     LearnedStateRequest,
     /// The learned state, as an encoded snapshot.
     LearnedState(Vec<u8>),
+    /// Asks for the endpoints that the predecessor's list allows to be used.
+    UsableEndpointsRequest,
+    /// The uids of these endpoints.
+    UsableEndpoints(Vec<String>),
     /// Demand, or parts of the overlap quota.
     Overlap(OverlapMessage),
 }
@@ -57,6 +63,8 @@
             "SPARE" => rest.parse().ok().map(Message::DescriptorAllowance),
             "LEARN" if rest.is_empty() => Some(Message::LearnedStateRequest),
             "LEARNT" => STANDARD.decode(rest).ok().map(Message::LearnedState),
+            "LIST" if rest.is_empty() => Some(Message::UsableEndpointsRequest),
+            "LISTED" => serde_json::from_str(rest).ok().map(Message::UsableEndpoints),
             "NEED" => rest.parse().ok().map(|demand| Message::Overlap(OverlapMessage::Demand(demand))),
             "GIVE" => {
                 let (parts, portion) = rest.split_once(' ')?;
@@ -77,6 +85,10 @@
             Message::DescriptorAllowance(count) => format!("SPARE {count}\n"),
             Message::LearnedStateRequest => "LEARN\n".to_owned(),
             Message::LearnedState(bytes) => format!("LEARNT {}\n", STANDARD.encode(bytes)),
+            Message::UsableEndpointsRequest => "LIST\n".to_owned(),
+            Message::UsableEndpoints(uids) => {
+                format!("LISTED {}\n", serde_json::to_string(uids).unwrap_or_default()) // strings alone: never fails
+            }
             Message::Overlap(OverlapMessage::Demand(demand)) => format!("NEED {demand}\n"),
             Message::Overlap(OverlapMessage::Parts(parts, portion)) => {
                 let portion = serde_json::to_string(portion).unwrap_or_default(); // numbers alone: never fails
--- a/crates/runtime/src/handover/successor.rs
+++ b/crates/runtime/src/handover/successor.rs
@@ -17,6 +17,8 @@
 const TAKE_OVER_TIMEOUT: Duration = Duration::from_secs(1);
 /// Timeout of the predecessor's learned state: the last step before the successor is ready.
 const LEARNED_STATE_TIMEOUT: Duration = Duration::from_millis(700);
+/// Timeout of the predecessor's usable endpoints, which a predecessor of an earlier version does not send.
+const USABLE_ENDPOINTS_TIMEOUT: Duration = Duration::from_millis(250);
 
 /// What a predecessor has handed over.
 pub struct HandedOver {
@@ -81,6 +83,15 @@
         });
     }
 
+    /// Asks the predecessor for the uids of the endpoints that its list allows to be used; none without a predecessor, or if
+    /// it does not answer in time.
+    pub async fn request_usable_endpoints(&self) -> Option<Vec<String>> {
+        let peer = self.peers.borrow().first().cloned().filter(|_| self.has_predecessor.get())?;
+        let received = peer.request_usable_endpoints();
+        drop(peer); // so that the wait ends if the predecessor exits
+        timeout(USABLE_ENDPOINTS_TIMEOUT, received).await.ok()?.ok()
+    }
+
     /// Asks the predecessor for its learned state; none without a predecessor, or if it does not answer in time.
     pub async fn request_learned_state(&self) -> Option<Vec<u8>> {
         let peer = self.peers.borrow().first().cloned().filter(|_| self.has_predecessor.get())?;
--- a/crates/runtime/src/static_list.rs
+++ b/crates/runtime/src/static_list.rs
@@ -108,7 +108,8 @@
                 send(ListUpdate { membership: Membership::Delta(Vec::new()), addresses: Vec::new() });
             }
             Some(ListCommand::Fetch) => send(listing.update(list.to_endpoint_list())),
-            Some(ListCommand::SetAddress(_)) => {} // there is no discovery server
+            // There is no discovery server, and the list of the file is current.
+            Some(ListCommand::SetAddress(_) | ListCommand::RestrictInitialList(_)) => {}
             Some(ListCommand::ReplaceTargets(new)) => {
                 list.replace(new, Instant::now(), drain_time, clock.now().as_secs_f64() * 1e3);
                 let (endpoints, draining) = (list.targets.len(), list.draining.len());
--- a/crates/runtime/tests/handover_protocol.rs
+++ b/crates/runtime/tests/handover_protocol.rs
@@ -19,6 +19,8 @@
         (Message::DescriptorAllowance(96), "SPARE 96\n"),
         (Message::LearnedStateRequest, "LEARN\n"),
         (learned_state, "LEARNT AAr/\n"),
+        (Message::UsableEndpointsRequest, "LIST\n"),
+        (Message::UsableEndpoints(vec!["s-1".to_owned(), "s 2".to_owned()]), "LISTED [\"s-1\",\"s 2\"]\n"),
         (demand, "NEED 9\n"),
         (parts, "GIVE 7 {\"windows\":[[3.25,true],[1.0,false]],\"retries\":0.1}\n"),
     ] {
@@ -30,9 +32,10 @@
 #[test]
 fn invalid_lines_are_rejected() {
     let infinite = r#"GIVE 3 {"windows":[[1e999,true],[1.0,false]],"retries":0.1}"#;
-    for invalid in
-        ["", "DETACH", "SPARE", "SPARE -1", "DONE x", "HELLO", "LEARN x", "LEARNT ~", "NEED", infinite]
-    {
+    for invalid in [
+        "", "DETACH", "SPARE", "SPARE -1", "DONE x", "HELLO", "LEARN x", "LEARNT ~", "NEED", infinite,
+        "LIST x", "LISTED", "LISTED 3",
+    ] {
         assert_eq!(Message::parse(invalid), None, "{invalid}");
     }
 }
