Run the tests of server changes by themselves, with half of the clients

The new tests of server changes ran in the same binary at the same time, with eight sidecars and 32 clients, and slowed it down.

They have a binary of their own now, which cargo runs apart, with two clients each and 20 ms between requests; all checks are as they were. The older test is unchanged.

--- a/crates/curlewhub/tests/races/main.rs
+++ b/crates/curlewhub/tests/races/main.rs
@@ -9,5 +9,4 @@
 mod deadlines;
 mod discovery;
 mod limits;
-mod server_changes;
 mod settings;
--- a/crates/curlewhub/tests/races/server_changes.rs
+++ b/crates/curlewhub/tests/server_changes.rs
@@ -1,12 +1,15 @@
 //! New configurations that name another discovery server: which endpoints are used while the new server's list is not
 //! known, or not known completely.
 
-use super::support::crowded_discovery::*;
-use super::support::*;
+#[path = "support/mod.rs"]
+mod support;
+
 use serde_json::{Value, json};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
+use support::crowded_discovery::*;
+use support::*;
 
 /// All that a newly named server has counts as notified this long after SIGHUP.
 const NOTIFIED_AFTER: Duration = Duration::from_secs(4);
@@ -15,7 +18,7 @@
 const TOLERANCE: Duration = Duration::from_millis(50);
 /// The part of the requests that a fleet serves on while its discovery moves.
 const MIN_SERVED: f64 = 0.95;
-const CLIENTS: usize = 4;
+const CLIENTS: usize = 2;
 const MODES: [&str; 2] = ["subscribe", "automatic"];
 
 /// An endpoint that records when requests arrive.
@@ -109,7 +112,7 @@
         if answer.is_none_or(|answer| answer.header("connection") == "close") {
             client = sidecar.client();
         }
-        std::thread::sleep(Duration::from_millis(10));
+        std::thread::sleep(Duration::from_millis(20));
     }
 }
 
