Take back the bound on a list whose server begins a watch at a lower version

The test is right: a server that is a version behind and refuses its whole list would stop its sidecars once the bound passes, and no case showed the fault that the bound was for.

--- a/crates/discovery-client/src/client.rs
+++ b/crates/discovery-client/src/client.rs
@@ -389,10 +389,6 @@
         for active in self.calls.iter_mut().filter(|active| active.id == call.id) {
             active.state = CallState::Open;
         }
-        if self.versions.restarts_numbering(call.epoch, list.as_ref()) {
-            self.versions.numbering_restarted();
-            self.lease.numbering_restarted(now, call.epoch);
-        }
         let list = self.versions.watch_opened(call.epoch, list);
         self.backoff.reset();
         if call.epoch == self.server {
--- a/crates/discovery-client/src/lease.rs
+++ b/crates/discovery-client/src/lease.rs
@@ -168,14 +168,6 @@
         self.server_changes.completed(epoch);
     }
 
-    /// Records that the server `epoch` has begun its watch with changes after a version that it does not have yet: it has
-    /// restarted its numbering, and the list is confirmed only as far as it names endpoints. The bound of the list goes on.
-    pub fn numbering_restarted(&mut self, now: Duration, epoch: Epoch) {
-        let deadline = now + NOTIFIED_WITHIN;
-        let notified_at = self.notified_by_state().map_or(deadline, |bound| bound.min(deadline));
-        self.server_changes.list_lost(now, epoch, notified_at);
-    }
-
     /// Records that the open watch was cancelled, or that the list is no longer followed.
     pub fn watch_cancelled(&mut self, now: Duration) {
         self.state = LeaseState::Unwatched { since: now };
--- a/crates/discovery-client/src/server_changes.rs
+++ b/crates/discovery-client/src/server_changes.rs
@@ -56,16 +56,6 @@
         }
     }
 
-    /// Records that the list of the server `epoch`, the newest, is no longer known. No failed call moves its deadline.
-    pub fn list_lost(&mut self, now: Duration, epoch: Epoch, notified_at: Duration) {
-        match self.incomplete.iter_mut().find(|change| change.epoch == epoch) {
-            Some(change) => change.notified_at = change.notified_at.min(notified_at),
-            None => {
-                self.incomplete.push(ServerChange { epoch, since: now, notified_at, was_reached: true })
-            }
-        }
-    }
-
     /// Records that a call has shown that the newest server can be reached. No later failure moves its deadline.
     pub fn newest_reached(&mut self) {
         if let Some(newest) = self.incomplete.last_mut() {
--- a/crates/discovery-client/src/versions.rs
+++ b/crates/discovery-client/src/versions.rs
@@ -53,18 +53,6 @@
         !self.partial_lists.is_empty()
     }
 
-    /// Whether a server begins its watch with changes and at a lower version than the list that it was asked to continue.
-    pub fn restarts_numbering(&self, epoch: Epoch, first: Option<&EndpointList>) -> bool {
-        epoch == self.epoch && first.is_some_and(|list| !list.is_complete && list.rev < self.version)
-    }
-
-    /// Records that the server of the current list has restarted its numbering: its whole list is missing.
-    pub fn numbering_restarted(&mut self) {
-        self.version = 0;
-        self.partial_lists.retain(|partial_list| partial_list.epoch != self.epoch);
-        self.partial_lists.push(PartialList::new(self.epoch));
-    }
-
     /// Records that a watch on this server is now the open one; `first` is the list in its first line, `None` if that
     /// line was empty. Returns the list to apply: a whole one if the changes of a new server make the list of version 0
     /// the list of that server.
