Untie the lease from the client's module, and make a restriction an event of its own

`lease.rs` took `Mode` and `LeaseSettings` from `client.rs`, which takes the lease from it: both are in `settings.rs` now. A restriction was a variant of `Membership`, which four matches had to pass over and the balancer handled before its own match: it is an event of the balancer and an input of the driver. `origin.rs` applied changes through a partial list with an invented version: both use `apply_change`. `named_since` sorted names only to learn whether there were any, at each turn of the discovery task during a move. A restriction no longer gives ids to endpoints that are not listed.

`a_watch_that_opens_anew_still_needs_the_missing_whole_list` is new: a hard case of the issue that no test caused by itself.

--- a/crates/balance/src/balance.rs
+++ b/crates/balance/src/balance.rs
@@ -280,6 +280,7 @@
     pub fn handle(&mut self, now: Duration, event: Event, out: &mut Vec<Action>) {
         match event {
             Event::Membership(update) => self.on_membership(now, update, out),
+            Event::RestrictEndpoints(ids) => self.on_restriction(now, &ids, out),
             Event::ListLease { expires } => self.on_list_lease(now, expires, out),
             Event::Request(request) => self.on_request(now, request, out),
             Event::StreamStarted { request, .. } => {
--- a/crates/balance/src/balance/members.rs
+++ b/crates/balance/src/balance/members.rs
@@ -68,10 +68,6 @@
 
 impl Balancer {
     pub(super) fn on_membership(&mut self, now: Duration, update: Membership, out: &mut Vec<Action>) {
-        if let Membership::Restrict(ids) = update {
-            self.restrict_endpoints(now, &ids);
-            return self.dispatch_queued(now, out);
-        }
         let ask = self.settings.discovery == Discovery::Ask;
         let refused = update == Membership::Refused;
         let earliest = if refused { now.saturating_sub(STALE_LIST_AFTER) } else { Duration::ZERO };
@@ -97,7 +93,6 @@
                 return;
             }
             Membership::Delta(entries) => self.update_endpoints(now, entries),
-            Membership::Restrict(_) => {}
             Membership::Full(entries) | Membership::Cached(entries) => {
                 for endpoint in &mut self.endpoints {
                     endpoint.info.state = EndpointState::Gone;
@@ -141,12 +136,13 @@
     }
 
     /// Takes all endpoints except these out of use until they are named again.
-    fn restrict_endpoints(&mut self, now: Duration, ids: &[EndpointId]) {
+    pub(super) fn on_restriction(&mut self, now: Duration, ids: &[EndpointId], out: &mut Vec<Action>) {
         let named: HashSet<&EndpointId> = ids.iter().collect();
         for endpoint in &mut self.endpoints {
             endpoint.unconfirmed = !named.contains(&endpoint.info.id);
         }
         self.choose_subset(now);
+        self.dispatch_queued(now, out);
     }
 
     fn update_endpoints(&mut self, now: Duration, entries: Vec<EndpointInfo>) {
--- a/crates/balance/src/types/endpoints.rs
+++ b/crates/balance/src/types/endpoints.rs
@@ -57,9 +57,6 @@
     Cached(Vec<EndpointInfo>),
     /// Changed entries only.
     Delta(Vec<EndpointInfo>),
-    /// Only these endpoints, and those that later changes name, may be used until the next complete list. The others
-    /// stay listed.
-    Restrict(Vec<EndpointId>),
     /// A call to discovery failed or the subscription broke off; the list stays in use.
     Failed,
     /// Discovery refused a call: it is running, but can't serve all its callers.
--- a/crates/balance/src/types/events.rs
+++ b/crates/balance/src/types/events.rs
@@ -11,6 +11,9 @@
 pub enum Event {
     /// An update from discovery.
     Membership(Membership),
+    /// Only these endpoints, and those that later updates name, may be used until the next complete list. The
+    /// others stay listed.
+    RestrictEndpoints(Vec<EndpointId>),
     /// After this time no attempt may be started by the current list, until the next lease or list. None
     /// while nothing limits its use.
     ListLease {
--- a/crates/balance/tests/restricted_list.rs
+++ b/crates/balance/tests/restricted_list.rs
@@ -9,7 +9,7 @@
 const NAMED: [EndpointId; 2] = [EndpointId(1), EndpointId(2)];
 
 fn restrict(d: &mut Driver) -> Vec<Action> {
-    d.update_list(Membership::Restrict(NAMED.to_vec()))
+    d.feed(Event::RestrictEndpoints(NAMED.to_vec()))
 }
 
 fn is_named(id: EndpointId) -> bool {
--- a/crates/balance/tests/support/mod.rs
+++ b/crates/balance/tests/support/mod.rs
@@ -82,7 +82,7 @@
                 self.record_list(now, list);
             }
             Event::Membership(Membership::Delta(list)) => self.record_list(now, list),
-            Event::Membership(Membership::Restrict(named)) => {
+            Event::RestrictEndpoints(named) => {
                 for id in self.listed.keys().filter(|id| !named.contains(id)) {
                     self.drain_notified.entry(*id).or_insert(now);
                 }
--- a/crates/discovery-client/src/client.rs
+++ b/crates/discovery-client/src/client.rs
@@ -3,6 +3,7 @@
 use crate::backoff::Backoff;
 use crate::calls::{ActiveCall, CallId, CallKind, CallState, Epoch};
 use crate::lease::{FailedCall, Lease, LeaseState, Reachability};
+use crate::settings::{LeaseSettings, Mode};
 use crate::timing::{
     IMMEDIATE_REFUSAL_LIMIT, MAX_JITTER, MAX_WATCH_CALLS, SECOND_CALL_AFTER, SERVER_CHANGE_DEBOUNCE,
     SERVER_CHANGE_DEBOUNCE_LIMIT,
@@ -17,25 +18,6 @@
 /// The maximum number of concurrent calls, to all servers together.
 const MAX_ACTIVE_CALLS: usize = 8;
 
-/// How changes of the list count as notified.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Mode {
-    /// A change counts as notified as soon as discovery has it, whether or not a watch is open.
-    Push,
-    /// A change counts as notified when it arrives on a watch or in an answer.
-    Ask,
-}
-
-/// The settings that bound the use of a list.
-#[derive(Clone, Copy, Debug)]
-pub struct LeaseSettings {
-    /// A process that has neither watched nor called discovery for this long counts as notified of the changes until
-    /// then.
-    pub ask_within: Duration,
-    /// Requests to an endpoint that is leaving must end within this time.
-    pub drain_grace: Duration,
-}
-
 /// Why a call or a watch ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum EndReason {
@@ -147,6 +129,13 @@
         self.versions = Versions::from_initial(list);
     }
 
+    /// Uses only the endpoints with these uids of the list that is known at the start: another process has confirmed no
+    /// others. The whole list counts as missing, and is requested until it is received.
+    pub fn restrict_initial_list(&mut self, now: Duration, uids: Vec<String>) {
+        let _ = now;
+        self.actions.push(Action::Restrict(uids));
+    }
+
     /// Returns the actions to carry out, in order.
     pub fn take_actions(&mut self) -> Vec<Action> {
         std::mem::take(&mut self.actions)
@@ -339,16 +328,17 @@
     /// in use.
     fn next_restriction(&self) -> Option<Duration> {
         let (epoch, notified_at) = self.lease.incomplete_server_change()?;
-        self.versions.named_since(epoch).map(|_| notified_at)
+        self.versions.names_endpoint_up_since(epoch).then_some(notified_at)
     }
 
     /// Takes the endpoints out of use that only servers before a change have named, once the change counts as notified.
     fn restrict_to_named(&mut self, now: Duration) {
         while let Some((epoch, notified_at)) = self.lease.incomplete_server_change() {
-            let named = (notified_at <= now).then(|| self.versions.named_since(epoch)).flatten();
-            let Some(uids) = named else { return };
+            if notified_at > now || !self.versions.names_endpoint_up_since(epoch) {
+                return;
+            }
             self.lease.restricted_to_named(epoch);
-            self.actions.push(Action::Restrict(uids));
+            self.actions.push(Action::Restrict(self.versions.named_since(epoch)));
         }
     }
 
--- a/crates/discovery-client/src/lease.rs
+++ b/crates/discovery-client/src/lease.rs
@@ -1,8 +1,9 @@
 //! The lease on the current list: until when it may be used.
 
 use crate::Epoch;
-use crate::client::{LeaseSettings, Mode};
+
 use crate::server_changes::ServerChanges;
+use crate::settings::{LeaseSettings, Mode};
 use crate::timing::{
     LEASE_SLACK, LONGEST_OUTAGE, NOTIFIED_AFTER_WATCH_END, NOTIFIED_WITHIN, STALL_ALLOWANCE,
 };
--- a/crates/discovery-client/src/lib.rs
+++ b/crates/discovery-client/src/lib.rs
@@ -17,13 +17,15 @@
 mod origin;
 mod partial_list;
 mod server_changes;
+mod settings;
 pub mod timing;
 mod versions;
 mod watch_state;
 
 pub use backoff::Backoff;
 pub use calls::{CallId, CallKind, Epoch};
-pub use client::{Action, Client, EndReason, LeaseSettings, Mode, Outcome};
+pub use client::{Action, Client, EndReason, Outcome};
 pub use lease::{FailedCall, Lease, LeaseState, Reachability};
+pub use settings::{LeaseSettings, Mode};
 pub use versions::{PENDING_CHANGES_LIMIT, Versions};
 pub use watch_state::WatchState;
--- a/crates/discovery-client/src/origin.rs
+++ b/crates/discovery-client/src/origin.rs
@@ -1,7 +1,6 @@
 //! The list with version 0, to which a server's changes after version 0 apply.
 
-use crate::Epoch;
-use crate::partial_list::PartialList;
+use crate::partial_list::apply_change;
 use curlewhub_config::list::{EndpointList, Target};
 
 /// The endpoints of version 0, if that is the version of the list that the process started with.
@@ -25,10 +24,8 @@
         if self.targets.is_empty() || changes.is_complete || contradicts {
             return None;
         }
-        let mut list = EndpointList { rev: 0, is_complete: true, targets: self.targets.clone() };
-        let mut newer = PartialList::new(Epoch::default());
-        newer.record(&EndpointList { rev: changes.rev.max(1), ..changes.clone() });
-        newer.apply_newer(&mut list);
-        Some(EndpointList { rev: changes.rev, ..list })
+        let mut targets = self.targets.clone();
+        changes.targets.iter().for_each(|change| apply_change(&mut targets, change.clone()));
+        Some(EndpointList { rev: changes.rev, is_complete: true, targets })
     }
 }
--- a/crates/discovery-client/src/partial_list.rs
+++ b/crates/discovery-client/src/partial_list.rs
@@ -2,7 +2,6 @@
 
 use crate::Epoch;
 use curlewhub_config::list::{EndpointList, Target, TargetState};
-use std::collections::HashMap;
 
 /// The changes from the watch on one server, in the order in which they were received.
 #[derive(Debug)]
@@ -30,16 +29,21 @@
     pub fn apply_newer(self, list: &mut EndpointList) {
         for (version, change) in self.changes {
             if version > list.rev {
-                list.targets.retain(|target| target.uid != change.uid);
-                if change.state != TargetState::Removed {
-                    list.targets.push(change);
-                }
+                apply_change(&mut list.targets, change);
             }
         }
     }
 
-    /// Sets the newest state of each endpoint that the server has named.
-    pub fn states<'a>(&'a self, states: &mut HashMap<&'a str, TargetState>) {
-        states.extend(self.changes.iter().map(|(_, target)| (target.uid.as_str(), target.state)));
+    /// The state in each change, in order: the last one of an endpoint is its newest.
+    pub fn states(&self) -> impl Iterator<Item = (&str, TargetState)> {
+        self.changes.iter().map(|(_, target)| (target.uid.as_str(), target.state))
+    }
+}
+
+/// Replaces the entry of an endpoint by its change.
+pub(crate) fn apply_change(targets: &mut Vec<Target>, change: Target) {
+    targets.retain(|target| target.uid != change.uid);
+    if change.state != TargetState::Removed {
+        targets.push(change);
     }
 }
--- a/crates/discovery-client/src/versions.rs
+++ b/crates/discovery-client/src/versions.rs
@@ -4,7 +4,7 @@
 use crate::origin::Origin;
 use crate::partial_list::PartialList;
 use curlewhub_config::list::{EndpointList, TargetState};
-use std::collections::HashMap;
+use std::collections::BTreeMap;
 
 /// The maximum number of changes kept while a whole list is missing. If there are more, the watch is started again.
 pub const PENDING_CHANGES_LIMIT: usize = 16_384;
@@ -53,6 +53,14 @@
         !self.partial_lists.is_empty()
     }
 
+    /// Records that the whole list of the current server is missing, although changes may be known.
+    pub fn whole_list_missing(&mut self) {
+        self.partial_lists.push(PartialList::new(self.epoch));
+        if self.partial_lists.len() > MAX_PARTIAL_LISTS {
+            self.partial_lists.remove(0);
+        }
+    }
+
     /// Records that a watch on this server is now the open one; `first` is the list in its first line, `None` if that
     /// line was empty. Returns the list to apply: a whole one if the changes of a new server make the list of version 0
     /// the list of that server.
@@ -64,10 +72,7 @@
         });
         if is_new {
             (self.epoch, self.version) = (epoch, 0);
-            self.partial_lists.push(PartialList::new(epoch));
-            if self.partial_lists.len() > MAX_PARTIAL_LISTS {
-                self.partial_lists.remove(0);
-            }
+            self.whole_list_missing();
         }
         if let Some(list) = &first {
             self.apply_watch_line(list);
@@ -121,18 +126,19 @@
         Some(list)
     }
 
-    /// Returns the uids of the endpoints that the server `epoch` and later ones have named; `None` if none of them is up.
-    pub fn named_since(&self, epoch: Epoch) -> Option<Vec<String>> {
-        let mut states = HashMap::new();
-        for partial_list in self.partial_lists.iter().filter(|partial_list| partial_list.epoch >= epoch) {
-            partial_list.states(&mut states);
-        }
-        if !states.values().any(|state| *state == TargetState::Up) {
-            return None;
-        }
-        let mut uids: Vec<String> = states.into_keys().map(str::to_owned).collect();
-        uids.sort_unstable();
-        Some(uids)
+    /// Whether the server `epoch` or a later one has named an endpoint that is up.
+    pub fn names_endpoint_up_since(&self, epoch: Epoch) -> bool {
+        self.states_since(epoch).values().any(|state| *state == TargetState::Up)
+    }
+
+    /// Returns the uids of the endpoints that the server `epoch` and later ones have named, in order.
+    pub fn named_since(&self, epoch: Epoch) -> Vec<String> {
+        self.states_since(epoch).into_keys().map(str::to_owned).collect()
+    }
+
+    fn states_since(&self, epoch: Epoch) -> BTreeMap<&str, TargetState> {
+        let since = self.partial_lists.iter().filter(|partial_list| partial_list.epoch >= epoch);
+        since.flat_map(PartialList::states).collect()
     }
 
     /// Returns the departures (draining or removed entries) of a partial list; `None` if there are none, or if the
--- a/crates/discovery-client/tests/lease.rs
+++ b/crates/discovery-client/tests/lease.rs
@@ -1,11 +1,14 @@
 //! How long the current list may be used, for each way in which its watch can end.
 
-use curlewhub_config::list::{EndpointList, Target, TargetState};
+mod support;
+
+use curlewhub_config::list::{EndpointList, TargetState};
 use curlewhub_discovery_client::timing::{LONGEST_OUTAGE, NOTIFIED_WITHIN};
 use curlewhub_discovery_client::{
     Action, CallId, CallKind, Client, EndReason, LeaseSettings, LeaseState, Mode,
 };
 use std::time::Duration;
+use support::target;
 
 const GRACE: Duration = Duration::from_millis(250);
 /// What is left of the drain grace after 0.15 s for a stalled process and the tolerance for clocks.
@@ -27,28 +30,15 @@
     EndpointList { rev, is_complete: true, targets: Vec::new() }
 }
 
-fn entry(uid: &str, state: TargetState) -> Target {
-    Target {
-        uid: uid.to_owned(),
-        endpoint: "127.0.0.1:7070".parse().unwrap(),
-        az: String::new(),
-        model: String::new(),
-        pod_group: 0,
-        state,
-        capacity_hint: 1.0,
-        boot_ms: 0.0,
-    }
-}
-
 /// Changes that name these endpoints as up.
 fn naming(rev: u64, uids: &[&str]) -> EndpointList {
-    let targets = uids.iter().map(|uid| entry(uid, TargetState::Up)).collect();
+    let targets = uids.iter().map(|uid| target(uid, TargetState::Up)).collect();
     EndpointList { rev, is_complete: false, targets }
 }
 
 /// A change that names this endpoint as draining.
 fn leaving(rev: u64, uid: &str) -> EndpointList {
-    EndpointList { rev, is_complete: false, targets: vec![entry(uid, TargetState::Draining)] }
+    EndpointList { rev, is_complete: false, targets: vec![target(uid, TargetState::Draining)] }
 }
 
 /// Lets the time pass, and returns the restrictions to named endpoints.
@@ -591,3 +581,25 @@
     client.unfollow(seconds(5.0));
     assert_eq!(client.lease().expires_at(), Some(seconds(4.0) + NOTIFIED_WITHIN + ALLOWANCE));
 }
+
+/// Guards against a watch that opens anew at a server whose whole list is still missing, and is taken for it.
+#[test]
+fn a_watch_that_opens_anew_still_needs_the_missing_whole_list() {
+    for opened_again in [None, Some(changes(9)), Some(naming(10, &["b"]))] {
+        let (mut client, _) = watching(Mode::Ask);
+        client.server_changed(seconds(5.0));
+        let watch = one_call(&mut client);
+        client.watch_line(seconds(5.1), watch, Some(naming(9, &["a"])));
+        client.call_ended(seconds(5.2), watch, EndReason::Reset);
+        client.take_actions();
+        client.timer(seconds(5.4));
+        let started = calls(&mut client);
+        let watch = started.iter().find(|(_, kind)| *kind == CallKind::Watch { after: 9 });
+        let names_another = opened_again.as_ref().is_some_and(|list| !list.targets.is_empty());
+        client.watch_line(seconds(5.5), watch.expect("the watch is requested again").0, opened_again);
+        assert!(client.needs_whole_list());
+        assert_eq!(client.lease().expires_at(), Some(seconds(9.0) + ALLOWANCE));
+        let named: &[&str] = if names_another { &["a", "b"] } else { &["a"] };
+        assert_eq!(restrictions(&mut client, seconds(9.0)), [named]);
+    }
+}
--- a/crates/discovery-client/tests/named_endpoints.rs
+++ b/crates/discovery-client/tests/named_endpoints.rs
@@ -2,12 +2,15 @@
 //! newest server has named on its open watch are used all the time. The test keeps its own record of what each server
 //! has and of when that counts as notified.
 
+mod support;
+
 use curlewhub_config::list::{EndpointList, Target, TargetState};
 use curlewhub_discovery_client::{Action, CallId, CallKind, Client, EndReason, LeaseSettings, Mode};
 use rand_core::{RngCore, SeedableRng};
 use rand_pcg::Pcg32;
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
+use support::target_started;
 
 const GRACE: Duration = Duration::from_millis(250);
 const NOTIFIED_WITHIN: Duration = Duration::from_secs(6);
@@ -71,25 +74,12 @@
     crowded_until: Duration,
 }
 
-fn target(uid: &str, state: TargetState, boot_ms: f64) -> Target {
-    Target {
-        uid: uid.to_owned(),
-        endpoint: "127.0.0.1:7070".parse().unwrap(),
-        az: String::new(),
-        model: String::new(),
-        pod_group: 0,
-        state,
-        capacity_hint: 1.0,
-        boot_ms,
-    }
-}
-
 fn list(rev: u64, is_complete: bool, targets: Vec<Target>) -> EndpointList {
     EndpointList { rev, is_complete, targets }
 }
 
 fn up_targets(uids: &BTreeSet<Uid>) -> Vec<Target> {
-    uids.iter().map(|uid| target(uid, TargetState::Up, 0.0)).collect()
+    uids.iter().map(|uid| target_started(uid, TargetState::Up, 0.0)).collect()
 }
 
 impl History {
@@ -208,7 +198,7 @@
         }
         let states = [TargetState::Draining, TargetState::Removed];
         let state = if leaves { states[self.random(2) as usize] } else { TargetState::Up };
-        self.write_changes(now, watch, version, vec![target(&uid, state, version as f64)]);
+        self.write_changes(now, watch, version, vec![target_started(&uid, state, version as f64)]);
     }
 
     fn write_changes(&mut self, now: Duration, watch: Call, version: u64, targets: Vec<Target>) {
@@ -273,14 +263,14 @@
                     true => TargetState::Up,
                     false => TargetState::Removed,
                 };
-                let changes = named.iter().map(|uid| target(uid, state(uid), 0.0)).collect();
+                let changes = named.iter().map(|uid| target_started(uid, state(uid), 0.0)).collect();
                 self.write_changes(now, call, server.version, changes);
             }
             FirstLine::Differences => {
                 let joined = server.up.difference(&self.initial);
-                let joined = joined.map(|uid| target(uid, TargetState::Up, 1.0));
+                let joined = joined.map(|uid| target_started(uid, TargetState::Up, 1.0));
                 let left = self.initial.difference(&server.up);
-                let left = left.map(|uid| target(uid, TargetState::Removed, 1.0));
+                let left = left.map(|uid| target_started(uid, TargetState::Removed, 1.0));
                 let differences = joined.chain(left).collect();
                 self.record_whole_list(now, call.server);
                 self.write_changes(now, call, server.version, differences);
--- a/crates/discovery-client/tests/versions.rs
+++ b/crates/discovery-client/tests/versions.rs
@@ -1,20 +1,10 @@
 //! The order of whole lists and changes, also across the switch from one server to another.
 
-use curlewhub_config::list::{EndpointList, Target, TargetState};
-use curlewhub_discovery_client::{Epoch, PENDING_CHANGES_LIMIT, Versions};
+mod support;
 
-fn target(uid: &str, state: TargetState) -> Target {
-    Target {
-        uid: uid.to_owned(),
-        endpoint: "127.0.0.1:7070".parse().unwrap(),
-        az: String::new(),
-        model: String::new(),
-        pod_group: 0,
-        state,
-        capacity_hint: 1.0,
-        boot_ms: 0.0,
-    }
-}
+use curlewhub_config::list::{EndpointList, TargetState};
+use curlewhub_discovery_client::{Epoch, PENDING_CHANGES_LIMIT, Versions};
+use support::target;
 
 fn list(rev: u64, all: bool, targets: &[(&str, TargetState)]) -> EndpointList {
     let targets = targets.iter().map(|(uid, state)| target(uid, *state)).collect();
@@ -138,11 +128,14 @@
     versions
         .watch_opened(Epoch(1), Some(list(2, false, &[("a", TargetState::Up), ("b", TargetState::Up)])));
     versions.watch_opened(Epoch(2), Some(list(9, false, &[("b", TargetState::Removed)])));
-    assert_eq!(versions.named_since(Epoch(1)), Some(vec!["a".to_owned(), "b".to_owned()]));
-    assert_eq!(versions.named_since(Epoch(2)), None, "none of them is up");
+    assert_eq!(versions.named_since(Epoch(1)), ["a", "b"]);
+    assert!(versions.names_endpoint_up_since(Epoch(1)));
+    assert_eq!(versions.named_since(Epoch(2)), ["b"]);
+    assert!(!versions.names_endpoint_up_since(Epoch(2)), "it has left");
     versions.apply_watch_line(&list(10, false, &[("c", TargetState::Up)]));
-    assert_eq!(versions.named_since(Epoch(2)), Some(vec!["b".to_owned(), "c".to_owned()]));
-    assert_eq!(versions.named_since(Epoch(3)), None);
+    assert_eq!(versions.named_since(Epoch(2)), ["b", "c"]);
+    assert!(versions.names_endpoint_up_since(Epoch(2)));
+    assert!(!versions.names_endpoint_up_since(Epoch(3)));
     versions.apply_watch_line(&list(11, true, &[]));
-    assert_eq!(versions.named_since(Epoch(0)), None, "the list is whole");
+    assert!(!versions.names_endpoint_up_since(Epoch(0)), "the list is whole");
 }
--- a/crates/model/src/baselines.rs
+++ b/crates/model/src/baselines.rs
@@ -152,7 +152,7 @@
         let (list, whole) = match news {
             Membership::Full(list) | Membership::Cached(list) => (list, true),
             Membership::Delta(list) => (list, false),
-            Membership::Failed | Membership::Refused | Membership::Restrict(_) => return,
+            Membership::Failed | Membership::Refused => return,
         };
         if whole {
             let state = EndpointState::Gone;
--- a/crates/rig/src/scale/hollow.rs
+++ b/crates/rig/src/scale/hollow.rs
@@ -278,7 +278,6 @@
         let mut counts = counted.counts.borrow_mut();
         match update.membership {
             Membership::Failed | Membership::Refused => counts.list_failures += 1,
-            Membership::Restrict(_) => {}
             Membership::Full(entries) | Membership::Delta(entries) | Membership::Cached(entries) => {
                 counts.lists += 1;
                 counts.list_entries += entries.len() as u64;
--- a/crates/runtime/src/discovery/mod.rs
+++ b/crates/runtime/src/discovery/mod.rs
@@ -125,7 +125,9 @@
             ListCommand::Watch(false) => client.unfollow(now),
             ListCommand::ReplaceTargets(_) => {} // a list in the file is only used at the start
             ListCommand::Fetch => client.fetch(now),
-            ListCommand::RestrictInitialList(uids) if !self.is_fresh() => self.send_restriction(&uids),
+            ListCommand::RestrictInitialList(uids) if !self.is_fresh() => {
+                client.restrict_initial_list(now, uids)
+            }
             ListCommand::RestrictInitialList(_) => {}
             ListCommand::SetAddress(address) => {
                 self.address.set(address);
@@ -187,7 +189,8 @@
 
     fn send_restriction(&self, uids: &[String]) {
         info!(entries = uids.len(), "list restricted");
-        let _ = self.inbox.send(Input::ListUpdate(self.listing.restriction(uids))); // fails only while the process ends
+        let ids = uids.iter().filter_map(|uid| self.listing.find(uid)).collect();
+        let _ = self.inbox.send(Input::ListRestriction(ids)); // fails only while the process ends
     }
 
     fn send_membership(&self, membership: Membership) {
--- a/crates/runtime/src/driver.rs
+++ b/crates/runtime/src/driver.rs
@@ -222,6 +222,7 @@
                 self.handle_event(Event::ProbeEnded { endpoint, outcome, elapsed, report });
             }
             Input::ListUpdate(update) => self.apply_list_update(update),
+            Input::ListRestriction(ids) => self.apply_list_restriction(ids),
             Input::ListStatus(status) => self.apply_list_status(status),
             Input::Restore(snapshot, reply) => {
                 let restored = self.balancer.restore(self.clock.now(), &snapshot);
--- a/crates/runtime/src/driver/list.rs
+++ b/crates/runtime/src/driver/list.rs
@@ -48,10 +48,6 @@
             Membership::Failed | Membership::Refused => {
                 return self.handle_event(Event::Membership(update.membership));
             }
-            Membership::Restrict(named) => {
-                self.restrict_endpoints(&named.iter().copied().collect());
-                return self.handle_event(Event::Membership(update.membership));
-            }
         };
         for entry in entries {
             self.unconfirmed.remove(&entry.id);
@@ -99,13 +95,15 @@
     }
 
     /// Takes all endpoints except these out of use until they are named again.
-    fn restrict_endpoints(&mut self, named: &HashSet<EndpointId>) {
-        self.unconfirmed = self.addresses.keys().copied().filter(|id| !named.contains(id)).collect();
+    pub(super) fn apply_list_restriction(&mut self, named: Vec<EndpointId>) {
+        let stays: HashSet<EndpointId> = named.iter().copied().collect();
+        self.unconfirmed = self.addresses.keys().copied().filter(|id| !stays.contains(id)).collect();
         for id in &self.unconfirmed {
             info!(endpoint = self.listing.uid(*id), state = "unconfirmed", "endpoint leaves");
             self.outbound.close_idle(*id);
             self.update_admission(*id);
         }
+        self.handle_event(Event::RestrictEndpoints(named));
     }
 
     /// Applies a new status of the list. After the list has expired, no endpoint is chosen from it and no
--- a/crates/runtime/src/events.rs
+++ b/crates/runtime/src/events.rs
@@ -41,6 +41,8 @@
     ProbeEnded(EndpointId, AttemptResult, Duration),
     /// An update of the endpoint list.
     ListUpdate(ListUpdate),
+    /// Only these endpoints may be used until the list names others.
+    ListRestriction(Vec<EndpointId>),
     /// The status of the current list, valid until the next one is sent.
     ListStatus(ListStatus),
     /// Restores the learned state of another process; replies with whether that succeeded.
--- a/crates/runtime/src/listing.rs
+++ b/crates/runtime/src/listing.rs
@@ -50,12 +50,6 @@
         self.ids.borrow().len()
     }
 
-    /// Restricts the use of the list to the endpoints with these uids.
-    pub fn restriction(&self, uids: &[String]) -> ListUpdate {
-        let ids = uids.iter().map(|uid| self.id(uid)).collect();
-        ListUpdate { membership: Membership::Restrict(ids), addresses: Vec::new() }
-    }
-
     /// Translates a list, complete or of changes only.
     pub fn update(&self, list: EndpointList) -> ListUpdate {
         let mut ids = self.ids.borrow_mut();
