Request the whole list after a successor restricted the list of its start

Found by reading again: a successor that had taken over which endpoints may be used left the others out of use for good if discovery, once it was back, began the watch with changes that did not name them. Callers would have seen fewer endpoints for as long as the process runs.

The restriction now counts the whole list as missing, so that it is requested, with the growing waits of such calls, until it comes (`Client::restrict_initial_list`).

--- a/crates/curlewhub/tests/handover.rs
+++ b/crates/curlewhub/tests/handover.rs
@@ -143,14 +143,14 @@
     assert_eq!(next.metric("hosts_listed"), 2);
 }
 
-/// Guards against a successor that starts while discovery is down, and sends to endpoints whose drain its predecessor was
-/// notified of, because it has only the list of its configuration.
-#[test]
-fn a_successor_without_discovery_uses_no_endpoint_that_its_predecessor_knew_to_drain() {
+/// Starts a successor while discovery is down. Before that the predecessor was notified that `s-0` drains and `s-1` is
+/// removed. Returns the endpoints, discovery, the predecessor, which has exited and keeps the state directory, and the
+/// successor.
+fn successor_without_discovery(first_line: FirstLine) -> ([Peer; 3], CrowdedDiscovery, Sidecar, Sidecar) {
     let peers = [Peer::serving("ok"), Peer::serving("ok"), Peer::serving("ok")];
     let mut config = config_with_operator(&peers.each_ref());
     let entries: Vec<Value> = config["known"]["targets"].as_array().unwrap().clone();
-    let discovery = CrowdedDiscovery::start(entries, FirstLine::WholeList);
+    let discovery = CrowdedDiscovery::start(entries, first_line);
     config["discovery"] = json!(discovery.address.to_string());
     config["settings"]["rules"]["askWithinMs"] = json!(10000.0);
     let mut old = Sidecar::start(&config);
@@ -158,24 +158,39 @@
     let leaving = [target("s-0", peers[0].address, "draining"), target("s-1", peers[1].address, "removed")];
     discovery.send_changes(2, &leaving);
     wait_for("both to leave", || old.log().matches("endpoint leaves").count() == 2);
-    // Discovery goes down.
     discovery.set_watch_calls(CallResult::Reset);
     discovery.set_whole_list_calls(CallResult::Reset);
     let next = old.successor(&config);
     wait_for("the successor's yes", || next.call("PING") == "YES\n");
     old.signal("-TERM");
     assert!(old.wait_for_exit().success());
+    (peers, discovery, old, next)
+}
+
+/// Guards against a successor that starts while discovery is down, and sends to endpoints whose drain its predecessor was
+/// notified of, because it has only the list of its configuration.
+#[test]
+fn a_successor_without_discovery_uses_no_endpoint_that_its_predecessor_knew_to_drain() {
+    let (peers, _discovery, _old, next) = successor_without_discovery(FirstLine::WholeList);
     let before = peers.each_ref().map(Peer::request_count);
     for number in 0..40 {
         assert_eq!(next.send_request("quote", &format!("r{number}")).status(), 200);
     }
     let after = peers.each_ref().map(Peer::request_count);
     assert_eq!(after[..2], before[..2], "requests to endpoints that have left");
-    // Once discovery is back, its whole list decides.
-    discovery.set_watch_calls(CallResult::Answered);
-    discovery.set_whole_list_calls(CallResult::Answered);
-    wait_for("the use of all that it lists", || {
-        next.send_request("quote", "again");
-        peers.iter().all(|peer| peer.request_count() > 0)
-    });
+}
+
+/// Guards against endpoints that a successor leaves out of use for good, because discovery, once it is back, begins the
+/// watch with changes that do not name them.
+#[test]
+fn once_discovery_is_back_a_successor_uses_all_that_its_whole_list_names() {
+    for first_line in [FirstLine::WholeList, FirstLine::Changes(&[])] {
+        let (peers, discovery, _old, next) = successor_without_discovery(first_line);
+        discovery.set_watch_calls(CallResult::Answered);
+        discovery.set_whole_list_calls(CallResult::Answered);
+        wait_for("the use of all that it lists", || {
+            next.send_request("quote", "again");
+            next.log().contains("list restricted") && peers.iter().all(|peer| peer.request_count() > 0)
+        });
+    }
 }
--- a/crates/discovery-client/src/client.rs
+++ b/crates/discovery-client/src/client.rs
@@ -132,7 +132,8 @@
     /// Uses only the endpoints with these uids of the list that is known at the start: another process has confirmed no
     /// others. The whole list counts as missing, and is requested until it is received.
     pub fn restrict_initial_list(&mut self, now: Duration, uids: Vec<String>) {
-        let _ = now;
+        self.versions.whole_list_missing();
+        self.next_whole_list = Some(now);
         self.actions.push(Action::Restrict(uids));
     }
 
--- a/crates/discovery-client/tests/lease.rs
+++ b/crates/discovery-client/tests/lease.rs
@@ -603,3 +603,23 @@
         assert_eq!(restrictions(&mut client, seconds(9.0)), [named]);
     }
 }
+
+/// Guards against a successor whose endpoints stay out of use because its predecessor had not confirmed them.
+#[test]
+fn a_restricted_initial_list_is_completed_by_a_whole_list_that_is_requested_until_it_comes() {
+    let mut client = Client::new(Mode::Ask, rules(), 7, Duration::ZERO);
+    client.set_initial_list(&whole(3));
+    client.follow(Duration::ZERO);
+    let watch = one_call(&mut client);
+    client.restrict_initial_list(seconds(5.0), vec!["a".to_owned()]);
+    assert_eq!(client.take_actions(), [Action::Restrict(vec!["a".to_owned()])]);
+    client.watch_line(seconds(5.5), watch, None);
+    assert_eq!(client.lease().expires_at(), None, "changes are notified");
+    for _ in 0..3 {
+        let (at, whole_list) = next_call(&mut client);
+        client.call_ended(at + seconds(0.1), whole_list, EndReason::Refused);
+    }
+    let (at, whole_list) = next_call(&mut client);
+    client.whole_list(at, whole_list, whole(4));
+    assert!(!client.needs_whole_list());
+}
