Keep a bound of the server before when a new server cannot be reached

Found by asking of each path that lengthens a bound for its evidence: after a server change took over the bound that the list had, and a failed connect to the new server moved it. What the server before may have had while it was available (its watch ended: 2 s) is not refuted by that. In the test the old list was used until 55.5 s, with nothing heard of discovery since 5 s; it counts as notified at 7 s.

The earlier bound is kept apart (`EarlierBound`). It is fixed where the server before was available, or has passed; one that rests on an outage moves for as long as that continues at the new server, so that a fleet whose configuration moves during an outage goes on being served.

`an_unreachable_new_server_does_not_extend_what_the_server_before_may_have_notified` failed on (last use at 55.49 s) and passes now; it asserts the outage as well.

--- a/crates/discovery-client/src/lease.rs
+++ b/crates/discovery-client/src/lease.rs
@@ -1,8 +1,7 @@
 //! The lease on the current list: until when it may be used.
 
 use crate::Epoch;
-
-use crate::server_changes::ServerChanges;
+use crate::server_changes::{EarlierBound, ServerChanges};
 use crate::settings::{LeaseSettings, Mode};
 use crate::timing::{
     LEASE_SLACK, LONGEST_OUTAGE, NOTIFIED_AFTER_WATCH_END, NOTIFIED_WITHIN, STALL_ALLOWANCE,
@@ -149,11 +148,29 @@
 
     /// Records the switch to the server `epoch`; `previous_answered` is whether the server before it has answered.
     pub fn server_changed(&mut self, now: Duration, epoch: Epoch, previous_answered: bool) {
-        let current_bound = self.notified_by_state();
-        self.server_changes.server_named(now, epoch, previous_answered, current_bound);
+        let bound = self.bound_at_server_change(now);
+        self.server_changes.server_named(now, epoch, previous_answered, bound);
         self.held_refusals = 0;
     }
 
+    /// The bound of the list at a server change. A bound that rests on an outage moves as long as that continues at the
+    /// new server, unless it has passed.
+    fn bound_at_server_change(&self, now: Duration) -> EarlierBound {
+        let may_be_outage = match self.state {
+            LeaseState::Unreachable { .. } | LeaseState::WatchReset { .. } => true,
+            LeaseState::Unwatched { .. } => !self.has_watched,
+            LeaseState::Watching
+            | LeaseState::WatchEnded { .. }
+            | LeaseState::WatchSilent { .. }
+            | LeaseState::Crowded { .. } => false,
+        };
+        match self.notified_by_state() {
+            None => EarlierBound::None,
+            Some(at) if may_be_outage && at > now => EarlierBound::Outage(at),
+            Some(at) => EarlierBound::Fixed(at),
+        }
+    }
+
     /// Records that a call has shown that the newest server can be reached.
     pub fn server_reached(&mut self) {
         self.server_changes.newest_reached();
@@ -161,7 +178,7 @@
 
     /// The oldest server whose list is not known completely, and when it counts as notified.
     pub fn incomplete_server_change(&self) -> Option<(Epoch, Duration)> {
-        self.server_changes.oldest().map(|change| (change.epoch, change.notified_at))
+        self.server_changes.oldest().map(|change| (change.epoch, change.notified_at()))
     }
 
     /// Records that only endpoints that the server `epoch` or a later one has named are in use.
--- a/crates/discovery-client/src/server_changes.rs
+++ b/crates/discovery-client/src/server_changes.rs
@@ -7,6 +7,17 @@
 /// The maximum number of incomplete server changes. If there are more, the two oldest count as one.
 const MAX_INCOMPLETE: usize = 8;
 
+/// When a change at the server named so far may count as notified.
+#[derive(Clone, Copy, Debug)]
+pub(crate) enum EarlierBound {
+    /// Changes were notified as they were made.
+    None,
+    /// That server could not be reached, so far as is known; an outage that continues moves the time.
+    Outage(Duration),
+    /// That server was available.
+    Fixed(Duration),
+}
+
 /// A server change without a whole list of its server or of a later one.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct ServerChange {
@@ -15,11 +26,20 @@
     /// The time of the first configuration that this change stands for.
     pub since: Duration,
     /// When the list of the server counts as notified: an endpoint that no server since then has named is gone.
-    pub notified_at: Duration,
+    deadline: Duration,
+    /// When a change at a server before it may count as notified; nothing that the server shows moves this.
+    inherited: Option<Duration>,
     /// Whether a call has shown that the server could be reached.
     was_reached: bool,
 }
 
+impl ServerChange {
+    /// From when on only endpoints that the server or a later one has named may be used.
+    pub fn notified_at(&self) -> Duration {
+        self.inherited.map_or(self.deadline, |inherited| inherited.min(self.deadline))
+    }
+}
+
 /// The incomplete server changes, oldest first.
 #[derive(Debug, Default)]
 pub(crate) struct ServerChanges {
@@ -28,34 +48,45 @@
 
 impl ServerChanges {
     /// Records that a configuration names the server `epoch`. `previous_answered` is whether the server named before has
-    /// answered. If it has not, its deadline goes on: what it would have told counts as notified by then. So does
-    /// `current_bound`, when a change of the current list may count as notified: the new server's answer covers only what
-    /// it names.
+    /// answered. If it has not, its deadline still applies: what it would have told counts as notified by then. So does
+    /// `bound`: the new server's answer covers changes at the servers before only as far as it names endpoints.
     pub fn server_named(
         &mut self,
         now: Duration,
         epoch: Epoch,
         previous_answered: bool,
-        current_bound: Option<Duration>,
+        bound: EarlierBound,
     ) {
         let deadline = now + NOTIFIED_AFTER_SERVER_CHANGE;
-        let notified_at = current_bound.map_or(deadline, |bound| bound.min(deadline));
+        let (deadline, inherited) = match bound {
+            EarlierBound::None => (deadline, None),
+            EarlierBound::Outage(at) => (deadline.min(at), None),
+            EarlierBound::Fixed(at) => (deadline, Some(at)),
+        };
         match self.incomplete.last_mut().filter(|_| !previous_answered) {
             Some(unanswered) => {
                 (unanswered.epoch, unanswered.was_reached) = (epoch, false);
-                unanswered.notified_at = unanswered.notified_at.min(notified_at);
+                unanswered.deadline = unanswered.deadline.min(deadline);
+                unanswered.inherited = earlier(unanswered.inherited, inherited);
             }
             None => {
-                self.incomplete.push(ServerChange { epoch, since: now, notified_at, was_reached: false })
+                let (since, was_reached) = (now, false);
+                self.incomplete.push(ServerChange { epoch, since, deadline, inherited, was_reached });
             }
         }
         if self.incomplete.len() > MAX_INCOMPLETE {
-            let oldest = self.incomplete.remove(0);
-            let next = &mut self.incomplete[0];
-            (next.since, next.notified_at) = (oldest.since, next.notified_at.min(oldest.notified_at));
+            self.merge_oldest();
         }
     }
 
+    /// Makes one change of the two oldest, with the earlier deadline.
+    fn merge_oldest(&mut self) {
+        let oldest = self.incomplete.remove(0);
+        let next = &mut self.incomplete[0];
+        next.since = oldest.since;
+        next.inherited = earlier(next.inherited, Some(oldest.notified_at()));
+    }
+
     /// Records that a call has shown that the newest server can be reached. No later failure moves its deadline.
     pub fn newest_reached(&mut self) {
         if let Some(newest) = self.incomplete.last_mut() {
@@ -68,9 +99,9 @@
     pub fn newest_unreachable(&mut self, now: Duration, call_started_at: Duration) {
         let newest = self.incomplete.last_mut();
         if let Some(newest) = newest.filter(|newest| !newest.was_reached && newest.since <= call_started_at)
-            && newest.notified_at > now + LEASE_SLACK
+            && newest.notified_at() > now + LEASE_SLACK
         {
-            newest.notified_at = newest.notified_at.max(call_started_at + NOTIFIED_WITHIN);
+            newest.deadline = newest.deadline.max(call_started_at + NOTIFIED_WITHIN);
         }
     }
 
@@ -92,6 +123,10 @@
 
     /// When the first of the changes counts as notified.
     pub fn notified_at(&self) -> Option<Duration> {
-        self.incomplete.iter().map(|change| change.notified_at).min()
+        self.incomplete.iter().map(ServerChange::notified_at).min()
     }
 }
+
+fn earlier(one: Option<Duration>, other: Option<Duration>) -> Option<Duration> {
+    one.into_iter().chain(other).min()
+}
--- a/crates/discovery-client/tests/lease.rs
+++ b/crates/discovery-client/tests/lease.rs
@@ -623,3 +623,22 @@
     client.whole_list(at, whole_list, whole(4));
     assert!(!client.needs_whole_list());
 }
+
+/// Guards against a change that the server before had, and that a failed connect to another server is taken to refute.
+#[test]
+fn an_unreachable_new_server_does_not_extend_what_the_server_before_may_have_notified() {
+    let (mut client, watch) = watching(Mode::Ask);
+    client.call_ended(seconds(5.0), watch, EndReason::Failed);
+    client.server_changed(seconds(5.5));
+    let used = used_while_calls_fail(&mut client, seconds(5.5), seconds(0.01), EndReason::NotConnected);
+    let last = used.last().copied();
+    assert!(last.is_some_and(|last| last < seconds(7.0) + ALLOWANCE), "{last:?}");
+    // An outage that began at the server before and continues at the new one has notified nothing.
+    let (mut client, watch) = watching(Mode::Ask);
+    client.call_ended(seconds(5.0), watch, EndReason::Reset);
+    let used = used_while_calls_fail(&mut client, seconds(5.0), seconds(0.01), EndReason::NotConnected);
+    assert_eq!(used.len(), 5000);
+    client.server_changed(seconds(55.0));
+    let used = used_while_calls_fail(&mut client, seconds(55.0), seconds(0.01), EndReason::NotConnected);
+    assert_eq!(used.len(), 5000);
+}
