Don't take a watch on the server before for one on the server of a newer list

A call for a watch keeps its place in the queue of a server that is replaced. If it opened there, and the new server then gave its whole list, the state stayed `Watching`: the list had no bound although no watch on its server was open, and none while that one refuses watches.

`cancel_watch_before` cancels such a watch with the newer list, and the list has the bound of one without a watch. It serves the server change as well, which did the same by itself; the check of each line for a newer list is gone with the state that it looked for.

`a_whole_list_of_a_new_server_is_not_covered_by_a_watch_on_the_server_before` failed before (no bound where 7.55 s is wanted) and passes now, asked and pushed.

--- a/crates/discovery-client/src/client.rs
+++ b/crates/discovery-client/src/client.rs
@@ -214,10 +214,7 @@
         self.overloaded = false;
         self.backoff.reset();
         self.next_whole_list = None;
-        if let Some(at) = self.calls.iter().position(|call| call.state == CallState::Open) {
-            self.cancel(at);
-            self.lease.watch_cancelled(now);
-        }
+        self.cancel_watch_before(now, self.server);
         if awaiting_answer {
             let since = *self.server_change_pending_since.get_or_insert(now);
             self.next_watch =
@@ -240,8 +237,6 @@
                 self.cancel(at);
                 self.apply_redundant_line(now, &call, list);
             }
-            // The current list is from a newer server, and the versions on this watch are of an older one.
-            CallState::Open if call.epoch < self.versions.epoch() => self.cancel(at),
             CallState::Open => {
                 self.backoff.reset();
                 if let Some(list) = list {
@@ -277,6 +272,7 @@
     fn apply_whole_list(&mut self, now: Duration, call: &ActiveCall, list: EndpointList) {
         match self.versions.merge_whole_list(call.epoch, call.version_at_start, list) {
             Some(list) => {
+                self.cancel_watch_before(now, call.epoch);
                 self.lease.whole_list_received(now, call.epoch);
                 self.whole_list_backoff.reset();
                 self.next_whole_list = None;
@@ -286,6 +282,15 @@
         }
     }
 
+    /// Cancels the open watch if it is on a server before `epoch`: it brings no changes of that server's list.
+    fn cancel_watch_before(&mut self, now: Duration, epoch: Epoch) {
+        let is_before = |call: &ActiveCall| call.state == CallState::Open && call.epoch < epoch;
+        if let Some(at) = self.calls.iter().position(is_before) {
+            self.cancel(at);
+            self.lease.watch_cancelled(now);
+        }
+    }
+
     /// Handles the entries received so far of a list that was truncated or takes long.
     pub fn partial_list(&mut self, id: CallId, list: EndpointList) {
         let Some(call) = self.calls.iter().find(|call| call.id == id).copied() else { return };
--- a/crates/discovery-client/tests/lease.rs
+++ b/crates/discovery-client/tests/lease.rs
@@ -642,3 +642,27 @@
     let used = used_while_calls_fail(&mut client, seconds(55.0), seconds(0.01), EndReason::NotConnected);
     assert_eq!(used.len(), 5000);
 }
+
+/// Guards against a watch on the server before that counts as one on the server of a newer list, whose watch is refused.
+#[test]
+fn a_whole_list_of_a_new_server_is_not_covered_by_a_watch_on_the_server_before() {
+    for (mode, bound) in [(Mode::Ask, 1.5 + 6.0), (Mode::Push, 1.5)] {
+        let mut client = Client::new(mode, rules(), 7, Duration::ZERO);
+        client.follow(Duration::ZERO);
+        let watch_before = one_call(&mut client);
+        client.server_changed(seconds(1.0));
+        let watch = one_call(&mut client);
+        // The call to the server before has kept its place in the queue.
+        client.watch_line(seconds(1.2), watch_before, Some(changes(3)));
+        client.take_actions();
+        client.fetch(seconds(1.3));
+        let whole_list = one_call(&mut client);
+        client.whole_list(seconds(1.5), whole_list, whole(4));
+        let bound = Some(seconds(bound) + ALLOWANCE);
+        assert_eq!(client.lease().expires_at(), bound, "{mode:?}");
+        assert!(!client.is_watching(), "{mode:?}");
+        client.watch_line(seconds(1.6), watch_before, Some(changes(5)));
+        client.call_ended(seconds(1.7), watch, EndReason::Refused);
+        assert_eq!(client.lease().expires_at(), bound, "{mode:?}");
+    }
+}
