Keep the deadline of a server that was replaced by one that cannot be reached

Found by drawing servers that can't be reached in the property test: where a server that had not answered was replaced, the deadline of both was one, and a failed connect to the second moved it. So what the first may have told lost its bound by another server's evidence (used until 11.04 s in place of 9 s in the test).

A deadline moves over a replacement only if the calls to the replaced server themselves showed that it could not be reached (`KnownReachability`); one that was not called in time keeps it. A call that takes longer than a connection may has one (`record_connected_calls`).

Their record keeps by which server an endpoint is gone, and calls go to the server that the client names.

Cost: configurations that follow each other within 0.5 s during an outage hold requests 4 s behind the first whose server was not called.

--- a/crates/discovery-client/src/client.rs
+++ b/crates/discovery-client/src/client.rs
@@ -5,8 +5,8 @@
 use crate::lease::{FailedCall, Lease, LeaseState, Reachability};
 use crate::settings::{LeaseSettings, Mode};
 use crate::timing::{
-    IMMEDIATE_REFUSAL_LIMIT, MAX_JITTER, MAX_WATCH_CALLS, SECOND_CALL_AFTER, SERVER_CHANGE_DEBOUNCE,
-    SERVER_CHANGE_DEBOUNCE_LIMIT,
+    CONNECT_TIMEOUT, IMMEDIATE_REFUSAL_LIMIT, MAX_JITTER, MAX_WATCH_CALLS, SECOND_CALL_AFTER,
+    SERVER_CHANGE_DEBOUNCE, SERVER_CHANGE_DEBOUNCE_LIMIT,
 };
 use crate::versions::Versions;
 use curlewhub_balance::RefusalCause;
@@ -208,6 +208,7 @@
     /// used until the new server has answered.
     pub fn server_changed(&mut self, now: Duration) {
         let awaiting_answer = self.server > self.versions.epoch();
+        self.record_connected_calls(now);
         self.server = Epoch(self.server.0 + 1);
         self.lease.server_changed(now, self.server, !awaiting_answer);
         self.following = true;
@@ -224,6 +225,15 @@
         }
     }
 
+    /// Records a call to the current server that has taken longer than a connection may: it has one.
+    fn record_connected_calls(&mut self, now: Duration) {
+        let is_connected =
+            |call: &ActiveCall| call.epoch == self.server && call.started_at + CONNECT_TIMEOUT < now;
+        if self.calls.iter().any(is_connected) {
+            self.lease.server_reached();
+        }
+    }
+
     /// Handles a complete line of a watch: a whole list, changes, or an empty line.
     pub fn watch_line(&mut self, now: Duration, id: CallId, list: Option<EndpointList>) {
         let Some(at) = self.calls.iter().position(|call| call.id == id) else { return };
@@ -438,6 +448,7 @@
         if !matches!(reason, EndReason::NotConnected | EndReason::LocalError) {
             self.lease.server_reached();
         }
+        self.record_connected_calls(now);
         self.overloaded |= reason == EndReason::Refused;
         self.any_refused |= reason == EndReason::Refused;
         let held = now.saturating_sub(call.started_at);
--- a/crates/discovery-client/src/lease.rs
+++ b/crates/discovery-client/src/lease.rs
@@ -1,7 +1,7 @@
 //! The lease on the current list: until when it may be used.
 
 use crate::Epoch;
-use crate::server_changes::{EarlierBound, ServerChanges};
+use crate::server_changes::{EarlierBound, ServerChange, ServerChanges};
 use crate::settings::{LeaseSettings, Mode};
 use crate::timing::{
     LEASE_SLACK, LONGEST_OUTAGE, NOTIFIED_AFTER_WATCH_END, NOTIFIED_WITHIN, STALL_ALLOWANCE,
@@ -176,9 +176,9 @@
         self.server_changes.newest_reached();
     }
 
-    /// The oldest server whose list is not known completely, and when it counts as notified.
+    /// The server whose list, not known completely, counts as notified first, and when.
     pub fn incomplete_server_change(&self) -> Option<(Epoch, Duration)> {
-        self.server_changes.oldest().map(|change| (change.epoch, change.notified_at()))
+        self.server_changes.first_notified().map(|change| (change.epoch, change.notified_at()))
     }
 
     /// Records that only endpoints that the server `epoch` or a later one has named are in use.
@@ -239,9 +239,7 @@
     fn outage_start(&self, now: Duration) -> Option<Duration> {
         match self.state {
             LeaseState::Unreachable { since, .. } => Some(since),
-            LeaseState::Unwatched { .. } => {
-                Some(self.server_changes.oldest().map_or(now, |change| change.since))
-            }
+            LeaseState::Unwatched { .. } => Some(self.server_changes.since().unwrap_or(now)),
             LeaseState::WatchReset { at, .. } => Some(at),
             LeaseState::Watching
             | LeaseState::WatchEnded { .. }
@@ -290,7 +288,8 @@
 
     /// When a change that was not received may first count as notified.
     fn notified_at(&self) -> Option<Duration> {
-        self.notified_by_state().into_iter().chain(self.server_changes.notified_at()).min()
+        let by_server_change = self.server_changes.first_notified().map(ServerChange::notified_at);
+        self.notified_by_state().into_iter().chain(by_server_change).min()
     }
 
     fn notified_by_state(&self) -> Option<Duration> {
--- a/crates/discovery-client/src/server_changes.rs
+++ b/crates/discovery-client/src/server_changes.rs
@@ -29,8 +29,18 @@
     deadline: Duration,
     /// When a change at a server before it may count as notified; nothing that the server shows moves this.
     inherited: Option<Duration>,
-    /// Whether a call has shown that the server could be reached.
-    was_reached: bool,
+    reachability: KnownReachability,
+}
+
+/// What the calls to a server have shown since it was named.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum KnownReachability {
+    /// No call has ended yet.
+    Unknown,
+    /// No connection was established.
+    Unreachable,
+    /// A call was held, answered or refused, or its connection broke.
+    Reached,
 }
 
 impl ServerChange {
@@ -65,13 +75,18 @@
         };
         match self.incomplete.last_mut().filter(|_| !previous_answered) {
             Some(unanswered) => {
-                (unanswered.epoch, unanswered.was_reached) = (epoch, false);
-                unanswered.deadline = unanswered.deadline.min(deadline);
+                unanswered.epoch = epoch;
                 unanswered.inherited = earlier(unanswered.inherited, inherited);
+                // What the server before had may count as notified, unless its calls showed that it could not be reached.
+                if unanswered.reachability != KnownReachability::Unreachable {
+                    unanswered.inherited = earlier(unanswered.inherited, Some(unanswered.deadline));
+                }
+                unanswered.reachability = KnownReachability::Unknown;
+                unanswered.deadline = unanswered.deadline.min(deadline);
             }
             None => {
-                let (since, was_reached) = (now, false);
-                self.incomplete.push(ServerChange { epoch, since, deadline, inherited, was_reached });
+                let (since, reachability) = (now, KnownReachability::Unknown);
+                self.incomplete.push(ServerChange { epoch, since, deadline, inherited, reachability });
             }
         }
         if self.incomplete.len() > MAX_INCOMPLETE {
@@ -90,17 +105,19 @@
     /// Records that a call has shown that the newest server can be reached. No later failure moves its deadline.
     pub fn newest_reached(&mut self) {
         if let Some(newest) = self.incomplete.last_mut() {
-            newest.was_reached = true;
+            newest.reachability = KnownReachability::Reached;
         }
     }
 
     /// Records that the newest server could not be reached when a call to it started. As long as no call has reached it,
     /// it can have told nothing before that, unless its deadline has passed.
     pub fn newest_unreachable(&mut self, now: Duration, call_started_at: Duration) {
-        let newest = self.incomplete.last_mut();
-        if let Some(newest) = newest.filter(|newest| !newest.was_reached && newest.since <= call_started_at)
-            && newest.notified_at() > now + LEASE_SLACK
-        {
+        let Some(newest) = self.incomplete.last_mut() else { return };
+        if newest.reachability == KnownReachability::Reached || call_started_at < newest.since {
+            return;
+        }
+        if newest.notified_at() > now + LEASE_SLACK {
+            newest.reachability = KnownReachability::Unreachable;
             newest.deadline = newest.deadline.max(call_started_at + NOTIFIED_WITHIN);
         }
     }
@@ -111,20 +128,20 @@
         self.incomplete.retain(|change| change.epoch > epoch);
     }
 
-    /// The oldest incomplete change.
-    pub fn oldest(&self) -> Option<&ServerChange> {
-        self.incomplete.first()
+    /// The change that counts as notified first, the newest of several.
+    pub fn first_notified(&self) -> Option<&ServerChange> {
+        self.incomplete.iter().rev().min_by_key(|change| change.notified_at())
+    }
+
+    /// The time of the first configuration whose server has not answered completely.
+    pub fn since(&self) -> Option<Duration> {
+        self.incomplete.first().map(|change| change.since)
     }
 
     /// Whether all changes are complete.
     pub fn is_empty(&self) -> bool {
         self.incomplete.is_empty()
     }
-
-    /// When the first of the changes counts as notified.
-    pub fn notified_at(&self) -> Option<Duration> {
-        self.incomplete.iter().map(ServerChange::notified_at).min()
-    }
 }
 
 fn earlier(one: Option<Duration>, other: Option<Duration>) -> Option<Duration> {
--- a/crates/discovery-client/tests/lease.rs
+++ b/crates/discovery-client/tests/lease.rs
@@ -666,3 +666,21 @@
         assert_eq!(client.lease().expires_at(), bound, "{mode:?}");
     }
 }
+
+/// Guards against the deadline of a server that was replaced while it held a call, moved by an unreachable one after it.
+#[test]
+fn an_unreachable_server_does_not_extend_the_deadline_of_a_server_replaced_before_it() {
+    for held in [0.2, 2.0] {
+        for mode in [Mode::Ask, Mode::Push] {
+            let (mut client, watch) = watching(mode);
+            client.watch_line(seconds(5.0), watch, None);
+            client.server_changed(seconds(5.0));
+            one_call(&mut client);
+            client.server_changed(seconds(5.0 + held));
+            let from = seconds(5.0 + held);
+            let used = used_while_calls_fail(&mut client, from, seconds(0.01), EndReason::NotConnected);
+            let last = used.last().copied();
+            assert!(last.is_some_and(|last| last < seconds(9.0) + ALLOWANCE), "{mode:?}, {held}: {last:?}");
+        }
+    }
+}
--- a/crates/discovery-client/tests/named_endpoints.rs
+++ b/crates/discovery-client/tests/named_endpoints.rs
@@ -5,6 +5,7 @@
 mod support;
 
 use curlewhub_config::list::{EndpointList, Target, TargetState};
+use curlewhub_discovery_client::timing::{CONNECT_TIMEOUT, MAX_BACKOFF};
 use curlewhub_discovery_client::{Action, CallId, CallKind, Client, EndReason, LeaseSettings, Mode};
 use rand_core::{RngCore, SeedableRng};
 use rand_pcg::Pcg32;
@@ -40,6 +41,9 @@
     up: BTreeSet<Uid>,
     /// The endpoints that have joined or left since it was named.
     changed: BTreeSet<Uid>,
+    named_at: Duration,
+    /// No connection to it is established before this.
+    reachable_from: Duration,
     first_line: FirstLine,
 }
 
@@ -111,6 +115,8 @@
             version: 1,
             up: history.initial.clone(),
             changed: BTreeSet::new(),
+            named_at: Duration::ZERO,
+            reachable_from: Duration::ZERO,
             first_line,
         });
         history.client.follow(Duration::ZERO);
@@ -134,8 +140,8 @@
         self.servers.len() - 1
     }
 
-    fn notified_gone(&mut self, uid: Uid, at: Duration) {
-        let notified_at = self.gone.entry((uid, self.servers.len() - 1)).or_insert(at);
+    fn notified_gone(&mut self, uid: Uid, by: usize, at: Duration) {
+        let notified_at = self.gone.entry((uid, by)).or_insert(at);
         *notified_at = at.min(*notified_at);
     }
 
@@ -152,11 +158,24 @@
         };
         let up = self.random_endpoints();
         let version = 1 + u64::from(self.random(5));
-        self.servers.push(Server { version, up, changed: BTreeSet::new(), first_line });
+        let unreachable = if self.one_chance_in(3) { self.random(15_000) } else { 0 };
+        let reachable_from = now + Duration::from_millis(unreachable.into());
+        // A server that was unreachable, and replaced before the next call to it had to show that it is back, has
+        // notified nothing as far as the sidecar can know.
+        let previous = self.newest();
+        let replaced = &self.servers[previous];
+        if replaced.reachable_from > replaced.named_at
+            && replaced.reachable_from + MAX_BACKOFF + CONNECT_TIMEOUT > now
+        {
+            self.gone.retain(|(_, by), _| *by != previous);
+        }
+        let (named_at, changed) = (now, BTreeSet::new());
+        self.servers.push(Server { version, up, changed, named_at, reachable_from, first_line });
         for number in 0..ENDPOINTS {
             let uid = format!("s-{number}");
             if !self.servers[self.newest()].up.contains(&uid) {
-                self.notified_gone(uid, now + NOTIFIED_AFTER_SERVER_CHANGE);
+                let by_outage = if unreachable > 0 { reachable_from + NOTIFIED_WITHIN } else { now };
+                self.notified_gone(uid, self.newest(), by_outage.max(now + NOTIFIED_AFTER_SERVER_CHANGE));
             }
         }
         self.named.clear();
@@ -181,11 +200,14 @@
         let watch = self.calls.iter().find(|call| call.is_open && call.server == newest).copied();
         let Some(watch) = watch else {
             if leaves {
+                let reachable_from = self.servers[newest].reachable_from;
                 let at = match self.mode {
-                    Mode::Push => now.max(self.moved_at + NOTIFIED_AFTER_SERVER_CHANGE),
-                    Mode::Ask => now + NOTIFIED_WITHIN,
+                    Mode::Push if reachable_from <= self.moved_at => {
+                        now.max(self.moved_at + NOTIFIED_AFTER_SERVER_CHANGE)
+                    }
+                    Mode::Push | Mode::Ask => now.max(reachable_from) + NOTIFIED_WITHIN,
                 };
-                self.notified_gone(uid, at);
+                self.notified_gone(uid, newest, at);
             }
             return;
         };
@@ -193,7 +215,7 @@
             self.calls.retain(|call| call.id != watch.id);
             self.named.clear();
             let at = if self.mode == Mode::Push { now } else { now + NOTIFIED_AFTER_WATCH_END };
-            self.notified_gone(uid, at);
+            self.notified_gone(uid, newest, at);
             return self.client.call_ended(now, watch.id, EndReason::Failed);
         }
         let states = [TargetState::Draining, TargetState::Removed];
@@ -215,7 +237,7 @@
             if target.state == TargetState::Up {
                 self.notified_up(&target.uid, call.server);
             } else {
-                self.notified_gone(target.uid.clone(), now);
+                self.notified_gone(target.uid.clone(), call.server, now);
             }
             if call.server == self.newest() && target.state == TargetState::Up {
                 self.named.insert(target.uid.clone());
@@ -232,11 +254,10 @@
         self.heard = server;
         let up = self.servers[server].up.clone();
         up.iter().for_each(|uid| self.notified_up(uid, server));
-        let is_newest = server == self.newest();
-        for number in (0..ENDPOINTS).filter(|_| is_newest) {
+        for number in 0..ENDPOINTS {
             let uid = format!("s-{number}");
             if !up.contains(&uid) {
-                self.notified_gone(uid, now);
+                self.notified_gone(uid, server, now);
             }
         }
     }
@@ -284,7 +305,7 @@
         self.client.watch_line(now, call.id, Some(whole));
     }
 
-    fn draw_call(&mut self, now: Duration, id: CallId, kind: CallKind) -> Call {
+    fn draw_call(&mut self, now: Duration, id: CallId, server: usize, kind: CallKind) -> Call {
         let held = 1000 + u64::from(self.random(2000));
         let (takes, failure) = match (now < self.crowded_until, self.random(5)) {
             (false, _) | (true, 0) => (5 + u64::from(self.random(1000)), None),
@@ -293,15 +314,18 @@
             (true, 3) => (3200, Some(EndReason::NoResponse)),
             (true, _) => (3, Some(EndReason::NoResponse)),
         };
-        let (server, is_open) = (self.newest(), false);
+        let is_open = false;
+        let is_reachable = self.servers[server].reachable_from <= now;
+        let (takes, failure) =
+            if is_reachable { (takes, failure) } else { (3, Some(EndReason::NotConnected)) };
         Call { id, server, kind, ends_at: now + Duration::from_millis(takes), failure, is_open }
     }
 
     fn perform_actions(&mut self, now: Duration) {
         for action in self.client.take_actions() {
             match action {
-                Action::Call { id, kind, .. } => {
-                    let call = self.draw_call(now, id, kind);
+                Action::Call { id, epoch, kind } => {
+                    let call = self.draw_call(now, id, epoch.0 as usize, kind);
                     self.calls.push(call);
                 }
                 Action::Cancel(id) => self.calls.retain(|call| call.id != id),
