Test the list of version 0 on real processes, and keep consensus servers' logs in their test

`changes_after_version_0_cover_the_list_of_the_configuration_unless_they_contradict_it`: the real paths of `origin.rs` had unit tests alone. A server that begins with what changed after version 0 needs no whole list; one that names unchanged entries does, and the endpoint that it leaves out gets nothing behind the deadline.

They have logs, whose ends stand in a wait's failure.

--- a/crates/curlewhub/tests/consensus_servers.rs
+++ b/crates/curlewhub/tests/consensus_servers.rs
@@ -131,10 +131,25 @@
         let config = self.file(file);
         let mut words = vec!["consensus-server", "--config", &config];
         words.extend(file.contains("first").then_some("--begin"));
-        let child = program(&words).stderr(Stdio::null()).spawn().unwrap();
+        let log = std::fs::File::options().create(true).append(true).open(self.server_log(id)).unwrap();
+        let child = program(&words).stderr(log).spawn().unwrap();
         self.running.push((id, child));
     }
 
+    fn server_log(&self, id: u64) -> PathBuf {
+        self.folder.join(format!("k{id}.log"))
+    }
+
+    /// The last lines of each server's log, for failures.
+    fn server_logs(&self) -> String {
+        let tail = |id| {
+            let text = std::fs::read_to_string(self.server_log(id)).unwrap_or_default();
+            let lines: Vec<&str> = text.lines().rev().take(12).collect();
+            lines.into_iter().rev().map(|line| format!("\nk{id}: {line}")).collect::<String>()
+        };
+        (1..=4).map(tail).collect()
+    }
+
     fn end(&mut self, id: u64) {
         let at = self.running.iter().position(|(known, _)| *known == id).unwrap();
         let (_, mut child) = self.running.remove(at);
@@ -174,7 +189,7 @@
             if holds(&status) {
                 return;
             }
-            assert!(began.elapsed() < WAIT_TIMEOUT, "timed out: {what}: {status}");
+            assert!(began.elapsed() < WAIT_TIMEOUT, "timed out: {what}: {status}{}", self.server_logs());
             std::thread::sleep(Duration::from_millis(50));
         }
     }
--- a/crates/curlewhub/tests/server_changes.rs
+++ b/crates/curlewhub/tests/server_changes.rs
@@ -57,10 +57,16 @@
 
 impl Fixture {
     fn start(mode: &str) -> Fixture {
+        Fixture::with_known_version(mode, 7)
+    }
+
+    /// As `start`, with this version of the list in the configuration.
+    fn with_known_version(mode: &str, version: u64) -> Fixture {
         let peers: Vec<RecordingPeer> = (0..4).map(|_| RecordingPeer::new()).collect();
         let first = CrowdedDiscovery::start(targets(&peers, &[0, 1, 2, 3]), FirstLine::WholeList);
         let mut config = config_with_operator(&peers.iter().map(|peer| &peer.peer).collect::<Vec<_>>());
         config["discovery"] = json!(first.address.to_string());
+        config["known"]["rev"] = json!(version);
         config["settings"]["discovery"] = json!(mode);
         config["settings"]["rules"]["drainGraceMs"] = json!(GRACE.as_millis() as f64);
         config["settings"]["rules"]["askWithinMs"] = json!(10000.0);
@@ -304,3 +310,35 @@
         }
     });
 }
+
+/// Guards against a fleet whose sidecars all request the whole list of a new server that begins with changes after the
+/// list of their configuration, and against one server's version 0 being taken for another's.
+#[test]
+fn changes_after_version_0_cover_the_list_of_the_configuration_unless_they_contradict_it() {
+    // The changes name what has changed, or entries that have not.
+    let first_lines: [&[&str]; 2] = [&["s-0"], &["s-1", "s-2", "s-3"]];
+    std::thread::scope(|scope| {
+        for (mode, named) in MODES.into_iter().flat_map(|mode| first_lines.map(|named| (mode, named))) {
+            scope.spawn(move || {
+                let fixture = Fixture::with_known_version(mode, 0);
+                let mut listed = targets(&fixture.peers, &[0, 1, 2, 3]);
+                listed[0]["state"] = json!("removed");
+                let second = CrowdedDiscovery::start(listed, FirstLine::Changes(named));
+                second.set_whole_list_calls(CallResult::RefusedAfter(Duration::from_secs(2)));
+                let mut moved = Instant::now();
+                let sent = with_load(&fixture.sidecar, || {
+                    moved = fixture.move_to(&second);
+                    sleep_until(moved + Duration::from_secs(8));
+                });
+                let late = fixture.peers[0].arrivals_after(moved + NOTIFIED_AFTER + GRACE + TOLERANCE);
+                assert_eq!(late, 0, "{mode}, {named:?}: requests to an endpoint that is gone");
+                assert_served(&sent, moved, &format!("{mode}, {named:?}"));
+                let is_covered = named == ["s-0"];
+                assert_eq!(second.whole_list_calls() == 0, is_covered, "{mode}, {named:?}: calls");
+                let bound = moved + NOTIFIED_AFTER + GRACE + TOLERANCE;
+                let used = fixture.peers[1..].iter().all(|peer| peer.arrivals_after(bound) > 0);
+                assert!(used, "{mode}, {named:?}: the others go on");
+            });
+        }
+    });
+}
