Review case 10: an endpoint that is gone is used while discovery is crowded

Broken: an endpoint gets new requests long after its going counts as told (rule drain). By: all watches are reset, and each call then waits 3 s and ends with 503; the lease takes that for an outage.

--- a/review/common-2/lib.rs
+++ b/review/common-2/lib.rs
@@ -376,12 +376,17 @@
     changes: Vec<(u64, Target)>,
     /// Whether calls and watches end, and new ones are refused.
     down: bool,
+    /// Too many callers: each call waits in the queue for so long, and then fails with 503.
+    crowded: Option<Duration>,
+    /// Watches that began before this number was raised are reset.
+    resets: u64,
 }
 
 impl Discovery {
     pub fn start(record: &Record, targets: Vec<Target>) -> Discovery {
         let (listener, address) = listen();
-        let state = DiscoveryState { rev: 41, targets, changes: Vec::new(), down: false };
+        let state =
+            DiscoveryState { rev: 41, targets, changes: Vec::new(), down: false, crowded: None, resets: 0 };
         let discovery = Discovery {
             address,
             state: Arc::new((Mutex::new(state), Condvar::new())),
@@ -422,6 +427,17 @@
         self.state.1.notify_all();
     }
 
+    /// All open watches are reset.
+    pub fn reset_watches(&self) {
+        self.state.0.lock().unwrap().resets += 1;
+        self.state.1.notify_all();
+    }
+
+    /// From now on each call waits for so long and then fails; none: calls are answered again.
+    pub fn set_crowded(&self, crowded: Option<Duration>) {
+        self.state.0.lock().unwrap().crowded = crowded;
+    }
+
     fn serve(&self, stream: TcpStream) -> Option<()> {
         let mut reader = BufReader::new(stream.try_clone().ok()?);
         let mut writer = stream;
@@ -430,6 +446,14 @@
                 reset(&writer);
                 return None;
             }
+            let crowded = self.state.0.lock().unwrap().crowded;
+            if let Some(wait) = crowded {
+                self.record.line(&format!("discovery: {} waits in the queue", request.target()));
+                thread::sleep(wait);
+                self.record.line(&format!("discovery: {} has waited too long: 503", request.target()));
+                writer.write_all(&answer("503 Service Unavailable", "Connection: close\r\n", "")).ok()?;
+                return None;
+            }
             if !request.target().contains("watch=1") {
                 let body = self.known();
                 writer.write_all(&answer("200 OK", "Content-Type: application/json\r\n", &body)).ok()?;
@@ -444,11 +468,11 @@
 
     fn watch(&self, mut writer: TcpStream, after: u64) -> Option<()> {
         writer.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n").ok()?;
-        let mut chunk = |text: String| {
-            writer.write_all(format!("{:x}\r\n{text}\r\n", text.len()).as_bytes()).map_err(|_| ()).ok()
+        let chunk = |text: String| {
+            (&writer).write_all(format!("{:x}\r\n{text}\r\n", text.len()).as_bytes()).map_err(|_| ()).ok()
         };
         let mut state = self.state.0.lock().unwrap();
-        let mut seen = state.rev;
+        let (mut seen, resets) = (state.rev, state.resets);
         let first = if after < 41 || after > state.rev {
             list_json(state.rev, true, &state.targets)
         } else {
@@ -460,7 +484,9 @@
         loop {
             let (next, timed_out) = self.state.1.wait_timeout(state, ms(1900)).unwrap();
             state = next;
-            if state.down {
+            if state.down || state.resets > resets {
+                drop(state);
+                reset(&writer);
                 return None;
             }
             if state.rev > seen {
