--- a/review/6/main.rs
+++ b/review/6/main.rs
@@ -35,10 +35,15 @@
 struct Work {
     id: String,
     key: String,
+    connection: TcpStream,
+    /// When the time that the attempt told is over.
+    until: Instant,
+    /// Whether it was done, or turned away.
     done: Sender<bool>,
 }
 
-/// A print node: two cores, a waiting room, and a full one turns work away.
+/// A print node: two cores and a waiting room. A full one turns work away. Work that waits is dropped once its attempt
+/// has been given up, and turned away once its time is over.
 struct Node {
     name: String,
     hall: &'static str,
@@ -61,6 +66,11 @@
                     }
                 }
             };
+            if has_gone(&work.connection) || Instant::now() >= work.until {
+                self.record.line(&format!("{}: {} was given up or is over: not run", self.name, work.id));
+                let _ = work.done.send(false);
+                continue;
+            }
             let repeat = {
                 let mut known = self.known.lock().unwrap();
                 let repeat = known.get(&work.key).is_some_and(|at| at.elapsed() < WINDOW);
@@ -97,16 +107,17 @@
                 let mut waiting = self.waiting.lock().unwrap();
                 let full = waiting.len() >= WAITING_ROOM;
                 if !full {
-                    waiting.push_back(Work { id: id.clone(), key, done });
+                    let connection = stream.try_clone().ok()?;
+                    let until = Instant::now() + told_time(&request);
+                    waiting.push_back(Work { id: id.clone(), key, connection, until, done });
                 }
                 full
             };
             self.changed.notify_one();
-            let bytes = if full {
+            let bytes = if full || !ended.recv().ok()? {
                 self.record.line(&format!("{}: turns {id} away", self.name));
                 answer("503 Service Unavailable", "X-Not-Processed: 1\r\n", "")
             } else {
-                ended.recv().ok()?;
                 answer("200 OK", "", &id)
             };
             stream.write_all(&bytes).ok()?;
--- a/review/common-2/lib.rs
+++ b/review/common-2/lib.rs
@@ -595,3 +595,25 @@
 pub fn set_send_buffer(fd: i32, bytes: i32) {
     set_option(fd, 7, bytes);
 }
+
+/// Whether the other side has closed or reset a connection on which nothing else is read meanwhile.
+pub fn has_gone(stream: &TcpStream) -> bool {
+    let _ = stream.set_nonblocking(true);
+    let gone = match stream.peek(&mut [0]) {
+        Ok(count) => count == 0,
+        Err(error) => error.kind() != io::ErrorKind::WouldBlock,
+    };
+    let _ = stream.set_nonblocking(false);
+    gone
+}
+
+/// The time that a request's `X-Timeout` gives.
+pub fn told_time(request: &Message) -> Duration {
+    let text = request.header("x-timeout");
+    let number = |unit: char| text.strip_suffix(unit).and_then(|n| n.parse::<f64>().ok());
+    match (number('m'), number('u')) {
+        (Some(n), _) => Duration::from_secs_f64(n / 1e3),
+        (_, Some(n)) => Duration::from_secs_f64(n / 1e6),
+        _ => Duration::from_secs(3600),
+    }
+}
