--- a/review/10/main.rs
+++ b/review/10/main.rs
@@ -75,8 +75,8 @@
     let day = ms(2000) + CROWD + ms(3000);
     let clients: Vec<_> = (0..CLIENTS)
         .map(|_| {
-            let (served, to) = (served.clone(), told.listen);
-            thread::spawn(move || client(to, start, day, &served))
+            let (served, to, record) = (served.clone(), told.listen, record.clone());
+            thread::spawn(move || client(to, start, day, &served, &record))
         })
         .collect();
     thread::sleep(ms(2000));
@@ -114,7 +114,13 @@
     std::process::exit(i32::from(!late.is_empty()));
 }
 
-fn client(to: SocketAddr, start: Instant, day: Duration, served: &Mutex<usize>) -> Option<()> {
+fn client(
+    to: SocketAddr,
+    start: Instant,
+    day: Duration,
+    served: &Mutex<usize>,
+    record: &Record,
+) -> Option<()> {
     let mut kept: Option<TcpStream> = None;
     while start.elapsed() < day {
         let id = new_id();
@@ -134,10 +140,15 @@
         };
         let _ = stream.set_nodelay(true);
         let _ = stream.set_read_timeout(Some(ms(TIMEOUT_MS + 1000)));
+        record.line(&format!("client: sends {id}"));
         if stream.write_all(&head.bytes()).is_err() {
             continue;
         }
-        let Some(message) = Message::read(&mut BufReader::new(&stream)) else { continue };
+        let Some(message) = Message::read(&mut BufReader::new(&stream)) else {
+            record.line(&format!("client: {id} got no answer"));
+            continue;
+        };
+        record.line(&format!("client: {id} got {}", message.status()));
         *served.lock().unwrap() += usize::from(message.status() == 200);
         thread::sleep(ms(100));
         if !message.header("connection").eq_ignore_ascii_case("close") {
--- a/review/10/run.sh
+++ b/review/10/run.sh
@@ -13,6 +13,7 @@
 TMPDIR=$folder setsid timeout -s KILL 110 "$program" "$here/record.txt" &
 group=$!
 trap 'kill -KILL -- "-$group" 2>/dev/null; rm -rf "$folder"' EXIT
+trap 'exit 2' INT TERM HUP
 wait "$group"
 code=$?
 case $code in
