--- a/review/common-2/lib.rs
+++ b/review/common-2/lib.rs
@@ -533,6 +533,14 @@
     set_option(fd, 8, bytes);
 }
 
+/// A listener whose connections have segments of this length, as over an Ethernet: on loopback they are long, and the
+/// sending side then takes megabytes of what the other side has not read.
+pub fn set_segment_length(fd: i32, bytes: i32) {
+    const IPPROTO_TCP: i32 = 6;
+    const TCP_MAXSEG: i32 = 2;
+    unsafe { setsockopt(fd, IPPROTO_TCP, TCP_MAXSEG, (&raw const bytes).cast(), 4) };
+}
+
 /// Bytes that were written to a connection and that the other side's machine has not acknowledged yet.
 pub fn unacknowledged(stream: &TcpStream) -> i32 {
     const SIOCOUTQ: u64 = 0x5411;
