--- a/review/6/main.rs
+++ b/review/6/main.rs
@@ -1,166 +1,178 @@
-//! Devices on poor links submit jobs in a busy moment. Some links drop after the job was sent and before its answer:
-//! the device connects anew and sends the job again with the same key. No job may be charged twice.
+//! Keyed jobs at endpoints of which some reads of a body take a second and a half; under one job in three the connection
+//! is reset after it has begun. No repeat may run once the window for repeats is over.
 #[path = "../common-2/lib.rs"]
 mod common;
 
 use common::*;
-use std::collections::{HashMap, VecDeque};
-use std::io::{BufReader, Write};
+use std::collections::HashMap;
+use std::io::{BufReader, Read, Write};
 use std::net::{SocketAddr, TcpStream};
-use std::sync::mpsc::{Sender, channel};
-use std::sync::{Arc, Condvar, Mutex};
+use std::os::fd::AsRawFd;
+use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
 
-const HALLS: [&str; 3] = ["hall-nasr", "hall-maadi", "hall-giza"];
-const NODES_PER_HALL: usize = 3;
-const CORES: usize = 2;
-const WORK_MS: u64 = 250;
-const WAITING_ROOM: usize = 40;
-/// The nodes of one hall drop a repeat for so long.
-const WINDOW: Duration = Duration::from_secs(6);
-const TIMEOUT_MS: u64 = 4000;
-/// Busy moments, and the jobs in each.
-const MOMENTS: usize = 4;
+const ENDPOINTS: usize = 6;
 const JOBS: usize = 90;
-/// Of the devices, one in three loses its link this long after the job was sent.
-const RESENT_AFTER: Duration = Duration::from_millis(400);
+/// Between two jobs.
+const PAUSE_MS: u64 = 150;
+/// Bytes of a job's body.
+const LENGTH: usize = 1_000_000;
+const TIMEOUT_MS: u64 = 2000;
+/// The settings' window for repeats, in milliseconds.
+const WINDOW_MS: u64 = 600;
+/// Every time limit grows by 50 ms.
+const REPEATS_DROPPED_FOR: Duration = Duration::from_millis(WINDOW_MS + 50);
+/// One read in three, of a first attempt or a repeat, and one first run in three are disturbed.
+const ONE_IN: u64 = 3;
+const SEED: u64 = 72;
+/// How long a slow read of a body takes.
+const READ_TIME: Duration = Duration::from_millis(1500);
+const PIECE: usize = 8 * 1024;
+/// How long a job has run when its connection is reset.
+const RESET_AFTER: Duration = Duration::from_millis(40);
 
-/// By key: each charge, with its hall.
-type Charges = Arc<Mutex<HashMap<String, Vec<(&'static str, Instant)>>>>;
-
-/// What the nodes of one hall know of keys: when the first attempt came.
-type Known = Arc<Mutex<HashMap<String, Instant>>>;
-
-struct Work {
-    id: String,
-    key: String,
-    connection: TcpStream,
-    /// When the time that the attempt told is over.
-    until: Instant,
-    /// Whether it was done, or turned away.
-    done: Sender<bool>,
+/// What the endpoints together remember of a job; they all drop its repeats.
+#[derive(Default)]
+struct Job {
+    /// Attempts whose head has come.
+    attempts: usize,
+    first_run: Option<Instant>,
+    runs: usize,
 }
 
-/// A print node: two cores and a waiting room. A full one turns work away. Work that waits is dropped once its attempt
-/// has been given up, and turned away once its time is over.
-struct Node {
-    name: String,
-    hall: &'static str,
-    waiting: Mutex<VecDeque<Work>>,
-    changed: Condvar,
-    known: Known,
-    charges: Charges,
-    record: Record,
+/// The jobs by key.
+type Jobs = Arc<Mutex<HashMap<String, Job>>>;
+
+/// Whether this job, by the number at the end of its key, is disturbed at this step; the same in each run.
+fn is_drawn(key: &str, step: u64) -> bool {
+    let number = u64::from_str_radix(&key[key.len() - 16..], 16).unwrap_or(0);
+    let mut state = SEED ^ number.wrapping_mul(0x9e37_79b9_7f4a_7c15) ^ step.wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    for _ in 0..3 {
+        state = (state ^ state >> 29).wrapping_mul(0x94d0_49bb_1331_11eb);
+    }
+    (state >> 32) % ONE_IN == 0
 }
 
-impl Node {
-    fn work(&self) {
-        loop {
-            let work = {
-                let mut waiting = self.waiting.lock().unwrap();
-                loop {
-                    match waiting.pop_front() {
-                        Some(work) => break work,
-                        None => waiting = self.changed.wait(waiting).unwrap(),
-                    }
-                }
-            };
-            if has_gone(&work.connection) || Instant::now() >= work.until {
-                self.record.line(&format!("{}: {} was given up or is over: not run", self.name, work.id));
-                let _ = work.done.send(false);
-                continue;
-            }
-            let repeat = {
-                let mut known = self.known.lock().unwrap();
-                let repeat = known.get(&work.key).is_some_and(|at| at.elapsed() < WINDOW);
-                if !repeat {
-                    known.insert(work.key.clone(), Instant::now());
-                    self.charges
-                        .lock()
-                        .unwrap()
-                        .entry(work.key.clone())
-                        .or_default()
-                        .push((self.hall, Instant::now()));
-                }
-                repeat
-            };
-            let what = if repeat { "drops the repeat" } else { "charges and runs" };
-            self.record
-                .line(&format!("{} in {}: {what} {} key {}", self.name, self.hall, work.id, work.key));
-            if !repeat {
-                thread::sleep(ms(WORK_MS));
-            }
-            let _ = work.done.send(true);
+/// Reads a body, all at once or evenly over this time.
+fn read_body(from: &mut impl Read, length: usize, over: Option<Duration>) -> Option<()> {
+    let start = Instant::now();
+    let mut buffer = vec![0; PIECE];
+    let mut read = 0;
+    while read < length {
+        if let Some(over) = over {
+            let due = start + over.mul_f64(read as f64 / length as f64);
+            thread::sleep(due.saturating_duration_since(Instant::now()));
         }
+        let most = PIECE.min(length - read);
+        read += from.read(&mut buffer[..most]).ok().filter(|n| *n > 0)?;
     }
+    Some(())
+}
 
-    fn serve(&self, mut stream: TcpStream) -> Option<()> {
-        let mut reader = BufReader::new(stream.try_clone().ok()?);
-        let _ = stream.set_nodelay(true);
-        loop {
-            let request = Message::read(&mut reader)?;
-            let (done, ended) = channel();
-            let (id, key) =
-                (request.header("x-request-id").to_owned(), request.header("idempotency-key").to_owned());
-            let full = {
-                let mut waiting = self.waiting.lock().unwrap();
-                let full = waiting.len() >= WAITING_ROOM;
-                if !full {
-                    let connection = stream.try_clone().ok()?;
-                    let until = Instant::now() + told_time(&request);
-                    waiting.push_back(Work { id: id.clone(), key, connection, until, done });
-                }
-                full
-            };
-            self.changed.notify_one();
-            let bytes = if full || !ended.recv().ok()? {
-                self.record.line(&format!("{}: turns {id} away", self.name));
-                answer("503 Service Unavailable", "X-Not-Processed: 1\r\n", "")
-            } else {
-                answer("200 OK", "", &id)
-            };
-            stream.write_all(&bytes).ok()?;
+fn serve(mut stream: TcpStream, name: String, jobs: Jobs, record: Record) -> Option<()> {
+    let mut reader = BufReader::with_capacity(PIECE, stream.try_clone().ok()?);
+    loop {
+        let head = Message::read_head(&mut reader)?;
+        let (id, key) = (head.header("x-request-id"), head.header("idempotency-key").to_owned());
+        let attempt = {
+            let mut jobs = jobs.lock().unwrap();
+            let job = jobs.entry(key.clone()).or_default();
+            job.attempts += 1;
+            job.attempts
+        };
+        record.line(&format!("{name}: the head of {id}, attempt {attempt} of job {key}"));
+        let length = head.header("content-length").parse().unwrap_or(0);
+        let slowly = (trouble() && is_drawn(&key, attempt as u64)).then_some(READ_TIME);
+        if slowly.is_some() {
+            record.line(&format!("{name}: reads {id} slowly"));
+        }
+        if read_body(&mut reader, length, slowly).is_none() {
+            record.line(&format!("{name}: {id} broke off before its last byte"));
+            return None;
+        }
+        let (first, dropped) = {
+            let mut jobs = jobs.lock().unwrap();
+            let job = jobs.entry(key.clone()).or_default();
+            let (now, first) = (Instant::now(), job.first_run.is_none());
+            let after = now - *job.first_run.get_or_insert(now);
+            let dropped = !first && after < REPEATS_DROPPED_FOR;
+            job.runs += usize::from(!dropped);
+            let what = if dropped { "drops a repeat of" } else { "runs" };
+            let after = after.as_millis();
+            record.line(&format!("{name}: the last byte of {id}; {what} job {key}, {after} ms after its first run"));
+            (first, dropped)
+        };
+        if !dropped {
+            thread::sleep(RESET_AFTER);
+        }
+        if first && trouble() && is_drawn(&key, 0) {
+            record.line(&format!("{name}: the connection is reset under {id}"));
+            reset(&stream);
+            return None;
         }
+        stream.write_all(&answer("200 OK", "", &key)).ok()?;
     }
 }
 
+fn client(to: SocketAddr, number: usize, record: &Record) -> u16 {
+    let (id, key) = (new_id(), format!("{}{number:016x}", new_id()));
+    let Ok(mut stream) = TcpStream::connect(to) else { return 0 };
+    let _ = stream.set_nodelay(true);
+    let head = Head {
+        method: "POST",
+        target: "/dose-record",
+        id: &id,
+        tenant: "berea-homecare",
+        timeout_ms: TIMEOUT_MS,
+        key: Some(&key),
+        length: Some(LENGTH),
+    };
+    let written = stream.write_all(&head.bytes()).and_then(|()| stream.write_all(&vec![b'd'; LENGTH]));
+    record.line(&format!("client: {id}, job {key}, written: {}", written.is_ok()));
+    let _ = stream.set_read_timeout(Some(ms(TIMEOUT_MS + 1000)));
+    let status = Message::read(&mut BufReader::new(&stream)).map_or(0, |answer| answer.status());
+    record.line(&format!("client: {id} got {status}"));
+    status
+}
+
 fn main() {
     let record = Record::open();
     let folder = Folder::new();
-    let charges = Charges::default();
+    let jobs = Jobs::default();
     let mut targets = Vec::new();
-    for (h, hall) in HALLS.into_iter().enumerate() {
-        let known = Known::default();
-        for n in 0..NODES_PER_HALL {
-            let (listener, address) = listen();
-            let name = format!("s-{h}{n}");
-            let (zone, kind) = (hall.to_owned(), "front-mid".to_owned());
-            targets.push(Target {
-                uid: name.clone(),
-                address,
-                zone,
-                kind,
-                cell: h as u64,
-                state: "up",
-                boot_ms: 0,
-            });
-            let (waiting, changed) = (Mutex::default(), Condvar::new());
-            let (known, charges, record) = (known.clone(), charges.clone(), record.clone());
-            let node = Arc::new(Node { name, hall, waiting, changed, known, charges, record });
-            for _ in 0..CORES {
-                let node = node.clone();
-                thread::spawn(move || node.work());
+    for n in 0..ENDPOINTS {
+        let (listener, address) = listen();
+        // What an endpoint has not read stays with the sidecar, but for a few KiB.
+        set_receive_buffer(listener.as_raw_fd(), PIECE as i32);
+        set_segment_length(listener.as_raw_fd(), 1460);
+        let name = format!("s-{n:04}");
+        targets.push(Target {
+            uid: name.clone(),
+            address,
+            zone: "dbn-1".into(),
+            kind: "front-mid".into(),
+            cell: 0,
+            state: "up",
+            boot_ms: 0,
+        });
+        let (jobs, record) = (jobs.clone(), record.clone());
+        thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let (name, jobs, record) = (name.clone(), jobs.clone(), record.clone());
+                let _ = stream.set_nodelay(true);
+                thread::spawn(move || serve(stream, name, jobs, record));
             }
-            thread::spawn(move || {
-                for stream in listener.incoming().flatten() {
-                    let node = node.clone();
-                    thread::spawn(move || node.serve(stream));
-                }
-            });
-        }
+        });
     }
     let discovery = Discovery::start(&record, targets);
+    let window = |ms: u64| {
+        format!(r#""name":"dose-record","semantics":"keyed","group":"all","repeatWindowMs":{ms}.0"#)
+    };
+    let settings = med_log(1).replace(&window(3000), &window(WINDOW_MS));
+    if !settings.contains(&window(WINDOW_MS)) {
+        could_not_run("the settings have no such class");
+    }
     let told = Told {
         name: "n0".into(),
         listen: free_address(),
@@ -169,90 +181,35 @@
         memory_mb: 192,
         sockets: 1024,
         known: discovery.known(),
-        settings: cairo(1, 0, 0),
+        settings,
     };
     let mut sidecar = Sidecar::start(&told, &folder.0);
     sidecar.wait_ready();
-    thread::sleep(ms(2000));
-    let answers = Arc::new(Mutex::new(HashMap::<u16, usize>::new()));
-    for moment in 0..MOMENTS {
-        record.line(&format!("busy moment {moment}"));
-        let devices: Vec<_> = (0..JOBS)
-            .map(|n| {
-                let (record, answers, to) = (record.clone(), answers.clone(), told.listen);
-                thread::spawn(move || {
-                    thread::sleep(ms(n as u64 * 3));
-                    let status = device(to, trouble() && n % 3 == 0, &record);
-                    *answers.lock().unwrap().entry(status).or_default() += 1;
-                })
-            })
-            .collect();
-        devices.into_iter().for_each(|device| drop(device.join()));
-        thread::sleep(ms(4000));
-    }
-    record.say(&format!("answers by status (0: none): {:?}", answers.lock().unwrap()));
-    let charges = charges.lock().unwrap();
-    let mut twice = 0;
-    for (key, all) in charges.iter().filter(|(_, all)| all.len() > 1) {
-        twice += 1;
-        let halls: Vec<&str> = all.iter().map(|(hall, _)| *hall).collect();
-        let apart = all[1].1 - all[0].1;
-        record.say(&format!("CHARGED TWICE: key {key} in {halls:?}, {} ms apart", apart.as_millis()));
-    }
-    record.say(&format!("jobs charged {}, charged twice {twice}", charges.len()));
-    let none = charges.is_empty();
+    thread::sleep(ms(500));
+    let clients: Vec<_> = (0..JOBS)
+        .map(|number| {
+            let (to, record) = (told.listen, record.clone());
+            thread::sleep(ms(PAUSE_MS));
+            thread::spawn(move || client(to, number, &record))
+        })
+        .collect();
+    let served = clients.into_iter().filter_map(|client| client.join().ok()).filter(|s| *s == 200).count();
+    // What is still being written may yet run.
+    thread::sleep(ms(1000));
     drop(sidecar);
     drop(folder);
-    if none {
-        could_not_run("no job was charged");
-    }
-    std::process::exit(i32::from(twice > 0));
-}
-
-/// Submits one job. Where the link drops, what has been sent arrives and nothing comes back; the old connection stays
-/// open and silent. The device then connects anew and sends the job again, with the same key and a new id.
-fn device(to: SocketAddr, link_drops: bool, record: &Record) -> u16 {
-    let key = format!("{}{}", new_id(), new_id());
-    let Some(mut first) = submit(to, &key, record) else { return 0 };
-    if !link_drops {
-        return receive(&mut first, record);
+    let jobs = jobs.lock().unwrap();
+    let (mut again, mut twice) = (0, 0);
+    for (key, job) in jobs.iter() {
+        again += usize::from(job.attempts > 1);
+        if job.runs > 1 {
+            twice += 1;
+            record.say(&format!("RAN TWICE: job {key}, {} runs of {} attempts", job.runs, job.attempts));
+        }
     }
-    thread::sleep(RESENT_AFTER);
-    // An answer that came before the drop is one.
-    let _ = first.1.set_read_timeout(Some(ms(1)));
-    if first.1.peek(&mut [0]).is_ok_and(|n| n > 0) {
-        return receive(&mut first, record);
+    record.say(&format!("jobs {JOBS}, served {served}, attempted more than once {again}, ran twice {twice}"));
+    if !trouble() && served == 0 || trouble() && again == 0 {
+        could_not_run("nothing was served, or nothing was sent again");
     }
-    record.line(&format!("device: the link of {} has dropped; it sends the job again", first.0));
-    let Some(mut second) = submit(to, &key, record) else { return 0 };
-    let status = receive(&mut second, record);
-    // The first connection stays as it is until the device's time is up.
-    thread::sleep(ms(TIMEOUT_MS));
-    status
-}
-
-fn submit(to: SocketAddr, key: &str, record: &Record) -> Option<(String, TcpStream)> {
-    let id = new_id();
-    let mut stream = TcpStream::connect(to).ok()?;
-    let head = Head {
-        method: "POST",
-        target: "/job-submit",
-        id: &id,
-        tenant: "delta-press",
-        timeout_ms: TIMEOUT_MS,
-        key: Some(key),
-        length: Some(5),
-    };
-    record.line(&format!("device: submits {id} key {key}"));
-    let mut bytes = head.bytes();
-    bytes.extend(b"order");
-    stream.write_all(&bytes).ok()?;
-    Some((id, stream))
-}
-
-fn receive((id, stream): &mut (String, TcpStream), record: &Record) -> u16 {
-    let _ = stream.set_read_timeout(Some(ms(TIMEOUT_MS)));
-    let status = Message::read(&mut BufReader::new(stream)).map_or(0, |answer| answer.status());
-    record.line(&format!("device: {id} got {status}"));
-    status
+    std::process::exit(i32::from(twice > 0));
 }
