No attempt begins behind its conditions: the last byte is held back

The repeat's first byte is written 45 ms after the first run, its last byte arrives after the window of 0.6 s, at an endpoint that reads for 1.5 s.

Cause: the window and the client's presence were looked at as writing began (`WriteConditions::hold`, the write check in `Outbound::attempt`). The rule counts the last byte's arrival. In between lie bytes that the sidecar holds and bytes that the kernel has taken, and an orderly close sends the latter. Ruled out: that only bytes still in the sidecar come late (bodies of 60 KB fail too), that the end of an attempt ends its bytes (the whole body arrives after the client's close), and that only repeats are concerned (a first attempt that a copy overtook runs after the copy's window).

Change: request_write.rs writes all but the last byte, waits until the kernel has sent them (TCP_NOTSENT_LOWAT), checks again and writes the last one; a request that is given up with bytes unsent resets its connection; the attempts of a request share one window (repeat_window.rs). Drains, bans and the list's lease count the first byte as before. outbound.rs is split: the attempt is outbound/attempt.rs, in short functions. docs/design/0021-attempt-conditions.md has the table.

--- a/crates/balance/src/balance/facts.rs
+++ b/crates/balance/src/balance/facts.rs
@@ -2,7 +2,7 @@
 //! decided here.
 
 use super::{Balancer, MAX_RETRY_TOKENS, Run};
-use crate::types::{CellId, EndpointId, EndpointState, RequestId, Semantics, ZoneId};
+use crate::types::{CellId, ClassId, EndpointId, EndpointState, RequestId, Semantics, ZoneId};
 use serde::{Deserialize, Serialize};
 use std::time::Duration;
 
@@ -39,15 +39,21 @@
     /// repeated only within its window. None if nothing limits it.
     pub fn retry_deadline(&self, id: RequestId) -> Option<Duration> {
         let pending = self.requests.get(&id)?;
-        let Semantics::Keyed { window, .. } = self.settings.classes[pending.class].semantics else {
-            return None;
-        };
+        let window = self.repeat_window(ClassId(pending.class))?;
         let (_newest, before) = pending.attempts.split_last()?;
         let own = before.iter().find(|attempt| attempt.run != Run::Never).map(|attempt| attempt.sent);
         let first = pending.earlier_attempt.map(|earlier| earlier.sent).or(own)?;
         Some(first + window)
     }
 
+    /// The window in which a keyed job of this class may be repeated; none for other classes.
+    pub fn repeat_window(&self, class: ClassId) -> Option<Duration> {
+        match self.settings.classes.get(class.0)?.semantics {
+            Semantics::Keyed { window, .. } => Some(window),
+            _ => None,
+        }
+    }
+
     /// The number of listed endpoints that are avoided now: banned, leaving, or excluded by failures alone.
     pub fn avoided_endpoints(&self, now: Duration) -> usize {
         let avoided = |&i: &usize| {
--- a/crates/curlewhub/tests/support/mod.rs
+++ b/crates/curlewhub/tests/support/mod.rs
@@ -6,6 +6,7 @@
 pub mod memory;
 pub mod queued_discovery;
 pub mod script;
+pub mod slow_endpoint;
 pub mod wire;
 
 use serde_json::{Value, json};
@@ -248,7 +249,7 @@
     TcpListener::bind((unique_loopback_ip(), 0)).unwrap()
 }
 
-fn unique_loopback_ip() -> std::net::IpAddr {
+pub fn unique_loopback_ip() -> std::net::IpAddr {
     static ASSIGNED: AtomicUsize = AtomicUsize::new(0);
     let (process, number) = (std::process::id() as usize, ASSIGNED.fetch_add(1, Ordering::SeqCst));
     let part = |number: usize| 1 + (number % 250) as u8;
--- a/crates/runtime/src/attempt_terms.rs
+++ b/crates/runtime/src/attempt_terms.rs
@@ -1,17 +1,18 @@
-//! How far an attempt has progressed, and the conditions under which its first byte may be written.
+//! How far an attempt has progressed, and the conditions under which its first and its last byte may be written.
 
 use super::events::ClientStatus;
+use super::repeat_window::RepeatWindow;
 use super::socket::SocketMonitor;
 use super::time_left::TimeLeft;
-use curlewhub_balance::Outcome;
+use curlewhub_balance::{AttemptNo, Outcome};
 use std::cell::Cell;
 use std::rc::Rc;
 use tokio::time::{Instant, sleep_until};
 
-/// How far an attempt has progressed. If it is stopped before its last byte was handed over, the endpoint
-/// has not processed it.
+/// How far an attempt has progressed. If it is stopped before its last byte was written, the endpoint has not processed
+/// it.
 pub struct AttemptProgress {
-    /// The whole request was handed over to the connection.
+    /// The last byte was written to the connection.
     pub(super) fully_sent: Rc<Cell<bool>>,
     /// The conditions of a request's attempt; none for a probe.
     pub(super) conditions: Option<WriteConditions>,
@@ -21,8 +22,8 @@
     on_answer_progress: Box<dyn Fn()>,
 }
 
-/// Conditions that must hold when the first byte of a request is written, whatever the attempt has waited
-/// for until then.
+/// Conditions that must hold when the first and when the last byte of a request is written, whatever the attempt has
+/// waited for until then. docs/design/0021-attempt-conditions.md has the table of all conditions.
 #[derive(Clone)]
 pub struct WriteConditions {
     /// The client must still be connected.
@@ -32,6 +33,10 @@
     /// A repeat of a request that may have been processed must begin before this; none if no earlier
     /// attempt may have been.
     pub begin_by: Option<Instant>,
+    /// The number of this attempt, and the window that the attempts of its request share.
+    pub attempt: AttemptNo,
+    /// See `attempt`.
+    pub window: Rc<RepeatWindow>,
     /// The remaining time that is sent to the endpoint.
     pub time_left: TimeLeft,
 }
@@ -41,14 +46,25 @@
     pub(super) fn hold(&self) -> bool {
         !self.client.is_disconnected()
             && !self.connection.peer_has_closed()
-            && self.begin_by.is_none_or(|by| Instant::now() < by)
+            && self.begin_by().is_none_or(|by| Instant::now() < by)
     }
 
-    /// Returns once they no longer hold.
+    /// Until when the attempt may begin; none if nothing limits it.
+    fn begin_by(&self) -> Option<Instant> {
+        self.begin_by.into_iter().chain(self.window.ends_at(self.attempt)).min()
+    }
+
+    /// Records that the attempt begins now.
+    pub(super) fn record_begin(&self) {
+        self.window.record_begin(self.attempt);
+    }
+
+    /// Returns once the client has disconnected or the time to begin is over, as far as that is known now.
     pub(super) async fn violated(&self) {
+        let begin_by = self.begin_by();
         tokio::select! {
             () = self.client.disconnected() => {}
-            () = sleep_until(self.begin_by.unwrap_or_else(Instant::now)), if self.begin_by.is_some() => {}
+            () = sleep_until(begin_by.unwrap_or_else(Instant::now)), if begin_by.is_some() => {}
         }
     }
 }
--- a/crates/runtime/src/driver.rs
+++ b/crates/runtime/src/driver.rs
@@ -21,6 +21,7 @@
 use super::lifecycle::{Lifecycle, State};
 use super::listing::Listing;
 use super::outbound::Outbound;
+use super::repeat_window::RepeatWindow;
 use super::socket::SocketMonitor;
 use super::timers::Timers;
 use attempts::Attempt;
@@ -50,6 +51,8 @@
     /// Attempts that have not ended yet.
     in_flight: usize,
     class: ClassId,
+    /// When its attempts may begin, by when others of them began.
+    window: Rc<RepeatWindow>,
     /// The hash of its idempotency key, if repeats must stay within a group of endpoints.
     key: Option<u64>,
     /// The key's remembered first send is this request's, and no attempt has ended yet in a way that it may
@@ -334,6 +337,7 @@
         let timeout_after_body = request.body_incomplete.then_some(response_timeout);
         let deadline = watch::Sender::new(deadline);
         let class = request.class;
+        let window = Rc::new(RepeatWindow::new(self.balancer.repeat_window(class)));
         let (reply, attempts, in_flight, may_forget_key) = (Some(reply), Vec::new(), 0, false);
         let open = OpenRequest {
             forwarded,
@@ -345,6 +349,7 @@
             attempts,
             in_flight,
             class,
+            window,
             key,
             may_forget_key,
         };
--- a/crates/runtime/src/driver/attempts.rs
+++ b/crates/runtime/src/driver/attempts.rs
@@ -33,9 +33,12 @@
         let AttemptResult { outcome, body, report } = result;
         if !outcome.never_ran() {
             open.may_forget_key = false; // it may have been processed: the key stays remembered
-        } else if let Some(key) = open.key.filter(|_| open.may_forget_key && open.in_flight == 0) {
-            open.may_forget_key = false;
-            self.idempotency_keys.forget_send(key);
+        } else {
+            open.window.forget(attempt);
+            if let Some(key) = open.key.filter(|_| open.may_forget_key && open.in_flight == 0) {
+                open.may_forget_key = false;
+                self.idempotency_keys.forget_send(key);
+            }
         }
         debug!(
             request = id.0,
@@ -124,7 +127,8 @@
         let (outbound, inbox) = (self.outbound.clone(), self.inbox.clone());
         let begin_by = retry_deadline.map(|until| now + until.saturating_sub(self.clock.now()));
         let (client, connection) = (open.client.clone(), open.connection.clone());
-        let conditions = WriteConditions { client, connection, begin_by, time_left };
+        let window = open.window.clone();
+        let conditions = WriteConditions { client, connection, begin_by, attempt, window, time_left };
         spawn_local(async move {
             let progress_inbox = inbox.clone();
             let on_answer_progress = move || drop(progress_inbox.send(Input::AnswerProgress(id, attempt)));
--- a/crates/runtime/src/lib.rs
+++ b/crates/runtime/src/lib.rs
@@ -39,6 +39,8 @@
 pub mod outbound;
 pub mod process_memory;
 mod read_ahead;
+pub mod repeat_window;
+pub mod request_write;
 pub mod response_body;
 pub mod shutdown;
 pub mod slots;
--- a/crates/runtime/src/outbound.rs
+++ b/crates/runtime/src/outbound.rs
@@ -1,34 +1,29 @@
 //! Pooled connections to endpoints, and the attempts and probes that are made over them.
 
-use super::aged_connections::{AGED, AgedConnections};
-use super::attempt_terms::{AttemptProgress, WriteConditions};
+mod attempt;
+
+use super::aged_connections::AgedConnections;
 use super::budget::{Budget, Holder, Permit};
 use super::connect::{ConnectError, RouteFaults, connect};
-use super::events::{AttemptResult, is_long_head, set_timeout_header};
 use super::figures::Metrics;
 use super::guard::AbortOnDrop;
 use super::load_report::LoadReportReader;
-use super::response_body::{PauseLimit, ReadResponse, ResponseBody, StreamingResponse, read_response};
 use super::slots::{Slot, Slots};
 use super::socket::{ExtraMemory, MAX_BUFFER, Socket, SocketMonitor};
 use super::spares::{REUSE_DELAY, SpareConnections};
-use super::streaming::{OutgoingBody, RequestBody};
-use super::time_left::MAX_WRITE_DELAY;
+use super::streaming::OutgoingBody;
 use super::write_gate::WriteGate;
 use curlewhub_balance::{EndpointId, Outcome, Settings};
 use curlewhub_connection_quota::{Admission, Refusal};
 use hyper::client::conn::http1::{self, SendRequest};
-use hyper::{Request, header};
 use hyper_util::rt::TokioIo;
-use std::cell::{Cell, RefCell};
+use std::cell::RefCell;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 use tokio::task::spawn_local;
-use tokio::time::{Instant, sleep, sleep_until, timeout};
+use tokio::time::{Instant, sleep_until};
 use tracing::debug;
 
 /// We close an idle connection ourselves after this fraction of the endpoints' idle timeout: a request
@@ -39,12 +34,6 @@
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(5);
 /// Interval of the checks for idle connections to close.
 const SWEEP_INTERVAL: Duration = Duration::from_millis(500);
-/// A probe that takes longer has failed.
-const PROBE_TIMEOUT: Duration = Duration::from_secs(1);
-/// A response that has begun and brought nothing for this long has stopped for good, whatever time its client has left.
-const RESPONSE_STALL_TIMEOUT: Duration = Duration::from_secs(5);
-/// Interval of the checks whether more of a response has arrived.
-const RESPONSE_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 /// Connect timeout if the settings state none.
 const DEFAULT_CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -63,6 +52,15 @@
     _permit: Permit,
 }
 
+impl Drop for Connection {
+    fn drop(&mut self) {
+        // The kernel would go on sending what it has taken, and the endpoint could begin a request that was given up.
+        if self.monitor.has_unsent_request() {
+            self.monitor.reset_on_close();
+        }
+    }
+}
+
 /// A pooled connection that a request waits for until its reuse delay has passed. If the request is
 /// abandoned before that, nothing has been written, and the connection goes back to the pool.
 struct PendingReuse<'a> {
@@ -143,138 +141,6 @@
         })
     }
 
-    /// Makes one attempt and waits for its end. The request is written at most once: only if it was
-    /// provably never written, it is tried on another connection.
-    pub async fn attempt(
-        self: &Rc<Self>,
-        endpoint: EndpointId,
-        address: SocketAddr,
-        mut request: Request<RequestBody>,
-        progress: &AttemptProgress,
-    ) -> AttemptResult {
-        // An informational (1xx) response does not tell when the final one will arrive.
-        let informational = Arc::new(AtomicBool::new(false));
-        let seen = informational.clone();
-        let has_long_head = is_long_head(&request);
-        hyper::ext::on_informational(&mut request, move |_| seen.store(true, Ordering::Relaxed));
-        loop {
-            let acquired = tokio::select! {
-                biased;
-                () = self.write_forbidden(endpoint, address, progress) => {
-                    Err(AcquireError::Failed(Outcome::NotSent))
-                }
-                acquired = self.acquire(endpoint, address) => acquired,
-            };
-            let (mut connection, is_new) = match acquired {
-                Ok(acquired) => acquired,
-                Err(AcquireError::RetryPool) => continue,
-                Err(AcquireError::Failed(outcome)) => return AttemptResult::from_outcome(outcome),
-            };
-            // An idle connection may turn out to be closed only now.
-            if !matches!(timeout(self.connect_timeout, connection.sender.ready()).await, Ok(Ok(()))) {
-                if is_new {
-                    return AttemptResult::from_outcome(Outcome::ConnectFailed);
-                }
-                continue;
-            }
-            if request.body().is_beginning_lost() {
-                return AttemptResult::from_outcome(Outcome::ConnectFailed); // its beginning can't be sent again
-            }
-            let (monitor, fully_sent) = (connection.monitor.clone(), progress.fully_sent.clone());
-            fully_sent.set(false);
-            // Read only now, because the wait for the connection has used up a part of the client's time.
-            let read_at = Instant::now();
-            if let Some(conditions) = &progress.conditions {
-                let left = conditions.time_left.at(read_at);
-                if left.is_zero() {
-                    return AttemptResult::from_outcome(progress.timeout_outcome());
-                }
-                set_timeout_header(request.headers_mut(), left);
-            }
-            let metrics = progress.conditions.as_ref().map(|_| self.metrics.clone());
-            connection.has_grown |= has_long_head;
-            let request =
-                request.clone().map(|body| OutgoingBody::new(&body, fully_sent, monitor, metrics));
-            let idle = connection.idle_since.elapsed();
-            connection.monitor.reset();
-            // Checked immediately before the first byte is written: during any wait until then the endpoint
-            // may have been drained, the client may have disconnected, the window for repeats may have
-            // passed, or the remaining time in the header may have become outdated.
-            let (this, conditions) = (self.clone(), progress.conditions.clone());
-            connection.monitor.set_write_check(Box::new(move || {
-                let holds =
-                    |conditions: &WriteConditions| conditions.hold() && read_at.elapsed() < MAX_WRITE_DELAY;
-                match &conditions {
-                    Some(conditions) => holds(conditions) && this.gate.is_open(endpoint, address),
-                    None => this.gate.admits(endpoint, address),
-                }
-            }));
-            let has_head = Cell::new(false);
-            let exchange = async {
-                match connection.sender.try_send_request(request).await {
-                    Ok(response) => {
-                        has_head.set(true);
-                        let report = self.load_reports.in_headers(response.headers());
-                        let memory = self.budget.messages();
-                        (read_response(response, memory, progress.client_deadline()).await, report)
-                    }
-                    Err(error) => {
-                        if error.message().is_some() {
-                            progress.fully_sent.set(false); // handed back unsent
-                        }
-                        (None, None)
-                    }
-                }
-            };
-            let (read, report) = tokio::select! {
-                biased;
-                read = exchange => read,
-                () = response_stopped(&connection.monitor, &informational, &has_head, progress) => (None, None),
-            };
-            // A failure of the network or of this machine does not depend on the connection's age.
-            if !is_new && idle >= AGED && !connection.monitor.failed_not_by_peer() {
-                self.aged.record(read.is_none() && connection.monitor.first_byte_at().is_none());
-            }
-            if connection.monitor.write_rejected() {
-                progress.fully_sent.set(false);
-                return AttemptResult::from_outcome(Outcome::NotSent);
-            }
-            match (read, progress.fully_sent.get(), is_new) {
-                (Some(ReadResponse::Complete(outcome, body)), fully_sent, _) => {
-                    if fully_sent && !connection.sender.is_closed() {
-                        self.release(endpoint, connection);
-                    }
-                    return AttemptResult { outcome, body: ResponseBody::Buffered(body), report };
-                }
-                (Some(ReadResponse::Streaming(first, rest, window)), fully_sent, _) => {
-                    let this = self.clone();
-                    let client_deadline = progress.client_deadline().unwrap_or_else(Instant::now);
-                    // Others may reuse the connection after the response, unless the request was cut short.
-                    let on_complete = Box::new(move || {
-                        if fully_sent && !connection.sender.is_closed() {
-                            this.release(endpoint, connection);
-                        }
-                    });
-                    let body = ResponseBody::Streaming(Box::new(StreamingResponse::new(
-                        first,
-                        rest,
-                        window,
-                        PauseLimit::new(client_deadline),
-                        on_complete,
-                    )));
-                    return AttemptResult { outcome: Outcome::Ok, body, report };
-                }
-                (None, true, _) => return AttemptResult::from_outcome(Outcome::Reset),
-                (None, false, true) if connection.monitor.failed_locally() => {
-                    return AttemptResult::from_outcome(Outcome::LocalFault);
-                }
-                (None, false, true) => return AttemptResult::from_outcome(Outcome::ConnectFailed),
-                // A stale pooled connection says nothing about its endpoint: retry on another one.
-                (None, false, false) => {}
-            }
-        }
-    }
-
     /// Returns a connection to the pool, to be reused after `REUSE_DELAY`. One whose buffers have grown is closed if their
     /// memory is needed elsewhere.
     fn release(&self, endpoint: EndpointId, mut connection: Connection) {
@@ -292,28 +158,6 @@
         self.slots.notify_changed();
     }
 
-    /// Asks an endpoint for its load.
-    pub async fn probe(self: &Rc<Self>, endpoint: EndpointId, address: SocketAddr) -> AttemptResult {
-        let request = Request::get("/-/load").header(header::HOST, address.to_string());
-        let Ok(request) = request.body(RequestBody::empty()) else {
-            return AttemptResult::from_outcome(Outcome::Error);
-        };
-        let progress = AttemptProgress::for_probe();
-        match timeout(PROBE_TIMEOUT, self.attempt(endpoint, address, request, &progress)).await {
-            Ok(mut ended) => {
-                let ResponseBody::Buffered(body) = &ended.body else {
-                    return AttemptResult::from_outcome(Outcome::Error);
-                };
-                let in_body = std::str::from_utf8(&body.0.concat())
-                    .ok()
-                    .and_then(|text| self.load_reports.read(text));
-                ended.report = in_body.or(ended.report);
-                ended
-            }
-            Err(_) => AttemptResult::from_outcome(progress.timeout_outcome()),
-        }
-    }
-
     /// Number of connects that endpoints with full connection tables have refused.
     pub fn full_refusals(&self) -> u64 {
         self.slots.full_refusals()
@@ -338,17 +182,6 @@
         self.gate.set_list_lease(expires);
     }
 
-    /// Returns once the attempt must no longer be written.
-    async fn write_forbidden(&self, endpoint: EndpointId, address: SocketAddr, progress: &AttemptProgress) {
-        match &progress.conditions {
-            Some(conditions) => tokio::select! {
-                () = self.gate.closed(endpoint, address) => {}
-                () = conditions.violated() => {}
-            },
-            None => self.gate.not_admitted(endpoint, address).await,
-        }
-    }
-
     /// Returns a pooled or a new connection, and whether it is new.
     async fn acquire(
         self: &Rc<Self>,
@@ -491,6 +324,7 @@
         let memory = self.budget.messages().clone();
         let extra_memory = ExtraMemory { memory, head_copies: 1 };
         let (socket, monitor) = Socket::new(stream, extra_memory);
+        monitor.report_unsent();
         let handshake = http1::Builder::new().max_buf_size(MAX_BUFFER).handshake(TokioIo::new(socket));
         let (sender, driver) = handshake.await.map_err(|_| FAILED)?;
         let task = spawn_local(driver);
@@ -523,32 +357,3 @@
         if local { Outcome::LocalFault } else { Outcome::ConnectFailed }
     }
 }
-
-/// Reports the progress of a response, and returns once one that has begun has stopped for good. An informational (1xx)
-/// response does not tell when the final one will arrive.
-async fn response_stopped(
-    monitor: &SocketMonitor,
-    informational: &AtomicBool,
-    has_head: &Cell<bool>,
-    progress: &AttemptProgress,
-) {
-    let mut reported = 0;
-    loop {
-        let has_begun =
-            monitor.first_byte_at().is_some() && (has_head.get() || !informational.load(Ordering::Relaxed));
-        if has_begun {
-            if monitor.silence() >= RESPONSE_STALL_TIMEOUT {
-                return;
-            }
-            let bytes_read = monitor.bytes_read();
-            if reported < bytes_read {
-                reported = bytes_read;
-                progress.record_answer_progress();
-            }
-        }
-        tokio::select! {
-            () = monitor.first_byte_arrived() => {}
-            () = sleep(RESPONSE_CHECK_INTERVAL) => {}
-        }
-    }
-}
--- a/crates/runtime/src/socket.rs
+++ b/crates/runtime/src/socket.rs
@@ -2,10 +2,10 @@
 
 use super::arrivals::Arrivals;
 use super::connect::is_local;
-use super::figures::Metrics;
 use super::framing::Framing;
 use super::interrupts::{is_retryable, uninterrupted};
 use super::message_memory::{MessageMemory, Purpose, Reservation};
+use super::request_write::{RequestWrite, total_len, truncated};
 use rustix::event::{PollFd, PollFlags, Timespec};
 use socket2::SockRef;
 use std::cell::{Cell, RefCell};
@@ -16,7 +16,7 @@
 use std::sync::Arc;
 use std::task::{Context, Poll, ready};
 use std::time::Duration;
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::io::{AsyncRead, AsyncWrite, Interest, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
 use tokio::time::Instant;
@@ -65,10 +65,8 @@
     write_memory: RefCell<Option<Reservation>>,
     /// Bytes of the current body, as far as each read brought as much as it could.
     fast_bytes: Cell<usize>,
-    /// Metrics in which the attempt is to be recorded after the next write.
-    count_after_write: RefCell<Option<Rc<Metrics>>>,
-    /// Checked immediately before the first byte of the next message is written.
-    write_check: RefCell<Option<WriteCheck>>,
+    /// The request that is being written, or was written last; none on a client's connection.
+    request: RefCell<Option<RequestWrite>>,
     /// Cause of a failed read or write.
     failure: Cell<Option<FailureCause>>,
     /// The check failed, or the connection is to be reset: nothing was written since, and nothing will be.
@@ -105,9 +103,6 @@
     }
 }
 
-/// Returns whether a message may still be written.
-pub type WriteCheck = Box<dyn Fn() -> bool>;
-
 /// The socket itself, for hyper.
 pub struct Socket {
     monitor: Rc<SocketMonitor>,
@@ -132,8 +127,7 @@
             read_memory: RefCell::default(),
             write_memory: RefCell::default(),
             fast_bytes: Cell::default(),
-            count_after_write: RefCell::default(),
-            write_check: RefCell::default(),
+            request: RefCell::default(),
             failure: Cell::default(),
             write_rejected: Cell::default(),
         });
@@ -299,21 +293,81 @@
         self.framing.take();
     }
 
-    /// Records the attempt in the metrics after the next write: its last piece is about to be written.
-    pub fn count_when_written(&self, metrics: Rc<Metrics>) {
-        self.count_after_write.replace(Some(metrics));
+    /// The next byte that is written starts this request.
+    pub fn begin_request(&self, request: RequestWrite) {
+        self.request.replace(Some(request));
     }
 
-    /// The next byte starts a message that may be written only if this check passes at that time.
-    pub fn set_write_check(&self, check: WriteCheck) {
-        self.write_check.replace(Some(check));
+    /// The writer holds all that is left of the request from now on.
+    pub fn request_handed_over(&self) {
+        self.request.borrow_mut().iter_mut().for_each(RequestWrite::handed_over);
     }
 
-    /// Whether a message was not written because its check failed: not a byte of it was sent.
+    /// Whether a byte of the request was not written because its check failed: its last byte was not sent.
     pub fn write_rejected(&self) -> bool {
         self.write_rejected.get()
     }
 
+    /// Whether a request was written in part, or bytes of it wait on this machine: its endpoint may not have begun it.
+    pub fn has_unsent_request(&self) -> bool {
+        let request = self.request.borrow();
+        request.as_ref().is_some_and(|request| !request.is_complete() || self.has_unsent())
+    }
+
+    /// Makes the kernel report the connection as writable only when none of the bytes that it has taken waits to be sent.
+    /// Else nothing tells whether the last byte of a request has left this machine.
+    pub fn report_unsent(&self) {
+        // On a system without the option every byte counts as sent at once.
+        let _ = SockRef::from(&self.stream).set_tcp_notsent_lowat(1);
+    }
+
+    /// Whether bytes that were written wait on this machine, because the peer's does not take them; after `report_unsent`.
+    fn has_unsent(&self) -> bool {
+        let sent = PollFlags::OUT | PollFlags::ERR | PollFlags::HUP;
+        self.polled(PollFlags::OUT).is_some_and(|events| !events.intersects(sent))
+    }
+
+    /// Waits until no byte that was written waits on this machine.
+    fn poll_sent(&self, cx: &mut Context<'_>) -> Poll<()> {
+        while self.has_unsent() {
+            // The runtime knows only what the kernel last reported to it, and asks again after this.
+            let _ =
+                self.stream.try_io(Interest::WRITABLE, || Err::<(), _>(io::ErrorKind::WouldBlock.into()));
+            if ready!(self.stream.poll_write_ready(cx)).is_err() {
+                break;
+            }
+        }
+        Poll::Ready(())
+    }
+
+    /// How many of the bytes in `parts` may be written now, by the request's conditions; none if it is rejected.
+    fn poll_allowed_len(&self, cx: &mut Context<'_>, parts: &[io::IoSlice<'_>]) -> Poll<Option<usize>> {
+        let remaining = total_len(parts);
+        if self.write_rejected.get() {
+            return Poll::Ready(None);
+        }
+        let mut request = self.request.borrow_mut();
+        let Some(request) = request.as_mut().filter(|request| !request.is_complete()) else {
+            return Poll::Ready(Some(remaining));
+        };
+        let allowed = ready!(request.poll_allowed(cx, remaining, |cx| self.poll_sent(cx)));
+        self.write_rejected.set(allowed.is_err());
+        Poll::Ready(allowed.ok())
+    }
+
+    /// Records that `written` of the `remaining` bytes to be written were taken by the kernel.
+    fn record_written(&self, written: usize, remaining: usize) {
+        self.write_blocked_since.set(None);
+        self.request.borrow_mut().iter_mut().for_each(|request| request.record(written, remaining));
+    }
+
+    /// The events of the connection, asked of the kernel; none if it can't tell.
+    fn polled(&self, events: PollFlags) -> Option<PollFlags> {
+        let mut polled = [PollFd::new(&self.stream, events)];
+        let result = uninterrupted(|| Ok(rustix::event::poll(&mut polled, Some(&Timespec::default()))?));
+        result.is_ok().then(|| polled[0].revents())
+    }
+
     /// Whether it broke for a reason other than the peer.
     pub fn failed_not_by_peer(&self) -> bool {
         matches!(self.failure.get(), Some(FailureCause::Local | FailureCause::Network))
@@ -378,9 +432,7 @@
     /// asks the kernel: nothing is read.
     pub fn peer_has_closed(&self) -> bool {
         let ended = PollFlags::RDHUP | PollFlags::HUP | PollFlags::ERR;
-        let mut polled = [PollFd::new(&self.stream, PollFlags::RDHUP)];
-        let result = uninterrupted(|| Ok(rustix::event::poll(&mut polled, Some(&Timespec::default()))?));
-        result.is_ok() && polled[0].revents().intersects(ended)
+        self.polled(PollFlags::RDHUP).is_some_and(|events| events.intersects(ended))
     }
 
     /// Whether the kernel holds unread bytes or the peer's end. It asks the kernel, because the runtime
@@ -440,27 +492,26 @@
                 return Poll::Pending;
             };
             ready?;
-            let check = self.monitor.write_check.take();
-            if self.monitor.write_rejected.get() || check.as_ref().is_some_and(|check| !check()) {
-                self.monitor.write_rejected.set(true);
+            let remaining = total_len(parts);
+            let Some(allowed) = ready!(self.monitor.poll_allowed_len(cx, parts)) else {
                 return Poll::Ready(Err(io::ErrorKind::PermissionDenied.into()));
-            }
-            match self.monitor.stream.try_write_vectored(parts) {
-                Err(e) if is_retryable(&e) => {
-                    // Nothing was written: the check is repeated before the next try.
-                    self.monitor.write_check.replace(check);
-                }
-                written => {
-                    if let Err(e) = &written {
-                        self.monitor.failure.set(Some(FailureCause::of(e)));
-                    }
+            };
+            let written = if allowed == remaining {
+                self.monitor.stream.try_write_vectored(parts)
+            } else {
+                self.monitor.stream.try_write_vectored(&truncated(parts, allowed))
+            };
+            match written {
+                // Nothing was written: the request's conditions are checked again before the next try.
+                Err(e) if is_retryable(&e) => {}
+                Err(e) => {
+                    self.monitor.failure.set(Some(FailureCause::of(&e)));
                     self.monitor.write_blocked_since.set(None);
-                    if written.as_ref().is_ok_and(|count| *count > 0)
-                        && let Some(metrics) = self.monitor.count_after_write.take()
-                    {
-                        metrics.record_attempt();
-                    }
-                    return Poll::Ready(written);
+                    return Poll::Ready(Err(e));
+                }
+                Ok(count) => {
+                    self.monitor.record_written(count, remaining);
+                    return Poll::Ready(Ok(count));
                 }
             }
         }
--- a/crates/runtime/src/streaming.rs
+++ b/crates/runtime/src/streaming.rs
@@ -1,7 +1,6 @@
 //! Request bodies. One that is too long to be buffered completely, or finds no memory for it, is streamed as fast as
 //! its endpoint reads.
 
-use super::figures::Metrics;
 use super::message_memory::{BodyBuffer, BufferedBody, MessageMemory, Purpose};
 use super::read_ahead::ReadAhead;
 use super::socket::SocketMonitor;
@@ -32,13 +31,6 @@
 const INITIAL_BODY_TIME: Duration = Duration::from_millis(2800);
 /// Limit of the time that bytes which arrived faster than the lowest rate can earn in advance.
 const MAX_EARNED_TIME: Duration = Duration::from_secs(2);
-/// Delay of the last byte of a buffered body behind the rest. A connection that was dropped, or is about to
-/// be, answers the first bytes with a reset. An endpoint starts to process a request at its last byte, so a
-/// request that is reset before it was not processed and may be sent again, even if it is unsafe. This
-/// covers every close under a request: by endpoints, proxies and restarts. It adds this much to each call
-/// with a body; if the endpoint is farther away than this, the reset arrives too late to help.
-const LAST_BYTE_DELAY: Duration = Duration::from_millis(1);
-
 /// Why a request body was not received completely.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum BodyError {
@@ -329,6 +321,11 @@
         RequestBody::Buffered(Rc::default())
     }
 
+    /// Whether there is none.
+    pub fn is_empty(&self) -> bool {
+        matches!(self, RequestBody::Buffered(body) if body.is_empty())
+    }
+
     /// Whether its beginning is no longer available.
     pub fn is_beginning_lost(&self) -> bool {
         matches!(self, RequestBody::Streaming(upload) if upload.is_streaming())
@@ -349,55 +346,25 @@
     rest: Option<Rc<StreamingUpload>>,
     length: Option<u64>,
     sent: u64,
-    wait: Option<Pin<Box<Sleep>>>,
-    /// Set as the last byte is handed over.
-    fully_sent: Rc<Cell<bool>>,
-    /// Records the attempt in the metrics at that time.
+    /// The connection, which holds back the last byte: it has to know when all is handed over to it.
     monitor: Rc<SocketMonitor>,
-    metrics: Option<Rc<Metrics>>,
 }
 
 impl OutgoingBody {
     /// Sends the body from its beginning.
-    pub fn new(
-        request_body: &RequestBody,
-        fully_sent: Rc<Cell<bool>>,
-        monitor: Rc<SocketMonitor>,
-        metrics: Option<Rc<Metrics>>,
-    ) -> Self {
+    pub fn new(request_body: &RequestBody, monitor: Rc<SocketMonitor>) -> Self {
         let (pieces, length) = request_body.buffered();
         let rest = match request_body {
             RequestBody::Buffered(..) => None,
             RequestBody::Streaming(upload) => Some(upload.clone()),
         };
-        let mut body = OutgoingBody {
-            pieces: pieces.into(),
-            rest,
-            length,
-            sent: 0,
-            wait: None,
-            fully_sent,
-            monitor,
-            metrics,
-        };
-        // Without a body the request is complete with its head.
-        if body.is_end_stream() {
-            body.completed();
-        }
-        body
-    }
-
-    fn completed(&mut self) {
-        self.fully_sent.set(true);
-        if let Some(metrics) = self.metrics.take() {
-            self.monitor.count_when_written(metrics);
-        }
+        OutgoingBody { pieces: pieces.into(), rest, length, sent: 0, monitor }
     }
 
     fn send_piece(&mut self, data: Bytes) -> Poll<Option<Result<Frame<Bytes>, io::Error>>> {
         self.sent += data.len() as u64;
         if self.length.is_some_and(|length| self.sent >= length) {
-            self.completed();
+            self.monitor.request_handed_over();
         }
         Poll::Ready(Some(Ok(Frame::data(data))))
     }
@@ -412,34 +379,16 @@
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, io::Error>>> {
         let this = &mut *self;
-        if let Some(upload) = &this.rest {
-            if let Some(piece) = this.pieces.pop_front() {
-                return this.send_piece(piece);
-            }
-            return match ready!(upload.clone().poll_next(cx)) {
-                Some(Ok(data)) => this.send_piece(data),
-                Some(Err(error)) => Poll::Ready(Some(Err(io::Error::other(format!("{error:?}"))))),
-                None => {
-                    this.completed();
-                    Poll::Ready(None)
-                }
-            };
+        if let Some(piece) = this.pieces.pop_front() {
+            return this.send_piece(piece);
         }
-        let last = this.pieces.len() == 1;
-        match this.pieces.front_mut() {
-            None => Poll::Ready(None),
-            Some(piece) if last && piece.len() > 1 => {
-                this.wait = Some(Box::pin(sleep(LAST_BYTE_DELAY)));
-                let most = piece.split_to(piece.len() - 1);
-                this.send_piece(most)
-            }
-            Some(_) => {
-                if last {
-                    let wait = this.wait.get_or_insert_with(|| Box::pin(sleep(LAST_BYTE_DELAY)));
-                    ready!(wait.as_mut().poll(cx));
-                }
-                let piece = this.pieces.pop_front().unwrap_or_default();
-                this.send_piece(piece)
+        let Some(upload) = &this.rest else { return Poll::Ready(None) };
+        match ready!(upload.clone().poll_next(cx)) {
+            Some(Ok(data)) => this.send_piece(data),
+            Some(Err(error)) => Poll::Ready(Some(Err(io::Error::other(format!("{error:?}"))))),
+            None => {
+                this.monitor.request_handed_over();
+                Poll::Ready(None)
             }
         }
     }
