A request id or key that comes again is a repeat wherever and whenever it comes

Cause: an id was kept while its request was open (`open_ids`), keys only for classes with groups and for their window, and the record of a key was read as a request came (`Driver::request_received`), not as it was sent. Ruled out: that cancelling ends it (it has begun), that the key's record covers ids (not after the window, nor where the group is `all`).

JournalFolder has the kind of its files, which the tests of the package name.

--- a/crates/balance/src/balance.rs
+++ b/crates/balance/src/balance.rs
@@ -266,6 +266,10 @@
             Event::StreamStarted { request, .. } => {
                 self.requests.get_mut(&request).into_iter().for_each(|p| p.streaming = true)
             }
+            Event::EarlierAttempt { request, earlier } => {
+                let pending = self.requests.get_mut(&request);
+                pending.into_iter().for_each(|p| p.record_earlier(earlier));
+            }
             Event::BodyNotReplayable(id) => {
                 self.requests.get_mut(&id).into_iter().for_each(|p| p.body_not_replayable = true)
             }
--- a/crates/balance/src/balance/attempts.rs
+++ b/crates/balance/src/balance/attempts.rs
@@ -26,6 +26,12 @@
         self.not_before = Some(self.not_before.map_or(now, |_| now + LOCAL_FAULT_WAIT));
     }
 
+    /// Records an attempt of its job that was made elsewhere; the first one counts.
+    pub(super) fn record_earlier(&mut self, earlier: EarlierAttempt) {
+        let known = self.earlier_attempt.filter(|known| known.sent <= earlier.sent);
+        self.earlier_attempt = known.or(Some(earlier));
+    }
+
     pub(super) fn may_start(&self, now: Duration) -> bool {
         self.not_before.is_none_or(|at| now >= at)
     }
--- a/crates/balance/src/types/events.rs
+++ b/crates/balance/src/types/events.rs
@@ -22,6 +22,14 @@
     },
     /// A request arrived and must get one final answer.
     Request(Request),
+    /// The job of a request turns out to have been sent before the request's own first attempt: by another request with
+    /// its key or id, or by another process.
+    EarlierAttempt {
+        /// The request.
+        request: RequestId,
+        /// The first send.
+        earlier: EarlierAttempt,
+    },
     /// More of an incomplete body has been sent to an endpoint than is kept: no further attempt is
     /// possible.
     BodyNotReplayable(RequestId),
--- a/crates/curlewhub/src/serve.rs
+++ b/crates/curlewhub/src/serve.rs
@@ -20,11 +20,14 @@
 use curlewhub_runtime::handover::{self, HandedOver, Handover};
 use curlewhub_runtime::idempotency_keys::IdempotencyKeys;
 use curlewhub_runtime::inbound::Inbound;
+use curlewhub_runtime::job_records::{JournalKind, JournalLocation};
 use curlewhub_runtime::learned_state::LearnedState;
 use curlewhub_runtime::lifecycle::Lifecycle;
 use curlewhub_runtime::listing::Listing;
 use curlewhub_runtime::operator::Operator;
 use curlewhub_runtime::outbound::Outbound;
+use curlewhub_runtime::request_ids::RequestIds;
+use curlewhub_runtime::sent_jobs::SentJobs;
 use curlewhub_runtime::slots::Slots;
 use curlewhub_runtime::static_list;
 use curlewhub_snapshot::{Store, fingerprint};
@@ -293,7 +296,7 @@
             new_learned_state(&config, clock, commands.clone(), inbox.clone(), metrics.clone());
         handover.set_learned_state(learned_state.clone());
         let list_source = ListSource::start(&config, clock, &inbox);
-        let idempotency_keys = open_idempotency_keys(&config, clock, metrics.clone());
+        let sent_jobs = open_sent_jobs(&config, clock, metrics.clone());
         let list_commands = list_source.list_commands.clone();
         let reloader = Reloader::new(loaded, metrics.clone(), list_commands.clone(), log);
         let fleet = member::join(&config, &metrics, &commands, clock, reloader.clone());
@@ -303,7 +306,7 @@
             listing: list_source.listing.clone(),
             bans: bans.clone(),
             lifecycle: lifecycle.clone(),
-            idempotency_keys,
+            sent_jobs,
             call_observer: fleet.call_observer.clone(),
         };
         let max_attempts = config.settings.limits.max_attempts;
@@ -370,9 +373,15 @@
     LearnedState::new(clock, fingerprint(&config.settings), store, commands, inbox, metrics)
 }
 
-fn open_idempotency_keys(config: &Config, clock: Clock, metrics: Rc<Metrics>) -> IdempotencyKeys {
-    let zones = &config.names.zones;
-    IdempotencyKeys::open(&config.state_dir, config.listen, &config.settings, zones, metrics, clock)
+/// Opens what is remembered of jobs that may have run.
+fn open_sent_jobs(config: &Config, clock: Clock, metrics: Rc<Metrics>) -> SentJobs {
+    let (state_dir, listen, zones) = (&config.state_dir, config.listen, &config.names.zones);
+    let keys = JournalLocation { state_dir, listen, kind: JournalKind::Keys, zones };
+    let ids = JournalLocation { kind: JournalKind::RequestIds, ..keys };
+    SentJobs {
+        keys: IdempotencyKeys::open(&keys, &config.settings, metrics, clock),
+        ids: RequestIds::open(&ids, &config.settings, clock),
+    }
 }
 
 fn warn_about_overridden_settings(config: &Config) {
--- a/crates/curlewhub/tests/attempt_begin.rs
+++ b/crates/curlewhub/tests/attempt_begin.rs
@@ -4,6 +4,7 @@
 mod support;
 
 use serde_json::{Value, json};
+use std::io::Write;
 use std::thread;
 use std::time::{Duration, Instant};
 use support::script::RawConnection;
@@ -148,6 +149,54 @@
     });
 }
 
+/// Writes a long request until all of it is written or nothing more is taken; whether all was.
+fn write_as_taken(client: &RawConnection, text: &str) -> bool {
+    let mut stream = client.stream();
+    stream.set_nonblocking(true).unwrap();
+    let (mut written, mut blocked_since) = (0, Instant::now());
+    while written < text.len() && blocked_since.elapsed() < Duration::from_millis(300) {
+        match stream.write(&text.as_bytes()[written..]) {
+            Ok(count) => (written, blocked_since) = (written + count, Instant::now()),
+            Err(_) => thread::sleep(Duration::from_millis(2)),
+        }
+    }
+    stream.set_nonblocking(false).unwrap();
+    written == text.len()
+}
+
+/// Guards against requests that are sent on after their client has left with much of them unread: its close lies behind
+/// all that.
+#[test]
+fn no_request_is_sent_on_after_its_client_left_with_any_length_unread() {
+    let lengths = [1_100_000, 1_800_000, 3_000_000, 5_000_000, 9_000_000, 20_000_000];
+    thread::scope(|scope| {
+        for (length, resets) in lengths.into_iter().flat_map(|length| [(length, false), (length, true)]) {
+            scope.spawn(move || {
+                let (endpoints, discovery) =
+                    (SlowEndpoints::start(2, Heads::Read), script::ScriptedListener::new());
+                let mut config = config_for(&endpoints);
+                config["known"] = list(7, true, &[]);
+                config["discovery"] = json!(discovery.address.to_string());
+                let sidecar = Sidecar::start(&config);
+                let (mut watch, _) = discovery.accept_request();
+                let client = RawConnection::connect(sidecar.address);
+                let is_written = write_as_taken(&client, &long_request("book", "r1", length));
+                if resets {
+                    client.reset()
+                } else {
+                    drop(client)
+                }
+                thread::sleep(CLIENT_GONE_GRACE + LIMIT_SLACK);
+                watch.write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+                watch.write_chunk(&format!("{}\n", list(8, false, &endpoints.targets())));
+                let attempt = endpoints.next_within(Duration::from_secs(2));
+                let arrival = attempt.map_or(Arrival::Broken, |mut attempt| attempt.read_rest());
+                assert_eq!(arrival, Arrival::Broken, "{length}, reset: {resets}, written: {is_written}");
+            });
+        }
+    });
+}
+
 /// Guards against a request without a body that its endpoint begins long after its client has left: a long head waits in
 /// the kernel's queue too.
 #[test]
--- a/crates/curlewhub/tests/support/memory.rs
+++ b/crates/curlewhub/tests/support/memory.rs
@@ -448,6 +448,11 @@
         self.most = self.most.max(own + file);
     }
 
+    /// The most that the processes ever held, in KiB.
+    pub fn most_kib(&self) -> usize {
+        self.most
+    }
+
     /// Fails if the processes ever held more than their configured memory.
     pub fn assert_within(&self, memory_mb: usize, what: &str) {
         println!("{what}: at most {} KiB resident, {memory_mb} MB configured", self.most);
--- a/crates/curlewhub/tests/support/mod.rs
+++ b/crates/curlewhub/tests/support/mod.rs
@@ -4,6 +4,7 @@
 pub mod crowded_discovery;
 pub mod discovery;
 pub mod memory;
+pub mod processes;
 pub mod queued_discovery;
 pub mod script;
 pub mod slow_endpoint;
--- a/crates/curlewhub/tests/support/script.rs
+++ b/crates/curlewhub/tests/support/script.rs
@@ -89,6 +89,10 @@
         RawConnection::new(TcpStream::connect(address).expect("the connection is accepted"))
     }
 
+    pub fn stream(&self) -> &TcpStream {
+        self.reader.get_ref()
+    }
+
     pub fn read(&mut self) -> Option<Message> {
         self.read_within(WAIT_TIMEOUT)
     }
--- a/crates/curlewhub/tests/support/slow_endpoint.rs
+++ b/crates/curlewhub/tests/support/slow_endpoint.rs
@@ -81,7 +81,7 @@
             let requests = requests.clone();
             thread::spawn(move || {
                 stream.set_nodelay(true).unwrap();
-                // The first byte says that a request has come; reading more than the head would make room for the body.
+                // The first byte says that a request has come; reading more than the head would let more of the body come.
                 let _ = stream.peek(&mut [0]);
                 let mut reader = BufReader::with_capacity(512, stream);
                 let head = if heads == Heads::Read { read_head(&mut reader) } else { None };
--- a/crates/keys/src/journal.rs
+++ b/crates/keys/src/journal.rs
@@ -36,9 +36,32 @@
     first_slot: usize,
 }
 
+/// What the journals of one kind record.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub enum JournalKind {
+    /// Idempotency keys.
+    #[default]
+    Keys,
+    /// Request ids.
+    RequestIds,
+}
+
+impl JournalKind {
+    /// The beginning of the names of the files of this sidecar.
+    fn prefix(self, sidecar: &str) -> String {
+        let kind = match self {
+            JournalKind::Keys => "keys",
+            JournalKind::RequestIds => "ids",
+        };
+        format!("curlewhub-{kind}-{sidecar}-")
+    }
+}
+
 /// The folder and file name prefix of one sidecar's journals, and the zone numbering that they use.
 #[derive(Clone, Debug)]
 pub struct JournalFolder {
+    /// What they record.
+    pub kind: JournalKind,
     /// The folder.
     pub folder: PathBuf,
     /// The name of the sidecar, which is part of the files' names.
@@ -81,7 +104,8 @@
     /// # Errors
     /// Returns why the file can't be created.
     pub fn create(folder: &Path, sidecar: &str, started: Duration, zones_hash: u64) -> io::Result<Journal> {
-        let location = JournalFolder { folder: folder.to_owned(), sidecar: sidecar.to_owned(), zones_hash };
+        let (folder, sidecar) = (folder.to_owned(), sidecar.to_owned());
+        let location = JournalFolder { kind: JournalKind::Keys, folder, sidecar, zones_hash };
         let path = location.path(started);
         let file = File::create_new(&path)?;
         Journal::initialize(file, path, zones_hash, None)
@@ -235,19 +259,26 @@
 
 impl JournalFolder {
     fn path(&self, started: Duration) -> PathBuf {
-        self.folder.join(format!("{}{}.bin", prefix(&self.sidecar), started.as_micros()))
+        self.folder.join(format!("{}{}.bin", self.kind.prefix(&self.sidecar), started.as_micros()))
     }
 }
 
-fn prefix(sidecar: &str) -> String {
-    format!("curlewhub-keys-{sidecar}-")
-}
-
 impl OtherJournals {
-    /// The journals of this sidecar in this folder, except `own`.
+    /// The journals of this sidecar's idempotency keys in this folder, except `own`.
     pub fn new(folder: &Path, sidecar: &str, own: Option<&Journal>, zones_hash: u64) -> OtherJournals {
         let own = own.map(|journal| journal.path.clone()).unwrap_or_default();
-        OtherJournals { folder: folder.to_owned(), prefix: prefix(sidecar), own, zones_hash }
+        let prefix = JournalKind::Keys.prefix(sidecar);
+        OtherJournals { folder: folder.to_owned(), prefix, own, zones_hash }
+    }
+
+    /// The journals at this location, except `own`.
+    pub fn at(location: &JournalFolder, own: &Path) -> OtherJournals {
+        OtherJournals {
+            folder: location.folder.clone(),
+            prefix: location.kind.prefix(&location.sidecar),
+            own: own.to_owned(),
+            zones_hash: location.zones_hash,
+        }
     }
 
     /// Excludes the journal at this path from now on, because it is this process's own.
--- a/crates/keys/src/lib.rs
+++ b/crates/keys/src/lib.rs
@@ -19,7 +19,7 @@
 mod record;
 
 pub use clock::{ClockAnchor, shift};
-pub use journal::{Journal, JournalFolder, OtherJournals, RETRY_INTERVAL, RetryingJournal};
+pub use journal::{Journal, JournalFolder, JournalKind, OtherJournals, RETRY_INTERVAL, RetryingJournal};
 pub use memory::{Entry, KeyTable, MAX_KEYS, SlotWrite};
 pub use record::{JournalContents, JournalError, decode, encode_header};
 
--- a/crates/keys/tests/storage.rs
+++ b/crates/keys/tests/storage.rs
@@ -6,8 +6,8 @@
 mod support;
 
 use curlewhub_keys::{
-    ClockAnchor, Entry, Journal, JournalFolder, KeyTable, MAX_KEYS, OtherJournals, RETRY_INTERVAL,
-    RetryingJournal, decode, shift,
+    ClockAnchor, Entry, Journal, JournalFolder, JournalKind, KeyTable, MAX_KEYS, OtherJournals,
+    RETRY_INTERVAL, RetryingJournal, decode, shift,
 };
 use proptest::prelude::*;
 use std::path::Path;
@@ -142,8 +142,12 @@
 /// The table of a process that starts `age` after another one sent a key, and the time of its start. The
 /// wall clock is stepped in between.
 fn successor(folder: &Path, age: Duration, step_micros: i64, same_boot: bool) -> (KeyTable, Duration) {
-    let location =
-        JournalFolder { folder: folder.to_owned(), sidecar: "s".to_owned(), zones_hash: ZONES_HASH };
+    let location = JournalFolder {
+        kind: JournalKind::Keys,
+        folder: folder.to_owned(),
+        sidecar: "s".to_owned(),
+        zones_hash: ZONES_HASH,
+    };
     let up = Duration::from_secs(5000);
     let (mut own, _) = RetryingJournal::open(location, NOW, Some(anchor(NOW, up)));
     let sent = NOW + SECOND;
--- a/crates/keys/tests/support/mod.rs
+++ b/crates/keys/tests/support/mod.rs
@@ -1,7 +1,9 @@
 //! What the tests of journals on disks share.
 #![allow(dead_code)] // each test file uses a part of it
 
-use curlewhub_keys::{ClockAnchor, Entry, JournalFolder, KeyTable, OtherJournals, RetryingJournal};
+use curlewhub_keys::{
+    ClockAnchor, Entry, JournalFolder, JournalKind, KeyTable, OtherJournals, RetryingJournal,
+};
 use std::collections::BTreeSet;
 use std::path::PathBuf;
 use std::time::Duration;
@@ -26,7 +28,12 @@
     }
 
     pub fn location(&self) -> JournalFolder {
-        JournalFolder { folder: self.0.clone(), sidecar: "s".to_owned(), zones_hash: ZONES_HASH }
+        JournalFolder {
+            kind: JournalKind::Keys,
+            folder: self.0.clone(),
+            sidecar: "s".to_owned(),
+            zones_hash: ZONES_HASH,
+        }
     }
 
     pub fn others(&self) -> OtherJournals {
--- a/crates/runtime/src/driver.rs
+++ b/crates/runtime/src/driver.rs
@@ -17,15 +17,17 @@
 };
 use super::figures::EndpointSummary;
 use super::handover::overlap::{BalancerAccess, Overlap};
-use super::idempotency_keys::IdempotencyKeys;
 use super::lifecycle::{Lifecycle, State};
 use super::listing::Listing;
 use super::outbound::Outbound;
 use super::repeat_window::RepeatWindow;
+use super::sent_jobs::{JobIdentity, SentJobs};
 use super::socket::SocketMonitor;
 use super::timers::Timers;
 use attempts::Attempt;
-use curlewhub_balance::{Action, Balancer, ClassId, EndpointId, Event, Outcome, RequestId, TimerToken};
+use curlewhub_balance::{
+    Action, Balancer, ClassId, EarlierAttempt, EndpointId, Event, Outcome, RequestId, TimerToken,
+};
 use std::collections::{HashMap, HashSet, VecDeque};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -53,11 +55,13 @@
     class: ClassId,
     /// When its attempts may begin, by when others of them began.
     window: Rc<RepeatWindow>,
-    /// The hash of its idempotency key, if repeats must stay within a group of endpoints.
-    key: Option<u64>,
-    /// The key's remembered first send is this request's, and no attempt has ended yet in a way that it may
-    /// have been processed. If none does, the key is forgotten.
-    may_forget_key: bool,
+    /// By what its job is recognized when it comes again.
+    job: JobIdentity,
+    /// The first send of its job, as far as that is remembered and the balancer knows of it.
+    first_send: Option<EarlierAttempt>,
+    /// By what its job was recorded with its own first send, while no attempt has ended in a way that it may have been
+    /// processed. If none does, that is forgotten.
+    forgettable: JobIdentity,
 }
 
 /// The parts of the process that the driver uses.
@@ -72,8 +76,8 @@
     pub bans: Rc<EndpointBans>,
     /// The state of the process.
     pub lifecycle: Rc<Lifecycle>,
-    /// Idempotency keys of jobs that may have run.
-    pub idempotency_keys: IdempotencyKeys,
+    /// Jobs that may have run.
+    pub sent_jobs: SentJobs,
     /// Observes attempts and zone probes.
     pub call_observer: Rc<dyn CallObserver>,
 }
@@ -96,7 +100,7 @@
     listing: Rc<Listing>,
     bans: Rc<EndpointBans>,
     lifecycle: Rc<Lifecycle>,
-    idempotency_keys: IdempotencyKeys,
+    sent_jobs: SentJobs,
     call_observer: Rc<dyn CallObserver>,
     /// Number of zone probes so far; selects the endpoint of the next one.
     zone_probes: usize,
@@ -124,7 +128,7 @@
         list_commands: UnboundedSender<ListCommand>,
         inbox: Inbox,
     ) -> Self {
-        let Dependencies { outbound, budget, listing, bans, lifecycle, idempotency_keys, call_observer } =
+        let Dependencies { outbound, budget, listing, bans, lifecycle, sent_jobs, call_observer } =
             dependencies;
         Driver {
             balancer,
@@ -141,7 +145,7 @@
             listing,
             bans,
             lifecycle,
-            idempotency_keys,
+            sent_jobs,
             call_observer,
             zone_probes: 0,
             banned: HashSet::new(),
@@ -170,7 +174,7 @@
         loop {
             let next = self.timers.next().unwrap_or(self.summary_at);
             let next = self.overlap.sample_at().map_or(next, |at| at.min(next));
-            let retry_at = self.idempotency_keys.retry_at().into_iter().chain(self.bans.retry_at()).min();
+            let retry_at = self.sent_jobs.retry_at().into_iter().chain(self.bans.retry_at()).min();
             let next = retry_at.map_or(next, |at| at.min(next));
             tokio::select! {
                 biased;
@@ -192,7 +196,7 @@
         while let Some(token) = self.timers.take_due(now) {
             self.handle_event(Event::Timer(TimerToken(token)));
         }
-        self.idempotency_keys.retry();
+        self.sent_jobs.retry();
         for uid in self.bans.retry() {
             self.apply_ban(&uid, true);
         }
@@ -212,6 +216,7 @@
             Input::BodyArrived(id, deadline) => self.body_arrived(id, deadline),
             Input::BodyComplete(id, deadline) => self.body_complete(id, deadline),
             Input::ClientDisconnected(id) => self.client_disconnected(id),
+            Input::AnswerDelivered(id) => self.sent_jobs.ids.forget_send(id),
             Input::AnswerProgress(request, attempt) => {
                 self.handle_event(Event::AnswerProgress { request, attempt });
             }
@@ -261,7 +266,7 @@
                 self.with_overlap(|overlap, access| overlap.message_received(link, message, access));
             }
             Command::PeerDisconnected(link) => {
-                self.idempotency_keys.import_journals(self.clock.now());
+                self.sent_jobs.import_journals(self.clock.now());
                 let ending = self.lifecycle.state() == State::Terminating;
                 self.with_overlap(|overlap, access| overlap.peer_disconnected(link, ending, access));
             }
@@ -311,7 +316,7 @@
     fn request_received(&mut self, received: ReceivedRequest) {
         let ReceivedRequest {
             mut request,
-            key,
+            job,
             deadline,
             response_timeout,
             forwarded,
@@ -322,23 +327,15 @@
         if client.is_disconnected() {
             return self.count_outcome("client gone"); // while the request was queued
         }
-        if let Some(key) = key {
-            // The other process may just have been killed, and this may be the repeat of a request that it
-            // sent.
-            if self.overlap.has_connected_process()
-                && !self.idempotency_keys.contains(self.clock.now(), key)
-            {
-                self.idempotency_keys.import_journals(self.clock.now());
-            }
-            request.earlier_attempt = self.idempotency_keys.earlier_send(self.clock.now(), key);
-        }
+        let first_send = self.first_send(job);
+        request.earlier_attempt = first_send;
         request.time_left = deadline.saturating_duration_since(Instant::now());
         debug!(request = request.id.0, class = request.class.0, tenant = request.tenant.0, "request");
         let timeout_after_body = request.body_incomplete.then_some(response_timeout);
         let deadline = watch::Sender::new(deadline);
         let class = request.class;
         let window = Rc::new(RepeatWindow::new(self.balancer.repeat_window(class)));
-        let (reply, attempts, in_flight, may_forget_key) = (Some(reply), Vec::new(), 0, false);
+        let (reply, attempts, in_flight) = (Some(reply), Vec::new(), 0);
         let open = OpenRequest {
             forwarded,
             deadline,
@@ -350,14 +347,30 @@
             in_flight,
             class,
             window,
-            key,
-            may_forget_key,
+            job,
+            first_send,
+            forgettable: JobIdentity::default(),
         };
         self.requests.insert(request.id, open);
         self.overlap.request_arrived();
         self.handle_event(Event::Request(request));
     }
 
+    /// Where a job may have run first, in this process or in another one of the sidecar.
+    fn first_send(&mut self, job: JobIdentity) -> Option<EarlierAttempt> {
+        let now = self.clock.now();
+        if job == JobIdentity::default() {
+            return None;
+        }
+        let known = self.sent_jobs.earlier_send(now, job);
+        if known.is_some() || !self.overlap.has_connected_process() {
+            return known;
+        }
+        // The other process may have sent it; if it was just killed, this may be the repeat of its request.
+        self.sent_jobs.import_journals(now);
+        self.sent_jobs.earlier_send(now, job)
+    }
+
     /// Starts the time of a request whose body has arrived on this machine; its attempts end by this deadline.
     fn body_arrived(&mut self, id: RequestId, deadline: Instant) {
         let Some(open) = self.requests.get_mut(&id) else { return };
--- a/crates/runtime/src/driver/attempts.rs
+++ b/crates/runtime/src/driver/attempts.rs
@@ -3,8 +3,9 @@
 use super::{Driver, outcome_name};
 use crate::attempt_terms::{AttemptProgress, WriteConditions};
 use crate::events::{AttemptResult, FinalResponse, Input};
+use crate::sent_jobs::JobIdentity;
 use crate::time_left::{TimeLeft, attempt_time_passed};
-use curlewhub_balance::{AttemptEnded, AttemptNo, EndpointId, Event, Outcome, RequestId};
+use curlewhub_balance::{AttemptEnded, AttemptNo, EarlierAttempt, EndpointId, Event, Outcome, RequestId};
 use std::time::Duration;
 use tokio::sync::oneshot;
 use tokio::task::spawn_local;
@@ -32,12 +33,15 @@
         let elapsed = if open.timeout_after_body.is_some() { Duration::ZERO } else { sent_at.elapsed() };
         let AttemptResult { outcome, body, report } = result;
         if !outcome.never_ran() {
-            open.may_forget_key = false; // it may have been processed: the key stays remembered
+            open.forgettable = JobIdentity::default(); // it may have been processed: the job stays remembered
         } else {
             open.window.forget(attempt);
-            if let Some(key) = open.key.filter(|_| open.may_forget_key && open.in_flight == 0) {
-                open.may_forget_key = false;
-                self.idempotency_keys.forget_send(key);
+            let forgettable = std::mem::take(&mut open.forgettable);
+            if open.in_flight > 0 {
+                open.forgettable = forgettable;
+            } else if forgettable != JobIdentity::default() {
+                open.first_send = None;
+                self.sent_jobs.forget_send(forgettable);
             }
         }
         debug!(
@@ -70,9 +74,19 @@
         self.remove_if_done(id);
     }
 
+    /// The first send of a request's job, if that is news: another request of the same job, or another process, was first
+    /// since this request came.
+    fn sent_elsewhere(&mut self, id: RequestId) -> Option<EarlierAttempt> {
+        let open = self.requests.get(&id)?;
+        let (job, known) = (open.job, open.first_send);
+        let found = self.first_send(job)?;
+        known.is_none_or(|known| found.sent < known.sent).then_some(found)
+    }
+
     /// Starts an attempt. One that must not be sent gets a number too, and ends as [`Outcome::NotSent`].
     pub(super) fn send(&mut self, id: RequestId, endpoint: EndpointId, timeout: Duration) {
         let retry_deadline = self.balancer.retry_deadline(id);
+        let sent_elsewhere = self.sent_elsewhere(id);
         let Some(open) = self.requests.get_mut(&id) else { return };
         if open.client.is_disconnected() {
             open.reply = None; // its `ClientDisconnected` is still queued
@@ -80,10 +94,16 @@
         let (now, attempt) = (Instant::now(), AttemptNo(open.attempts.len() as u32));
         let address = self.addresses.get(&endpoint).copied().filter(|_| !self.banned.contains(&endpoint));
         let until = (*open.deadline.borrow()).min(now + timeout);
-        let must_not_send =
-            open.reply.is_none() || open.attempts.len() >= self.max_attempts || until <= now;
+        let must_not_send = open.reply.is_none()
+            || open.attempts.len() >= self.max_attempts
+            || until <= now
+            || sent_elsewhere.is_some();
         let Some(address) = address.filter(|_| !must_not_send) else {
             open.attempts.push(Attempt { endpoint, sent_at: now, cancel: None });
+            if let Some(earlier) = sent_elsewhere {
+                open.first_send = Some(earlier);
+                self.pending_events.push_back(Event::EarlierAttempt { request: id, earlier });
+            }
             self.pending_events.push_back(Event::AttemptEnded(AttemptEnded {
                 request: id,
                 attempt,
@@ -95,9 +115,13 @@
             }));
             return self.count_outcome(outcome_name(Outcome::NotSent));
         };
-        if let (Some(key), Some((zone, cell))) = (open.key, self.balancer.location(endpoint)) {
-            open.may_forget_key |=
-                self.idempotency_keys.record_send(self.clock.now(), key, open.class, zone, cell);
+        if let Some((zone, cell)) = self.balancer.location(endpoint) {
+            let sent = self.clock.now();
+            let recorded = self.sent_jobs.record_send(sent, open.job, open.class, zone, cell);
+            if recorded != JobIdentity::default() {
+                open.forgettable = recorded;
+                open.first_send.get_or_insert(EarlierAttempt { zone, cell, sent });
+            }
         }
         debug!(
             request = id.0,
--- a/crates/runtime/src/events.rs
+++ b/crates/runtime/src/events.rs
@@ -3,6 +3,7 @@
 
 use crate::figures::EndpointSummary;
 use crate::response_body::ResponseBody;
+use crate::sent_jobs::JobIdentity;
 use crate::socket::SocketMonitor;
 use crate::streaming::RequestBody;
 use curlewhub_balance::{
@@ -39,6 +40,9 @@
     BodyComplete(RequestId, Instant),
     /// The request's client has disconnected.
     ClientDisconnected(RequestId),
+    /// The request of this id, as a hash, has its answer, and its client was there to get it: it is no repeat if the id
+    /// comes again.
+    AnswerDelivered(u64),
     /// Bytes of an attempt's answer have arrived, and more are to come.
     AnswerProgress(RequestId, AttemptNo),
     /// An attempt ended.
@@ -120,8 +124,8 @@
 pub struct ReceivedRequest {
     /// The request for the balancer; the driver sets its time left.
     pub request: curlewhub_balance::Request,
-    /// The hash of its idempotency key, if repeats with that key must stay within a group of endpoints.
-    pub key: Option<u64>,
+    /// By what its job is recognized when it comes again.
+    pub job: JobIdentity,
     /// When the response must be on its way. While the body is incomplete: the longest time that receiving
     /// it may take.
     pub deadline: Instant,
--- a/crates/runtime/src/figures.rs
+++ b/crates/runtime/src/figures.rs
@@ -135,12 +135,10 @@
         increment(if ok { &self.snapshot_ok } else { &self.snapshot_failed });
     }
 
-    /// Records a write of a key to the journal, and the number of remembered keys.
-    pub fn record_keys(&self, remembered: usize, ok: bool) {
+    /// Records the number of remembered keys, and how many more could not be written to the journal.
+    pub fn record_keys(&self, remembered: usize, failed_writes: usize) {
         self.keys.set(remembered as u64);
-        if !ok {
-            increment(&self.keys_failed);
-        }
+        self.keys_failed.set(self.keys_failed.get() + failed_writes as u64);
     }
 
     /// Replaces the metrics that other parts of the process supply.
--- a/crates/runtime/src/inbound/connection.rs
+++ b/crates/runtime/src/inbound/connection.rs
@@ -105,6 +105,8 @@
     /// More bytes arrived behind the request before its response was complete. hyper holds them in its
     /// buffer, so the monitor does not see the next request begin.
     pipelined: Cell<bool>,
+    /// The id of the request that is being served, as a hash, if it must not simply be repeated.
+    pub(super) open_request: Cell<Option<u64>>,
     /// It was selected to be closed, to make a place for another client.
     pub(super) close_requested: Cell<bool>,
     /// Wakes the connection's task to close it.
@@ -115,7 +117,8 @@
 
 impl ClientConnection {
     fn new(monitor: Rc<SocketMonitor>) -> Rc<Self> {
-        let (last_response, pipelined, close_requested, close_signal, evict_signal) = Default::default();
+        let (last_response, pipelined, open_request) = Default::default();
+        let (close_requested, close_signal, evict_signal) = Default::default();
         let (accepted, stage) = (Instant::now(), Cell::new(Stage::New));
         Rc::new(ClientConnection {
             monitor,
@@ -123,6 +126,7 @@
             stage,
             last_response,
             pipelined,
+            open_request,
             close_requested,
             close_signal,
             evict_signal,
--- a/crates/runtime/src/inbound/exchange.rs
+++ b/crates/runtime/src/inbound/exchange.rs
@@ -75,6 +75,8 @@
     body: ResponseBody,
     metrics: Option<RequestMetrics>,
     connection: Rc<ClientConnection>,
+    /// The id of a request that was served, and whom its delivery is told.
+    served: Option<(u64, Inbox)>,
 }
 
 impl Body for OutgoingResponse {
@@ -122,6 +124,12 @@
 
 impl Drop for OutgoingResponse {
     fn drop(&mut self) {
+        if let Some((id, inbox)) = self.served.take()
+            && self.is_end_stream()
+            && !self.connection.monitor.peer_has_closed()
+        {
+            let _ = inbox.send(Input::AnswerDelivered(id)); // fails only while the process ends
+        }
         self.connection.response_ended();
     }
 }
@@ -192,7 +200,10 @@
                 _ => RequestOutcome::Failure,
             });
         }
-        Ok(reply.map(|body| OutgoingResponse { body, metrics, connection: connection.clone() }))
+        let open_request = connection.open_request.take();
+        let served = open_request.filter(|_| reply.status() == StatusCode::OK);
+        let served = served.map(|id| (id, self.inbox.clone()));
+        Ok(reply.map(|body| OutgoingResponse { body, metrics, connection: connection.clone(), served }))
     }
 
     /// Awaits a future, but rejects the request if more bytes arrive from the client meanwhile: a client
@@ -242,7 +253,9 @@
         if !self.open_ids.borrow_mut().insert(id.clone()) {
             return Err((StatusCode::CONFLICT, "a request of that id is open"));
         }
+        let job = self.job_identity(request.class, &id, head.headers.get("idempotency-key"));
         let _open = OpenId { open_ids: &self.open_ids, id };
+        connection.open_request.set(job.id);
         let memory = self.budget.messages();
         let received =
             receive_body(body, connection.monitor.clone(), connection.request_start(), memory).await;
@@ -264,8 +277,6 @@
         self.next_id.set(id.0 + 1);
         request.id = id;
         request.body_incomplete = upload.is_some();
-        let key = head.headers.get("idempotency-key").filter(|_| self.is_grouped[request.class.0]);
-        let key = key.map(|key| curlewhub_keys::hash(&self.classes[request.class.0], key.as_bytes()));
         remove_hop_by_hop_headers(&mut head.headers);
         let (reply, answered) = oneshot::channel();
         // The client may have sent an absolute URI; endpoints get only path and query.
@@ -277,7 +288,7 @@
         let client = ClientStatus::default();
         let arrival = ReceivedRequest {
             request,
-            key,
+            job,
             deadline,
             response_timeout: within,
             forwarded,
--- a/crates/runtime/src/inbound/mod.rs
+++ b/crates/runtime/src/inbound/mod.rs
@@ -12,9 +12,10 @@
 use crate::handover::Handover;
 use crate::lifecycle::{Lifecycle, State};
 use crate::outbound::Outbound;
+use crate::sent_jobs::JobIdentity;
 use crate::shutdown::{Phase, ShutdownDeadline};
 use connection::{ClientConnection, Stage};
-use curlewhub_balance::Settings;
+use curlewhub_balance::{ClassId, Semantics, Settings};
 use curlewhub_config::Names;
 use hyper::header::HeaderValue;
 use std::cell::{Cell, RefCell};
@@ -97,6 +98,18 @@
         })
     }
 
+    /// By what a request's job is recognized when it comes again.
+    fn job_identity(&self, class: ClassId, id: &HeaderValue, key: Option<&HeaderValue>) -> JobIdentity {
+        let name = &self.classes[class.0];
+        let is_safe = self.settings.classes[class.0].semantics == Semantics::Safe;
+        JobIdentity {
+            key: key
+                .filter(|_| self.is_grouped[class.0])
+                .map(|key| curlewhub_keys::hash(name, key.as_bytes())),
+            id: (!is_safe).then(|| curlewhub_keys::hash(name, id.as_bytes())),
+        }
+    }
+
     /// Serves until shutdown, then drains: every connection that the kernel has accepted gets its response.
     pub async fn serve(self: Rc<Self>, listener: TcpListener, handover: Rc<Handover>) {
         spawn_local(self.clone().close_idle_during_drain());
--- a/crates/runtime/src/lib.rs
+++ b/crates/runtime/src/lib.rs
@@ -4,7 +4,8 @@
 //! - A request: `inbound` reads it, `driver` passes it to the balancer, `outbound` makes the attempts, and
 //!   the answer returns on the same path.
 //! - The endpoint list: `discovery` or `static_list`, then `listing`.
-//! - State that outlives the process: `endpoint_bans`, `idempotency_keys`, `learned_state`; `handover`
+//! - State that outlives the process: `endpoint_bans`, `idempotency_keys` and `request_ids` (both by
+//!   `job_records`), `learned_state`; `handover`
 //!   passes it on to a successor process.
 //! - The process itself: `lifecycle` has its state, `shutdown` its final deadlines, `clock` its time.
 //!
@@ -29,6 +30,7 @@
 pub mod idempotency_keys;
 pub mod inbound;
 pub mod interrupts;
+pub mod job_records;
 pub mod learned_state;
 pub mod lifecycle;
 pub mod listing;
@@ -40,8 +42,10 @@
 pub mod process_memory;
 mod read_ahead;
 pub mod repeat_window;
+pub mod request_ids;
 pub mod request_write;
 pub mod response_body;
+pub mod sent_jobs;
 pub mod shutdown;
 pub mod slots;
 pub mod socket;
--- a/crates/runtime/src/request_write.rs
+++ b/crates/runtime/src/request_write.rs
@@ -85,7 +85,15 @@
         metrics: Option<Rc<Metrics>>,
     ) -> Self {
         let (stage, is_handed_over) = (Stage::Unwritten, !has_body);
-        RequestWrite { check: Some(check), stage, has_body, is_handed_over, delay: None, fully_sent, metrics }
+        RequestWrite {
+            check: Some(check),
+            stage,
+            has_body,
+            is_handed_over,
+            delay: None,
+            fully_sent,
+            metrics,
+        }
     }
 
     /// The writer holds all that is left of the request from now on.
