An address that is used again: no repeat in the wrong group, no work to the process before

An endpoint is restarted under its uid; requests go on to the process before, over an idle connection and over one in use at the news.

Cause: where a job may have run is recorded by the zone of the uid it was sent to (`Attempt`, `Entry`), and connections were closed at a change of state or address alone (`apply_list_update`). Ruled out: pooled connections of endpoints that are gone (closed), consensus servers (replica.rs drops messages for other ids; by reading), the upgrade's socket (by reading).

Change: `find_misplaced_attempts` compares the start of a newly listed endpoint with the attempts at its address; their requests get no further attempt where repeats have a group, and the records name no zone. A changed start makes open connections unusable.

Measured: two new tests in tests/attempts/repeated_requests.rs, failed before, pass now.

--- a/crates/balance/src/balance.rs
+++ b/crates/balance/src/balance.rs
@@ -96,6 +96,8 @@
     timers: Vec<TimerToken>,
     /// An attempt of the same job that may have run before the request came here.
     earlier_attempt: Option<EarlierAttempt>,
+    /// It is not known in which group of endpoints it may have run.
+    group_unknown: bool,
     finished: bool,
     streaming: bool,
     /// Its body is still being received.
@@ -270,6 +272,9 @@
                 let pending = self.requests.get_mut(&request);
                 pending.into_iter().for_each(|p| p.record_earlier(earlier));
             }
+            Event::GroupUnknown(id) => {
+                self.requests.get_mut(&id).into_iter().for_each(|p| p.group_unknown = true)
+            }
             Event::BodyNotReplayable(id) => {
                 self.requests.get_mut(&id).into_iter().for_each(|p| p.body_not_replayable = true)
             }
--- a/crates/balance/src/balance/attempts.rs
+++ b/crates/balance/src/balance/attempts.rs
@@ -77,6 +77,7 @@
             attempts: Vec::new(),
             timers: Vec::new(),
             earlier_attempt: request.earlier_attempt,
+            group_unknown: false,
             finished: false,
             streaming: false,
             upload: request.body_incomplete,
@@ -210,7 +211,8 @@
         let whole = |p: &&Pending| !p.body_not_replayable || p.attempts.is_empty();
         let Some(pending) = self.requests.get(&id).filter(whole) else { return false };
         let first = pending.may_have_run().next().map(|ran| ran.sent);
-        self.settings.classes[pending.class].semantics.may_retry(now, first)
+        let semantics = self.settings.classes[pending.class].semantics;
+        semantics.may_retry(now, first) && !(pending.group_unknown && semantics.has_group())
     }
 
     /// The final answer if it can't be served: a refusal where the client may safely retry, else a failure.
--- a/crates/balance/src/types/classes.rs
+++ b/crates/balance/src/types/classes.rs
@@ -63,6 +63,11 @@
         }
     }
 
+    /// Whether only some endpoints drop a repeat.
+    pub fn has_group(self) -> bool {
+        matches!(self, Semantics::Keyed { group: DeduplicationScope::Zone | DeduplicationScope::Cell, .. })
+    }
+
     /// Whether a request that may have run at `ran` may be sent to `to`.
     pub fn may_retry_at(self, ran: (ZoneId, CellId), to: (ZoneId, CellId)) -> bool {
         match self {
--- a/crates/balance/src/types/events.rs
+++ b/crates/balance/src/types/events.rs
@@ -30,6 +30,9 @@
         /// The first send.
         earlier: EarlierAttempt,
     },
+    /// An attempt of a request may have reached another endpoint than the one it was sent to: it is not known in which
+    /// group it may have run.
+    GroupUnknown(RequestId),
     /// More of an incomplete body has been sent to an endpoint than is kept: no further attempt is
     /// possible.
     BodyNotReplayable(RequestId),
--- a/crates/curlewhub/tests/attempt_begin.rs
+++ b/crates/curlewhub/tests/attempts/attempt_begin.rs
@@ -1,15 +1,13 @@
 //! An endpoint begins a request when its last byte arrives, which is long after the first one if the endpoint reads
 //! slowly. Whatever forbids an attempt to begin ends it until then, for each kind of attempt.
 
-mod support;
-
+use crate::support::script::{RawConnection, ScriptedListener};
+use crate::support::slow_endpoint::{Arrival, Heads, SlowEndpoints, SlowRequest};
+use crate::support::*;
 use serde_json::{Value, json};
 use std::io::Write;
 use std::thread;
 use std::time::{Duration, Instant};
-use support::script::RawConnection;
-use support::slow_endpoint::{Arrival, Heads, SlowEndpoints, SlowRequest};
-use support::*;
 
 /// The settings' window for repeats.
 const WINDOW: Duration = Duration::from_millis(600);
@@ -173,7 +171,7 @@
         for (length, resets) in lengths.into_iter().flat_map(|length| [(length, false), (length, true)]) {
             scope.spawn(move || {
                 let (endpoints, discovery) =
-                    (SlowEndpoints::start(2, Heads::Read), script::ScriptedListener::new());
+                    (SlowEndpoints::start(2, Heads::Read), ScriptedListener::new());
                 let mut config = config_for(&endpoints);
                 config["known"] = list(7, true, &[]);
                 config["discovery"] = json!(discovery.address.to_string());
@@ -219,7 +217,7 @@
 fn an_attempt_that_started_before_a_drain_is_completed_and_served() {
     for length in BODY_LENGTHS {
         let endpoints = SlowEndpoints::start(1, Heads::Read);
-        let (mut config, discovery) = (config_for(&endpoints), script::ScriptedListener::new());
+        let (mut config, discovery) = (config_for(&endpoints), ScriptedListener::new());
         config["discovery"] = json!(discovery.address.to_string());
         let sidecar = Sidecar::start_with(&config, "RUST_LOG=debug");
         let (mut watch, _) = discovery.accept_request();
--- /dev/null
+++ b/crates/curlewhub/tests/attempts/main.rs
@@ -0,0 +1,6 @@
+//! When the attempts of a request may begin: behind slow endpoints, after clients that left, and where a request comes again.
+
+mod attempt_begin;
+mod repeated_requests;
+#[path = "../support/mod.rs"]
+mod support;
--- a/crates/curlewhub/tests/repeated_requests.rs
+++ b/crates/curlewhub/tests/attempts/repeated_requests.rs
@@ -1,15 +1,13 @@
 //! A request id or a key that comes again: what an endpoint may have run is repeated only in its group and inside its
 //! window, whether or not its client is still there, and whichever process of the sidecar it comes to.
 
-mod support;
-
+use crate::support::processes::connect_to;
+use crate::support::script::{RawConnection, ScriptedListener};
+use crate::support::slow_endpoint::{Arrival, Heads, SlowEndpoints};
+use crate::support::*;
 use serde_json::{Value, json};
 use std::thread;
 use std::time::{Duration, Instant};
-use support::processes::connect_to;
-use support::script::{RawConnection, ScriptedListener};
-use support::slow_endpoint::{Arrival, Heads, SlowEndpoints};
-use support::*;
 
 /// The settings' window for repeats.
 const WINDOW: Duration = Duration::from_millis(1500);
@@ -194,3 +192,114 @@
         assert!(zones.iter().all(|zone| *zone == zones[0]), "round {round}: {zones:?}");
     }
 }
+
+/// Milliseconds of Unix time.
+fn unix_ms() -> f64 {
+    let now = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).unwrap();
+    (now.as_secs_f64() * 1e3).floor()
+}
+
+/// A sidecar, told late, sends a job to an address at which another endpoint of the second zone has started. Returns where
+/// the job was sent to after that, if it was, and the status of a later job of the same key.
+fn job_at_a_reused_address(has_started_before: bool) -> (Option<usize>, u16) {
+    let (endpoints, discovery) = (SlowEndpoints::start(3, Heads::Read), ScriptedListener::new());
+    let mut config = config_for(&endpoints, "zone", true);
+    let mut listed = targets(&endpoints);
+    listed[1]["az"] = json!("a");
+    config["known"] = list(7, true, &listed[..2]);
+    config["discovery"] = json!(discovery.address.to_string());
+    let sidecar = Sidecar::start(&config);
+    let (mut watch, _) = discovery.accept_request();
+    let mut started = unix_ms();
+    thread::sleep(Duration::from_millis(20));
+    let job = |number: usize| {
+        let mut client = RawConnection::connect(sidecar.address);
+        let text = request("pay", &format!("job-{number}"), "5000m");
+        client.write(&text.replace("Idempotency-Key: k1", &format!("Idempotency-Key: key-{number}")));
+        client
+    };
+    let mut jobs = Vec::new();
+    let mut attempt = loop {
+        jobs.push(job(jobs.len()));
+        let attempt = endpoints.next();
+        if attempt.endpoint == 0 {
+            break attempt;
+        }
+        attempt.answer("done");
+    };
+    assert_eq!(attempt.read_rest(), Arrival::Whole);
+    if !has_started_before {
+        thread::sleep(Duration::from_millis(600));
+        started = unix_ms();
+    }
+    let mut other = target("s-other", endpoints.addresses[0], "up");
+    (other["az"], other["boot_ms"]) = (json!("b"), json!(started));
+    let gone = target("s-0", endpoints.addresses[0], "removed");
+    watch.write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+    watch.write_chunk(&format!("{}\n", list(8, false, &[gone, other])));
+    thread::sleep(Duration::from_millis(100));
+    attempt.reset();
+    let repeat = endpoints.next_within(FORWARDED_WITHIN).map(|repeat| {
+        let endpoint = repeat.endpoint;
+        repeat.answer("done");
+        endpoint
+    });
+    let mut client = RawConnection::connect(sidecar.address);
+    let key = format!("Idempotency-Key: key-{}", jobs.len() - 1);
+    client.write(&request("pay", "later", "400m").replace("Idempotency-Key: k1", &key));
+    if let Some(later) = endpoints.next_within(FORWARDED_WITHIN) {
+        later.answer("done");
+    }
+    (repeat, client.read().map_or(0, |answer| answer.status()))
+}
+
+/// Guards against a job that runs in two zones: it was sent to an address that an endpoint of another zone had taken over, and
+/// is repeated in the zone of the one before.
+#[test]
+fn a_job_that_may_have_run_at_another_endpoint_of_its_address_is_not_repeated() {
+    let (repeat, later) = job_at_a_reused_address(true);
+    assert_eq!(repeat, None, "it may have run in either zone");
+    assert!(later >= 400, "nor is a later job of its key: {later}");
+    // If the other endpoint has started since, the job ran at the one before.
+    let (repeat, later) = job_at_a_reused_address(false);
+    assert_eq!((repeat, later), (Some(1), 200));
+}
+
+/// Guards against work that goes to a process whose place another one has taken: an endpoint was restarted under its uid and
+/// at its address, and the process before still holds its connections, idle or in use.
+#[test]
+fn no_request_is_sent_on_a_connection_to_the_process_before_a_restart() {
+    for in_use in [false, true] {
+        let (endpoint, discovery) = (ScriptedListener::new(), ScriptedListener::new());
+        let mut config = config_with_operator(&[]);
+        let mut listed = target("s-0", endpoint.address, "up");
+        listed["boot_ms"] = json!(unix_ms() - 100_000.0);
+        config["known"] = list(7, true, &[listed.clone()]);
+        config["discovery"] = json!(discovery.address.to_string());
+        let sidecar = Sidecar::start_with(&config, "RUST_LOG=debug");
+        let (mut watch, _) = discovery.accept_request();
+        watch.write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+        let mut client = RawConnection::connect(sidecar.address);
+        client.write(&request("quote", "r1", "10000m"));
+        let (mut before, _) = endpoint.accept_request();
+        let mut answer_first = || {
+            before.write(&answer("200 OK", "", "ok"));
+            assert_eq!(client.read().expect("a response").status(), 200);
+        };
+        if !in_use {
+            answer_first();
+        }
+        listed["boot_ms"] = json!(unix_ms());
+        watch.write_chunk(&format!("{}\n", list(8, false, &[listed])));
+        sidecar.wait_for_log("rev=8 ");
+        thread::sleep(Duration::from_millis(50));
+        if in_use {
+            answer_first();
+        }
+        client.write(&request("quote", "r2", "10000m"));
+        let (mut after, message) = endpoint.accept_request();
+        assert_eq!(message.header("x-request-id"), "r2", "in use: {in_use}");
+        after.write(&answer("200 OK", "", "ok"));
+        assert_eq!(client.read().expect("a response").status(), 200);
+    }
+}
--- a/crates/runtime/src/driver.rs
+++ b/crates/runtime/src/driver.rs
@@ -89,6 +89,8 @@
     max_attempts: usize,
     requests: HashMap<RequestId, OpenRequest>,
     addresses: HashMap<EndpointId, SocketAddr>,
+    /// The stated starts of listed endpoints.
+    starts: HashMap<EndpointId, Duration>,
     timers: Timers,
     /// Events that arose while the driver carried out actions; the balancer has not handled them yet.
     pending_events: VecDeque<Event>,
@@ -136,6 +138,7 @@
             max_attempts: max_attempts as usize,
             requests: HashMap::new(),
             addresses: HashMap::new(),
+            starts: HashMap::new(),
             timers: Timers::default(),
             pending_events: VecDeque::new(),
             unusual_outcomes: HashMap::new(),
--- a/crates/runtime/src/driver/attempts.rs
+++ b/crates/runtime/src/driver/attempts.rs
@@ -6,6 +6,7 @@
 use crate::sent_jobs::JobIdentity;
 use crate::time_left::{TimeLeft, attempt_time_passed};
 use curlewhub_balance::{AttemptEnded, AttemptNo, EarlierAttempt, EndpointId, Event, Outcome, RequestId};
+use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::sync::oneshot;
 use tokio::task::spawn_local;
@@ -15,6 +16,8 @@
 /// An attempt of an open request.
 pub(super) struct Attempt {
     pub(super) endpoint: EndpointId,
+    /// Where it was sent to; none if it was not sent, or has certainly not run.
+    pub(super) address: Option<SocketAddr>,
     pub(super) sent_at: Instant,
     /// Dropped to cancel the attempt; none once it has ended.
     pub(super) cancel: Option<oneshot::Sender<()>>,
@@ -35,6 +38,7 @@
         if !outcome.never_ran() {
             open.forgettable = JobIdentity::default(); // it may have been processed: the job stays remembered
         } else {
+            state.address = None;
             open.window.forget(attempt);
             let forgettable = std::mem::take(&mut open.forgettable);
             if open.in_flight > 0 {
@@ -99,7 +103,7 @@
             || until <= now
             || sent_elsewhere.is_some();
         let Some(address) = address.filter(|_| !must_not_send) else {
-            open.attempts.push(Attempt { endpoint, sent_at: now, cancel: None });
+            open.attempts.push(Attempt { endpoint, address: None, sent_at: now, cancel: None });
             if let Some(earlier) = sent_elsewhere {
                 open.first_send = Some(earlier);
                 self.pending_events.push_back(Event::EarlierAttempt { request: id, earlier });
@@ -132,7 +136,12 @@
             "attempt"
         );
         let (cancel, mut cancelled) = oneshot::channel();
-        open.attempts.push(Attempt { endpoint, sent_at: now, cancel: Some(cancel) });
+        open.attempts.push(Attempt {
+            endpoint,
+            address: Some(address),
+            sent_at: now,
+            cancel: Some(cancel),
+        });
         open.in_flight += 1;
         // Time before the body is complete is not counted as the endpoint's.
         if open.timeout_after_body.is_none() {
--- a/crates/runtime/src/driver/list.rs
+++ b/crates/runtime/src/driver/list.rs
@@ -2,9 +2,12 @@
 //! until when the list may be used.
 
 use super::Driver;
+use super::attempts::Attempt;
 use crate::events::{ListStatus, ListUpdate};
-use curlewhub_balance::{EndpointId, EndpointInfo, EndpointState, Event, Membership};
-use std::collections::HashSet;
+use crate::sent_jobs::JobIdentity;
+use curlewhub_balance::{EndpointId, EndpointInfo, EndpointState, Event, Membership, RequestId};
+use std::collections::{HashMap, HashSet};
+use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::time::Instant;
 use tracing::{info, warn};
@@ -13,6 +16,9 @@
 /// machines.
 const MAX_START_SKEW: Duration = Duration::from_secs(1);
 
+/// An endpoint may have started this much before its stated start, by the clock of this machine.
+const START_TIME_MARGIN: Duration = Duration::from_millis(250);
+
 impl Driver {
     /// Warns of endpoints whose listed start time is ahead of this machine's clock. The value itself is not
     /// corrected: the balancer counts no start as later than now, and a value rewritten in each list would
@@ -28,8 +34,40 @@
         }
     }
 
+    /// Finds open requests that may have run at an endpoint other than the one they were sent to: another one is listed at
+    /// its address now, and may have been there already. Where only a group of endpoints drops a repeat, none is sent.
+    fn find_misplaced_attempts(&mut self, update: &ListUpdate) {
+        let (Membership::Full(entries) | Membership::Delta(entries)) = &update.membership else { return };
+        let addresses: HashMap<EndpointId, SocketAddr> = update.addresses.iter().copied().collect();
+        let listed = entries.iter().filter(|entry| entry.state != EndpointState::Gone);
+        let new_at: HashMap<SocketAddr, &EndpointInfo> = listed
+            .filter_map(|entry| Some((*addresses.get(&entry.id)?, entry)))
+            .filter(|(address, entry)| self.addresses.get(&entry.id) != Some(address))
+            .collect();
+        if new_at.is_empty() {
+            return;
+        }
+        let now = self.clock.now();
+        let may_be_misplaced = |attempt: &Attempt| {
+            let Some(entry) = attempt.address.and_then(|address| new_at.get(&address)) else {
+                return false;
+            };
+            let sent = now.saturating_sub(attempt.sent_at.elapsed());
+            let started_before = entry.started.is_none_or(|at| at <= sent + START_TIME_MARGIN);
+            entry.id != attempt.endpoint && started_before
+        };
+        let open = self.requests.iter().filter(|(_, open)| open.attempts.iter().any(may_be_misplaced));
+        let misplaced: Vec<(RequestId, JobIdentity)> = open.map(|(id, open)| (*id, open.job)).collect();
+        for (id, job) in misplaced {
+            self.sent_jobs.set_place_unknown(now, job);
+            self.pending_events.push_back(Event::GroupUnknown(id));
+        }
+        self.run_actions(Vec::new());
+    }
+
     /// Applies a complete list or a change of it.
     pub(super) fn apply_list_update(&mut self, update: ListUpdate) {
+        self.find_misplaced_attempts(&update);
         for (id, address) in &update.addresses {
             let before = self.addresses.insert(*id, *address);
             if before.is_some_and(|before| before != *address) {
@@ -50,6 +88,10 @@
             }
         };
         for entry in entries {
+            let before = entry.started.and_then(|started| self.starts.insert(entry.id, started));
+            if before.is_some() && before != entry.started {
+                self.outbound.record_restart(entry.id);
+            }
             self.unconfirmed.remove(&entry.id);
             match entry.state {
                 EndpointState::Draining => self.draining.insert(entry.id),
@@ -63,6 +105,8 @@
             info!(endpoint = self.listing.uid(entry.id), state, "endpoint leaves");
             if entry.state == EndpointState::Gone {
                 self.addresses.remove(&entry.id);
+                self.starts.remove(&entry.id);
+                self.outbound.forget(entry.id);
             }
         }
         if is_complete {
@@ -72,11 +116,12 @@
                 let stays = listed.contains(id);
                 if !stays {
                     info!(endpoint = self.listing.uid(*id), state = "unlisted", "endpoint leaves");
-                    outbound.close_idle(*id);
+                    outbound.forget(*id);
                     outbound.set_admitted(*id, None);
                 }
                 stays
             });
+            self.starts.retain(|id, _| listed.contains(id));
             self.draining.retain(|id| listed.contains(id));
             self.unconfirmed.retain(|id| listed.contains(id));
         }
--- a/crates/runtime/src/idempotency_keys.rs
+++ b/crates/runtime/src/idempotency_keys.rs
@@ -4,7 +4,7 @@
 use crate::clock::Clock;
 use crate::figures::Metrics;
 use crate::job_records::{FirstSend, JobRecords, JournalLocation};
-use curlewhub_balance::{CellId, ClassId, DeduplicationScope, EarlierAttempt, Semantics, Settings, ZoneId};
+use curlewhub_balance::{CellId, ClassId, EarlierAttempt, Semantics, Settings, ZoneId};
 use curlewhub_keys::KeyTable;
 use std::rc::Rc;
 use std::time::Duration;
@@ -20,10 +20,8 @@
 
 /// By class, how long a repeat must stay within the group of endpoints of its first send; none if it need not.
 pub fn repeat_windows(settings: &Settings) -> Vec<Option<Duration>> {
-    let window = |semantics| match semantics {
-        Semantics::Keyed { group: DeduplicationScope::Zone | DeduplicationScope::Cell, window } => {
-            Some(window)
-        }
+    let window = |semantics: Semantics| match semantics {
+        Semantics::Keyed { window, .. } if semantics.has_group() => Some(window),
         _ => None,
     };
     settings.classes.iter().map(|class| window(class.semantics)).collect()
@@ -88,6 +86,12 @@
         is_new
     }
 
+    /// Records that it is not known where the job of this key may have run: no endpoint is in its group.
+    pub fn set_place_unknown(&mut self, now: Duration, key: u64) {
+        self.records.set_place_unknown(now, key);
+        self.update_figures();
+    }
+
     /// Forgets a job that this process sent first and that has certainly not run.
     pub fn forget_send(&mut self, key: u64) {
         self.records.forget(key);
--- a/crates/runtime/src/inbound/exchange.rs
+++ b/crates/runtime/src/inbound/exchange.rs
@@ -75,7 +75,7 @@
     body: ResponseBody,
     metrics: Option<RequestMetrics>,
     connection: Rc<ClientConnection>,
-    /// The id of a request that was served, and whom its delivery is told.
+    /// The id of a request that was served, and the queue for news of its delivery.
     served: Option<(u64, Inbox)>,
 }
 
--- a/crates/runtime/src/job_records.rs
+++ b/crates/runtime/src/job_records.rs
@@ -18,6 +18,10 @@
 /// expired.
 const STALE_MARGIN: Duration = Duration::from_secs(60);
 
+/// A zone and a cell that no endpoint is in.
+const NO_ZONE: u32 = u32::MAX;
+const NO_CELL: u64 = u64::MAX;
+
 /// The journals of one kind of records of one sidecar.
 pub struct JournalLocation<'a> {
     /// The folder of the files.
@@ -162,6 +166,14 @@
         write.is_some()
     }
 
+    /// Records that it is not known where a job may have run.
+    pub fn set_place_unknown(&mut self, now: Duration, job: u64) {
+        let Some(entry) = self.memory.find(now, job).copied() else { return };
+        self.forget(job);
+        let write = self.memory.insert(now, Entry { zone: NO_ZONE, cell: NO_CELL, ..entry });
+        self.write(now, write);
+    }
+
     /// Forgets a job that this process sent first and that has certainly not run.
     pub fn forget(&mut self, job: u64) {
         let write = self.memory.forget(job);
--- a/crates/runtime/src/outbound.rs
+++ b/crates/runtime/src/outbound.rs
@@ -41,6 +41,7 @@
     sender: SendRequest<OutgoingBody>,
     monitor: Rc<SocketMonitor>,
     address: SocketAddr,
+    opened_at: Instant,
     idle_since: Instant,
     /// It must not be reused before this.
     reusable_at: Instant,
@@ -103,6 +104,8 @@
     gate: WriteGate,
     /// Idle connections, the most recently used last.
     idle: RefCell<HashMap<EndpointId, Vec<Connection>>>,
+    /// Endpoints that were restarted, and since when that is known: earlier connections lead to the process before.
+    restarted: RefCell<HashMap<EndpointId, Instant>>,
     /// The time that requests have waited for connections in their reuse delay.
     spares: RefCell<SpareConnections>,
     /// Endpoints to which this machine had no route.
@@ -131,6 +134,7 @@
             metrics,
             gate: WriteGate::default(),
             idle: RefCell::default(),
+            restarted: RefCell::default(),
             spares: RefCell::default(),
             routes: RefCell::default(),
             since: Instant::now(),
@@ -154,6 +158,9 @@
     }
 
     fn add_idle(&self, endpoint: EndpointId, connection: Connection) {
+        if self.precedes_restart(endpoint, &connection) {
+            return;
+        }
         self.idle.borrow_mut().entry(endpoint).or_default().push(connection);
         self.slots.notify_changed();
     }
@@ -200,6 +207,23 @@
         self.spares.borrow_mut().forget(endpoint);
     }
 
+    /// Whether a connection leads to a process of the endpoint before its restart.
+    fn precedes_restart(&self, endpoint: EndpointId, connection: &Connection) -> bool {
+        self.restarted.borrow().get(&endpoint).is_some_and(|at| connection.opened_at <= *at)
+    }
+
+    /// An endpoint was restarted: connections that are open by now are not used for further requests.
+    pub fn record_restart(&self, endpoint: EndpointId) {
+        self.restarted.borrow_mut().insert(endpoint, Instant::now());
+        self.close_idle(endpoint);
+    }
+
+    /// Forgets an endpoint that is no longer listed.
+    pub fn forget(&self, endpoint: EndpointId) {
+        self.restarted.borrow_mut().remove(&endpoint);
+        self.close_idle(endpoint);
+    }
+
     /// Closes idle connections to an endpoint that have been idle since `since` or longer. If a machine is
     /// cut off, they stay open without a response, and each would cost one more request its whole timeout,
     /// whereas a new connection fails at once and proves that the request was not processed.
@@ -255,6 +279,7 @@
             // connection unusable. hyper sees them only once the runtime has polled the socket, which may
             // be long ago if the processor is overloaded.
             if connection.address == address
+                && !self.precedes_restart(endpoint, &connection)
                 && self.is_usable(&connection)
                 && !connection.monitor.has_pending_input()
             {
@@ -334,6 +359,7 @@
             sender,
             monitor,
             address,
+            opened_at,
             idle_since: opened_at,
             reusable_at: opened_at,
             has_grown: false,
--- a/crates/runtime/src/request_ids.rs
+++ b/crates/runtime/src/request_ids.rs
@@ -77,6 +77,11 @@
         self.records.insert(now, id, FirstSend { zone, cell, retention })
     }
 
+    /// Records that it is not known where the request of this id may have run.
+    pub fn set_place_unknown(&mut self, now: Duration, id: u64) {
+        self.records.set_place_unknown(now, id);
+    }
+
     /// Forgets a request that this process sent first and that has certainly not run.
     pub fn forget_send(&mut self, id: u64) {
         self.records.forget(id);
--- a/crates/runtime/src/sent_jobs.rs
+++ b/crates/runtime/src/sent_jobs.rs
@@ -46,6 +46,12 @@
         }
     }
 
+    /// Records that it is not known where a job may have run: it may not be repeated where a group is asked for.
+    pub fn set_place_unknown(&mut self, now: Duration, job: JobIdentity) {
+        job.key.into_iter().for_each(|key| self.keys.set_place_unknown(now, key));
+        job.id.into_iter().for_each(|id| self.ids.set_place_unknown(now, id));
+    }
+
     /// Forgets what was recorded of a job that has certainly not run.
     pub fn forget_send(&mut self, job: JobIdentity) {
         job.key.into_iter().for_each(|key| self.keys.forget_send(key));
