--- a/crates/curlewhub/tests/attempts/repeated_requests.rs
+++ b/crates/curlewhub/tests/attempts/repeated_requests.rs
@@ -199,7 +199,7 @@
     (now.as_secs_f64() * 1e3).floor()
 }
 
-/// A sidecar, told late, sends a job to an address at which another endpoint of the second zone has started. Returns where
+/// A sidecar that is notified late sends a job to an address at which another endpoint of the second zone has started. Returns where
 /// the job was sent to after that, if it was, and the status of a later job of the same key.
 fn job_at_a_reused_address(has_started_before: bool) -> (Option<usize>, u16) {
     let (endpoints, discovery) = (SlowEndpoints::start(3, Heads::Read), ScriptedListener::new());
