The other process's records are not read twice for a request that is sent as it comes

Cause: since the records are asked again before the first send, each request of a job that nobody knows read the journals of the other process twice while two processes of a sidecar live. Change: before a send they are read only if they were last read 5 ms ago or longer; on arrival always, as before.

--- a/crates/runtime/src/driver.rs
+++ b/crates/runtime/src/driver.rs
@@ -103,6 +103,8 @@
     bans: Rc<EndpointBans>,
     lifecycle: Rc<Lifecycle>,
     sent_jobs: SentJobs,
+    /// When the records of another process were last read.
+    journals_read_at: Option<Instant>,
     call_observer: Rc<dyn CallObserver>,
     /// Number of zone probes so far; selects the endpoint of the next one.
     zone_probes: usize,
@@ -149,6 +151,7 @@
             bans,
             lifecycle,
             sent_jobs,
+            journals_read_at: None,
             call_observer,
             zone_probes: 0,
             banned: HashSet::new(),
@@ -330,7 +333,7 @@
         if client.is_disconnected() {
             return self.count_outcome("client gone"); // while the request was queued
         }
-        let first_send = self.first_send(job);
+        let first_send = self.first_send(job, Duration::ZERO);
         request.earlier_attempt = first_send;
         request.time_left = deadline.saturating_duration_since(Instant::now());
         debug!(request = request.id.0, class = request.class.0, tenant = request.tenant.0, "request");
@@ -359,18 +362,21 @@
         self.handle_event(Event::Request(request));
     }
 
-    /// Where a job may have run first, in this process or in another one of the sidecar.
-    fn first_send(&mut self, job: JobIdentity) -> Option<EarlierAttempt> {
+    /// Where a job may have run first, in this process or in another one of the sidecar. What the others have recorded is
+    /// read again if it was last read `max_age` ago.
+    fn first_send(&mut self, job: JobIdentity, max_age: Duration) -> Option<EarlierAttempt> {
         let now = self.clock.now();
         if job == JobIdentity::default() {
             return None;
         }
         let known = self.sent_jobs.earlier_send(now, job);
-        if known.is_some() || !self.overlap.has_connected_process() {
+        let is_current = self.journals_read_at.is_some_and(|at| at.elapsed() < max_age);
+        if known.is_some() || is_current || !self.overlap.has_connected_process() {
             return known;
         }
         // The other process may have sent it; if it was just killed, this may be the repeat of its request.
         self.sent_jobs.import_journals(now);
+        self.journals_read_at = Some(Instant::now());
         self.sent_jobs.earlier_send(now, job)
     }
 
--- a/crates/runtime/src/driver/attempts.rs
+++ b/crates/runtime/src/driver/attempts.rs
@@ -13,6 +13,10 @@
 use tokio::time::Instant;
 use tracing::debug;
 
+/// Before a send, the records of another process are read again if they were last read longer ago than this: a request that
+/// is sent as it comes does not read them twice.
+const MAX_JOURNAL_AGE: Duration = Duration::from_millis(5);
+
 /// An attempt of an open request.
 pub(super) struct Attempt {
     pub(super) endpoint: EndpointId,
@@ -83,7 +87,7 @@
     fn sent_elsewhere(&mut self, id: RequestId) -> Option<EarlierAttempt> {
         let open = self.requests.get(&id)?;
         let (job, known) = (open.job, open.first_send);
-        let found = self.first_send(job)?;
+        let found = self.first_send(job, MAX_JOURNAL_AGE)?;
         known.is_none_or(|known| found.sent < known.sent).then_some(found)
     }
 
