An ended request is no longer begun, whatever the settings say of cancelling

The client stayed connected.

Cause: whether the request still waits for an answer was no condition of a write. Only a cancel from outside ended an attempt that was under way, and where `limits.cancelling` is false the balancer issues none. The check before the first and the last byte knew of clients that had left, and of nothing else.

Rivals: that the kernel's queue alone delivers it (refuted: with cancelling allowed, the same bodies never arrived); that the driver's `reply` stops it (it stops new attempts only).

Change: `RequestStatus` takes the place of `ClientStatus`. It is set with the final answer, or as the client leaves, ahead of any queue, and `WriteConditions` ask it before the first and the last byte, in every wait for a connection, and while bytes have not left the machine. The attempt whose own answer is on its way goes on. An attempt that its endpoint has begun is not ended where cancelling is forbidden, as before.

--- a/crates/curlewhub/tests/attempts/attempt_begin.rs
+++ b/crates/curlewhub/tests/attempts/attempt_begin.rs
@@ -12,15 +12,15 @@
 /// The settings' window for repeats.
 const WINDOW: Duration = Duration::from_millis(600);
 /// Time limits of the rules grow by this.
-const LIMIT_SLACK: Duration = Duration::from_millis(50);
+pub const LIMIT_SLACK: Duration = Duration::from_millis(50);
 /// An attempt may begin for so long after its client has disconnected.
 const CLIENT_GONE_GRACE: Duration = Duration::from_millis(100);
 /// Bodies that fit whole into the kernel's queue, in bytes, and one that does not.
-const BODY_LENGTHS: [usize; 3] = [60_000, 300_000, 1_000_000];
+pub const BODY_LENGTHS: [usize; 3] = [60_000, 300_000, 1_000_000];
 /// Requests after which the sidecar knows how long answers take.
 const WARM_UP_REQUESTS: usize = 40;
 
-fn config_for(endpoints: &SlowEndpoints) -> Value {
+pub fn config_for(endpoints: &SlowEndpoints) -> Value {
     let mut config = config_with_operator(&[]);
     config["known"] = list(7, true, &endpoints.targets());
     config["settings"]["classes"][2]["repeatWindowMs"] = json!(WINDOW.as_millis() as f64);
@@ -28,19 +28,30 @@
 }
 
 /// A request of this class with a body of this length.
-fn long_request(class: &str, id: &str, length: usize) -> String {
+pub fn long_request(class: &str, id: &str, length: usize) -> String {
     let short =
         request(class, id, "10000m").replace("Content-Length: 4", &format!("Content-Length: {length}"));
     let head = short.strip_suffix("body").expect("a class with a body");
     format!("{head}{}", "b".repeat(length))
 }
 
-fn send(sidecar: &Sidecar, text: &str) -> RawConnection {
+pub fn send(sidecar: &Sidecar, text: &str) -> RawConnection {
     let mut client = RawConnection::connect(sidecar.address);
     client.write(text);
     client
 }
 
+/// Has keyed requests answered at once, until the sidecar knows how long answers take.
+pub fn warm_up(sidecar: &Sidecar, endpoints: &SlowEndpoints) {
+    for number in 0..WARM_UP_REQUESTS {
+        let mut client = send(sidecar, &long_request("pay", &format!("w{number}"), 100));
+        let mut request = endpoints.next();
+        request.read_rest();
+        request.answer("ok");
+        assert_eq!(client.read().expect("a response").status(), 200);
+    }
+}
+
 /// Guards against a keyed job that runs again after its window: the repeat's first bytes are written inside it, and its
 /// endpoint reads the last one after it.
 #[test]
@@ -71,13 +82,7 @@
     for length in BODY_LENGTHS {
         let endpoints = SlowEndpoints::start(2, Heads::Read);
         let sidecar = Sidecar::start(&config_for(&endpoints));
-        for number in 0..WARM_UP_REQUESTS {
-            let mut client = send(&sidecar, &long_request("pay", &format!("w{number}"), 100));
-            let mut warm_up = endpoints.next();
-            warm_up.read_rest();
-            warm_up.answer("ok");
-            assert_eq!(client.read().expect("a response").status(), 200);
-        }
+        warm_up(&sidecar, &endpoints);
         let mut client = send(&sidecar, &long_request("pay", "r1", length));
         let mut overtaken = endpoints.next();
         let mut copy = endpoints.next();
--- a/crates/curlewhub/tests/support/slow_endpoint.rs
+++ b/crates/curlewhub/tests/support/slow_endpoint.rs
@@ -111,9 +111,14 @@
         let _ = SockRef::from(self.reader.get_ref()).set_linger(Some(Duration::ZERO));
     }
 
+    /// Writes these bytes.
+    pub fn write(&mut self, text: &str) {
+        let _ = self.reader.get_mut().write_all(text.as_bytes());
+    }
+
     /// Answers the request, and closes.
     pub fn answer(mut self, body: &str) {
         let text = answer("200 OK", "Connection: close\r\n", body);
-        let _ = self.reader.get_mut().write_all(text.as_bytes());
+        self.write(&text);
     }
 }
--- a/crates/runtime/src/attempt_terms.rs
+++ b/crates/runtime/src/attempt_terms.rs
@@ -1,7 +1,7 @@
 //! How far an attempt has progressed, and the conditions under which its first and its last byte may be written.
 
-use super::events::ClientStatus;
 use super::repeat_window::RepeatWindow;
+use super::request_status::RequestStatus;
 use super::socket::SocketMonitor;
 use super::time_left::TimeLeft;
 use curlewhub_balance::{AttemptNo, Outcome};
@@ -26,9 +26,9 @@
 /// waited for until then. docs/design/0021-attempt-conditions.md has the table of all conditions.
 #[derive(Clone)]
 pub struct WriteConditions {
-    /// The client must still be connected.
-    pub client: ClientStatus,
-    /// Its connection, which may have ended behind bytes that are not read yet.
+    /// The request must not have ended.
+    pub status: RequestStatus,
+    /// The client's connection, which may have ended behind bytes that are not read yet.
     pub connection: Rc<SocketMonitor>,
     /// A repeat of a request that may have been processed must begin before this; none if no earlier
     /// attempt may have been.
@@ -44,7 +44,7 @@
 impl WriteConditions {
     /// Whether they hold now.
     pub(super) fn hold(&self) -> bool {
-        !self.client.is_disconnected()
+        self.status.allows(self.attempt)
             && !self.connection.peer_has_closed()
             && self.begin_by().is_none_or(|by| Instant::now() < by)
     }
@@ -59,11 +59,11 @@
         self.window.record_begin(self.attempt);
     }
 
-    /// Returns once the client has disconnected or the time to begin is over, as far as that is known now.
+    /// Returns once the request has ended or the time to begin is over, as far as that is known now.
     pub(super) async fn violated(&self) {
         let begin_by = self.begin_by();
         tokio::select! {
-            () = self.client.disconnected() => {}
+            () = self.status.forbids(self.attempt) => {}
             () = sleep_until(begin_by.unwrap_or_else(Instant::now)), if begin_by.is_some() => {}
         }
     }
--- a/crates/runtime/src/driver.rs
+++ b/crates/runtime/src/driver.rs
@@ -12,8 +12,8 @@
 use super::clock::Clock;
 use super::endpoint_bans::EndpointBans;
 use super::events::{
-    AttemptResult, ClientStatus, Command, FinalResponse, ForwardedRequest, Inbox, Input, ListCommand,
-    ListStatus, ReceivedRequest,
+    AttemptResult, Command, FinalResponse, ForwardedRequest, Inbox, Input, ListCommand, ListStatus,
+    ReceivedRequest,
 };
 use super::figures::EndpointSummary;
 use super::handover::overlap::{BalancerAccess, Overlap};
@@ -21,6 +21,7 @@
 use super::listing::Listing;
 use super::outbound::Outbound;
 use super::repeat_window::RepeatWindow;
+use super::request_status::{RequestEnd, RequestStatus};
 use super::sent_jobs::{JobIdentity, SentJobs};
 use super::socket::SocketMonitor;
 use super::timers::Timers;
@@ -47,7 +48,8 @@
     timeout_after_body: Option<Duration>,
     /// None once the request is finished, so that there is never a second final response.
     reply: Option<oneshot::Sender<FinalResponse>>,
-    client: ClientStatus,
+    /// Set with the final response, and as the client leaves.
+    status: RequestStatus,
     connection: Rc<SocketMonitor>,
     attempts: Vec<Attempt>,
     /// Attempts that have not ended yet.
@@ -242,7 +244,7 @@
                 let open: Vec<RequestId> = open.map(|(id, _)| *id).collect();
                 warn!(requests = open.len(), "giving up what is still open");
                 for id in open {
-                    self.respond(id, FinalResponse::Failed);
+                    self.respond(id, RequestEnd::Failed, FinalResponse::Failed);
                     self.handle_event(Event::RequestAbandoned(id));
                     self.remove_if_done(id);
                 }
@@ -327,10 +329,10 @@
             response_timeout,
             forwarded,
             reply,
-            client,
+            status,
             connection,
         } = received;
-        if client.is_disconnected() {
+        if status.is_abandoned() {
             return self.count_outcome("client gone"); // while the request was queued
         }
         let first_send = self.first_send(job, Duration::ZERO);
@@ -347,7 +349,7 @@
             deadline,
             timeout_after_body,
             reply,
-            client,
+            status,
             connection,
             attempts,
             in_flight,
@@ -452,11 +454,11 @@
         match action {
             Action::Send { request, endpoint, timeout } => self.send(request, endpoint, timeout),
             Action::Refuse { request, retry_after } => {
-                self.respond(request, FinalResponse::Refused(retry_after));
+                self.respond(request, RequestEnd::Refused, FinalResponse::Refused(retry_after));
                 self.remove_if_done(request);
             }
             Action::Fail { request } => {
-                self.respond(request, FinalResponse::Failed);
+                self.respond(request, RequestEnd::Failed, FinalResponse::Failed);
                 self.remove_if_done(request);
             }
             Action::Cancel { request, attempt } => {
@@ -482,10 +484,11 @@
         }
     }
 
-    /// Sends the final response of a request, unless it already had one.
-    fn respond(&mut self, id: RequestId, response: FinalResponse) {
+    /// Ends a request with its final response, unless it already had one.
+    fn respond(&mut self, id: RequestId, end: RequestEnd, response: FinalResponse) {
         let Some(open) = self.requests.get_mut(&id) else { return };
         let Some(reply) = open.reply.take() else { return };
+        open.status.record_end(end);
         match &response {
             FinalResponse::Served(_) => {}
             FinalResponse::Refused(retry_after) => {
--- a/crates/runtime/src/driver/attempts.rs
+++ b/crates/runtime/src/driver/attempts.rs
@@ -3,6 +3,7 @@
 use super::{Driver, outcome_name};
 use crate::attempt_terms::{AttemptProgress, WriteConditions};
 use crate::events::{AttemptResult, FinalResponse, Input};
+use crate::request_status::RequestEnd;
 use crate::sent_jobs::JobIdentity;
 use crate::time_left::{TimeLeft, attempt_time_passed};
 use curlewhub_balance::{AttemptEnded, AttemptNo, EarlierAttempt, EndpointId, Event, Outcome, RequestId};
@@ -65,7 +66,7 @@
             self.outbound.close_idle_since(endpoint, sent_at);
         }
         if outcome == Outcome::Ok {
-            self.respond(id, FinalResponse::Served(body));
+            self.respond(id, RequestEnd::Served(attempt), FinalResponse::Served(body));
         } else {
             self.count_outcome(outcome_name(outcome));
         }
@@ -96,7 +97,7 @@
         let retry_deadline = self.balancer.retry_deadline(id);
         let sent_elsewhere = self.sent_elsewhere(id);
         let Some(open) = self.requests.get_mut(&id) else { return };
-        if open.client.is_disconnected() {
+        if open.status.is_abandoned() {
             open.reply = None; // its `ClientDisconnected` is still queued
         }
         let (now, attempt) = (Instant::now(), AttemptNo(open.attempts.len() as u32));
@@ -163,9 +164,9 @@
         let mut deadline = open.deadline.subscribe();
         let (outbound, inbox) = (self.outbound.clone(), self.inbox.clone());
         let begin_by = retry_deadline.map(|until| now + until.saturating_sub(self.clock.now()));
-        let (client, connection) = (open.client.clone(), open.connection.clone());
+        let (status, connection) = (open.status.clone(), open.connection.clone());
         let window = open.window.clone();
-        let conditions = WriteConditions { client, connection, begin_by, attempt, window, time_left };
+        let conditions = WriteConditions { status, connection, begin_by, attempt, window, time_left };
         spawn_local(async move {
             let progress_inbox = inbox.clone();
             let on_answer_progress = move || drop(progress_inbox.send(Input::AnswerProgress(id, attempt)));
--- a/crates/runtime/src/events.rs
+++ b/crates/runtime/src/events.rs
@@ -2,6 +2,7 @@
 //! updates of the endpoint list, and operators' commands. They are plain values without logic of their own.
 
 use crate::figures::EndpointSummary;
+use crate::request_status::RequestStatus;
 use crate::response_body::ResponseBody;
 use crate::sent_jobs::JobIdentity;
 use crate::socket::SocketMonitor;
@@ -12,11 +13,9 @@
 use curlewhub_config::list::Target;
 use hyper::header::{self, HeaderName, HeaderValue};
 use hyper::{HeaderMap, Method, Request, Uri};
-use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::sync::Notify;
 use tokio::sync::mpsc::UnboundedSender;
 use tokio::sync::oneshot;
 use tokio::time::Instant;
@@ -135,43 +134,12 @@
     pub forwarded: ForwardedRequest,
     /// Receives the final response.
     pub reply: oneshot::Sender<FinalResponse>,
-    /// Whether its client is still connected.
-    pub client: ClientStatus,
+    /// Whether it still waits for its answer.
+    pub status: RequestStatus,
     /// The connection of its client.
     pub connection: Rc<SocketMonitor>,
 }
 
-/// Whether a request's client is still connected. It is set at the moment the client's connection ends,
-/// ahead of any queue: nothing may be started for a client that has disconnected.
-#[derive(Clone, Default)]
-pub struct ClientStatus(Rc<(Cell<bool>, Notify)>);
-
-impl ClientStatus {
-    /// Marks the client as disconnected; final.
-    pub fn set_disconnected(&self) {
-        self.0.0.set(true);
-        self.0.1.notify_waiters();
-    }
-
-    /// Whether the client has disconnected.
-    pub fn is_disconnected(&self) -> bool {
-        self.0.0.get()
-    }
-
-    /// Waits until the client has disconnected.
-    pub async fn disconnected(&self) {
-        loop {
-            // Registered before the check, so that a disconnect in between is not missed.
-            let mut notified = std::pin::pin!(self.0.1.notified());
-            notified.as_mut().enable();
-            if self.is_disconnected() {
-                return;
-            }
-            notified.await;
-        }
-    }
-}
-
 /// A request as it is forwarded to endpoints.
 pub struct ForwardedRequest {
     /// The method.
--- a/crates/runtime/src/inbound/exchange.rs
+++ b/crates/runtime/src/inbound/exchange.rs
@@ -4,8 +4,9 @@
 use super::connection::{ClientConnection, Event};
 use super::request::{Rejection, bad_request, body_rejection, remove_hop_by_hop_headers, text_response};
 use super::upload_watch::{UploadEvent, UploadWatch};
-use crate::events::{ClientStatus, FinalResponse, ForwardedRequest, Inbox, Input, ReceivedRequest};
+use crate::events::{FinalResponse, ForwardedRequest, Inbox, Input, ReceivedRequest};
 use crate::figures::{RequestMetrics, RequestOutcome};
+use crate::request_status::{RequestEnd, RequestStatus};
 use crate::response_body::ResponseBody;
 use crate::streaming::{
     BodyError, MAX_BODY_BYTES, ReceivedBody, RequestBody, StreamingUpload, receive_body,
@@ -53,18 +54,18 @@
     }
 }
 
-/// Tells the driver if the client disconnects before its response.
+/// Ends the request if the client disconnects before its response.
 struct ResponseWait<'a> {
     inbox: &'a Inbox,
     id: RequestId,
-    client: ClientStatus,
+    status: RequestStatus,
     answered: bool,
 }
 
 impl Drop for ResponseWait<'_> {
     fn drop(&mut self) {
         if !self.answered {
-            self.client.set_disconnected();
+            self.status.record_end(RequestEnd::Abandoned);
             let _ = self.inbox.send(Input::ClientDisconnected(self.id));
         }
     }
@@ -285,7 +286,7 @@
         let forwarded = ForwardedRequest { method: head.method, uri, headers: head.headers, body };
         let within = time - RESPONSE_MARGIN.min(time / 10);
         let deadline = received_at + if upload.is_some() { MAX_UPLOAD_TIME } else { within };
-        let client = ClientStatus::default();
+        let status = RequestStatus::default();
         let arrival = ReceivedRequest {
             request,
             job,
@@ -293,10 +294,10 @@
             response_timeout: within,
             forwarded,
             reply,
-            client: client.clone(),
+            status: status.clone(),
             connection: connection.monitor.clone(),
         };
-        let mut wait = ResponseWait { inbox: &self.inbox, id, client, answered: false };
+        let mut wait = ResponseWait { inbox: &self.inbox, id, status, answered: false };
         let _ = self.inbox.send(Input::RequestReceived(Box::new(arrival)));
         let answer = match upload {
             None => {
