A long body without a stated length is complete once its end is read

Seen: a client that sends 1.1 to 2 MB in chunks gets no answer at all while its request waits for an endpoint; it is there until the client leaves.

Cause: while such a request waits, its body is read ahead behind the buffered beginning. The end was read, but as pieces stood before it the body did not count as ended, and `awaits_client` went on to say that its client was waited for, from the wait before the last piece. So the watch of the upload reported neither an arrival nor that it is overdue, and no time of the request ever started.

Evidence: the request's life in the log is `request received ... is_complete=false` and then `Abandoned` as the client leaves.

Change: the end that was read is the arrival of the last byte, and nobody is waited for behind it. The state is recorded where it is found instead of being inferred from an earlier wait.

--- a/crates/curlewhub/tests/slow_uploads.rs
+++ b/crates/curlewhub/tests/slow_uploads.rs
@@ -437,6 +437,29 @@
     });
 }
 
+/// Guards against a long request without a stated length that gets no answer, because the end of its body was read while it
+/// waited for an endpoint.
+#[test]
+fn a_long_request_that_waits_for_an_endpoint_is_answered_in_its_time() {
+    thread::scope(|scope| {
+        for framing in [Framing::Length, Framing::Chunks] {
+            scope.spawn(move || {
+                let sidecar = Sidecar::start(&config_for_addresses(&[]));
+                for (n, length) in [1_100_000, 1_600_000, 2_000_000, 2_600_000].into_iter().enumerate() {
+                    let (timeout, piece) = (Duration::from_millis(600), [9_000, length][n % 2]);
+                    let behaviour = Behaviour::Hangs;
+                    let case = Case { framing, length, piece, timeout, class: "book", behaviour };
+                    let client = connect(&sidecar);
+                    client.set_read_timeout(Some(timeout + 2 * ANSWER_SLACK)).unwrap();
+                    let answered = call(&client, &case, &format!("r{n}"));
+                    let in_time = answered.status > 0 && answered.took < timeout + ANSWER_SLACK;
+                    assert!(in_time, "{} after {:?}: {case:?}", answered.status, answered.took);
+                }
+            });
+        }
+    });
+}
+
 /// Guards against a short body that is taken for one that still arrives because its last piece finds no memory.
 #[test]
 fn a_body_whose_last_piece_finds_no_memory_is_complete_with_its_last_byte() {
--- a/crates/runtime/src/inbound/upload_watch.rs
+++ b/crates/runtime/src/inbound/upload_watch.rs
@@ -58,11 +58,8 @@
 
     fn check(&self) -> Option<UploadEvent> {
         let arrivals = self.monitor.observe_arrivals();
-        let has_arrived = self
-            .upload
-            .stated_length()
-            .is_some_and(|length| arrivals.arrived() >= self.monitor.head_len() + length);
-        if has_arrived {
+        let is_here = |length: u64| arrivals.arrived() >= self.monitor.head_len() + length;
+        if self.upload.has_end_arrived() || self.upload.stated_length().is_some_and(is_here) {
             return Some(UploadEvent::Arrived(arrivals.last_at()));
         }
         let is_awaited = self.upload.awaits_client() && arrivals.arrived() == arrivals.read();
--- a/crates/runtime/src/streaming.rs
+++ b/crates/runtime/src/streaming.rs
@@ -199,10 +199,17 @@
         self.stated_length
     }
 
+    /// Whether its end was read, though pieces before the end may still wait to be forwarded.
+    pub fn has_end_arrived(&self) -> bool {
+        self.source.borrow().has_ended
+    }
+
     /// Whether more of the body is waited for: none of it has been read since it was last asked for.
     pub fn awaits_client(&self) -> bool {
         let source = self.source.borrow();
-        source.deadline.waiting.is_some() && source.awaited_from == source.monitor.bytes_read()
+        !source.has_ended
+            && source.deadline.waiting.is_some()
+            && source.awaited_from == source.monitor.bytes_read()
     }
 
     /// Waits until streaming starts, or until it turns out that the buffered beginning is all of the body, or that it failed.
