A soak of requests on real processes, judged by clients and endpoints alone

Sidecars get SIGTERM once or in series, SIGHUP, SIGKILL, SIGSTOP for 0.15 s, and a successor. `cancelling`, `second_copies`, deadlines and windows are drawn. The checks read what clients and endpoints recorded: one whole answer of the request's own, in its time and half a second; no last byte later than 0.1 s behind its end; none that was read closed unanswered; no unsafe id run twice.

--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod fleet_scale;
 pub mod load;
 pub mod paper;
+pub mod request_soak;
 pub mod resource_growth;
 pub mod rig;
 pub mod scale_run;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -9,6 +9,7 @@
 use curlewhub_lab::fleet_scale;
 use curlewhub_lab::load::{self, Arrivals, Look, Mix, Plan};
 use curlewhub_lab::paper;
+use curlewhub_lab::request_soak::RequestSoak;
 use curlewhub_lab::resource_growth::ResourceGrowth;
 use curlewhub_lab::rig::{self, Ended, RigCommand};
 use curlewhub_lab::scale_run;
@@ -111,6 +112,8 @@
         #[arg(long, value_name = "FILE")]
         json: Option<PathBuf>,
     },
+    /// Play real sidecars under faults and signals, and judge every request from outside.
+    RequestSoak(RequestSoak),
     /// Play a scenario in simulated time, with many seeds.
     Sim {
         /// The scenario (TOML).
@@ -270,6 +273,9 @@
             }
             Err(error) => wrong(&error.to_string()),
         },
+        Command::RequestSoak(soak) => block_on(async move {
+            soak.run().await.map_or_else(|problem| failed(&problem), |()| ExitCode::SUCCESS)
+        }),
         Command::Hollow { spec } => done(scale::hollow::host(&spec)),
         Command::Gateway { spec } => done(scale::gateway::serve(&spec)),
         Command::Sidecar { words } => curlewhub::program(std::iter::once("curlewhub".into()).chain(words)),
--- a/crates/lab/src/rig.rs
+++ b/crates/lab/src/rig.rs
@@ -63,7 +63,11 @@
     },
 }
 
-fn seeds(text: &str) -> Result<std::ops::Range<u64>, String> {
+/// Reads a range of seeds, such as `1..6`.
+///
+/// # Errors
+/// What is no such range.
+pub fn seeds(text: &str) -> Result<std::ops::Range<u64>, String> {
     let wanted = || "two numbers, such as 1..6, the first below the second".to_owned();
     let (first, last) = text.split_once("..").ok_or_else(wanted)?;
     let (first, last) = (first.parse().map_err(|_| wanted())?, last.parse().map_err(|_| wanted())?);
--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod process;
 pub mod relay;
 pub mod report;
+pub mod request_soak;
 pub mod run;
 pub mod scale;
 pub mod spec;
