A log of each request's and connection's changes of state

Need: the existing lines have no id of the client's, are limited by call site, and say nothing of a connection's use, of the check before a byte, or of the reason of a close. Of a request that got no answer they showed nothing.

`RUST_LOG=info,curlewhub_runtime::request_log=trace` (or the log's level in the settings) prints a line for each change: head received, request received, attempt started or not, connection acquired with its wait, each check of a byte with the condition that failed, withdrawn, over, request ended and how, answer ready and ended, connection closing and ended. The limit by call site leaves out the level `trace`; the queue of lines stays the bound. With the level off nothing is formatted.

`WriteConditions::violation` takes the place of `hold`: the log names the condition. No decision changes.

--- a/crates/curlewhub/src/logs.rs
+++ b/crates/curlewhub/src/logs.rs
@@ -10,7 +10,7 @@
 use std::sync::Arc;
 use std::time::Instant;
 use thiserror::Error;
-use tracing::{Event, Metadata, Subscriber};
+use tracing::{Event, Level, Metadata, Subscriber};
 use tracing_appender::non_blocking::{ErrorCounter, NonBlockingBuilder, WorkerGuard};
 use tracing_subscriber::filter::{FilterExt, ParseError, Targets};
 use tracing_subscriber::layer::{Context, Filter, Layer, SubscriberExt};
@@ -144,6 +144,8 @@
     }
 
     fn event_enabled(&self, event: &Event<'_>, _: &Context<'_, S>) -> bool {
-        self.limit.admit(event.metadata(), self.start.elapsed().as_secs())
+        // Whoever asks for this level wants every line; the queue bounds them.
+        *event.metadata().level() == Level::TRACE
+            || self.limit.admit(event.metadata(), self.start.elapsed().as_secs())
     }
 }
--- a/crates/runtime/src/attempt_terms.rs
+++ b/crates/runtime/src/attempt_terms.rs
@@ -1,10 +1,11 @@
 //! How far an attempt has progressed, and the conditions under which its first and its last byte may be written.
 
 use super::repeat_window::RepeatWindow;
+use super::request_log::AttemptId;
 use super::request_status::RequestStatus;
 use super::socket::SocketMonitor;
 use super::time_left::TimeLeft;
-use curlewhub_balance::{AttemptNo, Outcome};
+use curlewhub_balance::Outcome;
 use std::cell::Cell;
 use std::rc::Rc;
 use tokio::time::{Instant, sleep_until};
@@ -26,6 +27,8 @@
 /// waited for until then. docs/design/0021-attempt-conditions.md has the table of all conditions.
 #[derive(Clone)]
 pub struct WriteConditions {
+    /// The request and the number of this attempt.
+    pub id: AttemptId,
     /// The request must not have ended.
     pub status: RequestStatus,
     /// The client's connection, which may have ended behind bytes that are not read yet.
@@ -33,37 +36,56 @@
     /// A repeat of a request that may have been processed must begin before this; none if no earlier
     /// attempt may have been.
     pub begin_by: Option<Instant>,
-    /// The number of this attempt, and the window that the attempts of its request share.
-    pub attempt: AttemptNo,
-    /// See `attempt`.
+    /// The window that the attempts of its request share.
     pub window: Rc<RepeatWindow>,
     /// The remaining time that is sent to the endpoint.
     pub time_left: TimeLeft,
 }
 
+/// A condition of a write that does not hold.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(super) enum Violation {
+    /// The request has ended.
+    RequestEnded,
+    /// The client has closed its connection, behind bytes that are not read yet.
+    ClientClosed,
+    /// The window for repeats is over.
+    WindowOver,
+    /// The endpoint is not to get new requests, or the list has expired.
+    EndpointClosed,
+    /// The remaining time in the head is outdated.
+    TimeOutdated,
+}
+
 impl WriteConditions {
-    /// Whether they hold now.
-    pub(super) fn hold(&self) -> bool {
-        self.status.allows(self.attempt)
-            && !self.connection.peer_has_closed()
-            && self.begin_by().is_none_or(|by| Instant::now() < by)
+    /// The condition that does not hold now, if any.
+    pub(super) fn violation(&self) -> Option<Violation> {
+        if !self.status.allows(self.id.attempt) {
+            Some(Violation::RequestEnded)
+        } else if self.connection.peer_has_closed() {
+            Some(Violation::ClientClosed)
+        } else if self.begin_by().is_some_and(|by| by <= Instant::now()) {
+            Some(Violation::WindowOver)
+        } else {
+            None
+        }
     }
 
     /// Until when the attempt may begin; none if nothing limits it.
     fn begin_by(&self) -> Option<Instant> {
-        self.begin_by.into_iter().chain(self.window.ends_at(self.attempt)).min()
+        self.begin_by.into_iter().chain(self.window.ends_at(self.id.attempt)).min()
     }
 
     /// Records that the attempt begins now.
     pub(super) fn record_begin(&self) {
-        self.window.record_begin(self.attempt);
+        self.window.record_begin(self.id.attempt);
     }
 
     /// Returns once the request has ended or the time to begin is over, as far as that is known now.
     pub(super) async fn violated(&self) {
         let begin_by = self.begin_by();
         tokio::select! {
-            () = self.status.forbids(self.attempt) => {}
+            () = self.status.forbids(self.id.attempt) => {}
             () = sleep_until(begin_by.unwrap_or_else(Instant::now)), if begin_by.is_some() => {}
         }
     }
--- a/crates/runtime/src/driver.rs
+++ b/crates/runtime/src/driver.rs
@@ -21,6 +21,7 @@
 use super::listing::Listing;
 use super::outbound::Outbound;
 use super::repeat_window::RepeatWindow;
+use super::request_log;
 use super::request_status::{RequestEnd, RequestStatus};
 use super::sent_jobs::{JobIdentity, SentJobs};
 use super::socket::SocketMonitor;
@@ -407,6 +408,7 @@
     fn client_disconnected(&mut self, id: RequestId) {
         let Some(open) = self.requests.get_mut(&id) else { return };
         if open.reply.take().is_some() {
+            request_log::request_ended(id, RequestEnd::Abandoned);
             self.count_outcome("client gone");
             self.handle_event(Event::RequestAbandoned(id));
         }
@@ -489,6 +491,7 @@
         let Some(open) = self.requests.get_mut(&id) else { return };
         let Some(reply) = open.reply.take() else { return };
         open.status.record_end(end);
+        request_log::request_ended(id, end);
         match &response {
             FinalResponse::Served(_) => {}
             FinalResponse::Refused(retry_after) => {
--- a/crates/runtime/src/driver/attempts.rs
+++ b/crates/runtime/src/driver/attempts.rs
@@ -3,6 +3,7 @@
 use super::{Driver, outcome_name};
 use crate::attempt_terms::{AttemptProgress, WriteConditions};
 use crate::events::{AttemptResult, FinalResponse, Input};
+use crate::request_log::{self, AttemptId};
 use crate::request_status::RequestEnd;
 use crate::sent_jobs::JobIdentity;
 use crate::time_left::{TimeLeft, attempt_time_passed};
@@ -61,6 +62,7 @@
             micros = elapsed.as_micros() as u64,
             "attempt ended"
         );
+        request_log::attempt_ended(AttemptId { request: id, attempt }, outcome, elapsed);
         self.call_observer.attempt_ended((id, attempt), outcome, elapsed);
         if outcome == Outcome::TimedOut {
             self.outbound.close_idle_since(endpoint, sent_at);
@@ -107,7 +109,11 @@
             || open.attempts.len() >= self.max_attempts
             || until <= now
             || sent_elsewhere.is_some();
+        let attempt_id = AttemptId { request: id, attempt };
         let Some(address) = address.filter(|_| !must_not_send) else {
+            let reason =
+                if sent_elsewhere.is_some() { "sent elsewhere" } else { "ended, spent, late or banned" };
+            request_log::attempt_forbidden(attempt_id, reason);
             open.attempts.push(Attempt { endpoint, address: None, sent_at: now, cancel: None });
             if let Some(earlier) = sent_elsewhere {
                 open.first_send = Some(earlier);
@@ -140,6 +146,7 @@
             list_age_ms = self.list_status.map(|list| list.age().as_millis() as u64),
             "attempt"
         );
+        request_log::attempt_started(attempt_id, &self.listing.uid(endpoint), until - now);
         let (cancel, mut cancelled) = oneshot::channel();
         open.attempts.push(Attempt {
             endpoint,
@@ -166,7 +173,8 @@
         let begin_by = retry_deadline.map(|until| now + until.saturating_sub(self.clock.now()));
         let (status, connection) = (open.status.clone(), open.connection.clone());
         let window = open.window.clone();
-        let conditions = WriteConditions { status, connection, begin_by, attempt, window, time_left };
+        let conditions =
+            WriteConditions { id: attempt_id, status, connection, begin_by, window, time_left };
         spawn_local(async move {
             let progress_inbox = inbox.clone();
             let on_answer_progress = move || drop(progress_inbox.send(Input::AnswerProgress(id, attempt)));
--- a/crates/runtime/src/inbound/connection.rs
+++ b/crates/runtime/src/inbound/connection.rs
@@ -2,6 +2,7 @@
 
 use super::Inbound;
 use crate::budget::Permit;
+use crate::request_log::{self, ConnectionUse};
 use crate::socket::{ExtraMemory, MAX_BUFFER, Socket, SocketMonitor};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -98,6 +99,10 @@
 /// The state of a client connection.
 pub(super) struct ClientConnection {
     pub(super) monitor: Rc<SocketMonitor>,
+    /// Its number in this process.
+    number: u64,
+    /// Requests that have begun on it.
+    uses: Cell<u32>,
     accepted: Instant,
     stage: Cell<Stage>,
     /// The next response is the connection's last, and says so by `Connection: close`.
@@ -116,12 +121,14 @@
 }
 
 impl ClientConnection {
-    fn new(monitor: Rc<SocketMonitor>) -> Rc<Self> {
+    fn new(monitor: Rc<SocketMonitor>, number: u64) -> Rc<Self> {
         let (last_response, pipelined, open_request) = Default::default();
         let (close_requested, close_signal, evict_signal) = Default::default();
         let (accepted, stage) = (Instant::now(), Cell::new(Stage::New));
         Rc::new(ClientConnection {
             monitor,
+            number,
+            uses: Cell::new(0),
             accepted,
             stage,
             last_response,
@@ -133,6 +140,16 @@
         })
     }
 
+    /// Counts a request that begins on it.
+    pub(super) fn begin_use(&self) {
+        self.uses.set(self.uses.get() + 1);
+    }
+
+    /// Its number, and the number of its current request.
+    pub(super) fn current_use(&self) -> ConnectionUse {
+        ConnectionUse { connection: self.number, use_number: self.uses.get() }
+    }
+
     /// Moves it to the next stage; there is no other way to do so. A connection that has ended stays so.
     pub(super) fn apply(&self, event: Event) {
         let next = match (self.stage.get(), event) {
@@ -150,6 +167,7 @@
     fn begin_close(&self) -> bool {
         let is_between = matches!(self.stage.get(), Stage::Idle { .. } | Stage::Closing);
         if is_between {
+            request_log::connection_closing(self.number, "idle");
             self.apply(Event::Close);
         }
         is_between
@@ -246,11 +264,12 @@
         let memory = self.budget.messages().clone();
         let extra_memory = ExtraMemory { memory, head_copies: HEAD_COPIES };
         let (socket, monitor) = Socket::new(stream, extra_memory);
-        let client = ClientConnection::new(monitor);
         let number = self.next_id.get();
         self.next_id.set(number + 1);
+        let client = ClientConnection::new(monitor, number);
         self.connections.borrow_mut().insert(number, client.clone());
         let end = self.serve_connection(socket, shed, &client).await;
+        request_log::connection_ended(number, &end);
         client.apply(Event::ConnectionEnded);
         client.monitor.release_extra_memory();
         client.close_requested.set(false);
--- a/crates/runtime/src/inbound/exchange.rs
+++ b/crates/runtime/src/inbound/exchange.rs
@@ -6,6 +6,7 @@
 use super::upload_watch::{UploadEvent, UploadWatch};
 use crate::events::{FinalResponse, ForwardedRequest, Inbox, Input, ReceivedRequest};
 use crate::figures::{RequestMetrics, RequestOutcome};
+use crate::request_log;
 use crate::request_status::{RequestEnd, RequestStatus};
 use crate::response_body::ResponseBody;
 use crate::streaming::{
@@ -131,6 +132,7 @@
         {
             let _ = inbox.send(Input::AnswerDelivered(id)); // fails only while the process ends
         }
+        request_log::answer_ended(self.connection.current_use(), self.is_end_stream());
         self.connection.response_ended();
     }
 }
@@ -153,6 +155,8 @@
         connection: &Rc<ClientConnection>,
     ) -> Result<Response<OutgoingResponse>, Infallible> {
         connection.apply(Event::RequestReceived);
+        connection.begin_use();
+        request_log::head_received(connection.current_use(), request.headers().get("x-request-id"));
         let mut metrics = None;
         // A client may keep its connection for at least 2 s after the response. If idle connections filled
         // the limit, new clients would be refused although few requests are being served.
@@ -171,8 +175,12 @@
         } else {
             let metrics = metrics.insert(self.metrics.start_request(self.class(request.uri())));
             match self.serve_request(request, connection, metrics).await {
-                Ok(reply) => reply,
+                Ok(reply) => {
+                    request_log::answer_ready(connection.current_use(), reply.status(), "");
+                    reply
+                }
                 Err((status, problem)) => {
+                    request_log::answer_ready(connection.current_use(), status, problem);
                     // Nothing more is read from a client that sent an invalid request.
                     last = true;
                     let mut reply = text_response(status, problem);
@@ -255,7 +263,7 @@
             return Err((StatusCode::CONFLICT, "a request of that id is open"));
         }
         let job = self.job_identity(request.class, &id, head.headers.get("idempotency-key"));
-        let _open = OpenId { open_ids: &self.open_ids, id };
+        let open = OpenId { open_ids: &self.open_ids, id };
         connection.open_request.set(job.id);
         let memory = self.budget.messages();
         let received =
@@ -276,6 +284,7 @@
         }
         let id = RequestId(self.next_id.get());
         self.next_id.set(id.0 + 1);
+        request_log::request_received(connection.current_use(), &open.id, id, upload.is_none());
         request.id = id;
         request.body_incomplete = upload.is_some();
         remove_hop_by_hop_headers(&mut head.headers);
--- a/crates/runtime/src/lib.rs
+++ b/crates/runtime/src/lib.rs
@@ -43,6 +43,7 @@
 mod read_ahead;
 pub mod repeat_window;
 pub mod request_ids;
+pub mod request_log;
 pub mod request_status;
 pub mod request_write;
 pub mod response_body;
--- a/crates/runtime/src/outbound/attempt.rs
+++ b/crates/runtime/src/outbound/attempt.rs
@@ -2,8 +2,9 @@
 
 use super::{AcquireError, Connection, Outbound};
 use crate::aged_connections::AGED;
-use crate::attempt_terms::AttemptProgress;
+use crate::attempt_terms::{AttemptProgress, Violation};
 use crate::events::{AttemptResult, is_long_head, set_timeout_header};
+use crate::request_log;
 use crate::request_write::{RequestByte, RequestWrite, WriteCheck};
 use crate::response_body::{PauseLimit, ReadResponse, ResponseBody, StreamingResponse, read_response};
 use crate::socket::SocketMonitor;
@@ -73,6 +74,7 @@
         hyper::ext::on_informational(&mut request, move |_| seen.store(true, Ordering::Relaxed));
         let target = AttemptTarget { endpoint, address, progress, informational };
         loop {
+            let asked = Instant::now();
             let acquired = tokio::select! {
                 biased;
                 () = self.write_forbidden(&target) => Err(AcquireError::Failed(Outcome::NotSent)),
@@ -83,6 +85,10 @@
                 Err(AcquireError::RetryPool) => continue,
                 Err(AcquireError::Failed(outcome)) => return AttemptResult::from_outcome(outcome),
             };
+            if let Some(conditions) = &progress.conditions {
+                let local = || connection.monitor.local_address();
+                request_log::connection_acquired(conditions.id, endpoint, local, is_new, asked.elapsed());
+            }
             // An idle connection may turn out to be closed only now.
             if !matches!(timeout(self.connect_timeout, connection.sender.ready()).await, Ok(Ok(()))) {
                 if is_new {
@@ -223,13 +229,16 @@
         let conditions = target.progress.conditions.clone();
         Box::new(move |byte: RequestByte| {
             let Some(conditions) = &conditions else { return this.gate.admits(endpoint, address) };
-            let is_current = time_read_at.elapsed() < MAX_WRITE_DELAY;
-            let may_start = !byte.is_first() || is_current && this.gate.is_open(endpoint, address);
-            let may_write = may_start && conditions.hold();
-            if may_write && byte.is_last() {
+            let violation = match byte.is_first() {
+                true if time_read_at.elapsed() >= MAX_WRITE_DELAY => Some(Violation::TimeOutdated),
+                true if !this.gate.is_open(endpoint, address) => Some(Violation::EndpointClosed),
+                _ => conditions.violation(),
+            };
+            request_log::write_checked(conditions.id, byte, violation);
+            if violation.is_none() && byte.is_last() {
                 conditions.record_begin();
             }
-            may_write
+            violation.is_none()
         })
     }
 
@@ -256,8 +265,8 @@
             if !monitor.has_unsent_request() {
                 return pending().await;
             }
-            if !conditions.hold() {
-                return;
+            if let Some(violation) = conditions.violation() {
+                return request_log::attempt_withdrawn(conditions.id, violation);
             }
         }
     }
--- a/crates/runtime/src/socket.rs
+++ b/crates/runtime/src/socket.rs
@@ -11,6 +11,7 @@
 use std::cell::{Cell, RefCell};
 use std::io;
 use std::mem::MaybeUninit;
+use std::net::SocketAddr;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -194,6 +195,11 @@
         }
     }
 
+    /// The local address of the connection.
+    pub fn local_address(&self) -> Option<SocketAddr> {
+        self.stream.local_addr().ok()
+    }
+
     /// How many bytes of the current message were read.
     pub fn bytes_read(&self) -> u64 {
         self.arrivals.read()
