Half of an answer is not served as a whole one after a look at its connection

Seen: a client gets 200 with the first half of an answer that states no length and was reset, as if it were all of it.

Cause: a reset is reported by the kernel once. While an answer is under way its connection is looked at every 100 ms (`silence`), by a `recv` with MSG_PEEK. If the reset and that timer meet, which a process that is held up makes likely, the look takes the error, the next read finds the end of the input, and without a length the end of the input is the end of the answer.

Change: what a look has found broken is kept, and the read behind it fails. Class: a question to the kernel that uses up its answer. The other looks (`poll`, FIONREAD) use up nothing; the pool's and the clients' share this one.

--- a/crates/runtime/src/socket.rs
+++ b/crates/runtime/src/socket.rs
@@ -70,6 +70,8 @@
     request: RefCell<Option<RequestWrite>>,
     /// Cause of a failed read or write.
     failure: Cell<Option<FailureCause>>,
+    /// An error that a look at the input has shown. The kernel reports it once: reads find the end of the input afterwards.
+    peeked_error: Cell<Option<io::ErrorKind>>,
     /// The check failed, or the connection is to be reset: nothing was written since, and nothing will be.
     write_rejected: Cell<bool>,
 }
@@ -104,6 +106,15 @@
     }
 }
 
+/// What the kernel holds to be read.
+#[derive(Clone, Copy, PartialEq)]
+enum Peeked {
+    Bytes,
+    Nothing,
+    /// The end of the input, or an error.
+    End,
+}
+
 /// The socket itself, for hyper.
 pub struct Socket {
     monitor: Rc<SocketMonitor>,
@@ -130,6 +141,7 @@
             fast_bytes: Cell::default(),
             request: RefCell::default(),
             failure: Cell::default(),
+            peeked_error: Cell::default(),
             write_rejected: Cell::default(),
         });
         (Socket { monitor: monitor.clone(), head_memory: None }, monitor)
@@ -280,6 +292,15 @@
         read_memory.is_some()
     }
 
+    /// Reads; fails where the end of the input follows an error that a look at it has shown.
+    fn read_unless_broken(&self, buffer: &mut [u8]) -> io::Result<usize> {
+        let count = self.stream.try_read(buffer)?;
+        match self.peeked_error.get() {
+            Some(kind) if count == 0 => Err(kind.into()),
+            _ => Ok(count),
+        }
+    }
+
     /// Records what a read of up to `limit` bytes has brought.
     fn read(&self, bytes: &[u8], limit: usize) {
         self.framing.borrow_mut().scan(bytes);
@@ -428,9 +449,20 @@
 
     /// Whether the kernel holds only the peer's end, or the connection is broken. Reads nothing.
     fn peer_has_ended(&self) -> bool {
-        match SockRef::from(&self.stream).peek(&mut [MaybeUninit::uninit(); 1]) {
-            Ok(count) => count == 0,
-            Err(e) => !matches!(e.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::Interrupted),
+        self.peek() == Peeked::End
+    }
+
+    /// Looks at the input that the kernel holds. Reads nothing.
+    fn peek(&self) -> Peeked {
+        let socket = SockRef::from(&self.stream);
+        match uninterrupted(|| socket.peek(&mut [MaybeUninit::uninit(); 1])) {
+            Ok(0) => Peeked::End,
+            Ok(_) => Peeked::Bytes,
+            Err(e) if e.kind() == io::ErrorKind::WouldBlock => Peeked::Nothing,
+            Err(e) => {
+                self.peeked_error.set(Some(e.kind()));
+                Peeked::End
+            }
         }
     }
 
@@ -444,9 +476,7 @@
     /// Whether the kernel holds unread bytes or the peer's end. It asks the kernel, because the runtime
     /// only knows the result of its last poll.
     pub fn has_pending_input(&self) -> bool {
-        let socket = SockRef::from(&self.stream);
-        let peeked = uninterrupted(|| socket.peek(&mut [MaybeUninit::uninit(); 1]));
-        !peeked.is_err_and(|e| e.kind() == io::ErrorKind::WouldBlock)
+        self.peek() != Peeked::Nothing
     }
 }
 
@@ -465,7 +495,7 @@
             };
             ready?;
             let unfilled = buf.initialize_unfilled_to(read_len);
-            match monitor.stream.try_read(unfilled) {
+            match monitor.read_unless_broken(unfilled) {
                 Ok(count) => {
                     monitor.read(&unfilled[..count], read_len);
                     buf.advance(count);
