A late second answer finds its connection unused, and an answer before its request is none

Cause: bytes that come behind a response belong to nobody, and nothing in them says so. The only guard was a pause of 5 ms before a connection is used again. A copy that comes later, or that comes between the look at the connection and the first byte, is taken for the answer of the request that was just written. From then on the connection is one answer behind.

The price of the first additional connection stays ten whole pauses (100 ms, was 50 ms).

Open: a copy that is later than the pause and the first of its kind to be that late, on a connection that is used in that moment.

--- a/crates/curlewhub/tests/attempts/main.rs
+++ b/crates/curlewhub/tests/attempts/main.rs
@@ -3,5 +3,6 @@
 mod attempt_begin;
 mod ended_requests;
 mod repeated_requests;
+mod second_answers;
 #[path = "../support/mod.rs"]
 mod support;
--- a/crates/runtime/src/lib.rs
+++ b/crates/runtime/src/lib.rs
@@ -47,6 +47,7 @@
 pub mod request_status;
 pub mod request_write;
 pub mod response_body;
+pub mod reuse_delay;
 pub mod sent_jobs;
 pub mod shutdown;
 pub mod slots;
--- a/crates/runtime/src/outbound.rs
+++ b/crates/runtime/src/outbound.rs
@@ -8,9 +8,10 @@
 use super::figures::Metrics;
 use super::guard::AbortOnDrop;
 use super::load_report::LoadReportReader;
+use super::reuse_delay::ReuseDelay;
 use super::slots::{Slot, Slots};
 use super::socket::{ExtraMemory, MAX_BUFFER, Socket, SocketMonitor};
-use super::spares::{REUSE_DELAY, SpareConnections};
+use super::spares::SpareConnections;
 use super::streaming::OutgoingBody;
 use super::write_gate::WriteGate;
 use curlewhub_balance::{EndpointId, Outcome, Settings};
@@ -106,6 +107,7 @@
     idle: RefCell<HashMap<EndpointId, Vec<Connection>>>,
     /// Endpoints that were restarted, and since when that is known: earlier connections lead to the process before.
     restarted: RefCell<HashMap<EndpointId, Instant>>,
+    reuse_delay: ReuseDelay,
     /// The time that requests have waited for connections in their reuse delay.
     spares: RefCell<SpareConnections>,
     /// Endpoints to which this machine had no route.
@@ -135,6 +137,7 @@
             gate: WriteGate::default(),
             idle: RefCell::default(),
             restarted: RefCell::default(),
+            reuse_delay: ReuseDelay::default(),
             spares: RefCell::default(),
             routes: RefCell::default(),
             since: Instant::now(),
@@ -145,7 +148,7 @@
         })
     }
 
-    /// Returns a connection to the pool, to be reused after `REUSE_DELAY`. One whose buffers have grown is closed if their
+    /// Returns a connection to the pool, to be reused after the reuse delay. One whose buffers have grown is closed if their
     /// memory is needed elsewhere.
     fn release(&self, endpoint: EndpointId, mut connection: Connection) {
         let has_memory = !connection.has_grown || connection.monitor.keep_write_buffer();
@@ -153,7 +156,7 @@
             return;
         }
         connection.idle_since = Instant::now();
-        connection.reusable_at = connection.idle_since + REUSE_DELAY;
+        connection.reusable_at = connection.idle_since + self.reuse_delay.current(connection.idle_since);
         self.add_idle(endpoint, connection);
     }
 
@@ -255,6 +258,10 @@
 
     fn is_usable(&self, connection: &Connection) -> bool {
         let limit = self.aged.idle_limit(self.idle_timeout);
+        // What was read while nobody used it came behind the last response.
+        if let Some(at) = connection.monitor.unsolicited_at(connection.idle_since) {
+            self.reuse_delay.record_late_bytes(at - connection.idle_since, Instant::now());
+        }
         !connection.sender.is_closed() && connection.idle_since.elapsed() < limit
     }
 
--- a/crates/runtime/src/request_write.rs
+++ b/crates/runtime/src/request_write.rs
@@ -101,6 +101,11 @@
         self.is_handed_over = true;
     }
 
+    /// Whether nothing of it was written.
+    pub fn is_unwritten(&self) -> bool {
+        self.stage == Stage::Unwritten
+    }
+
     /// Whether its last byte was written.
     pub fn is_complete(&self) -> bool {
         self.stage == Stage::Complete
--- a/crates/runtime/src/socket.rs
+++ b/crates/runtime/src/socket.rs
@@ -207,6 +207,12 @@
         }
     }
 
+    /// When bytes were last read, if that was after `idle_since`.
+    pub fn unsolicited_at(&self, idle_since: Instant) -> Option<Instant> {
+        let last_at = self.arrivals.last_at();
+        (self.arrivals.read() > 0 && last_at > idle_since).then_some(last_at)
+    }
+
     /// The local address of the connection.
     pub fn local_address(&self) -> Option<SocketAddr> {
         self.stream.local_addr().ok()
@@ -377,6 +383,10 @@
         let Some(request) = request.as_mut().filter(|request| !request.is_complete()) else {
             return Poll::Ready(Some(remaining));
         };
+        // Whatever has come before the request belongs to nobody, and would be taken for its response.
+        if request.is_unwritten() && self.has_pending_input() {
+            return Poll::Ready(None);
+        }
         let allowed = ready!(request.poll_allowed(cx, remaining, |cx| self.poll_sent(cx)));
         self.write_rejected.set(allowed.is_err());
         Poll::Ready(allowed.ok())
--- a/crates/runtime/src/spares.rs
+++ b/crates/runtime/src/spares.rs
@@ -1,7 +1,7 @@
 //! Decides when an additional connection to an endpoint is worth its handshake, although none is needed at
 //! this moment.
 //!
-//! A connection is not reused for [`REUSE_DELAY`] after a response. A request that finds only such
+//! A connection is not reused for some milliseconds after a response (`reuse_delay.rs`). A request that finds only such
 //! connections waits, which costs it time; an additional connection would cost the endpoint a handshake.
 //! Since future requests are unknown, this is decided as a ski-rental problem: requests wait until their
 //! waits add up to the price, and then a connection is opened. Whatever the pattern of requests, the
@@ -11,13 +11,9 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
-/// Delay before a connection is reused after a response. Bytes that arrive behind a response, such as a
-/// duplicate or noise, would otherwise be taken for the response to the next request; nothing could tell
-/// them apart.
-pub const REUSE_DELAY: Duration = Duration::from_millis(5);
 /// Total wait at an endpoint before the first additional connection is opened: ten whole reuse delays. A
 /// lower total may come from a short burst of one caller, which is over by the time the connection is open.
-pub const FIRST_PRICE: Duration = Duration::from_millis(50);
+pub const FIRST_PRICE: Duration = Duration::from_millis(100);
 /// Total wait before each further one: as much as a handshake costs an endpoint at most (see
 /// `curlewhub_connection_quota::MAX_PENDING_CONNECTS`). So handshakes never cost more work than the waits
 /// that caused them.
