A request does not wait unread behind idle connections, nor a flood take its place

Cause: a connection was accepted only once it had a place, and places became free one by one. Until then it lay in the listen backlog, where nothing tells how long. A connection that its client had closed already took a place too, and a task.

Change: a connection is accepted first and looked at. One that has ended without a byte is dropped. A connection that waits is kept if its accept is cancelled.

--- a/crates/curlewhub/tests/overload/floods.rs
+++ b/crates/curlewhub/tests/overload/floods.rs
@@ -159,6 +159,55 @@
     others
 }
 
+/// Clients that connect, say nothing or stop in a request's first line, and come again as soon as they are closed.
+const IDLE_CLIENTS: usize = 600;
+/// Their pause before they come again.
+const IDLE_PAUSE: Duration = Duration::from_millis(60);
+/// Descriptors of a sidecar that idle clients fill.
+const FEW_SOCKETS: u32 = 160;
+/// The time of a request beside them, and that behind it in which an answer only earns nothing.
+const SHORT_TIMEOUT: Duration = Duration::from_millis(500);
+const LATE_GRACE: Duration = Duration::from_millis(500);
+
+fn idle_client(to: SocketAddr, is_silent: bool, stop: &AtomicBool) {
+    while !stop.load(Ordering::SeqCst) {
+        if let Ok(mut stream) = TcpStream::connect(to) {
+            let _ = stream.set_read_timeout(Some(Duration::from_secs(1)));
+            if !is_silent {
+                let _ = stream.write_all(b"GET /quote/x HTT");
+            }
+            let _ = stream.read(&mut [0]);
+        }
+        thread::sleep(IDLE_PAUSE);
+    }
+}
+
+/// Sends each request on a connection of its own. Returns how many were served, and the times of those that were answered
+/// too late or not at all; a connection may be closed unread.
+fn new_clients(to: SocketAddr, name: usize, stop: &AtomicBool) -> (usize, Vec<Duration>) {
+    let (mut served, mut late) = (0, Vec::new());
+    for number in 0.. {
+        if stop.load(Ordering::SeqCst) {
+            break;
+        }
+        let start = Instant::now();
+        let Ok(mut stream) = TcpStream::connect(to) else { continue };
+        let sent = Instant::now();
+        let text = request("quote", &format!("new-{name}-{number}"), "500m");
+        let mut first = [0; 12];
+        let latest = SHORT_TIMEOUT + LATE_GRACE;
+        stream.set_read_timeout(Some(2 * latest)).unwrap();
+        let answered = stream.write_all(text.as_bytes()).and_then(|()| stream.read_exact(&mut first));
+        served += usize::from(answered.is_ok() && first.ends_with(b"200"));
+        let is_shut = answered.is_err_and(|e| e.kind() != std::io::ErrorKind::WouldBlock);
+        if sent.elapsed() > latest && !is_shut {
+            late.push(start.elapsed());
+        }
+        thread::sleep(PAUSE);
+    }
+    (served, late)
+}
+
 fn config() -> (Peer, Value) {
     let peer = Peer::serving("ok");
     let mut config = config_with_operator(&[&peer]);
@@ -240,3 +289,35 @@
     let faults = check(Flood::Connects);
     assert!(faults.is_empty(), "{faults:#?}");
 }
+
+/// Guards against requests that wait unread behind idle connections until they are answered after their time: a connection
+/// for which there is no place is shut, or served in time.
+#[test]
+fn a_new_client_does_not_wait_behind_idle_ones_for_longer_than_its_time() {
+    let (_peer, mut config) = config();
+    config["limits"]["sockets"] = json!(FEW_SOCKETS);
+    let sidecar = Sidecar::start(&config);
+    let stop = AtomicBool::new(false);
+    let (served, late) = thread::scope(|scope| {
+        for number in 0..IDLE_CLIENTS {
+            let (stop, address) = (&stop, sidecar.address);
+            scope.spawn(move || idle_client(address, number % 2 == 0, stop));
+        }
+        let clients: Vec<_> = (0..OTHER_CLIENTS)
+            .map(|name| {
+                let (stop, address) = (&stop, sidecar.address);
+                scope.spawn(move || new_clients(address, name, stop))
+            })
+            .collect();
+        thread::sleep(2 * FLOOD_TIME);
+        stop.store(true, Ordering::SeqCst);
+        let all = clients.into_iter().map(|client| client.join().unwrap());
+        all.fold((0, Vec::new()), |(served, mut late), (more, times)| {
+            late.extend(times);
+            (served + more, late)
+        })
+    });
+    println!("{served} served, late {late:?}");
+    assert!(late.is_empty(), "{late:?}");
+    assert!(served > 0);
+}
--- a/crates/runtime/src/inbound/mod.rs
+++ b/crates/runtime/src/inbound/mod.rs
@@ -1,5 +1,6 @@
 //! Client connections: accepts them within the socket budget, and drains them at shutdown.
 
+mod backlog;
 mod connection;
 mod exchange;
 mod request;
@@ -14,15 +15,17 @@
 use crate::outbound::Outbound;
 use crate::sent_jobs::JobIdentity;
 use crate::shutdown::{Phase, ShutdownDeadline};
+use backlog::{Backlog, PendingInput};
 use connection::{ClientConnection, Stage};
 use curlewhub_balance::{ClassId, Semantics, Settings};
 use curlewhub_config::Names;
 use hyper::header::HeaderValue;
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, HashSet};
+use std::io;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpStream};
 use tokio::task::spawn_local;
 use tokio::time::{Instant, sleep, timeout, timeout_at};
 use tracing::{info, warn};
@@ -59,6 +62,9 @@
     next_id: Cell<u64>,
     lifecycle: Rc<Lifecycle>,
     metrics: Rc<Metrics>,
+    backlog: Backlog,
+    /// A connection that waits for a permit.
+    accepted: Cell<Option<TcpStream>>,
     /// Accept is failing; it is logged once until it succeeds again.
     accept_failing: Cell<bool>,
     /// Open connections, in the order in which they were accepted.
@@ -92,6 +98,8 @@
             next_id: Cell::new(0),
             lifecycle,
             metrics,
+            backlog: Backlog::default(),
+            accepted: Cell::default(),
             accept_failing: Cell::new(false),
             connections: RefCell::default(),
             open_ids: RefCell::default(),
@@ -142,6 +150,9 @@
                 && timeout(BACKLOG_EMPTY_AFTER, self.accept(&listener)).await.is_ok()
             {}
         }
+        if let Some(stream) = self.accepted.take() {
+            self.start_connection(stream, None);
+        }
         drop(listener);
         handover.close_listener();
         let _ = timeout_at(drain_end, self.all_closed()).await;
@@ -177,38 +188,67 @@
         }
     }
 
-    /// Accepts one connection, once a permit or a place for a refusal is available.
+    /// Accepts one connection, and serves it once a permit or a place for a refusal is available. A connection that was
+    /// accepted before this was cancelled comes first.
     async fn accept(self: &Rc<Self>, listener: &TcpListener) {
+        let accepted = match self.accepted.take() {
+            Some(stream) => Ok(stream),
+            None => self.backlog.accept(listener).await,
+        };
+        let stream = match accepted {
+            Ok(stream) => stream,
+            Err(e) => return self.accept_failed(&e).await,
+        };
+        self.accept_failing.set(false);
+        let input = backlog::pending_input(&stream);
+        // Nothing is owed to a client that has left, and a flood of such takes no place from others.
+        if input == PendingInput::Ended {
+            return;
+        }
+        if let Some(permit) = self.try_acquire_permit() {
+            return self.start_connection(stream, Some(permit));
+        }
+        if input == PendingInput::NoRequest && self.backlog.is_long() {
+            return;
+        }
+        self.accepted.set(Some(stream));
         let permit = self.acquire_permit().await;
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                self.accept_failing.set(false);
-                let permit = permit.or_else(|| self.budget.try_acquire(Holder::Client));
-                let shed = permit.is_none();
-                let permit = permit.or_else(|| self.budget.try_acquire(Holder::Shed));
-                let this = self.clone();
-                spawn_local(async move { this.handle_connection(stream, shed, permit).await });
-            }
-            Err(e) => {
-                if !self.accept_failing.replace(true) {
-                    warn!(error = %e, "accept");
-                }
-                // Not every failure is a lack of resources here: the client may have disconnected before it
-                // was accepted, or the network may be down.
-                if lacks_resources(&e) {
-                    self.outbound.close_oldest_idle();
-                }
-                sleep(ACCEPT_RETRY_DELAY).await;
-            }
+        if let Some(stream) = self.accepted.take() {
+            self.start_connection(stream, permit);
         }
     }
 
+    fn start_connection(self: &Rc<Self>, stream: TcpStream, permit: Option<Permit>) {
+        let permit = permit.or_else(|| self.budget.try_acquire(Holder::Client));
+        let shed = permit.is_none();
+        let permit = permit.or_else(|| self.budget.try_acquire(Holder::Shed));
+        let this = self.clone();
+        spawn_local(async move { this.handle_connection(stream, shed, permit).await });
+    }
+
+    async fn accept_failed(&self, error: &io::Error) {
+        if !self.accept_failing.replace(true) {
+            warn!(%error, "accept");
+        }
+        // Not every failure is a lack of resources here: the client may have disconnected before it
+        // was accepted, or the network may be down.
+        if lacks_resources(error) {
+            self.outbound.close_oldest_idle();
+        }
+        sleep(ACCEPT_RETRY_DELAY).await;
+    }
+
+    /// Returns a permit for one more client, if one is available now.
+    fn try_acquire_permit(&self) -> Option<Permit> {
+        while self.budget.is_full_of_endpoints() && self.outbound.close_oldest_idle() {}
+        self.budget.try_acquire(Holder::Client)
+    }
+
     /// Returns a permit for one more client; none if the client can only be refused because the limit is
     /// reached.
     async fn acquire_permit(&self) -> Option<Permit> {
         loop {
-            while self.budget.is_full_of_endpoints() && self.outbound.close_oldest_idle() {}
-            if let Some(permit) = self.budget.try_acquire(Holder::Client) {
+            if let Some(permit) = self.try_acquire_permit() {
                 return Some(permit);
             }
             // A lingering connection has already sent its last response; the oldest one did so first.
