--- a/crates/rig/src/request_soak/checks.rs
+++ b/crates/rig/src/request_soak/checks.rs
@@ -120,7 +120,10 @@
         .iter()
         .map(|attempt| {
             let arrival = match attempt.arrival {
-                Arrival::Whole { not_before, read } => format!("whole {}..{}", at(not_before), at(read)),
+                Arrival::Whole { not_before, read } => {
+                    let not_before = not_before.map(at).unwrap_or_default();
+                    format!("whole {not_before}..{}", at(read))
+                }
                 Arrival::Broken => "broken".to_owned(),
             };
             format!(
@@ -201,7 +204,16 @@
         ClientEnd::Answered { status: 0, .. } => Some(Violation::Foreign(detail())),
         ClientEnd::Answered { .. } | ClientEnd::Left | ClientEnd::NotAccepted => None,
         ClientEnd::Truncated => {
-            let is_broken = attempts.iter().any(|attempt| attempt.answer == "reset in the answer");
+            let has_crashed = |attempt: &&&AttemptRecord| {
+                let crashes =
+                    record.endpoint_crashes.iter().filter(|(endpoint, _)| *endpoint == attempt.endpoint);
+                crashes
+                    .into_iter()
+                    .any(|(_, at)| attempt.head_at <= *at && *at <= request.ended + LIMIT_SLACK)
+            };
+            let is_broken = attempts
+                .iter()
+                .any(|attempt| attempt.answer == "reset in the answer" || has_crashed(&attempt));
             (!is_broken && !is_excused(record, request)).then(|| Violation::CutOff(detail()))
         }
         ClientEnd::Unanswered => {
@@ -231,7 +243,7 @@
         let Some(request) = last_of.get(id) else { continue };
         let has_ended = !matches!(request.end, ClientEnd::Overdue | ClientEnd::NotAccepted);
         let limit = request.ended + END_GRACE + LIMIT_SLACK;
-        let is_late = |attempt: &&&AttemptRecord| matches!(attempt.arrival, Arrival::Whole { not_before, .. } if not_before > limit);
+        let is_late = |attempt: &&&AttemptRecord| matches!(attempt.arrival, Arrival::Whole { not_before: Some(not_before), .. } if not_before > limit);
         if has_ended && attempts.iter().any(|attempt| is_late(&attempt)) {
             late.push(Violation::AfterEnd(describe(record, request, attempts)));
         }
--- a/crates/rig/src/request_soak/endpoint.rs
+++ b/crates/rig/src/request_soak/endpoint.rs
@@ -13,14 +13,15 @@
 use std::time::Duration;
 use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::time::{Instant, sleep, timeout};
+use tokio::task::JoinSet;
+use tokio::time::{Instant, sleep, sleep_until, timeout};
 
 /// Receive buffer of an endpoint, in bytes, and segments as over an Ethernet: what it has not read stays with the
 /// sidecar's machine, but for a few KiB.
 const RECEIVE_LEN: usize = 4 * 1024;
 const SEGMENT_LEN: u32 = 1460;
 /// Connections that wait to be accepted.
-const BACKLOG: i32 = 1024;
+const BACKLOG: i32 = 2;
 /// Length of a short answer's body, and of a long one's, in bytes.
 const SHORT_ANSWER: std::ops::Range<usize> = 64..2_000;
 const LONG_ANSWER: std::ops::Range<usize> = 80_000..400_000;
@@ -29,6 +30,22 @@
 /// A request that is never answered is given up after this.
 const HANG: Duration = Duration::from_secs(8);
 
+/// Interval of an endpoint's troubles.
+const TROUBLE_INTERVAL_MS: std::ops::Range<u64> = 800..5000;
+/// In this share of them its process dies: all its connections are reset.
+const CRASH_SHARE: f64 = 0.3;
+/// In the others its machine takes no new connections for so long. With a short backlog, most come up when the sidecar's
+/// machine asks again after a second.
+const NOT_ACCEPTING_MS: std::ops::Range<u64> = 100..1300;
+
+/// What becomes of a connection.
+#[derive(Clone, Copy, PartialEq)]
+enum Next {
+    Continue,
+    Close,
+    Reset,
+}
+
 /// What an endpoint does with a request that it has read.
 #[derive(Clone, Copy, Debug, PartialEq)]
 enum Behaviour {
@@ -125,27 +142,57 @@
         Ok((listener, address))
     }
 
-    /// Serves one endpoint until dropped.
+    /// Serves one endpoint until dropped. Behind the calm its machine takes no new connections for a while now and then, and
+    /// its process dies now and then.
     pub async fn serve(self: Arc<Self>, number: usize, listener: TcpListener) {
-        while let Ok((stream, _)) = listener.accept().await {
-            let this = self.clone();
-            let connection = self.next_connection.fetch_add(1, Ordering::Relaxed);
-            tokio::spawn(async move { this.serve_connection(number, connection, stream).await });
+        let mut random = Pcg32::seed_from_u64(self.seed ^ (number as u64) << 40);
+        let mut connections = JoinSet::new();
+        let mut next_trouble = self.calm_until + trouble_interval(&mut random);
+        loop {
+            tokio::select! {
+                accepted = listener.accept() => {
+                    let Ok((stream, _)) = accepted else { return };
+                    let this = self.clone();
+                    let connection = self.next_connection.fetch_add(1, Ordering::Relaxed);
+                    connections.spawn(async move { this.serve_connection(number, connection, stream).await });
+                }
+                () = sleep_until(next_trouble) => {
+                    if random.random_bool(CRASH_SHARE) {
+                        let crash = (number, Instant::now());
+                        self.record.update(|record| record.endpoint_crashes.push(crash));
+                        connections.shutdown().await;
+                    } else {
+                        sleep(Duration::from_millis(random.random_range(NOT_ACCEPTING_MS))).await;
+                    }
+                    next_trouble = Instant::now() + trouble_interval(&mut random);
+                }
+            }
         }
     }
 
     async fn serve_connection(&self, endpoint: usize, number: u64, stream: TcpStream) {
+        // A task that is ended from outside resets its connection, as a process that dies does.
+        reset_on_close(&stream, true);
         let mut connection = Connection::new(stream);
+        let end = self.serve_requests(endpoint, number, &mut connection).await;
+        reset_on_close(&connection.stream, end == Next::Reset);
+    }
+
+    /// Serves requests until the connection is to end.
+    async fn serve_requests(&self, endpoint: usize, number: u64, connection: &mut Connection) -> Next {
         let mut random = Pcg32::seed_from_u64(self.seed ^ (number << 20) ^ endpoint as u64);
         for use_number in 0.. {
-            let Ok(head) = connection.read_head().await else { return };
+            let idle = if random.random_bool(0.1) { random.random_range(10..400) } else { 60_000 };
+            let Ok(Ok(head)) = timeout(Duration::from_millis(idle), connection.read_head()).await else {
+                return Next::Close;
+            };
             let id = head.header("x-request-id").unwrap_or_default().to_owned();
             let head_at = Instant::now();
             let is_calm = head_at < self.calm_until;
             let behaviour = Behaviour::draw(&mut random, is_calm);
             let is_again = !self.seen.lock().unwrap_or_else(PoisonError::into_inner).insert(id.clone());
             if behaviour == (Behaviour::TurnAway { before_body: true }) {
-                let _ = turn_away(&mut connection).await; // fails only if the sidecar has ended the connection
+                let _ = turn_away(connection).await; // fails only if the sidecar has ended the connection
             } else if !is_calm && random.random_bool(if is_again { 0.6 } else { 0.05 }) {
                 sleep(Duration::from_millis(random.random_range(100..1500))).await;
             }
@@ -167,13 +214,18 @@
                 has_run,
             };
             self.record.update(|record| record.attempts.push(attempt));
-            if !is_whole || !self.answer(&mut connection, &id, endpoint, behaviour, &mut random).await {
-                return;
+            if !is_whole {
+                return Next::Close;
+            }
+            match self.answer(connection, &id, endpoint, behaviour, &mut random).await {
+                Next::Continue => {}
+                end => return end,
             }
         }
+        Next::Close
     }
 
-    /// Works on a request and answers it. Returns whether the connection stays open.
+    /// Works on a request and answers it. Returns what becomes of the connection.
     async fn answer(
         &self,
         connection: &mut Connection,
@@ -181,7 +233,7 @@
         endpoint: usize,
         behaviour: Behaviour,
         random: &mut Pcg32,
-    ) -> bool {
+    ) -> Next {
         let is_long_work = random.random_bool(0.06);
         let work_ms = if is_long_work { random.random_range(150..900) } else { random.random_range(2..30) };
         sleep(Duration::from_millis(work_ms)).await;
@@ -207,18 +259,16 @@
             Behaviour::ServeUntilClose => {
                 let _ = stream.write_all(b"HTTP/1.1 200 OK\r\n\r\n").await;
                 let _ = write_slowly(stream, &body, random).await;
-                return false;
+                return Next::Close;
             }
             Behaviour::ResetInAnswer => {
                 let _ = stream.write_all(b"HTTP/1.1 200 OK\r\n\r\n").await;
                 let _ = stream.write_all(&body[..body.len() / 2]).await;
                 sleep(Duration::from_millis(random.random_range(1..60))).await;
-                reset(stream);
-                return false;
+                return Next::Reset;
             }
             Behaviour::ResetBeforeAnswer => {
-                reset(stream);
-                return false;
+                return Next::Reset;
             }
             Behaviour::Error => {
                 stream.write_all(b"HTTP/1.1 500 Internal Server Error\r\nContent-Length: 0\r\n\r\n").await
@@ -228,7 +278,7 @@
             Behaviour::Hang => {
                 // Until the sidecar ends the connection.
                 let _ = timeout(HANG, connection.read_head()).await;
-                return false;
+                return Next::Close;
             }
             Behaviour::Noise => stream.write_all(b"\x01\x02 no answer at all\r\n\r\n").await,
             Behaviour::Informational => {
@@ -237,7 +287,7 @@
                 stream.write_all(&whole).await
             }
         };
-        written.is_ok()
+        if written.is_ok() { Next::Continue } else { Next::Close }
     }
 }
 
@@ -267,6 +317,11 @@
     Ok(())
 }
 
-fn reset(stream: &TcpStream) {
-    let _ = SockRef::from(stream).set_linger(Some(Duration::ZERO)); // fails only on a connection that has ended
+fn reset_on_close(stream: &TcpStream, is_reset: bool) {
+    // Fails only on a connection that has ended.
+    let _ = SockRef::from(stream).set_linger(is_reset.then_some(Duration::ZERO));
+}
+
+fn trouble_interval(random: &mut Pcg32) -> Duration {
+    Duration::from_millis(random.random_range(TROUBLE_INTERVAL_MS))
 }
--- a/crates/rig/src/request_soak/record.rs
+++ b/crates/rig/src/request_soak/record.rs
@@ -56,8 +56,8 @@
 pub enum Arrival {
     /// All of it, the last byte later than `not_before`.
     Whole {
-        /// The endpoint's machine did not have the last byte by then.
-        not_before: Instant,
+        /// The endpoint's machine was seen not to have the last byte by then.
+        not_before: Option<Instant>,
         /// The endpoint had read all of it by then.
         read: Instant,
     },
@@ -119,6 +119,8 @@
     pub incarnations: Vec<Incarnation>,
     /// What happened to sidecars, and when.
     pub events: Vec<SidecarEvent>,
+    /// Endpoints whose process died, and when: all their connections were reset.
+    pub endpoint_crashes: Vec<(usize, Instant)>,
     /// Exits that no signal had asked for, and starts that failed.
     pub crashes: Vec<String>,
     /// Second answers that endpoints have written behind the first.
--- a/crates/rig/src/request_soak/wire.rs
+++ b/crates/rig/src/request_soak/wire.rs
@@ -54,8 +54,8 @@
 pub struct Connection {
     pub stream: TcpStream,
     buffer: Vec<u8>,
-    /// The last time at which bytes that were waited for had not come.
-    pub waited_until: Instant,
+    /// The last time at which bytes that were waited for were seen not to have come, on this machine either.
+    pub waited_until: Option<Instant>,
     /// Bytes read since the last call of `start_message`.
     pub read_since_start: usize,
 }
@@ -80,7 +80,7 @@
 impl Connection {
     pub fn new(stream: TcpStream) -> Connection {
         let _ = stream.set_nodelay(true); // fails only on a connection that has ended
-        Connection { stream, buffer: Vec::new(), waited_until: Instant::now(), read_since_start: 0 }
+        Connection { stream, buffer: Vec::new(), waited_until: None, read_since_start: 0 }
     }
 
     /// Counts bytes from here on.
@@ -100,10 +100,10 @@
     /// Reads more. While nothing comes, records until when it has not.
     async fn fill(&mut self) -> Result<(), ReadError> {
         if self.unread_in_kernel() == 0 {
-            self.waited_until = Instant::now();
+            self.waited_until = Some(Instant::now());
         }
         while timeout(ARRIVAL_CHECK, self.stream.readable()).await.is_err() {
-            self.waited_until = Instant::now();
+            self.waited_until = Some(Instant::now());
         }
         let mut piece = [0; READ_LEN];
         let count = self.stream.read(&mut piece).await?;
@@ -134,7 +134,7 @@
     pub async fn read_exact(&mut self, length: usize) -> Result<Vec<u8>, ReadError> {
         while self.buffer.len() < length {
             if (self.buffer.len() as u64 + self.unread_in_kernel()) < length as u64 {
-                self.waited_until = Instant::now();
+                self.waited_until = Some(Instant::now());
             }
             self.fill().await?;
         }
