--- a/crates/rig/tests/request_soak.rs
+++ b/crates/rig/tests/request_soak.rs
@@ -8,6 +8,9 @@
 
 const LENGTH: usize = 300;
 
+/// Changes the record of a request that was sent then.
+type Plant = fn(&mut Record, Instant);
+
 fn ms(millis: u64) -> Duration {
     Duration::from_millis(millis)
 }
@@ -71,7 +74,7 @@
 #[test]
 fn each_planted_defect_is_found() {
     let start = Instant::now();
-    let cases: [(&str, fn(&mut Record, Instant)); 8] = [
+    let cases: [(&str, Plant); 8] = [
         ("after the end", |record, start| {
             record.requests[0].class = "pay";
             record.attempts.push(attempt(start + ms(400)));
