--- a/crates/rig/src/request_soak/sidecar.rs
+++ b/crates/rig/src/request_soak/sidecar.rs
@@ -225,7 +225,10 @@
     /// Starts a process and waits until it is ready.
     async fn start(&self) -> Result<Process, String> {
         let problem = |what: &dyn std::fmt::Display| format!("sidecar {}: {what}", self.number);
-        let operator = free_address(self.ip).map_err(|e| problem(&e))?;
+        let mut operator = free_address(self.ip).map_err(|e| problem(&e))?;
+        while operator == self.address {
+            operator = free_address(self.ip).map_err(|e| problem(&e))?;
+        }
         let config =
             self.settings.config(self.number, self.address, operator, self.discovery, &self.targets);
         let file = self.folder.join(format!("n{}.{}.json", self.number, operator.port()));
