--- a/crates/lab/src/timeline/line.rs
+++ b/crates/lab/src/timeline/line.rs
@@ -17,6 +17,11 @@
 }
 
 impl LogLine {
+    /// The value of this field, if it has it.
+    pub fn value(&self, name: &str) -> Option<&str> {
+        self.fields.iter().find(|(field, _)| field == name).map(|(_, value)| value.as_str())
+    }
+
     /// Whether it has this field with this value.
     pub fn has(&self, name: &str, value: &str) -> bool {
         self.fields.iter().any(|(field, of)| field == name && of == value)
--- a/crates/lab/src/timeline/mod.rs
+++ b/crates/lab/src/timeline/mod.rs
@@ -12,7 +12,7 @@
 pub struct Timeline {
     /// A folder of logs, `NAME.log` or `NAME.N.log` each, as text or as JSON lines.
     folder: PathBuf,
-    /// Only lines of this request.
+    /// Only lines of this request: its number in a process, or its `X-Request-ID`, which may be known to several.
     #[arg(long, value_name = "ID")]
     request: Option<String>,
     /// Only lines of this endpoint, by its uid.
@@ -75,21 +75,48 @@
     let Some(first) = lines.first().map(|line| line.at) else {
         return Err(TimelineError::NoLogs(options.folder.clone()));
     };
+    let traces = options.request.as_deref().map(|id| traces_of(&lines, id)).unwrap_or_default();
     let mut text = String::new();
     for line in &lines {
         let seconds = line.at.duration_since(first).unwrap_or_default().as_secs_f64();
-        if options.shows(line, seconds) {
+        if options.shows(line, seconds, &traces) {
             text += &format!("{seconds:>9.3}  {:<12} {:<5} {}\n", line.process, line.level, line.text);
         }
     }
     Ok(text)
 }
 
+/// What the request with a client's id is called in the log of one process: by the number of the request, and by its
+/// connection and use.
+struct Trace {
+    process: String,
+    names: Vec<(&'static str, String)>,
+}
+
+impl Trace {
+    fn has(&self, line: &LogLine) -> bool {
+        line.process == self.process && self.names.iter().all(|(name, value)| line.has(name, value))
+    }
+}
+
+/// The names of a request that are found beside its `X-Request-ID`.
+fn traces_of(lines: &[LogLine], id: &str) -> Vec<Trace> {
+    let mut traces = Vec::new();
+    for line in lines.iter().filter(|line| line.has("x_request_id", id)) {
+        for names in [&["request"][..], &["connection", "use_number"]] {
+            let named = names.iter().map(|name| Some((*name, line.value(name)?.to_owned())));
+            let named: Option<Vec<_>> = named.collect();
+            traces.extend(named.map(|names| Trace { process: line.process.clone(), names }));
+        }
+    }
+    traces
+}
+
 impl Timeline {
-    fn shows(&self, line: &LogLine, seconds: f64) -> bool {
+    fn shows(&self, line: &LogLine, seconds: f64, traces: &[Trace]) -> bool {
         let in_time = seconds >= self.from && self.to.is_none_or(|to| seconds <= to);
         let of_process = self.process.is_empty() || self.process.contains(&line.process);
-        in_time && of_process && self.matches(line)
+        in_time && of_process && (self.matches(line) || traces.iter().any(|trace| trace.has(line)))
     }
 
     /// Whether it is one of the lines asked for; without any, whether it tells of a state.
--- a/crates/lab/tests/timeline.rs
+++ b/crates/lab/tests/timeline.rs
@@ -64,3 +64,28 @@
     assert_eq!(code, Some(2), "{errors}");
     assert!(errors.contains("no log in it"), "{errors}");
 }
+
+/// Guards against a request that can't be followed by the id that its client has given it.
+#[test]
+fn a_request_is_followed_by_its_clients_id_through_its_connection_and_its_number() {
+    let folder = Folder::new("timeline-request-id");
+    let line = |second: u32, text: &str| {
+        format!("2026-12-05T06:00:{second:02}.000000Z TRACE curlewhub_runtime::request_log: {text}\n")
+    };
+    let log = [
+        line(1, "head received connection=4 use_number=2 x_request_id=\"r1\""),
+        line(
+            2,
+            "request received connection=4 use_number=2 x_request_id=\"r1\" request=9 is_complete=true",
+        ),
+        line(3, "attempt started request=9 attempt=0 endpoint=\"s-1\" millis=500"),
+        line(4, "attempt started request=10 attempt=0 endpoint=\"s-1\" millis=500"),
+        line(5, "answer ended connection=4 use_number=1 is_complete=true"),
+        line(6, "answer ended connection=4 use_number=2 is_complete=true"),
+    ];
+    std::fs::write(folder.0.join("n0.log"), log.concat()).unwrap();
+    std::fs::write(folder.0.join("n1.log"), line(3, "attempt started request=9 attempt=0")).unwrap();
+    let (code, text, _) = timeline(&folder, &["--request", "r1"]);
+    let seconds: Vec<&str> = text.lines().filter_map(|line| line.split_whitespace().next()).collect();
+    assert_eq!((code, seconds), (Some(0), vec!["0.000", "1.000", "2.000", "5.000"]), "{text}");
+}
