--- a/crates/rig/src/request_soak/run.rs
+++ b/crates/rig/src/request_soak/run.rs
@@ -10,6 +10,7 @@
 use rand::seq::IteratorRandom;
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg32;
+use serde_json::Value;
 use std::collections::BTreeMap;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::path::PathBuf;
@@ -25,6 +26,14 @@
 const CALM: Duration = Duration::from_millis(1500);
 /// Sidecars that start at once, so that a large run does not time out its own starts.
 const START_INTERVAL: Duration = Duration::from_millis(15);
+/// Time beyond that until clients begin, and behind the last request's time until the run ends.
+const START_MARGIN: Duration = Duration::from_millis(500);
+const END_MARGIN: Duration = Duration::from_secs(1);
+/// Third octets of the addresses of endpoints and discovery; sidecars have the first ones.
+const ENDPOINTS_OCTET: u8 = 200;
+const DISCOVERY_OCTET: u8 = 201;
+/// Spreads the seeds of clients.
+const CLIENT_SEED_FACTOR: u64 = 1_000_003;
 /// Interval at which the lateness of timers is measured.
 const LAG_CHECK: Duration = Duration::from_millis(10);
 /// Idle connections of a crowd, for each sidecar.
@@ -85,87 +94,162 @@
     }
 }
 
-/// Makes one run. Dropped before its end, it leaves no process behind.
+/// When what happens in a run.
+#[derive(Clone, Copy, Debug)]
+struct Schedule {
+    /// Clients begin.
+    begin: Instant,
+    /// Troubles begin.
+    calm_until: Instant,
+    /// Clients begin no further requests.
+    until: Instant,
+    /// All requests are over.
+    end: Instant,
+}
+
+impl Schedule {
+    fn new(options: &SoakOptions, settings: &Settings) -> Schedule {
+        let begin = Instant::now() + START_INTERVAL * options.sidecars as u32 + START_MARGIN;
+        let calm_until = begin + CALM;
+        let until = calm_until + options.length;
+        Schedule { begin, calm_until, until, end: until + settings.deadline + END_MARGIN }
+    }
+}
+
+/// What all parts of a run share.
+struct Shared<'a> {
+    options: &'a SoakOptions,
+    settings: Settings,
+    schedule: Schedule,
+    octet: u8,
+    record: Arc<SoakRecord>,
+    front: Arc<Front>,
+}
+
+/// Makes one run. Dropped before its end, it leaves no process behind. Returns also its settings, as text.
 ///
 /// # Errors
 /// What could not be started.
 pub async fn run(options: &SoakOptions) -> Result<(Record, String), String> {
     let (octet, _held) = octet().ok_or("no second octet of 127.x is free for a run")?;
-    let text = |e: std::io::Error| e.to_string();
     std::fs::create_dir_all(&options.folder).map_err(text)?;
     let mut random = Pcg32::seed_from_u64(options.seed);
     let mut settings = Settings::draw(&mut random, options.sidecars, options.is_crowded);
     settings.cancelling = options.cancelling.unwrap_or(settings.cancelling);
     settings.second_copies = options.second_copies.unwrap_or(settings.second_copies);
-    let record = Arc::new(SoakRecord::default());
+    let schedule = Schedule::new(options, &settings);
+    let (record, front) = (Arc::new(SoakRecord::default()), Arc::new(Front::default()));
     record.update(|record| record.is_crowded = options.is_crowded);
+    let shared = Shared { options, settings, schedule, octet, record, front };
+
     let mut tasks = JoinSet::new();
+    tasks.spawn(measure_lag(shared.record.clone()));
+    let targets = shared.start_endpoints(&mut tasks)?;
+    let discovery = shared.start_discovery(&targets, &mut tasks).await?;
+    let mut sidecars = shared.start_sidecars(discovery, &targets, &mut random).await?;
+    shared.sidecars_ready().await;
+    let mut clients = shared.start_clients();
+    if options.is_crowded {
+        shared.start_crowd(&mut tasks);
+    }
+    while clients.join_next().await.is_some() {}
+    while sidecars.join_next().await.is_some() {}
+    tasks.shutdown().await;
+    Ok((shared.record.take(), format!("{:?}", shared.settings)))
+}
+
+fn text(error: std::io::Error) -> String {
+    error.to_string()
+}
 
-    let mut listeners = Vec::new();
-    let mut targets = Vec::new();
-    for number in 0..options.endpoints {
-        let (listener, address) = Endpoints::bind(Ipv4Addr::new(127, octet, 200, 1)).map_err(text)?;
-        targets.push(target(number, address));
-        listeners.push(listener);
+impl Shared<'_> {
+    /// Starts the endpoints. Returns their entries in the list.
+    fn start_endpoints(&self, tasks: &mut JoinSet<()>) -> Result<Vec<Value>, String> {
+        let seed = self.options.seed;
+        let endpoints = Endpoints::new(seed, self.record.clone(), self.schedule.calm_until);
+        let ip = Ipv4Addr::new(127, self.octet, ENDPOINTS_OCTET, 1);
+        let mut targets = Vec::new();
+        for number in 0..self.options.endpoints {
+            let (listener, address) = Endpoints::bind(ip).map_err(text)?;
+            targets.push(target(number, address));
+            tasks.spawn(endpoints.clone().serve(number, listener));
+        }
+        Ok(targets)
     }
-    let listener = TcpListener::bind((Ipv4Addr::new(127, octet, 201, 1), 0)).await.map_err(text)?;
-    let discovery = listener.local_addr().map_err(text)?;
-    let discovered = targets.clone();
-    tasks.spawn(async move { drop(discovery::serve(listener, discovered).await) });
-    tasks.spawn(measure_lag(record.clone()));
-
-    let front = Arc::new(Front::default());
-    let start_time = START_INTERVAL * options.sidecars as u32 + Duration::from_millis(500);
-    let begin = Instant::now() + start_time;
-    let until = begin + CALM + options.length;
-    let end = until + settings.deadline + Duration::from_secs(1);
-    let endpoints = Endpoints::new(options.seed, record.clone(), begin + CALM);
-    for (number, listener) in listeners.into_iter().enumerate() {
-        tasks.spawn(endpoints.clone().serve(number, listener));
+
+    async fn start_discovery(
+        &self,
+        targets: &[Value],
+        tasks: &mut JoinSet<()>,
+    ) -> Result<SocketAddr, String> {
+        let ip = Ipv4Addr::new(127, self.octet, DISCOVERY_OCTET, 1);
+        let listener = TcpListener::bind((ip, 0)).await.map_err(text)?;
+        let address = listener.local_addr().map_err(text)?;
+        let targets = targets.to_vec();
+        tasks.spawn(async move { drop(discovery::serve(listener, targets).await) });
+        Ok(address)
     }
-    let mut sidecars = JoinSet::new();
-    for number in 0..options.sidecars {
-        let ip = Ipv4Addr::new(127, octet, (number / 250) as u8, 1 + (number % 250) as u8);
-        let sidecar = Sidecar {
-            number,
-            program: options.program.clone(),
-            folder: options.folder.clone(),
-            address: free_address(ip).map_err(text)?,
-            ip,
-            discovery,
-            targets: targets.clone(),
-            settings: settings.clone(),
-            front: front.clone(),
-            record: record.clone(),
-            log_level: options.log_level.clone(),
-        };
-        let event = Event::draw(&mut random);
-        let at = begin + CALM + options.length.mul_f64(random.random_range(0.0..0.6));
-        let random = Pcg32::seed_from_u64(options.seed ^ (number as u64) << 32);
-        sidecars.spawn(sidecar.run(event, at, end, random));
-        sleep(START_INTERVAL).await;
+
+    /// Starts the sidecars one after the other, and what happens to them.
+    async fn start_sidecars(
+        &self,
+        discovery: SocketAddr,
+        targets: &[Value],
+        random: &mut Pcg32,
+    ) -> Result<JoinSet<()>, String> {
+        let (options, schedule) = (self.options, self.schedule);
+        let mut sidecars = JoinSet::new();
+        for number in 0..options.sidecars {
+            let ip = Ipv4Addr::new(127, self.octet, (number / 250) as u8, 1 + (number % 250) as u8);
+            let sidecar = Sidecar {
+                number,
+                program: options.program.clone(),
+                folder: options.folder.clone(),
+                address: free_address(ip).map_err(text)?,
+                ip,
+                discovery,
+                targets: targets.to_vec(),
+                settings: self.settings.clone(),
+                front: self.front.clone(),
+                record: self.record.clone(),
+                log_level: options.log_level.clone(),
+            };
+            let event = Event::draw(random);
+            let at = schedule.calm_until + options.length.mul_f64(random.random_range(0.0..0.6));
+            let random = Pcg32::seed_from_u64(options.seed ^ (number as u64) << 32);
+            sidecars.spawn(sidecar.run(event, at, schedule.end, random));
+            sleep(START_INTERVAL).await;
+        }
+        Ok(sidecars)
     }
-    sleep_until(begin).await;
-    while front.len() < options.sidecars && Instant::now() < begin + CALM {
-        sleep(LAG_CHECK).await;
+
+    /// Waits until clients may begin.
+    async fn sidecars_ready(&self) {
+        sleep_until(self.schedule.begin).await;
+        while self.front.len() < self.options.sidecars && Instant::now() < self.schedule.calm_until {
+            sleep(LAG_CHECK).await;
+        }
     }
-    let next_id = Arc::new(AtomicU64::new(0));
-    let mut clients = JoinSet::new();
-    for number in 0..options.sidecars * options.clients {
-        let seed = options.seed.wrapping_mul(1_000_003) ^ number as u64;
-        let client =
-            Client::new(seed, front.clone(), record.clone(), next_id.clone(), settings.deadline, until);
-        clients.spawn(client.run());
+
+    fn start_clients(&self) -> JoinSet<()> {
+        let next_id = Arc::new(AtomicU64::new(0));
+        let mut clients = JoinSet::new();
+        for number in 0..self.options.sidecars * self.options.clients {
+            let seed = self.options.seed.wrapping_mul(CLIENT_SEED_FACTOR) ^ number as u64;
+            let (front, record) = (self.front.clone(), self.record.clone());
+            let (timeout, until) = (self.settings.deadline, self.schedule.until);
+            clients.spawn(Client::new(seed, front, record, next_id.clone(), timeout, until).run());
+        }
+        clients
     }
-    if options.is_crowded {
+
+    fn start_crowd(&self, tasks: &mut JoinSet<()>) {
         for number in 0..CROWDED_SIDECARS * CROWD {
-            tasks.spawn(idle_client(front.clone(), options.seed ^ number as u64, begin + CALM, until));
+            let seed = self.options.seed ^ number as u64;
+            let Schedule { calm_until, until, .. } = self.schedule;
+            tasks.spawn(idle_client(self.front.clone(), seed, calm_until, until));
         }
     }
-    while clients.join_next().await.is_some() {}
-    while sidecars.join_next().await.is_some() {}
-    tasks.shutdown().await;
-    Ok((record.take(), format!("{settings:?}")))
 }
 
 /// Connects, says nothing or half a line, and stays.
