Test of ended requests: copies of a busy machine are answered, and a case without a copy is played again

Traced: beside load a warm-up got a second copy, which the test took for the next request's attempt and answered in its place; the next one was never answered.

--- a/crates/curlewhub/tests/attempts/attempt_begin.rs
+++ b/crates/curlewhub/tests/attempts/attempt_begin.rs
@@ -17,6 +17,8 @@
 const CLIENT_GONE_GRACE: Duration = Duration::from_millis(100);
 /// Bodies that fit whole into the kernel's queue, in bytes, and one that does not.
 pub const BODY_LENGTHS: [usize; 3] = [60_000, 300_000, 1_000_000];
+/// A second copy of the last warm-up arrives within this.
+const LEFTOVER_COPIES_WITHIN: Duration = Duration::from_millis(100);
 /// Requests after which the sidecar knows how long answers take.
 const WARM_UP_REQUESTS: usize = 40;
 
@@ -41,15 +43,27 @@
     client
 }
 
-/// Has keyed requests answered at once, until the sidecar knows how long answers take.
+/// Has keyed requests answered at once, until the sidecar knows how long answers take. On a busy machine a request may get a
+/// second copy, which is answered too: left over, it would be taken for the next request's attempt.
 pub fn warm_up(sidecar: &Sidecar, endpoints: &SlowEndpoints) {
     for number in 0..WARM_UP_REQUESTS {
         let mut client = send(sidecar, &long_request("pay", &format!("w{number}"), 100));
-        let mut request = endpoints.next();
-        request.read_rest();
-        request.answer("ok");
+        wait_for("the warm-up's response", || {
+            answer_all(endpoints, Duration::from_millis(2));
+            client.has_unread(Duration::from_millis(2))
+        });
         assert_eq!(client.read().expect("a response").status(), 200);
     }
+    answer_all(endpoints, LEFTOVER_COPIES_WITHIN);
+}
+
+/// Answers each request that arrives within this time of the one before.
+fn answer_all(endpoints: &SlowEndpoints, time: Duration) {
+    while let Some(mut request) = endpoints.next_within(time) {
+        if request.read_rest() == Arrival::Whole {
+            request.answer("ok");
+        }
+    }
 }
 
 /// Guards against a keyed job that runs again after its window: the repeat's first bytes are written inside it, and its
--- a/crates/curlewhub/tests/attempts/ended_requests.rs
+++ b/crates/curlewhub/tests/attempts/ended_requests.rs
@@ -11,6 +11,8 @@
 
 /// An attempt whose last byte arrives later than this after the final answer has begun after the end of its request.
 const ANSWERED_GRACE: Duration = Duration::from_millis(100);
+/// A second copy that has not come by then is not sent.
+const COPY_WITHIN: Duration = Duration::from_secs(2);
 /// By then a second copy is under way.
 const COPY_DELAY: Duration = Duration::from_millis(300);
 /// A late connection that brings no request for so long brings none.
@@ -23,23 +25,31 @@
     for (length, cancelling) in
         BODY_LENGTHS.into_iter().flat_map(|length| [(length, true), (length, false)])
     {
-        let endpoints = SlowEndpoints::start(2, Heads::Read);
-        let mut config = config_for(&endpoints);
-        config["settings"]["limits"]["cancelling"] = json!(cancelling);
-        config["settings"]["classes"][2]["repeatWindowMs"] = json!(20_000.0);
-        let sidecar = Sidecar::start(&config);
-        warm_up(&sidecar, &endpoints);
-        let mut client = send(&sidecar, &long_request("pay", "r1", length));
-        let mut first = endpoints.next();
-        assert_eq!(first.read_rest(), Arrival::Whole, "{length}, {cancelling}");
-        let mut copy = endpoints.next();
-        first.answer("ok");
-        assert_eq!(client.read().expect("a response").status(), 200, "{length}, {cancelling}");
-        thread::sleep(ANSWERED_GRACE + LIMIT_SLACK);
-        assert_eq!(copy.read_rest(), Arrival::Broken, "{length}, {cancelling}");
+        // On a machine so slow that responses are late, no second copy may be sent; the case is then played again.
+        wait_for("a second copy", || has_copy_that_does_not_begin(length, cancelling));
     }
 }
 
+/// Plays one case, and returns whether a second copy was sent; fails if it begins after the answer.
+fn has_copy_that_does_not_begin(length: usize, cancelling: bool) -> bool {
+    let endpoints = SlowEndpoints::start(2, Heads::Read);
+    let mut config = config_for(&endpoints);
+    config["settings"]["limits"]["cancelling"] = json!(cancelling);
+    config["settings"]["classes"][2]["repeatWindowMs"] = json!(20_000.0);
+    let sidecar = Sidecar::start(&config);
+    warm_up(&sidecar, &endpoints);
+    let mut client = send(&sidecar, &long_request("pay", "r1", length));
+    let mut first = endpoints.next();
+    assert_eq!(first.read_rest(), Arrival::Whole, "{length}, {cancelling}");
+    let copy = endpoints.next_within(COPY_WITHIN);
+    first.answer("ok");
+    assert_eq!(client.read().expect("a response").status(), 200, "{length}, {cancelling}");
+    let Some(mut copy) = copy else { return false };
+    thread::sleep(ANSWERED_GRACE + LIMIT_SLACK);
+    assert_eq!(copy.read_rest(), Arrival::Broken, "{length}, {cancelling}");
+    true
+}
+
 /// Guards against an attempt that is sent after the answer because its connection came up late.
 #[test]
 fn an_attempt_whose_connection_comes_up_after_the_answer_is_not_sent() {
