The look right before a request asks how much is unread, and takes no error and no fault

With every second recv and send interrupted, the look and the write took turns without end, and the request was refused; with every fourth recv reset, the look took the faults that were meant for the reads of aged connections.

The look was a recv with MSG_PEEK. It now asks FIONREAD, which can be interrupted by nothing and reports no error: bytes that lie unread belong to nobody, and an end or a reset is found by the write and the read as before.

--- a/crates/runtime/src/socket.rs
+++ b/crates/runtime/src/socket.rs
@@ -188,12 +188,16 @@
 
     /// The bytes of the current message that have arrived by now, read or not.
     pub(crate) fn observe_arrivals(&self) -> &Arrivals {
-        // Fails only on a socket that has ended: nothing more arrives then.
-        let unread = rustix::io::ioctl_fionread(&self.stream).unwrap_or(0);
-        self.arrivals.record_unread(unread);
+        self.arrivals.record_unread(self.unread());
         &self.arrivals
     }
 
+    /// How many bytes the kernel holds that were not read.
+    fn unread(&self) -> u64 {
+        // Fails only on a socket that has ended: nothing more arrives then.
+        rustix::io::ioctl_fionread(&self.stream).unwrap_or(0)
+    }
+
     /// Since when memory for a long head is waited for.
     pub fn head_memory_awaited_since(&self) -> Option<Instant> {
         self.head_memory_awaited.get()
@@ -384,7 +388,7 @@
             return Poll::Ready(Some(remaining));
         };
         // Whatever has come before the request belongs to nobody, and would be taken for its response.
-        if request.is_unwritten() && self.has_pending_input() {
+        if request.is_unwritten() && self.unread() > 0 {
             return Poll::Ready(None);
         }
         let allowed = ready!(request.poll_allowed(cx, remaining, |cx| self.poll_sent(cx)));
