An early success on a used connection is an answer again

A success that came before the last byte of its request was written, on a connection that was used before, was taken for a late copy, and the request went to another connection. An endpoint that answers early was so asked twice.

--- a/crates/runtime/src/outbound/attempt.rs
+++ b/crates/runtime/src/outbound/attempt.rs
@@ -165,12 +165,6 @@
     ) -> Exchanged {
         let (endpoint, progress) = (target.endpoint, target.progress);
         let fully_sent = progress.fully_sent.get();
-        let is_success =
-            matches!(read, Some(ReadResponse::Complete(Outcome::Ok, _) | ReadResponse::Streaming(..)));
-        if is_success && !fully_sent && !is_new {
-            // No endpoint serves what has not come whole: this is a late copy of the response before.
-            return Exchanged::Stale;
-        }
         let outcome = match read {
             Some(ReadResponse::Complete(outcome, body)) => {
                 if fully_sent && !connection.sender.is_closed() {
