A look that is interrupted without end leaves no error for later reads

Found by reading the change again: a look at unread input that is interrupted more often than it is retried stored the interruption, and a read that finds the end afterwards would have been tried again without end. Cause: keeps every error but one of the look. Change: an interruption is no finding; there may be bytes, as before. Not shown on a process: 100 interruptions in a row are needed.

--- a/crates/runtime/src/socket.rs
+++ b/crates/runtime/src/socket.rs
@@ -479,6 +479,8 @@
             Ok(0) => Peeked::End,
             Ok(_) => Peeked::Bytes,
             Err(e) if e.kind() == io::ErrorKind::WouldBlock => Peeked::Nothing,
+            // Nothing is known: there may be bytes.
+            Err(e) if e.kind() == io::ErrorKind::Interrupted => Peeked::Bytes,
             Err(e) => {
                 self.peeked_error.set(Some(e.kind()));
                 Peeked::End
